--- /dev/null
+++ b/bench/counts.py
@@ -0,0 +1,68 @@
+"""Compares what callers got with what backend servers executed."""
+
+import collections
+
+import msgspec
+
+
+class Counts(msgspec.Struct):
+    """The counts of one run, taken at callers and backend servers only."""
+
+    requests: int = 0
+    whole: int = 0
+    in_time: int = 0
+    refused: int = 0
+    unknown: int = 0
+    lost: int = 0
+    misdelivered: int = 0
+    doubled_orders: int = 0
+    untrue_refusals: int = 0
+    cut_streams: int = 0
+    attainment: float = 0.0
+
+    def get_faults(self):
+        """Return how many things went wrong that never may."""
+        return (
+            self.lost
+            + self.misdelivered
+            + self.doubled_orders
+            + self.untrue_refusals
+            + self.cut_streams
+        )
+
+
+def count(answers, executions, order_stages):
+    """Return the `Counts` of answers against executions.
+
+    Several answers can share a marker: repeats of one order. A refusal
+    that says "not run" is untrue if the order stage was executed for its
+    marker, or, for pipelines without one, if anything was.
+    """
+    stages_by_marker = collections.defaultdict(list)
+    for execution in executions:
+        stages_by_marker[execution.marker].append(execution.stage)
+    counts = Counts()
+    for answer in answers:
+        _count_answer(counts, answer, stages_by_marker, order_stages)
+    for stages in stages_by_marker.values():
+        orders = [stage for stage in stages if stage in order_stages]
+        counts.doubled_orders += max(0, len(orders) - 1)
+    if counts.requests:
+        counts.attainment = round(counts.in_time / counts.requests, 4)
+    return counts
+
+
+def _count_answer(counts, answer, stages_by_marker, order_stages):
+    counts.requests += 1
+    counts.whole += answer.outcome == "whole"
+    counts.in_time += answer.is_in_time()
+    counts.refused += answer.outcome == "refused"
+    counts.unknown += answer.outcome == "unknown"
+    counts.lost += answer.outcome == "lost"
+    counts.misdelivered += answer.is_misdelivered
+    counts.cut_streams += answer.is_cut
+    if answer.ran == "no":
+        stages = stages_by_marker.get(answer.marker, [])
+        if answer.plan.is_order:
+            stages = [stage for stage in stages if stage in order_stages]
+        counts.untrue_refusals += bool(stages)
--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,112 @@
+"""The two deployments that experiments run, at the sizes of today."""
+
+import pathlib
+
+import msgspec
+
+from bench.standins import server
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "docs" / "examples"
+REGION_DELAY_S = 0.012
+
+
+class ServiceSize(msgspec.Struct, frozen=True):
+    """How many backend servers a service has, and what they are like."""
+
+    name: str
+    kind: str
+    count: int
+    profile: server.Profile
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """A deployment: regions, services, and the table to publish.
+
+    `orders` names the stages that must not be executed twice.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    services: tuple[ServiceSize, ...]
+    organisations: tuple[str, ...]
+    orders: frozenset[str]
+
+    def get_table_folder(self):
+        """Return the folder of the example table."""
+        return EXAMPLES / self.name
+
+
+class BackendPlace(msgspec.Struct, frozen=True):
+    """One backend server and where it is."""
+
+    name: str
+    region: str
+    size: ServiceSize
+
+
+_ENGINE = server.Profile(slots=6, prefill_ms=120.0, token_ms=8.0)
+_PLAIN = server.Profile(slots=8, call_ms=40.0)
+_POOL = server.Profile(slots=8, call_ms=20.0)
+
+
+def _pools():
+    return tuple(
+        ServiceSize(name, "pool", 3, _POOL)
+        for name in ("encoders", "retrievers", "rerankers")
+    )
+
+
+KITAMURA = Deployment(
+    name="kitamura",
+    regions=("ishikari", "shiribeshi", "kamikawa"),
+    services=(
+        ServiceSize("writer", "engine", 6, _ENGINE),
+        ServiceSize("orders", "plain", 3, _PLAIN),
+        ServiceSize("kiln", "plain", 3, _PLAIN),
+        ServiceSize("gift-shop", "plain", 3, _PLAIN),
+        ServiceSize("slip-printer", "plain", 3, _PLAIN),
+        *_pools(),
+    ),
+    organisations=(
+        "workshop",
+        "otaru-stall",
+        "web-shop",
+        "wholesale",
+        "field-staff",
+    ),
+    orders=frozenset(("place", "print")),
+)
+
+FEDERATION = Deployment(
+    name="federation",
+    regions=("bagmati", "gandaki", "koshi"),
+    services=(
+        ServiceSize("assistant", "engine", 9, _ENGINE),
+        ServiceSize("ledger", "plain", 3, _PLAIN),
+        ServiceSize("member-registry", "plain", 3, _PLAIN),
+        ServiceSize("export-desk", "plain", 3, _PLAIN),
+        ServiceSize("weaver-notices", "plain", 5, _PLAIN),
+        *_pools(),
+    ),
+    organisations=(
+        "kathmandu-house",
+        "pokhara-cooperative",
+        "village-weavers",
+        "buyers-abroad",
+        "kit-makers",
+    ),
+    orders=frozenset(("book", "send")),
+)
+
+DEPLOYMENT_BY_NAME = {"kitamura": KITAMURA, "federation": FEDERATION}
+
+
+def get_backends(deployment):
+    """Return the backend servers, spread over the regions in turn."""
+    places = []
+    for size in deployment.services:
+        for index in range(size.count):
+            region = deployment.regions[index % len(deployment.regions)]
+            name = f"{deployment.name}-{size.name}-{index}"
+            places.append(BackendPlace(name, region, size))
+    return places
--- /dev/null
+++ b/bench/ports.py
@@ -0,0 +1,30 @@
+"""Finds free TCP ports on loopback."""
+
+import itertools
+import os
+import socket
+
+# Below the range from which systems take the ports of clients, so that a
+# port is not lost between being found and being used.
+FIRST_PORT = 10_000
+LAST_PORT = 30_000
+
+_candidates = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+for _skipped in range((os.getpid() * 199) % (LAST_PORT - FIRST_PORT)):
+    next(_candidates)
+
+
+def _is_free(port):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def find_free_ports(count):
+    """Return `count` ports that are free at this moment."""
+    free = filter(_is_free, _candidates)
+    return list(itertools.islice(free, count))
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems that greengagetrack serves and reads."""
--- /dev/null
+++ b/bench/standins/backends.py
@@ -0,0 +1,117 @@
+"""Serves all backend stand-ins of a deployment over HTTP on one port."""
+
+import msgspec
+import quart
+import quart_trio
+
+from bench.standins import server as server_module
+
+_call_decoder = msgspec.json.Decoder(server_module.CallBody)
+
+
+def _json(body, status=200):
+    return quart.Response(
+        msgspec.json.encode(body), status, content_type="application/json"
+    )
+
+
+def _refuse(ran, detail, status=503):
+    body = {"ran": ran, "detail": detail, "retry_after_ms": 100}
+    return _json(body, status)
+
+
+async def _read_call():
+    return _call_decoder.decode(await quart.request.get_data())
+
+
+def new_app(server_by_name, records):
+    """Return the application that serves these backend servers."""
+    app = quart_trio.QuartTrio("backends")
+    app.config["RESPONSE_TIMEOUT"] = None
+    # A dead server breaks its connections on purpose.
+    app.logger.disabled = True
+
+    def find_refusal(server):
+        server.check_alive()
+        if server.condition.is_refusing:
+            return _refuse("no", "told to refuse")
+        if server.condition.is_failing:
+            return _refuse("unknown", "told to fail", 500)
+        return None
+
+    @app.post("/servers/<name>/v1/call")
+    async def call(name):
+        server = server_by_name[name]
+        refusal = find_refusal(server)
+        if refusal is not None:
+            return refusal
+        return _json(await server.call(await _read_call()))
+
+    @app.post("/servers/<name>/v1/completions")
+    async def complete(name):
+        server = server_by_name[name]
+        refusal = find_refusal(server)
+        if refusal is not None:
+            return refusal
+        body = await _read_call()
+
+        async def write():
+            async for line in server.complete(body):
+                yield msgspec.json.encode(line) + b"\n"
+
+        return quart.Response(
+            write(), 200, content_type="application/x-ndjson"
+        )
+
+    @app.get("/servers/<name>/v1/load")
+    async def load(name):
+        server = server_by_name[name]
+        server.check_alive()
+        return _json(server.get_load())
+
+    @app.get("/servers/<name>/v1/cache/events")
+    async def cache_events(name):
+        server = server_by_name[name]
+        server.check_alive()
+        after = int(quart.request.args.get("after", "0"))
+        return _json(server.get_cache_events(after))
+
+    @app.post("/servers/<name>/v1/orders")
+    async def order(name):
+        server = server_by_name[name]
+        server.check_alive()
+        body = await quart.request.get_json()
+        if server.load_model(body["model"], body["fencing"]):
+            return _json({"model": server.model})
+        return _refuse("no", "the fencing number is old", 409)
+
+    _add_control_routes(app, server_by_name, records)
+    return app
+
+
+def _add_control_routes(app, server_by_name, records):
+    @app.post("/servers/<name>/control")
+    async def control(name):
+        server = server_by_name[name]
+        body = await quart.request.get_data()
+        server.condition = msgspec.json.decode(
+            body, type=server_module.Condition
+        )
+        return _json({})
+
+    @app.get("/records")
+    async def get_records():
+        return _json(records.executions)
+
+    @app.get("/servers")
+    async def get_servers():
+        return _json(
+            {
+                name: {
+                    **server.get_load(),
+                    "last_call_s": server.last_call_s,
+                    "loads": server.loads,
+                }
+                for name, server in server_by_name.items()
+            }
+        )
--- /dev/null
+++ b/greengagetrack/command/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that a person starts."""
--- /dev/null
+++ b/greengagetrack/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: peers, callers, backend servers."""
--- /dev/null
+++ b/greengagetrack/connection/admin.py
@@ -0,0 +1,194 @@
+"""The administration API: read-only, on a port of its own."""
+
+import msgspec
+import quart
+import quart_trio
+
+DECISIONS_SHOWN = 200
+
+
+class Member(msgspec.Struct):
+    """One agent as this process sees it."""
+
+    name: str
+    service: str
+    region: str
+    data_centre: str
+    incarnation: str
+    age_ms: int | None
+    is_available: bool
+    is_draining: bool
+    is_listed_leaving: bool
+    slots: int
+    running: int
+    queued: int
+    model: str
+
+
+class RejectedTable(msgspec.Struct):
+    """A version that was refused, with the findings."""
+
+    version: int
+    source: str
+    findings: list[str]
+
+
+class TableStatus(msgspec.Struct):
+    """The table in force and what this process knows of others."""
+
+    version: int
+    config_version: int
+    heard_version: int
+    organisations: int
+    pipelines: list[str]
+    rejected: list[RejectedTable]
+
+
+class Status(msgspec.Struct):
+    """What a process is and how it is."""
+
+    name: str
+    role: str
+    region: str
+    data_centre: str
+    is_draining: bool
+    in_progress: int
+    table_version: int
+    vm_list_version: int
+    vm_list_is_fresh: bool
+
+
+class LimitsStatus(msgspec.Struct):
+    """The limits that this process keeps state for."""
+
+    credits: int
+    accounts: int
+    owners: list[str]
+
+
+def _json(body):
+    return quart.Response(
+        msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+def _get_table_status(keeper):
+    table = keeper.get_table()
+    rejected = [
+        RejectedTable(
+            item.version, item.source, [str(each) for each in item.findings]
+        )
+        for item in keeper.rejections
+    ]
+    return TableStatus(
+        version=keeper.get_version(),
+        config_version=keeper.config_version,
+        heard_version=keeper.heard_version,
+        organisations=table.get_organisation_count() if table else 0,
+        pipelines=sorted(table.pipeline_by_name) if table else [],
+        rejected=rejected,
+    )
+
+
+def _get_member(agent):
+    age_s = agent.get_age_s()
+    return Member(
+        name=agent.name,
+        service=agent.service,
+        region=agent.region,
+        data_centre=agent.data_centre,
+        incarnation=agent.incarnation,
+        age_ms=int(age_s * 1000) if age_s < float("inf") else None,
+        is_available=agent.is_available(),
+        is_draining=agent.is_draining,
+        is_listed_leaving=agent.is_listed_leaving,
+        slots=agent.load.slots,
+        running=agent.load.running,
+        queued=agent.load.queued,
+        model=agent.model,
+    )
+
+
+def _add_common_routes(app, settings, keeper, decisions):
+    @app.get("/admin/v1/table")
+    async def table():
+        return _json(_get_table_status(keeper))
+
+    @app.get("/admin/v1/settings")
+    async def show_settings():
+        return _json(
+            {
+                name: {"value": given.get_shown(), "source": given.source}
+                for name, given in settings.given_by_name.items()
+            }
+        )
+
+    @app.get("/admin/v1/decisions")
+    async def recent_decisions():
+        return _json(decisions.get_recent(DECISIONS_SHOWN))
+
+    @app.get("/admin/v1/requests/<request_id>")
+    async def story(request_id):
+        return _json(decisions.get_story(request_id))
+
+
+def _new_status(settings, process, keeper, vm_view, in_progress):
+    return Status(
+        name=settings.name,
+        role=settings.role,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        is_draining=process.is_draining,
+        in_progress=in_progress,
+        table_version=keeper.get_version(),
+        vm_list_version=vm_view.version,
+        vm_list_is_fresh=vm_view.is_fresh(),
+    )
+
+
+def new_entry_app(entry, settings, decisions):
+    """Return the administration API of an entry."""
+    app = quart_trio.QuartTrio("greengagetrack-admin")
+    _add_common_routes(app, settings, entry.tables, decisions)
+
+    @app.get("/admin/v1/status")
+    async def status():
+        return _json(
+            _new_status(
+                settings,
+                entry,
+                entry.tables,
+                entry.vm_view,
+                entry.in_progress,
+            )
+        )
+
+    @app.get("/admin/v1/members")
+    async def members():
+        agents = entry.fleet.agent_by_name.values()
+        return _json([_get_member(agent) for agent in agents])
+
+    @app.get("/admin/v1/limits")
+    async def limits():
+        return _json(
+            LimitsStatus(
+                credits=entry.limits.count_credits(),
+                accounts=entry.owner.count_accounts(),
+                owners=sorted(entry.owner.get_members()),
+            )
+        )
+
+    return app
+
+
+def new_agent_app(agent, keeper, vm_view, settings, decisions):
+    """Return the administration API of an agent."""
+    app = quart_trio.QuartTrio("greengagetrack-admin")
+    _add_common_routes(app, settings, keeper, decisions)
+
+    @app.get("/admin/v1/status")
+    async def status():
+        running = agent.runner.running
+        return _json(_new_status(settings, agent, keeper, vm_view, running))
+
+    return app
--- /dev/null
+++ b/greengagetrack/connection/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Connections from an agent to its backend server."""
--- /dev/null
+++ b/greengagetrack/connection/messages.py
@@ -0,0 +1,291 @@
+"""Messages between the system's own processes.
+
+Every message is a tagged struct encoded as a MessagePack array. A newer
+neighbour may append fields with defaults; an older one ignores what
+follows the fields that it knows. That is all a rolling restart needs.
+"""
+
+import msgspec
+
+MESSAGE_MAX_BYTES = 2 * 1024 * 1024
+
+
+class _Message(msgspec.Struct, array_like=True):
+    """The common shape of all messages."""
+
+
+class AttemptId(msgspec.Struct, array_like=True, frozen=True):
+    """The identity of one attempt: its entry's incarnation and a number.
+
+    The numbers of one entry rise, which lets an agent refuse what is
+    older than anything it still remembers.
+    """
+
+    entry: str
+    number: int
+
+
+class Load(_Message):
+    """What an agent says of its own load.
+
+    `service_ms` is the recent mean time of one call; `backlog_ms` is the
+    work that waits, in call time.
+    """
+
+    slots: int = 1
+    running: int = 0
+    queued: int = 0
+    service_ms: float = 0.0
+    backlog_ms: float = 0.0
+
+
+class OrderClaim(_Message):
+    """What makes a non-repeatable call idempotent: a ticket or a key."""
+
+    organisation: str
+    fingerprint: bytes
+    ticket: str = ""
+    key: str = ""
+
+
+class Submit(_Message, tag="submit"):
+    """Ask an agent to accept an attempt."""
+
+    attempt: AttemptId
+    incarnation: str
+    service: str
+    budget_ms: int
+    payload: bytes
+    request_id: str = ""
+    organisation: str = ""
+    priority: int = 0
+    weight: float = 1.0
+    longest_wait_ms: int = 0
+    row: str = ""
+    floor: float = 0.0
+    resume_from: int = 0
+    is_repeatable: bool = True
+    order: OrderClaim | None = None
+    acknowledged: list[int] = []
+    wait_ms: int = 0
+    table_version: int = 0
+
+
+class Pull(_Message, tag="pull"):
+    """Ask for what follows `offset`, waiting up to `wait_ms`."""
+
+    attempt: AttemptId
+    incarnation: str
+    offset: int
+    wait_ms: int
+
+
+class Withdraw(_Message, tag="withdraw"):
+    """Ask that an attempt never start; cancel it if it has."""
+
+    attempt: AttemptId
+    incarnation: str
+
+
+class IssueTicket(_Message, tag="issue_ticket"):
+    """Ask an agent for a ticket for one order."""
+
+    incarnation: str
+    service: str
+    pipeline: str
+    organisation: str
+
+
+class AskPromise(_Message, tag="ask_promise"):
+    """Ask the next agent in rank not to run a key."""
+
+    service: str
+    key: str
+    asker: str
+
+
+class Report(_Message, tag="report"):
+    """An agent's heartbeat to entries of its data centre."""
+
+    agent: str
+    incarnation: str
+    number: int
+    service: str
+    load: Load
+    is_draining: bool = False
+    table_version: int = 0
+    model: str = ""
+    prefixes: list[int] = []
+
+
+class AgentState(_Message):
+    """One agent as an entry passes it on to another entry."""
+
+    agent: str
+    incarnation: str
+    number: int
+    age_ms: int
+    service: str
+    load: Load
+    is_draining: bool = False
+    model: str = ""
+
+
+class Digest(_Message, tag="digest"):
+    """The agents that one entry hears directly, or a few per service."""
+
+    entry: str
+    incarnation: str
+    table_version: int
+    agents: list[AgentState] = []
+
+
+class LeaseRequest(_Message, tag="lease_request"):
+    """Ask the owner of a limit for credit in one region."""
+
+    key: str
+    entry: str
+    kind: str
+    amount: float
+    table_version: int = 0
+    is_loan: bool = False
+
+
+class LeaseReply(_Message, tag="lease_reply"):
+    """Credit granted, to be used within `valid_ms`."""
+
+    granted: float
+    valid_ms: int
+    retry_after_ms: int = 0
+
+
+class HandOver(_Message, tag="hand_over"):
+    """Ask another entry to leave limits to one that ranks above it."""
+
+    entry: str
+
+
+class FetchManifest(_Message, tag="fetch_manifest"):
+    """Ask a peer for the manifest of the version it has in force."""
+
+
+class Manifest(_Message, tag="manifest"):
+    """The manifest of a table version, as published."""
+
+    version: int
+    text: bytes
+
+
+class FetchDocument(_Message, tag="fetch_document"):
+    """Ask a peer for one document of the table in force."""
+
+    key: str
+    digest: str
+
+
+class Document(_Message, tag="document"):
+    """One document of a table; empty `text` means not held."""
+
+    text: bytes
+
+
+class Chunk(_Message, tag="chunk"):
+    """What an agent has of an attempt after an offset.
+
+    With `is_done`, either `result` is the whole result, or `failure`
+    names why there is none and `ran` whether it may have been executed.
+    """
+
+    state: str
+    offset: int
+    tokens: list[str] = []
+    is_done: bool = False
+    result: bytes = b""
+    failure: str = ""
+    ran: str = ""
+    retry_after_ms: int = 0
+    engine_ms: float = 0.0
+    reused_tokens: int = 0
+    load: Load | None = None
+
+
+class WithdrawReply(_Message, tag="withdraw_reply"):
+    """Whether the attempt never ran and never will."""
+
+    is_withdrawn: bool
+
+
+class Ticket(_Message, tag="ticket"):
+    """A ticket, or the reason why none was issued."""
+
+    token: str = ""
+    failure: str = ""
+
+
+class Promise(_Message, tag="promise"):
+    """Whether the key will not run at the answering agent.
+
+    `reason` says why not: it ran there, runs there, or cannot be known.
+    """
+
+    is_given: bool
+    reason: str = ""
+
+
+class Heard(_Message, tag="heard"):
+    """The answer to a report or a digest."""
+
+    table_version: int
+    demand_by_model: dict[str, float] = {}
+
+
+class Rejected(_Message, tag="rejected"):
+    """A message that could not be taken, with what was wrong."""
+
+    detail: str
+
+
+REQUESTS = (
+    Submit | Pull | Withdraw | IssueTicket | AskPromise | Report
+    | Digest | LeaseRequest | HandOver | FetchManifest | FetchDocument
+)  # fmt: skip
+REPLIES = (
+    Chunk | WithdrawReply | Ticket | Promise | Heard | LeaseReply
+    | Manifest | Document | Rejected
+)  # fmt: skip
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(REQUESTS)
+_reply_decoder = msgspec.msgpack.Decoder(REPLIES)
+
+
+class Malformed(msgspec.Struct, frozen=True):
+    """Bytes that are no message, with the reason."""
+
+    detail: str
+
+
+def encode(message):
+    """Return the bytes of `message`."""
+    return _encoder.encode(message)
+
+
+def _decode(decoder, body):
+    if len(body) > MESSAGE_MAX_BYTES:
+        return Malformed(f"{len(body)} bytes are over the limit")
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Malformed(str(error))
+    except RecursionError:
+        return Malformed("nested too deeply")
+
+
+def decode_request(body):
+    """Return the request in `body`, or `Malformed`."""
+    return _decode(_request_decoder, body)
+
+
+def decode_reply(body):
+    """Return the reply in `body`, or `Malformed`."""
+    return _decode(_reply_decoder, body)
--- /dev/null
+++ b/greengagetrack/connection/nng.py
@@ -0,0 +1,175 @@
+"""Links over nng's request and reply protocol, one context a question.
+
+nng resends a request after a reconnect, so a request can arrive twice and
+late. Every message is idempotent for that reason.
+"""
+
+import contextlib
+import logging
+
+import pynng
+import trio
+
+from greengagetrack.connection import base
+from greengagetrack.connection import messages
+from greengagetrack.connection import seal
+
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+RESEND_MS = 2000
+CONTEXTS_MAX = 1024
+
+_log = logging.getLogger(__name__)
+
+
+class NngLink(base.PeerLink):
+    """A link to one peer over a pynng Req socket."""
+
+    __slots__ = ("_key_ring", "_pipes", "_socket")
+
+    def __init__(self, socket, key_ring):
+        self._socket = socket
+        self._key_ring = key_ring
+        self._pipes = 0
+
+    def is_up(self):
+        """Return whether the peer is connected at this moment."""
+        return self._pipes > 0
+
+    async def ask(self, message, timeout_s):
+        """Return the reply, `NotSent` or `Lost`."""
+        if not self.is_up():
+            return base.NotSent()
+        sealed = self._key_ring.seal(messages.encode(message))
+        # The pipe is up, so the socket takes the request at once; from
+        # here on it counts as sent, whatever happens.
+        with trio.move_on_after(timeout_s):
+            try:
+                with contextlib.closing(self._socket.new_context()) as context:
+                    await context.asend(sealed)
+                    answer = await context.arecv()
+            except pynng.NNGException as error:
+                return base.Lost(str(error))
+            return self._open(answer, seal.get_code(sealed))
+        return base.Lost("timeout")
+
+    def _open(self, answer, code):
+        body = self._key_ring.open(answer, code)
+        if body is None:
+            return base.Lost("the answer is not authentic")
+        reply = messages.decode_reply(body)
+        if isinstance(reply, messages.Malformed | messages.Rejected):
+            return base.Lost(reply.detail)
+        return reply
+
+    def close(self):
+        """End the link; questions in progress end as `Lost`."""
+        self._socket.close()
+
+    def _on_connect(self, pipe):
+        # Called by a thread of nng; adding to an integer under the
+        # interpreter lock needs no other lock.
+        self._pipes += 1
+
+    def _on_remove(self, pipe):
+        self._pipes -= 1
+
+
+class NngLinkFactory(base.LinkFactory):
+    """Opens links over TCP."""
+
+    __slots__ = ("_key_ring",)
+
+    def __init__(self, key_ring):
+        self._key_ring = key_ring
+
+    def open_link(self, address):
+        """Return a link to `address`, such as `127.0.0.1:7000`."""
+        socket = pynng.Req0(resend_time=RESEND_MS)
+        socket.reconnect_time_min = RECONNECT_MIN_MS
+        socket.reconnect_time_max = RECONNECT_MAX_MS
+        socket.recv_max_size = messages.MESSAGE_MAX_BYTES
+        link = NngLink(socket, self._key_ring)
+        socket.add_post_pipe_connect_cb(link._on_connect)
+        socket.add_post_pipe_remove_cb(link._on_remove)
+        socket.dial(f"tcp://{address}", block=False)
+        return link
+
+
+class NngServer(base.PeerServer):
+    """Answers peers over a pynng Rep socket.
+
+    A question that waits holds its context, so the contexts are opened as
+    they are needed, up to a bound.
+    """
+
+    __slots__ = ("_address", "_key_ring", "_limiter")
+
+    def __init__(self, address, key_ring):
+        self._address = address
+        self._key_ring = key_ring
+        self._limiter = trio.CapacityLimiter(CONTEXTS_MAX)
+
+    async def serve(self, handler, task_status=trio.TASK_STATUS_IGNORED):
+        """Pass each request to `await handler(message)` until cancelled."""
+        with pynng.Rep0() as socket:
+            socket.recv_max_size = messages.MESSAGE_MAX_BYTES
+            socket.listen(f"tcp://{self._address}")
+            task_status.started()
+            async with trio.open_nursery() as nursery:
+                while True:
+                    context = socket.new_context()
+                    received = await self._receive(context)
+                    nursery.start_soon(
+                        self._answer, context, received, handler
+                    )
+
+    async def _receive(self, context):
+        is_received = False
+        try:
+            await self._limiter.acquire_on_behalf_of(context)
+            received = await context.arecv()
+            is_received = True
+        finally:
+            if not is_received:
+                context.close()
+        return received
+
+    async def _answer(self, context, received, handler):
+        try:
+            reply = await self._get_reply(received, handler)
+            if reply is not None:
+                code = seal.get_code(received)
+                sealed = self._key_ring.seal(messages.encode(reply), code)
+                await context.asend(sealed)
+        except pynng.NNGException as error:
+            # The peer went away; it asks again if it still cares.
+            _log.debug("reply not sent", extra={"detail": str(error)})
+        finally:
+            context.close()
+            self._limiter.release_on_behalf_of(context)
+
+    async def _get_reply(self, received, handler):
+        body = self._key_ring.open(received)
+        if body is None:
+            _log.warning("peer message is not authentic")
+            return None
+        message = messages.decode_request(body)
+        if isinstance(message, messages.Malformed):
+            _log.warning("peer message refused", extra=_get_extra(message))
+            return messages.Rejected(message.detail)
+        return await handler(message)
+
+
+def _get_extra(malformed):
+    return {"detail": malformed.detail[:200]}
+
+
+def new_link_factory(key_ring):
+    """Return a factory of nng links that `key_ring` authenticates."""
+    return NngLinkFactory(key_ring)
+
+
+def new_server(address, key_ring):
+    """Return a server that listens on `address` over TCP."""
+    return NngServer(address, key_ring)
--- /dev/null
+++ b/greengagetrack/connection/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to what the platform publishes."""
--- /dev/null
+++ b/greengagetrack/connection/problems.py
@@ -0,0 +1,68 @@
+"""Problem documents (RFC 9457) for what is not answered whole."""
+
+import msgspec
+
+from greengagetrack.request import outcome
+
+CONTENT_TYPE = "application/problem+json"
+STATUS_UNKNOWN = 504
+
+_Reason = outcome.Reason
+
+STATUS_BY_REASON = {
+    _Reason.BODY_INVALID: 400,
+    _Reason.BODY_TOO_LARGE: 413,
+    _Reason.CONCURRENCY_LIMIT: 429,
+    _Reason.DEADLINE_INVALID: 400,
+    _Reason.DEADLINE_UNREACHABLE: 503,
+    _Reason.KEY_INVALID: 400,
+    _Reason.KEY_REUSED: 422,
+    _Reason.ORGANISATION_UNKNOWN: 403,
+    _Reason.PIPELINE_UNKNOWN: 404,
+    _Reason.RATE_LIMIT: 429,
+    _Reason.TICKET_FORGED: 400,
+    _Reason.TICKET_MISMATCH: 409,
+    _Reason.TOKEN_LIMIT: 429,
+}
+STATUS_REFUSED = 503
+
+
+class Problem(msgspec.Struct):
+    """The body of a refusal or of an unknown outcome."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    reason: str
+    ran: str
+    retry_after_ms: int
+    request_id: str
+
+
+def get_status(end):
+    """Return the HTTP status of an outcome that is not whole."""
+    if end.reason in STATUS_BY_REASON:
+        return STATUS_BY_REASON[end.reason]
+    if isinstance(end, outcome.Unknown):
+        return STATUS_UNKNOWN
+    return STATUS_REFUSED
+
+
+def new_problem(end, request_id):
+    """Return the problem document of an outcome that is not whole."""
+    kind = type(end).__name__.lower()
+    return Problem(
+        type=f"urn:greengagetrack:reason:{end.reason}",
+        title=f"The request was {kind}: {end.reason}.".replace(
+            "was unknown", "has an unknown outcome"
+        ),
+        status=get_status(end),
+        detail=end.detail,
+        outcome=kind,
+        reason=str(end.reason),
+        ran=str(outcome.get_ran(end)),
+        retry_after_ms=end.retry_after_ms,
+        request_id=request_id,
+    )
--- /dev/null
+++ b/greengagetrack/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a process: roles, membership, limits, policy."""
--- /dev/null
+++ b/greengagetrack/process/admission.py
@@ -0,0 +1,116 @@
+"""Decides whether a request may start at all."""
+
+import logging
+
+import msgspec
+
+from greengagetrack.process import routing
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request import outcome
+
+BUDGET_MAX_MS = 600_000
+PATH_MARGIN = 1.0
+
+_Reason = outcome.Reason
+_log = logging.getLogger(__name__)
+
+
+class Request(msgspec.Struct):
+    """One request as a caller sent it, already of the right shape."""
+
+    request_id: str
+    pipeline: str
+    organisation: str
+    kind: str
+    body: bytes
+    budget_ms: int | None = None
+    idempotency_key: str = ""
+    ticket: str = ""
+
+
+class Admitted(msgspec.Struct):
+    """A request that may run, with all that it needs for that."""
+
+    request: Request
+    stages: list
+    limits: object
+    permit: object
+    deadline: deadline_module.Deadline
+
+
+class Admission:
+    """Checks a request against the table, the limits and its deadline."""
+
+    __slots__ = ("_get_table", "_limits", "_router", "is_draining")
+
+    def __init__(self, get_table, limits, router):
+        self._get_table = get_table
+        self._limits = limits
+        self._router = router
+        self.is_draining = False
+
+    async def admit(self, request):
+        """Return `Admitted` or `Refused`."""
+        table = self._get_table()
+        refusal = self._find_refusal(request, table)
+        if refusal is not None:
+            return refusal
+        pipeline = table.pipeline_by_name[request.pipeline]
+        limits = table.get_limits(
+            request.pipeline, request.organisation, request.kind
+        )
+        if limits is None:
+            return outcome.Refused(
+                _Reason.RATE_LIMIT,
+                "no row of the table matches",
+                retry_after_ms=60_000,
+            )
+        budget_ms = min(
+            request.budget_ms or pipeline.deadline_ms, pipeline.deadline_ms
+        )
+        deadline = deadline_module.new_deadline(budget_ms)
+        stages = routing.get_stage_keys(request.pipeline, pipeline)
+        refusal = self._find_late(stages, deadline)
+        if refusal is not None:
+            return refusal
+        tokens = sum(stage.stage.max_tokens for stage in stages)
+        permit = await self._limits.acquire(limits, tokens)
+        if isinstance(permit, outcome.Refused):
+            return permit
+        return Admitted(request, stages, limits, permit, deadline)
+
+    def _find_refusal(self, request, table):
+        if self.is_draining:
+            return outcome.Refused(_Reason.DRAINING)
+        if table is None:
+            return outcome.Refused(_Reason.NO_TABLE)
+        if request.pipeline not in table.pipeline_by_name:
+            detail = f"There is no pipeline '{request.pipeline}'."
+            return outcome.Refused(_Reason.PIPELINE_UNKNOWN, detail)
+        if table.get_organisation(request.organisation) is None:
+            detail = f"There is no organisation '{request.organisation}'."
+            return outcome.Refused(_Reason.ORGANISATION_UNKNOWN, detail)
+        budget_ms = request.budget_ms
+        if budget_ms is not None and not 0 < budget_ms <= BUDGET_MAX_MS:
+            detail = f"The deadline must be 1 to {BUDGET_MAX_MS} ms."
+            return outcome.Refused(_Reason.DEADLINE_INVALID, detail)
+        return None
+
+    def _find_late(self, stages, deadline):
+        """Refuse what is predicted to miss its deadline anyway."""
+        path_ms = self._router.predict_path_ms(stages)
+        if path_ms is None:
+            return outcome.Refused(_Reason.NO_CAPACITY)
+        left_ms = deadline.get_left_ms()
+        if path_ms <= left_ms * PATH_MARGIN:
+            return None
+        return outcome.Refused(
+            _Reason.DEADLINE_UNREACHABLE,
+            f"predicted {path_ms:.0f} ms, {left_ms} ms are left",
+            retry_after_ms=max(100, int(path_ms - left_ms)),
+        )
+
+
+def new_admission(get_table, limits, router):
+    """Return the admission of an entry."""
+    return Admission(get_table, limits, router)
--- /dev/null
+++ b/greengagetrack/process/daemon.py
@@ -0,0 +1,235 @@
+"""Puts the parts of a process together and takes them down again."""
+
+import contextlib
+import logging
+import os
+import secrets
+import signal
+import time
+
+import trio
+
+from greengagetrack.connection import admin
+from greengagetrack.connection.backend import http as backend_http
+from greengagetrack.connection import base as link_base
+from greengagetrack.connection import callers
+from greengagetrack.connection import http_server
+from greengagetrack.connection import nng
+from greengagetrack.connection.platform import http as platform_http
+from greengagetrack.process import agent as agent_module
+from greengagetrack.process import entry as entry_module
+from greengagetrack.process import orders
+from greengagetrack.process import placement
+from greengagetrack.process import reporter
+from greengagetrack.process import runner
+from greengagetrack.process import tables
+from greengagetrack.process import vm_view as vm_view_module
+
+EXIT_OK = 0
+EXIT_CUT = 3
+LINGER_S = 1.0
+PAUSE_CHECK_S = 0.25
+PAUSE_THRESHOLD_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+def new_incarnation():
+    """Return the name of a new process: later ones sort behind it."""
+    return f"{int(time.time() * 1000):013d}-{secrets.token_hex(4)}"
+
+
+def _new_place(settings):
+    return entry_module.Place(
+        name=settings.name,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        incarnation=new_incarnation(),
+        rtt_ms_by_region=settings.rtt_ms,
+    )
+
+
+async def watch_pauses(on_pause):
+    """Call `on_pause` whenever this process finds that it slept."""
+    before_s = trio.current_time()
+    while True:
+        await trio.sleep(PAUSE_CHECK_S)
+        now = trio.current_time()
+        if now - before_s > PAUSE_CHECK_S + PAUSE_THRESHOLD_S:
+            _log.warning(
+                "the process was paused; soft state is dropped",
+                extra={
+                    "decision": "pause",
+                    "paused_s": round(now - before_s, 2),
+                },
+            )
+            on_pause()
+        before_s = now
+
+
+class Stop:
+    """The wish to stop: first gracefully, then at once."""
+
+    __slots__ = ("drain", "now")
+
+    def __init__(self):
+        self.drain = trio.Event()
+        self.now = trio.Event()
+
+    def ask(self):
+        """Ask to stop: the second time means at once."""
+        if self.drain.is_set():
+            self.now.set()
+        self.drain.set()
+
+    async def follow_signals(self):
+        """Take SIGTERM and SIGINT as wishes to stop."""
+        signals = (signal.SIGTERM, signal.SIGINT)
+        with trio.open_signal_receiver(*signals) as received:
+            async for _signal in received:
+                self.ask()
+
+
+async def _drain(process, limit_s, stop):
+    """Return whether everything in progress ended whole."""
+    process.start_draining()
+    is_drained = False
+    async with trio.open_nursery() as nursery:
+
+        async def wait():
+            nonlocal is_drained
+            is_drained = await process.wait_drained(limit_s)
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(wait)
+        await stop.now.wait()
+        nursery.cancel_scope.cancel()
+    _log.info(
+        "stopped" if is_drained else "stopped with work in progress",
+        extra={"decision": "stop", "drained": is_drained},
+    )
+    return is_drained
+
+
+async def run_entry(
+    settings, stop, decisions, task_status=trio.TASK_STATUS_IGNORED
+):
+    """Run an entry until it is asked to stop; return the exit code."""
+    place = _new_place(settings)
+    links, vm_view, keeper = entry_module.new_entry_parts(
+        place,
+        platform_http.new_config_service(settings.config_url),
+        platform_http.new_vm_list_service(settings.vm_list_url),
+        nng.new_link_factory(settings.peer_keys),
+    )
+    entry = entry_module.new_entry(
+        place, links, vm_view, keeper, settings.ticket_keys
+    )
+    server = nng.new_server(settings.peer_address, settings.peer_keys)
+    shutdown = trio.Event()
+    with contextlib.closing(links):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve, entry.handle)
+            await nursery.start(entry.run)
+            nursery.start_soon(watch_pauses, entry.drop_soft_state)
+            await nursery.start(
+                http_server.serve,
+                admin.new_entry_app(entry, settings, decisions),
+                settings.admin_address,
+                shutdown,
+            )
+            await nursery.start(
+                http_server.serve,
+                callers.new_app(entry),
+                settings.caller_address,
+                shutdown,
+            )
+            task_status.started(entry)
+            await stop.drain.wait()
+            is_drained = await _drain(entry, settings.drain_s, stop)
+            shutdown.set()
+            await trio.sleep(LINGER_S if is_drained else 0)
+            nursery.cancel_scope.cancel()
+    return EXIT_OK if is_drained else EXIT_CUT
+
+
+async def run_agent(
+    settings, stop, decisions, task_status=trio.TASK_STATUS_IGNORED
+):
+    """Run an agent until it is asked to stop; return the exit code."""
+    place = _new_place(settings)
+    links = link_base.new_links(nng.new_link_factory(settings.peer_keys))
+    vm_view = vm_view_module.new_vm_view(
+        platform_http.new_vm_list_service(settings.vm_list_url),
+        vm_view_module.AGENT_PERIOD_S,
+    )
+    keeper = tables.new_table_keeper(
+        place.name,
+        place.data_centre,
+        platform_http.new_config_service(settings.config_url),
+        vm_view,
+        links,
+        is_partial=True,
+    )
+    backend = backend_http.new_backend(
+        settings.backend_kind, settings.backend_url
+    )
+    agent = new_agent_parts(settings, place, backend, vm_view, links)
+    report = reporter.new_reporter(agent, place, vm_view, links, keeper)
+    placer = placement.new_placer(
+        place, settings.service, backend, agent, vm_view, keeper
+    )
+    server = nng.new_server(settings.peer_address, settings.peer_keys)
+    shutdown = trio.Event()
+    with contextlib.closing(links):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(vm_view.keep)
+            await nursery.start(server.serve, agent.handle)
+            nursery.start_soon(agent.run)
+            nursery.start_soon(report.keep)
+            nursery.start_soon(keeper.keep_fetching)
+            nursery.start_soon(keeper.keep_config)
+            nursery.start_soon(watch_pauses, vm_view.drop)
+            if settings.backend_kind == "engine":
+                nursery.start_soon(placer.keep)
+            await nursery.start(
+                http_server.serve,
+                admin.new_agent_app(
+                    agent, keeper, vm_view, settings, decisions
+                ),
+                settings.admin_address,
+                shutdown,
+            )
+            task_status.started(agent)
+            await stop.drain.wait()
+            is_drained = await _drain(agent, settings.drain_s, stop)
+            shutdown.set()
+            nursery.cancel_scope.cancel()
+        await backend.close()
+    return EXIT_OK if is_drained else EXIT_CUT
+
+
+def new_agent_parts(settings, place, backend, vm_view, links):
+    """Return an agent with its runner and its order book."""
+    book = orders.new_order_book(
+        place.name,
+        place.incarnation,
+        settings.ticket_keys,
+        vm_view,
+        links,
+        settings.order_window_s,
+    )
+    work = runner.new_runner(backend, settings.slots, book.release)
+    return agent_module.new_agent(
+        place.name, settings.service, place.incarnation, work, book
+    )
+
+
+async def run(settings, stop, decisions, task_status=trio.TASK_STATUS_IGNORED):
+    """Run the role that the settings name; return the exit code."""
+    _log.info(
+        "started",
+        extra={"role": settings.role, "pid": os.getpid()},
+    )
+    run_role = run_entry if settings.role == "entry" else run_agent
+    return await run_role(settings, stop, decisions, task_status)
--- /dev/null
+++ b/greengagetrack/process/entry.py
@@ -0,0 +1,328 @@
+"""The entry: admits requests, runs their pipelines, and answers."""
+
+import itertools
+import logging
+
+import msgspec
+import trio
+
+from greengagetrack.connection import base as link_base
+from greengagetrack.connection import messages
+from greengagetrack.process import admission
+from greengagetrack.process import fleet as fleet_module
+from greengagetrack.process import gossip
+from greengagetrack.process import limit_owner
+from greengagetrack.process import limits as limits_module
+from greengagetrack.process import metrics as metrics_module
+from greengagetrack.process import routing
+from greengagetrack.process import tables
+from greengagetrack.process import vm_view as vm_view_module
+from greengagetrack.request import budget
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request import outcome
+from greengagetrack.request import pipeline as pipeline_module
+from greengagetrack.request import stage as stage_module
+
+TICKET_TIMEOUT_S = 1.0
+TICKET_TRIES = 3
+FLOOR_TIMEOUT_S = 1.0
+READY_POLL_S = 0.1
+DRAIN_CHECK_S = 0.05
+LISTEN_GRACE_S = 2.0
+
+_Reason = outcome.Reason
+_log = logging.getLogger(__name__)
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where a process runs, as its settings tell."""
+
+    name: str
+    region: str
+    data_centre: str
+    incarnation: str
+    rtt_ms_by_region: dict[str, float] = {}
+
+
+class Entry:
+    """One entry process, with all that it shares among its requests."""
+
+    __slots__ = (
+        "_admission",
+        "_background",
+        "_gossip",
+        "_links",
+        "_seed",
+        "_ticket_keys",
+        "decisions",
+        "fleet",
+        "in_progress",
+        "is_draining",
+        "limits",
+        "metrics",
+        "owner",
+        "place",
+        "router",
+        "services",
+        "tables",
+        "vm_view",
+    )
+
+    def __init__(self, place, links, vm_view, table_keeper, ticket_keys, seed):
+        self.place = place
+        self.vm_view = vm_view
+        self.tables = table_keeper
+        self.fleet = fleet_module.new_fleet(vm_view)
+        self.metrics = metrics_module.new_metrics(place.name)
+        self.in_progress = 0
+        self.is_draining = False
+        self._links = links
+        self._ticket_keys = ticket_keys
+        self._seed = seed
+        get_table = table_keeper.get_table
+        self.router = routing.new_router(
+            self.fleet, place.region, place.rtt_ms_by_region, get_table, seed
+        )
+        self.owner = limit_owner.new_limit_owner(
+            place.name, place.region, vm_view, links, get_table
+        )
+        self.limits = limits_module.new_limits(
+            place.name, place.region, self.owner, vm_view, links, get_table
+        )
+        self._admission = admission.new_admission(
+            get_table, self.limits, self.router
+        )
+        self._gossip = gossip.new_gossip(
+            place, self.fleet, vm_view, links, table_keeper
+        )
+        self._background = None
+        self.services = None
+
+    async def handle(self, message):
+        """Return the reply to one message of a peer."""
+        if isinstance(message, messages.Report):
+            return self._take_report(message)
+        if isinstance(message, messages.Digest):
+            return self._take_digest(message)
+        if isinstance(message, messages.LeaseRequest):
+            return await self.owner.answer(message)
+        if isinstance(message, messages.HandOver):
+            self.owner.relinquish(message.entry)
+            return messages.Heard(self.tables.get_version())
+        if isinstance(message, messages.FetchManifest):
+            return self.tables.get_manifest()
+        if isinstance(message, messages.FetchDocument):
+            return self.tables.get_document(message)
+        return messages.Rejected("an entry does not answer this message")
+
+    def _take_report(self, report):
+        self.fleet.take_report(report)
+        self._hear(report.agent, report.table_version)
+        return messages.Heard(self.tables.get_version())
+
+    def _take_digest(self, digest):
+        self.fleet.take_digest(digest)
+        self._hear(digest.entry, digest.table_version)
+        return messages.Heard(self.tables.get_version())
+
+    def _hear(self, name, version):
+        address = self.vm_view.get_address(name)
+        is_entry = address and self.vm_view.vm_by_name[name].role == "entry"
+        # An agent's table has no organisations, so it is no source.
+        if is_entry:
+            self.tables.hear(version, address)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Run the tasks of the entry until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._background = nursery
+            self.services = self._new_services(nursery)
+            await nursery.start(self.vm_view.keep)
+            nursery.start_soon(self._follow_vm_list)
+            nursery.start_soon(self._follow_table)
+            nursery.start_soon(self.tables.keep_fetching)
+            await self._reach_floor()
+            nursery.start_soon(self.tables.keep_config)
+            nursery.start_soon(self.owner.keep_handover)
+            nursery.start_soon(self.limits.keep)
+            nursery.start_soon(self._gossip.keep)
+            task_status.started()
+
+    def _new_services(self, nursery):
+        return stage_module.StageServices(
+            entry=self.place.incarnation,
+            numbers=itertools.count(1),
+            router=self.router,
+            links=self._links,
+            fleet=self.fleet,
+            retry_budget=budget.new_work_budget(0.1),
+            hedge_budget=budget.new_work_budget(0.05),
+            metrics=self.metrics,
+            background=nursery,
+            acknowledged_by_agent={},
+            get_table_version=self.tables.get_version,
+        )
+
+    async def _follow_vm_list(self):
+        while True:
+            changed = self.vm_view.changed
+            self.fleet.sync()
+            # Links are opened before the first request needs them.
+            addresses = {
+                vm.address
+                for vm in self.vm_view.vm_by_name.values()
+                if vm.name != self.place.name and self._is_peer(vm)
+            }
+            for address in addresses:
+                self._links.get_link(address)
+            self._links.keep_only(addresses)
+            await changed.wait()
+
+    def _is_peer(self, vm):
+        return True
+
+    async def _follow_table(self):
+        while True:
+            accepted = self.tables.accepted
+            table = self.tables.get_table()
+            if table is not None:
+                self.services.retry_budget.share = table.policy.retry_budget
+                self.services.hedge_budget.share = table.policy.hedge_budget
+            await accepted.wait()
+
+    async def _reach_floor(self):
+        """Hold at least what the reachable peers hold, then serve."""
+        await self.tables.read_config_once()
+        entries = self.vm_view.get_entries(self.place.data_centre)
+        with trio.move_on_after(FLOOR_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for vm in entries:
+                    if vm.name != self.place.name:
+                        nursery.start_soon(self._fetch_floor, vm.address)
+
+    async def _fetch_floor(self, address):
+        while not await self.tables.fetch(address):
+            await trio.sleep(READY_POLL_S)
+
+    def is_ready(self):
+        """Return whether callers may be sent here."""
+        return not self.is_draining and self.tables.get_table() is not None
+
+    async def serve(self, request, on_tokens):
+        """Return the outcome of one request of a caller."""
+        self.in_progress += 1
+        try:
+            admitted = await self._admission.admit(request)
+            if isinstance(admitted, outcome.Refused):
+                self._log_refusal(request, admitted)
+                return self._doubt_repeat(request, admitted)
+            run = pipeline_module.new_pipeline_run(
+                self.services,
+                admitted,
+                self.vm_view,
+                self._ticket_keys,
+                on_tokens,
+            )
+            return await run.run()
+        finally:
+            self.in_progress -= 1
+
+    def _doubt_repeat(self, request, refused):
+        """Return `Unknown` where an earlier attempt may have run."""
+        if request.ticket or request.idempotency_key:
+            return outcome.Unknown(
+                refused.reason, refused.detail, refused.retry_after_ms
+            )
+        return refused
+
+    def _log_refusal(self, request, refused):
+        self.metrics.note_request(request, refused, 0.0)
+        _log.info(
+            "request refused",
+            extra={
+                "decision": "refuse",
+                "request": request.request_id,
+                "pipeline": request.pipeline,
+                "organisation": request.organisation,
+                "outcome": refused.reason,
+                "detail": refused.detail,
+                "retry_after_ms": refused.retry_after_ms,
+                "table_version": self.tables.get_version(),
+            },
+        )
+
+    async def issue_ticket(self, pipeline_name, organisation):
+        """Return the token of a ticket for one order, or `Refused`."""
+        table = self.tables.get_table()
+        if self.is_draining or table is None:
+            return outcome.Refused(_Reason.DRAINING)
+        pipeline = table.pipeline_by_name.get(pipeline_name)
+        if pipeline is None:
+            return outcome.Refused(_Reason.PIPELINE_UNKNOWN)
+        if table.get_organisation(organisation) is None:
+            return outcome.Refused(_Reason.ORGANISATION_UNKNOWN)
+        for stage in routing.get_stage_keys(pipeline_name, pipeline):
+            if not stage.stage.repeatable:
+                return await self._ask_ticket(
+                    stage, pipeline_name, organisation
+                )
+        detail = f"Pipeline '{pipeline_name}' needs no ticket."
+        return outcome.Refused(_Reason.TICKET_MISMATCH, detail)
+
+    async def _ask_ticket(self, stage, pipeline_name, organisation):
+        deadline = deadline_module.new_deadline(TICKET_TIMEOUT_S * 1000)
+        excluded = set()
+        for _try in range(TICKET_TRIES):
+            choice = self.router.choose(stage, deadline, excluded)
+            if choice is None:
+                break
+            excluded.add(choice.agent.name)
+            question = messages.IssueTicket(
+                incarnation=choice.agent.incarnation,
+                service=stage.stage.service,
+                pipeline=pipeline_name,
+                organisation=organisation,
+            )
+            link = self._links.get_link(choice.agent.address)
+            reply = await link.ask(question, TICKET_TIMEOUT_S)
+            if isinstance(reply, messages.Ticket) and reply.token:
+                return reply.token
+            if isinstance(reply, link_base.Lost):
+                choice.agent.note_failure()
+        return outcome.Refused(_Reason.NO_CAPACITY)
+
+    def start_draining(self):
+        """Refuse new requests from now on."""
+        self.is_draining = True
+        self._admission.is_draining = True
+        _log.info("draining", extra={"decision": "drain"})
+
+    async def wait_drained(self, limit_s):
+        """Wait until no request is in progress; return whether it is so."""
+        with trio.move_on_after(limit_s):
+            while self.in_progress:
+                await trio.sleep(DRAIN_CHECK_S)
+        return self.in_progress == 0
+
+    def drop_soft_state(self):
+        """Count what was known before a pause as unknown."""
+        self.fleet.forget_ages()
+        self.limits.drop_leases()
+        self.vm_view.drop()
+
+
+def new_entry(place, links, vm_view, table_keeper, ticket_keys, seed=None):
+    """Return an entry; the caller runs it and the servers before it."""
+    return Entry(place, links, vm_view, table_keeper, ticket_keys, seed)
+
+
+def new_entry_parts(place, config, vm_list, link_factory, seed=None):
+    """Return `(links, vm_view, table_keeper)` for an entry."""
+    links = link_base.new_links(link_factory)
+    vm_view = vm_view_module.new_vm_view(
+        vm_list, vm_view_module.ENTRY_PERIOD_S, seed
+    )
+    keeper = tables.new_table_keeper(
+        place.name, place.data_centre, config, vm_view, links, False, seed
+    )
+    return links, vm_view, keeper
--- /dev/null
+++ b/greengagetrack/process/limit_owner.py
@@ -0,0 +1,274 @@
+"""The owner of limits: grants short leases to the entries of its region.
+
+Each entry owns the limits for which it ranks first among the listed
+entries of its region. docs/design/limits.md proves the bound on what all
+owners together can grant.
+"""
+
+import logging
+
+import trio
+
+from greengagetrack.connection import base
+from greengagetrack.connection import messages
+from greengagetrack.process import buckets
+from greengagetrack.version import rank
+
+LEASE_S = 2.0
+SLOT_LEASE_S = 4.0
+BURST_S = 1.0
+RESERVE_SHARE = 0.1
+LOAN_SHARE = 0.5
+LOAN_PAUSE_S = 0.25
+LOAN_TIMEOUT_S = 0.2
+HANDOVER_PERIOD_S = 0.5
+HANDOVER_TIMEOUT_S = 0.5
+RETRY_MIN_MS = 50
+IDLE_S = 60.0
+
+KIND_RATE = "rate"
+KIND_TOKENS = "tokens"
+KIND_SLOTS = "slots"
+
+_log = logging.getLogger(__name__)
+
+
+def get_limit_rate(row, kind):
+    """Return a row's limit per second of one kind of credit."""
+    return row.rate_per_s if kind == KIND_RATE else row.tokens_per_s
+
+
+class _Account:
+    """One limit in this region: its bucket, loans and held slots."""
+
+    __slots__ = ("bucket", "holdings", "next_loan_s", "used_at_s")
+
+    def __init__(self, bucket):
+        self.bucket = bucket
+        self.holdings = {}
+        self.next_loan_s = 0.0
+        self.used_at_s = trio.current_time()
+
+
+class LimitOwner:
+    """Grants leases on the limits that this entry owns."""
+
+    __slots__ = (
+        "_account_by_key",
+        "_get_table",
+        "_grants_from_s",
+        "_links",
+        "_name",
+        "_region",
+        "_relinquished_by",
+        "_relinquished_to",
+        "_vm_view",
+    )
+
+    def __init__(self, name, region, vm_view, links, get_table):
+        self._name = name
+        self._region = region
+        self._vm_view = vm_view
+        self._links = links
+        self._get_table = get_table
+        self._account_by_key = {}
+        self._grants_from_s = trio.current_time() + SLOT_LEASE_S
+        self._relinquished_by = set()
+        self._relinquished_to = set()
+
+    def get_members(self, region=None):
+        """Return the names of the listed entries of a region."""
+        entries = self._vm_view.get_entries(region=region or self._region)
+        return {vm.name for vm in entries}
+
+    def get_owner(self, key, region=None):
+        """Return the entry that owns a limit in a region, or None."""
+        return rank.get_first(key, self.get_members(region))
+
+    def may_grant(self, key):
+        """Return whether this entry is the only one that may grant.
+
+        The entry that would own the limit without this one must have
+        handed it over: it may not know yet that this one exists.
+        """
+        if trio.current_time() < self._grants_from_s:
+            return False
+        members = self.get_members()
+        if rank.get_first(key, members) != self._name:
+            return False
+        former = rank.get_first(key, members - {self._name})
+        if former is not None and former not in self._relinquished_by:
+            return False
+        above = self._relinquished_to & members
+        return rank.get_first(key, above | {self._name}) == self._name
+
+    def relinquish(self, entry):
+        """Never again grant what `entry` ranks above this one for."""
+        self._relinquished_to.add(entry)
+
+    async def keep_handover(self):
+        """Ask the other entries of the region to hand over to this one.
+
+        One that is no longer listed is dead, and what it granted ends
+        with its leases.
+        """
+        while True:
+            members = self.get_members() - {self._name}
+            gone = self._relinquished_by - members
+            if gone:
+                self._relinquished_by -= gone
+                self._wait_for_leases()
+            for entry in members - self._relinquished_by:
+                await self._ask_handover(entry)
+            await trio.sleep(HANDOVER_PERIOD_S)
+
+    async def _ask_handover(self, entry):
+        address = self._vm_view.get_address(entry)
+        if address is None:
+            return
+        question = messages.HandOver(entry=self._name)
+        link = self._links.get_link(address)
+        reply = await link.ask(question, HANDOVER_TIMEOUT_S)
+        if isinstance(reply, messages.Heard):
+            self._relinquished_by.add(entry)
+            self._wait_for_leases()
+
+    def _wait_for_leases(self):
+        # What another owner granted before must end first.
+        self._grants_from_s = trio.current_time() + SLOT_LEASE_S
+
+    async def answer(self, request):
+        """Return the lease that an entry, or another owner, asked for."""
+        refusal = messages.LeaseReply(0.0, 0, RETRY_MIN_MS * 4)
+        limit = self._get_limit(request)
+        if limit is None or not self.may_grant(request.key):
+            return refusal
+        account = self._get_account(request, limit)
+        if request.kind == KIND_SLOTS:
+            return self._grant_slots(account, request, limit)
+        if request.is_loan:
+            return self._lend(account, request)
+        if account.bucket.get_level() < request.amount:
+            await self._borrow(account, request)
+        # The right to grant is read again after the wait above.
+        if not self.may_grant(request.key):
+            return refusal
+        granted = account.bucket.take_up_to(request.amount)
+        if granted < min(1.0, request.amount):
+            account.bucket.add(granted)
+            wait_s = account.bucket.get_wait_s(1.0)
+            retry_ms = max(RETRY_MIN_MS, int(wait_s * 1000))
+            return messages.LeaseReply(0.0, 0, retry_ms)
+        return messages.LeaseReply(granted, int(LEASE_S * 1000))
+
+    def _get_limit(self, request):
+        """Return this region's share of the limit, or None."""
+        table = self._get_table()
+        parts = request.key.split("|")
+        if table is None or len(parts) != 3:
+            return None
+        organisation, pipeline, kind = parts
+        row = table.get_row(pipeline, organisation, kind)
+        region = table.region_by_name.get(self._region)
+        if row is None or region is None:
+            return None
+        if request.kind == KIND_SLOTS:
+            return int(row.concurrency * region.share)
+        return get_limit_rate(row, request.kind) * region.share
+
+    def _get_account(self, request, limit):
+        key = (request.key, request.kind)
+        rate = limit * (1 - RESERVE_SHARE)
+        # One request must fit, however small the region's share is.
+        capacity = max(1.0, rate * BURST_S, request.amount)
+        account = self._account_by_key.get(key)
+        if account is None:
+            # Nobody has granted this limit since then, so the bucket has
+            # been filling all the while.
+            idle_s = trio.current_time() - self._grants_from_s
+            level = min(capacity, max(0.0, rate * idle_s))
+            account = _Account(buckets.new_bucket(rate, capacity, level))
+            self._account_by_key[key] = account
+        elif account.bucket.rate_per_s != rate:
+            account.bucket.set_rate(rate, capacity)
+        account.used_at_s = trio.current_time()
+        return account
+
+    def _grant_slots(self, account, request, limit):
+        now = trio.current_time()
+        account.holdings = {
+            entry: (count, ends_s)
+            for entry, (count, ends_s) in account.holdings.items()
+            if ends_s > now
+        }
+        held = sum(
+            count
+            for entry, (count, _ends_s) in account.holdings.items()
+            if entry != request.entry
+        )
+        granted = max(0, min(int(request.amount), max(1, limit) - held))
+        account.holdings[request.entry] = (granted, now + SLOT_LEASE_S)
+        return messages.LeaseReply(granted, int(SLOT_LEASE_S * 1000))
+
+    def _lend(self, account, request):
+        available = max(0.0, account.bucket.get_level())
+        amount = min(request.amount, available * LOAN_SHARE)
+        granted = account.bucket.take_up_to(amount)
+        return messages.LeaseReply(granted, int(LEASE_S * 1000))
+
+    async def _borrow(self, account, request):
+        """Ask the owners of other regions for what they don't use.
+
+        What they lend has left their buckets, so the sum over all regions
+        stays what it was.
+        """
+        now = trio.current_time()
+        if now < account.next_loan_s:
+            return
+        account.next_loan_s = now + LOAN_PAUSE_S
+        missing = request.amount - account.bucket.get_level()
+        table = self._get_table()
+        for region in table.region_by_name:
+            if region == self._region or missing <= 0:
+                continue
+            missing -= await self._borrow_from(region, request, missing)
+
+    async def _borrow_from(self, region, request, missing):
+        owner = self.get_owner(request.key, region)
+        address = self._vm_view.get_address(owner) if owner else None
+        if address is None:
+            return 0.0
+        question = messages.LeaseRequest(
+            key=request.key,
+            entry=self._name,
+            kind=request.kind,
+            amount=missing,
+            is_loan=True,
+        )
+        link = self._links.get_link(address)
+        asked_s = trio.current_time()
+        reply = await link.ask(question, LOAN_TIMEOUT_S)
+        if isinstance(reply, base.NotSent | base.Lost):
+            return 0.0
+        if trio.current_time() - asked_s > reply.valid_ms / 1000:
+            return 0.0
+        account = self._account_by_key.get((request.key, request.kind))
+        if account is not None and reply.granted > 0:
+            account.bucket.add(reply.granted)
+        return reply.granted
+
+    def forget_idle(self):
+        """Forget accounts that nobody asked about for a while."""
+        now = trio.current_time()
+        for key, account in list(self._account_by_key.items()):
+            if now - account.used_at_s > IDLE_S:
+                del self._account_by_key[key]
+
+    def count_accounts(self):
+        """Return how many limits this entry keeps accounts of."""
+        return len(self._account_by_key)
+
+
+def new_limit_owner(name, region, vm_view, links, get_table):
+    """Return the owner part of an entry; it grants after one lease."""
+    return LimitOwner(name, region, vm_view, links, get_table)
--- /dev/null
+++ b/greengagetrack/process/reporter.py
@@ -0,0 +1,79 @@
+"""The heartbeats of an agent to entries of its data centre."""
+
+import itertools
+
+import trio
+
+from greengagetrack.connection import messages
+from greengagetrack.process import gossip
+
+HEARTBEAT_S = 1.0
+ASK_TIMEOUT_S = 1.0
+
+
+class Reporter:
+    """Reports once a second, and at once when the condition changes."""
+
+    __slots__ = (
+        "_agent",
+        "_links",
+        "_numbers",
+        "_place",
+        "_tables",
+        "_vm_view",
+    )
+
+    def __init__(self, agent, place, vm_view, links, table_keeper):
+        self._agent = agent
+        self._place = place
+        self._vm_view = vm_view
+        self._links = links
+        self._tables = table_keeper
+        self._numbers = itertools.count(1)
+
+    async def keep(self):
+        """Report again and again until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                changed = self._agent.state_changed
+                report = self._new_report()
+                for vm in self._get_targets(report):
+                    nursery.start_soon(self._send, vm.address, report)
+                with trio.move_on_after(HEARTBEAT_S):
+                    await changed.wait()
+
+    def _get_targets(self, report):
+        place = self._place
+        if report.is_draining:
+            # All should know at once, not only those that pass it on.
+            near = self._vm_view.get_entries(data_centre=place.data_centre)
+            if near:
+                return near
+        return gossip.get_report_targets(
+            place.name, self._vm_view, place.region, place.data_centre
+        )
+
+    def _new_report(self):
+        agent = self._agent
+        return messages.Report(
+            agent=agent.name,
+            incarnation=agent.incarnation,
+            number=next(self._numbers),
+            service=agent.service,
+            load=agent.runner.get_load(),
+            is_draining=agent.is_refusing(),
+            table_version=self._tables.get_version(),
+            model=agent.runner.model,
+            prefixes=agent.runner.prefixes,
+        )
+
+    async def _send(self, address, report):
+        link = self._links.get_link(address)
+        reply = await link.ask(report, ASK_TIMEOUT_S)
+        if isinstance(reply, messages.Heard):
+            self._tables.hear(reply.table_version, address)
+
+
+def new_reporter(agent, place, vm_view, links, table_keeper):
+    """Return the reporter of an agent; the caller runs it."""
+    return Reporter(agent, place, vm_view, links, table_keeper)
--- /dev/null
+++ b/greengagetrack/request/budget.py
@@ -0,0 +1,37 @@
+"""Budgets for extra work: a share of the first attempts."""
+
+BUDGET_BURST = 10.0
+
+
+class WorkBudget:
+    """A token bucket that first attempts fill and extra ones empty.
+
+    With a share of 0.1, ten first attempts allow one retry::
+
+        budget = new_work_budget(0.1)
+        budget.note_first()
+        if budget.take():
+            ...
+    """
+
+    __slots__ = ("_level", "share")
+
+    def __init__(self, share):
+        self.share = share
+        self._level = BUDGET_BURST
+
+    def note_first(self):
+        """Earn the share that one first attempt allows."""
+        self._level = min(BUDGET_BURST, self._level + self.share)
+
+    def take(self):
+        """Return whether one more extra attempt is within the budget."""
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+def new_work_budget(share):
+    """Return a full budget of `share` extra attempts per first one."""
+    return WorkBudget(share)
--- /dev/null
+++ b/greengagetrack/request/pipeline.py
@@ -0,0 +1,228 @@
+"""One request's run through the stages of its pipeline."""
+
+import hashlib
+import logging
+
+import msgspec
+import trio
+
+from greengagetrack.connection import messages
+from greengagetrack.process import routing
+from greengagetrack.request import outcome
+from greengagetrack.request import stage as stage_module
+from greengagetrack.request import ticket as ticket_module
+from greengagetrack.version import rank
+
+FINGERPRINT_BYTES = 16
+
+_Reason = outcome.Reason
+_log = logging.getLogger(__name__)
+
+
+class StageInput(msgspec.Struct):
+    """The payload of a stage: the request and the stage before it."""
+
+    request: msgspec.Raw
+    stage: str
+    previous: msgspec.Raw = msgspec.Raw(b"null")
+    model: str = ""
+    max_tokens: int = 0
+    prefix: str = ""
+
+
+class GeneratedText(msgspec.Struct):
+    """The result of a stage on an engine."""
+
+    text: str
+    tokens: int
+
+
+def get_fingerprint(pipeline, body):
+    """Return what tells two different orders apart."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(pipeline.encode() + b"\0" + body)
+    return digest.digest()
+
+
+class PipelineRun:
+    """Runs the admitted stages one after another.
+
+    Tokens of the last stage go to `on_tokens` as they come, with the
+    offset of the first of them.
+    """
+
+    __slots__ = (
+        "_admitted",
+        "_on_tokens",
+        "_services",
+        "_ticket_keys",
+        "_vm_view",
+        "tokens",
+    )
+
+    def __init__(self, services, admitted, vm_view, ticket_keys, on_tokens):
+        self._services = services
+        self._admitted = admitted
+        self._vm_view = vm_view
+        self._ticket_keys = ticket_keys
+        self._on_tokens = on_tokens
+        self.tokens = 0
+
+    async def run(self):
+        """Return `Whole`, `Refused` or `Unknown`."""
+        started_s = trio.current_time()
+        try:
+            end = await self._run_stages()
+        finally:
+            self._admitted.permit.settle(self.tokens)
+        self._log_end(end, started_s)
+        return end
+
+    async def _run_stages(self):
+        previous = b"null"
+        has_run = False
+        for stage in self._admitted.stages:
+            end = await self._run_stage(stage, previous)
+            if not isinstance(end, stage_module.StageResult):
+                return self._settle(end, has_run)
+            has_run = True
+            previous = self._get_result(stage, end)
+        return outcome.Whole(previous)
+
+    def _settle(self, end, has_run):
+        """Return what may be said of the whole request.
+
+        What counts is the stage that must not be repeated. A pipeline
+        without one has run once any of its stages has.
+        """
+        stages = self._admitted.stages
+        is_order = any(not each.stage.repeatable for each in stages)
+        if has_run and not is_order and isinstance(end, outcome.Refused):
+            return outcome.Unknown(end.reason, end.detail, end.retry_after_ms)
+        return end
+
+    def _get_result(self, stage, end):
+        if not stage.stage.max_tokens:
+            return end.result
+        text = GeneratedText("".join(end.tokens), len(end.tokens))
+        return msgspec.json.encode(text)
+
+    async def _run_stage(self, stage, previous):
+        task = self._new_task(stage, previous)
+        if isinstance(task, outcome.Unknown | outcome.Refused):
+            return task
+        is_last = stage.stage is self._admitted.stages[-1].stage
+
+        def take_tokens(tokens):
+            offset = self.tokens
+            self.tokens += len(tokens)
+            if is_last:
+                self._on_tokens(offset, tokens)
+
+        run = stage_module.new_stage_run(
+            self._services, task, self._admitted.deadline, take_tokens
+        )
+        return await run.run()
+
+    def _new_task(self, stage, previous):
+        request = self._admitted.request
+        prefix = f"{request.pipeline}/{request.organisation}"
+        payload = StageInput(
+            request=msgspec.Raw(request.body),
+            stage=stage.stage.name,
+            previous=msgspec.Raw(previous),
+            model=stage.stage.model,
+            max_tokens=stage.stage.max_tokens,
+            prefix=prefix,
+        )
+        task = stage_module.StageTask(
+            request_id=request.request_id,
+            stage=stage,
+            payload=msgspec.json.encode(payload),
+            organisation=request.organisation,
+            limits=self._admitted.limits,
+            prefix=get_prefix_hash(prefix) if stage.stage.max_tokens else None,
+        )
+        if stage.stage.repeatable:
+            return task
+        return self._pin_order(task, request)
+
+    def _pin_order(self, task, request):
+        """Return the task bound to the agent of its order."""
+        if not request.ticket and not request.idempotency_key:
+            return task
+        task.order = messages.OrderClaim(
+            organisation=request.organisation,
+            fingerprint=get_fingerprint(request.pipeline, request.body),
+            ticket=request.ticket,
+            key="" if request.ticket else request.idempotency_key,
+        )
+        if request.ticket:
+            return self._pin_ticket(task, request)
+        return self._pin_key(task, request)
+
+    def _pin_ticket(self, task, request):
+        body = ticket_module.read_ticket(request.ticket, self._ticket_keys)
+        if body is None:
+            # Forged, or sealed with a key that is no longer in force: the
+            # second kind may have run.
+            return outcome.Unknown(_Reason.TICKET_FORGED)
+        service = task.stage.stage.service
+        if (body.service, body.pipeline, body.organisation) != (
+            service,
+            request.pipeline,
+            request.organisation,
+        ):
+            return outcome.Refused(_Reason.TICKET_MISMATCH)
+        agent = self._services.fleet.agent_by_name.get(body.agent)
+        if agent is None:
+            return outcome.Unknown(_Reason.TICKET_GONE)
+        if agent.incarnation not in ("", body.incarnation):
+            return outcome.Unknown(_Reason.TICKET_GONE)
+        if not agent.incarnation:
+            return outcome.Unknown(_Reason.AGENT_SILENT)
+        task.pinned = _pin(agent)
+        return task
+
+    def _pin_key(self, task, request):
+        service = task.stage.stage.service
+        key = f"{service}|{request.organisation}|{request.idempotency_key}"
+        home = rank.get_first(key, self._vm_view.get_agents(service))
+        agent = self._services.fleet.agent_by_name.get(home)
+        if agent is None or not agent.incarnation:
+            return outcome.Unknown(_Reason.KEY_MOVING)
+        task.pinned = _pin(agent)
+        return task
+
+    def _log_end(self, end, started_s):
+        is_whole = isinstance(end, outcome.Whole)
+        request = self._admitted.request
+        spent_ms = (trio.current_time() - started_s) * 1000
+        reason = "whole" if is_whole else end.reason
+        self._services.metrics.note_request(request, end, spent_ms)
+        _log.info(
+            "request ended",
+            extra={
+                "request": request.request_id,
+                "pipeline": request.pipeline,
+                "organisation": request.organisation,
+                "outcome": reason,
+                "ran": "yes" if is_whole else outcome.get_ran(end),
+                "ms": round(spent_ms, 1),
+                "table_version": self._services.get_table_version(),
+            },
+        )
+
+
+def get_prefix_hash(prefix):
+    """Return the number that stands for a prompt prefix in digests."""
+    return rank.get_score("prefix", prefix) & 0xFFFFFFFF
+
+
+def _pin(agent):
+    return routing.Choice(agent, 0.0, 0.0, 0.0, False)
+
+
+def new_pipeline_run(services, admitted, vm_view, ticket_keys, on_tokens):
+    """Return the run of an admitted request."""
+    return PipelineRun(services, admitted, vm_view, ticket_keys, on_tokens)
--- /dev/null
+++ b/greengagetrack/request/record.py
@@ -0,0 +1,160 @@
+"""What an agent knows of one attempt."""
+
+import enum
+
+import trio
+
+from greengagetrack.connection import messages
+
+
+class State(enum.StrEnum):
+    """How far an attempt has come."""
+
+    ACCEPTED = "accepted"
+    STARTED = "started"
+    FINISHED = "finished"
+    REFUSED = "refused"
+    WITHDRAWN = "withdrawn"
+
+
+FINAL_STATES = frozenset((State.FINISHED, State.REFUSED, State.WITHDRAWN))
+
+
+class AttemptRecord:
+    """What this agent knows of one attempt.
+
+    A record moves forward only: accepted, started, finished. An accepted
+    attempt can instead be withdrawn or refused, and then never starts::
+
+        record = new_record(submit)
+        assert record.withdraw()
+        assert record.start() is False
+
+    Several attempts share a record when they carry the same order.
+    """
+
+    __slots__ = (
+        "_changed",
+        "attempts",
+        "cancel_scope",
+        "engine_ms",
+        "failure",
+        "finished_at_s",
+        "first_offset",
+        "ran",
+        "result",
+        "retry_after_ms",
+        "reused_tokens",
+        "state",
+        "submit",
+        "tokens",
+    )
+
+    def __init__(self, submit):
+        self.submit = submit
+        self.attempts = [submit.attempt]
+        self.state = State.ACCEPTED
+        self.first_offset = submit.resume_from
+        self.tokens = []
+        self.result = b""
+        self.failure = ""
+        self.ran = ""
+        self.retry_after_ms = 0
+        self.engine_ms = 0.0
+        self.reused_tokens = 0
+        self.finished_at_s = None
+        self.cancel_scope = None
+        self._changed = trio.Event()
+
+    def is_final(self):
+        """Return whether nothing more will be added."""
+        return self.state in FINAL_STATES
+
+    def start(self):
+        """Return whether the attempt starts now."""
+        # No await: start(), withdraw() and refuse() never interleave.
+        if self.state is not State.ACCEPTED:
+            return False
+        self.state = State.STARTED
+        self._notify()
+        return True
+
+    def withdraw(self):
+        """Return whether the attempt never ran and never will.
+
+        An attempt that shares its record with another one of the same
+        order can't promise that.
+        """
+        # No await: start(), withdraw() and refuse() never interleave.
+        if self.state is State.ACCEPTED and len(self.attempts) == 1:
+            self._end(State.WITHDRAWN, "withdrawn", "no")
+        return self.state in (State.WITHDRAWN, State.REFUSED)
+
+    def refuse(self, reason, retry_after_ms=0):
+        """Return whether an attempt that has not started was refused."""
+        if self.state is not State.ACCEPTED:
+            return False
+        self.retry_after_ms = retry_after_ms
+        self._end(State.REFUSED, reason, "no")
+        return True
+
+    def add_tokens(self, tokens):
+        """Add tokens that were generated."""
+        self.tokens += tokens
+        self._notify()
+
+    def finish(self, result, engine_ms, reused_tokens):
+        """Keep the whole result."""
+        self.result = result
+        self.engine_ms = engine_ms
+        self.reused_tokens = reused_tokens
+        self._end(State.FINISHED, "", "")
+
+    def fail(self, reason, ran, retry_after_ms=0):
+        """Keep the reason why there is no result."""
+        self.retry_after_ms = retry_after_ms
+        self._end(State.FINISHED, reason, ran)
+
+    def _end(self, state, failure, ran):
+        self.state = state
+        self.failure = failure
+        self.ran = ran
+        self.finished_at_s = trio.current_time()
+        self._notify()
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def has_news(self, offset):
+        """Return whether something follows `offset`."""
+        end = self.first_offset + len(self.tokens)
+        return self.is_final() or end > offset
+
+    async def wait_for_news(self, offset, timeout_s):
+        """Wait until something follows `offset`, or the time ends."""
+        with trio.move_on_after(timeout_s):
+            while not self.has_news(offset):
+                await self._changed.wait()
+
+    def get_chunk(self, offset, load=None):
+        """Return what follows `offset`, as a message."""
+        skipped = max(0, offset - self.first_offset)
+        return messages.Chunk(
+            state=self.state,
+            offset=max(offset, self.first_offset),
+            tokens=self.tokens[skipped:],
+            is_done=self.is_final(),
+            result=self.result,
+            failure=self.failure,
+            ran=self.ran,
+            retry_after_ms=self.retry_after_ms,
+            engine_ms=self.engine_ms,
+            reused_tokens=self.reused_tokens,
+            load=load,
+        )
+
+
+def new_record(submit):
+    """Return the record of an attempt that was just accepted."""
+    return AttemptRecord(submit)
--- /dev/null
+++ b/greengagetrack/version/table.py
@@ -0,0 +1,102 @@
+"""One immutable version of the table that operators edit."""
+
+import msgspec
+
+from greengagetrack.version import rows
+
+DOCUMENT_MAX_BYTES = 1024 * 1024
+MANIFEST_KEY = "manifest"
+ORGANISATIONS_PREFIX = "organisations/"
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """The limits that come out for one organisation and kind.
+
+    `key` names what shares the limit: rows for `*` still count each
+    organisation by itself.
+    """
+
+    key: str
+    row: rows.Row
+
+
+class Table:
+    """A whole table: it never changes once it is built.
+
+    Look-ups return None for what the table does not have::
+
+        limits = table.get_limits("order", "otaru", "counter")
+        if limits is not None:
+            rate = limits.row.rate_per_s
+    """
+
+    __slots__ = (
+        "_plan_by_organisation",
+        "_row_by_match",
+        "manifest",
+        "pipeline_by_name",
+        "plans",
+        "policy",
+        "region_by_name",
+        "rows",
+        "service_by_name",
+        "text_by_key",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version,
+        manifest,
+        text_by_key,
+        service_by_name,
+        pipeline_by_name,
+        row_list,
+        region_by_name,
+        plan_by_organisation,
+        policy,
+    ):
+        self.version = version
+        self.manifest = manifest
+        self.text_by_key = text_by_key
+        self.service_by_name = service_by_name
+        self.pipeline_by_name = pipeline_by_name
+        self.rows = row_list
+        self.region_by_name = region_by_name
+        self.policy = policy
+        self.plans = frozenset(plan_by_organisation.values())
+        self._plan_by_organisation = plan_by_organisation
+        self._row_by_match = {
+            (row.pipeline, row.organisation, row.kind): row for row in row_list
+        }
+
+    def get_organisation(self, name):
+        """Return the plan of an organisation, or None."""
+        return self._plan_by_organisation.get(name)
+
+    def get_organisation_count(self):
+        """Return how many organisations the table has."""
+        return len(self._plan_by_organisation)
+
+    def get_row(self, pipeline, organisation, kind):
+        """Return the most specific row that matches, or None.
+
+        The organisation counts before its plan, the plan before `*`; then
+        the kind before `*`; then the pipeline before `*`.
+        """
+        plan = self.get_organisation(organisation)
+        whose = (organisation, f"{rows.PLAN_PREFIX}{plan}", rows.ANY)
+        for who in whose:
+            for what in (kind, rows.ANY):
+                for which in (pipeline, rows.ANY):
+                    row = self._row_by_match.get((which, who, what))
+                    if row is not None:
+                        return row
+        return None
+
+    def get_limits(self, pipeline, organisation, kind):
+        """Return the limits of an organisation's requests, or None."""
+        row = self.get_row(pipeline, organisation, kind)
+        if row is None:
+            return None
+        return Limits(f"{organisation}|{row.pipeline}|{row.kind}", row)
