Run scenarios in Gherkin on a mock clock over in-process fakes

Cause: nothing proved that answers stay whole and orders single when processes die, freeze or are cut off.

Reading a table can be done in the calling task, since a thread has no mock clock.

Before: no scenario. A first run hung: starting two entries of one data centre waits for time that stood still, so the world now starts as a task while time passes.

--- /dev/null
+++ b/bench/runtime.py
@@ -0,0 +1,97 @@
+"""Runs trio on a mock clock in a thread, one step after another.
+
+Steps of scenarios and rules of state machines are plain functions. They
+hand coroutines to this runtime; time stands still between them and moves
+only by `advance()`.
+"""
+
+import threading
+
+import trio
+import trio.testing
+
+STEP_S = 0.01
+
+
+class VirtualRuntime:
+    """A trio loop whose clock moves only when it is told to."""
+
+    def __init__(self):
+        self._clock = trio.testing.MockClock()
+        self._is_started = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._token = None
+        self._stop = None
+        self._error = None
+        self.nursery = None
+
+    def start(self):
+        """Start the loop."""
+        self._thread.start()
+        self._is_started.wait()
+
+    def _run(self):
+        try:
+            trio.run(self._main, clock=self._clock)
+        except BaseException as error:
+            self._error = error
+
+    async def _main(self):
+        self._token = trio.lowlevel.current_trio_token()
+        self._stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self._is_started.set()
+            await self._stop.wait()
+            nursery.cancel_scope.cancel()
+
+    def run(self, function, *arguments):
+        """Return what the asynchronous `function` returns."""
+        try:
+            return trio.from_thread.run(
+                function, *arguments, trio_token=self._token
+            )
+        except trio.RunFinishedError:
+            raise self._error from None
+
+    def spawn(self, function, *arguments):
+        """Start an asynchronous `function` without waiting for its end."""
+
+        async def start():
+            self.nursery.start_soon(function, *arguments)
+
+        self.run(start)
+
+    def advance(self, seconds):
+        """Let time pass, in small steps, with all tasks run in between."""
+        self.run(self.let_pass, seconds)
+
+    async def let_pass(self, seconds):
+        """Let time pass, called from inside the loop."""
+        end_s = trio.current_time() + seconds
+        await trio.testing.wait_all_tasks_blocked()
+        while trio.current_time() < end_s - 1e-9:
+            left_s = end_s - trio.current_time()
+            self._clock.jump(min(STEP_S, left_s))
+            await trio.testing.wait_all_tasks_blocked()
+
+    def stop(self):
+        """End the loop; raise what broke it, if anything did."""
+        if self._thread.is_alive():
+            try:
+                self.run(self._ask_stop)
+            except BaseException:
+                pass
+        self._thread.join(10)
+        if self._error is not None:
+            raise self._error
+
+    async def _ask_stop(self):
+        self._stop.set()
+
+
+def new_runtime():
+    """Return a runtime that has started."""
+    runtime = VirtualRuntime()
+    runtime.start()
+    return runtime
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios in Gherkin on a mock clock."""
--- /dev/null
+++ b/bench/virtual.py
@@ -0,0 +1,225 @@
+"""A deployment on a mock clock: real entries and agents, fake outside."""
+
+import itertools
+
+import msgspec
+import trio
+
+from bench import deployment as deployment_module
+from bench import fakes
+from bench import memory
+from bench.standins import platform as platform_module
+from bench.standins import records as records_module
+from bench.standins import server as server_module
+from greengagetrack.connection import base as link_base
+from greengagetrack.connection import seal
+from greengagetrack.connection.platform import base as platform_base
+from greengagetrack.process import admission
+from greengagetrack.process import agent as agent_module
+from greengagetrack.process import entry as entry_module
+from greengagetrack.process import orders
+from greengagetrack.process import placement
+from greengagetrack.process import reporter
+from greengagetrack.process import runner
+from greengagetrack.process import tables
+from greengagetrack.process import vm_view as vm_view_module
+from greengagetrack.version import folder
+
+KEY_RING = seal.new_key_ring([b"0123456789abcdef"])
+SEED = 7
+ORDER_WINDOW_S = 5.0
+
+
+class Node:
+    """One process: where it is, its parts, and the scope that ends it."""
+
+    def __init__(self, vm, backend=None):
+        self.vm = vm
+        self.backend = backend
+        self.process = None
+        self.scope = None
+        self.vm_view = None
+
+    def is_running(self):
+        """Return whether the process lives."""
+        return self.scope is not None
+
+
+class VirtualWorld:
+    """Entries and agents of a deployment over memory links."""
+
+    def __init__(self, nursery, deployment, entries_per_region=1):
+        self._nursery = nursery
+        self.deployment = deployment
+        self.records = records_module.Records()
+        self.platform = platform_module.Platform()
+        self.network = memory.Network(nursery)
+        self.node_by_name = {}
+        self.server_by_name = {}
+        self.table_version = 1
+        self.text_by_key = folder.read_folder(deployment.get_table_folder())
+        self._incarnations = itertools.count(1)
+        self._plan(entries_per_region)
+
+    def _plan(self, entries_per_region):
+        for region in self.deployment.regions:
+            for index in range(entries_per_region):
+                self.add_node(f"entry-{region}-{index}", "entry", region)
+        for place in deployment_module.get_backends(self.deployment):
+            self.server_by_name[place.name] = server_module.Server(
+                place.name, place.size.name, place.size.profile, self.records
+            )
+            self.add_node(f"{place.name}-agent", "agent", place.region, place)
+
+    def add_node(self, name, role, region, backend=None):
+        """Add a VM that is not started yet; return its node."""
+        vm = platform_base.Vm(
+            name=name,
+            address=f"{name}:1",
+            role=role,
+            region=region,
+            data_centre=f"{region}-1",
+            service=backend.size.name if backend else "",
+        )
+        node = Node(vm, backend)
+        self.node_by_name[name] = node
+        return node
+
+    def publish_vms(self):
+        """Publish the present VMs as the VM list."""
+        self.platform.set_vms(node.vm for node in self.node_by_name.values())
+
+    def publish_table(self, text_by_key=None):
+        """Publish the next version of the table; return its number."""
+        version = self.table_version
+        self.platform.publish(version, text_by_key or self.text_by_key)
+        self.table_version += 1
+        return version
+
+    def mark_leaving(self, name):
+        """Say in the VM list that a VM is leaving."""
+        node = self.node_by_name[name]
+        node.vm = msgspec.structs.replace(node.vm, is_leaving=True)
+        self.publish_vms()
+
+    async def start(self):
+        """Publish the table and the list, and start every process."""
+        self.publish_table()
+        self.publish_vms()
+        async with trio.open_nursery() as nursery:
+            for node in self.node_by_name.values():
+                nursery.start_soon(self.start_node, node)
+
+    async def start_node(self, node):
+        """Start the process of a node, with a new incarnation."""
+        await self._nursery.start(self._run_node, node)
+
+    def kill_node(self, node):
+        """End a process at once, as kill -9 does."""
+        self.network.leave(node.vm.address)
+        node.scope.cancel()
+        node.scope = None
+
+    async def _run_node(self, node, task_status):
+        run = self._run_entry if node.vm.role == "entry" else self._run_agent
+        with trio.CancelScope() as scope:
+            node.scope = scope
+            async with trio.open_nursery() as nursery:
+                await run(node, nursery)
+                task_status.started()
+
+    def _new_parts(self, node, period_s, is_partial):
+        place = entry_module.Place(
+            name=node.vm.name,
+            region=node.vm.region,
+            data_centre=node.vm.data_centre,
+            incarnation=f"{next(self._incarnations):08d}",
+        )
+        factory = memory.MemoryLinkFactory(self.network, node.vm.address)
+        links = link_base.new_links(factory)
+        vm_list = platform_module.VmListFake(self.platform)
+        node.vm_view = vm_view_module.new_vm_view(vm_list, period_s, SEED)
+        keeper = tables.new_table_keeper(
+            place.name,
+            place.data_centre,
+            platform_module.ConfigFake(self.platform),
+            node.vm_view,
+            links,
+            is_partial,
+            SEED,
+        )
+        keeper.read_inline()
+        return place, links, keeper
+
+    async def _run_entry(self, node, nursery):
+        place, links, keeper = self._new_parts(
+            node, vm_view_module.ENTRY_PERIOD_S, is_partial=False
+        )
+        entry = entry_module.new_entry(
+            place, links, node.vm_view, keeper, KEY_RING, SEED
+        )
+        node.process = entry
+        self.network.listen(node.vm.address, entry.handle)
+        await nursery.start(entry.run)
+
+    async def _run_agent(self, node, nursery):
+        place, links, keeper = self._new_parts(
+            node, vm_view_module.AGENT_PERIOD_S, is_partial=True
+        )
+        size = node.backend.size
+        server = self.server_by_name[node.backend.name]
+        backend = fakes.ServerBackend(server, size.kind)
+        book = orders.new_order_book(
+            place.name,
+            place.incarnation,
+            KEY_RING,
+            node.vm_view,
+            links,
+            ORDER_WINDOW_S,
+        )
+        work = runner.new_runner(backend, size.profile.slots, book.release)
+        agent = agent_module.new_agent(
+            place.name, size.name, place.incarnation, work, book
+        )
+        node.process = agent
+        self.network.listen(node.vm.address, agent.handle)
+        report = reporter.new_reporter(
+            agent, place, node.vm_view, links, keeper
+        )
+        placer = placement.new_placer(
+            place, size.name, backend, agent, node.vm_view, keeper
+        )
+        await nursery.start(node.vm_view.keep)
+        for run in (agent.run, report.keep, keeper.keep_fetching):
+            nursery.start_soon(run)
+        nursery.start_soon(keeper.keep_config)
+        if size.kind == "engine":
+            nursery.start_soon(placer.keep)
+
+    def get_entry(self, region=None):
+        """Return a running entry, of one region."""
+        for node in self.node_by_name.values():
+            if node.vm.role == "entry" and node.is_running():
+                if region in (None, node.vm.region):
+                    return node.process
+        raise LookupError(f"no entry runs in {region}")
+
+    def new_request(self, pipeline, organisation, marker, **more):
+        """Return a request of a caller."""
+        body = msgspec.json.encode({"marker": marker})
+        return admission.Request(
+            request_id=marker,
+            pipeline=pipeline,
+            organisation=organisation,
+            kind="night",
+            body=body,
+            **more,
+        )
+
+    def count_orders(self, marker):
+        """Return how often backend servers executed an order."""
+        return sum(
+            execution.marker == marker
+            and execution.stage in self.deployment.orders
+            for execution in self.records.executions
+        )
--- a/greengagetrack/process/tables.py
+++ b/greengagetrack/process/tables.py
@@ -55,6 +55,7 @@
         "_name",
         "_random",
         "_refused_manifests",
+        "_run_sync",
         "_vm_view",
         "accepted",
         "changed",
@@ -76,6 +77,7 @@
         self._links = links
         self._is_partial = is_partial
         self._random = generator
+        self._run_sync = trio.to_thread.run_sync
         self._accepting = trio.Lock()
         self._content_by_digest = {}
         self._fetch_from = ""
@@ -89,6 +91,15 @@
         self.revision = -1
         self.rejections = []
 
+    def read_inline(self):
+        """Read tables in the calling task: for tests on a mock clock."""
+
+        async def run_sync(function, *arguments):
+            await trio.lowlevel.checkpoint()
+            return function(*arguments)
+
+        self._run_sync = run_sync
+
     def get_table(self):
         """Return the table in force, or None before the first one."""
         return self.table
@@ -243,7 +254,7 @@
                 return
             # Reading a whole table takes a while; a thread keeps the
             # tasks of this process going.
-            table, findings = await trio.to_thread.run_sync(
+            table, findings = await self._run_sync(
                 loader.build_table,
                 text,
                 texts,
