--- a/bench/runtime.py
+++ b/bench/runtime.py
@@ -75,6 +75,10 @@
             self._clock.jump(min(STEP_S, left_s))
             await trio.testing.wait_all_tasks_blocked()
 
+    def jump(self, seconds):
+        """Move the clock at once, called from inside the loop."""
+        self._clock.jump(seconds)
+
     def stop(self):
         """End the loop; raise what broke it, if anything did."""
         if self._thread.is_alive():
--- a/bench/scenarios/context.py
+++ b/bench/scenarios/context.py
@@ -3,8 +3,8 @@
 from bench import counts
 from bench import deployment as deployment_module
 from bench import runtime as runtime_module
-from bench import virtual
 from bench.standins import records as records_module
+from bench import virtual
 from greengagetrack.request import outcome
 
 import msgspec
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -12,8 +12,8 @@
 from bench.standins import records as records_module
 from bench.standins import server as server_module
 from greengagetrack.connection import base as link_base
-from greengagetrack.connection import seal
 from greengagetrack.connection.platform import base as platform_base
+from greengagetrack.connection import seal
 from greengagetrack.process import admission
 from greengagetrack.process import agent as agent_module
 from greengagetrack.process import entry as entry_module
--- /dev/null
+++ b/tests/machines/test_limits.py
@@ -0,0 +1,241 @@
+"""Limits over regions and entries against one naive counter.
+
+Entries ask as fast as they can while owners crash, restart and are cut
+off. What all of them admit in any window stays within the proved bound.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import trio
+
+from bench import memory
+from bench import runtime as runtime_module
+from greengagetrack.connection import base as link_base
+from greengagetrack.connection import messages
+from greengagetrack.connection.platform import base as platform_base
+from greengagetrack.process import limit_bound
+from greengagetrack.process import limit_owner
+from greengagetrack.process import limits as limits_module
+from greengagetrack.process import vm_view as vm_view_module
+from greengagetrack.request import outcome
+from greengagetrack.version import rows
+from greengagetrack.version import table as table_module
+
+RATE = 20.0
+SLOTS = 12
+WINDOW_S = 5.0
+REGIONS = {"r1": 0.5, "r2": 0.5}
+ROW = rows.Row("p", rate_per_s=RATE, concurrency=SLOTS)
+TABLE = table_module.Table(
+    1,
+    b"",
+    {},
+    {},
+    {},
+    [ROW],
+    {name: rows.Region(share) for name, share in REGIONS.items()},
+    {"o": "standard"},
+    rows.Policy(),
+)
+LIMITS = TABLE.get_limits("p", "o", "night")
+
+
+class _Published(platform_base.VmListService):
+    def __init__(self, machine):
+        self._machine = machine
+
+    async def read(self, version):
+        await trio.lowlevel.checkpoint()
+        vms = list(self._machine.vm_by_name.values())
+        return platform_base.VmList(self._machine.version, vms)
+
+
+class _Entry:
+    def __init__(self):
+        self.limits = None
+        self.owner = None
+        self.scope = None
+
+
+class LimitMachine(stateful.RuleBasedStateMachine):
+    """Six entries in two regions under more demand than the limit."""
+
+    def __init__(self):
+        super().__init__()
+        self.runtime = runtime_module.new_runtime()
+        self.admitted_s = []
+        self.running = 0
+        self.running_most = 0
+        self.version = 1
+        self.entries = {}
+        self.vm_by_name = {}
+        self.call(self._set_up)
+        self.runtime.advance(limit_owner.SLOT_LEASE_S + 2)
+
+    def call(self, function, *arguments):
+        async def run():
+            return function(*arguments)
+
+        return self.runtime.run(run)
+
+    def _set_up(self):
+        self.network = memory.Network(self.runtime.nursery)
+        for region in REGIONS:
+            for index in range(2):
+                self._add(f"{region}-{index}", region)
+
+    def _add(self, name, region):
+        self.vm_by_name[name] = platform_base.Vm(
+            name, f"{name}:1", "entry", region, f"{region}-1"
+        )
+        self.version += 1
+        self.entries[name] = _Entry()
+        self.runtime.nursery.start_soon(self._run, name, region)
+
+    async def _run(self, name, region):
+        entry = self.entries[name]
+        links = link_base.new_links(
+            memory.MemoryLinkFactory(self.network, f"{name}:1")
+        )
+        view = vm_view_module.new_vm_view(_Published(self), 0.5, 1)
+        with trio.CancelScope() as entry.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(view.keep)
+                owner = limit_owner.new_limit_owner(
+                    name, region, view, links, lambda: TABLE
+                )
+                limits = limits_module.new_limits(
+                    name, region, owner, view, links, lambda: TABLE
+                )
+                entry.owner, entry.limits = owner, limits
+                self.network.listen(f"{name}:1", self._new_handler(owner))
+                nursery.start_soon(owner.keep_handover)
+                nursery.start_soon(limits.keep)
+                for _worker in range(4):
+                    nursery.start_soon(self._demand, limits)
+
+    def _new_handler(self, owner):
+        async def handle(message):
+            if isinstance(message, messages.HandOver):
+                owner.relinquish(message.entry)
+                return messages.Heard(1)
+            return await owner.answer(message)
+
+        return handle
+
+    async def _demand(self, limits):
+        while True:
+            permit = await limits.acquire(LIMITS, 0)
+            if isinstance(permit, outcome.Refused):
+                await trio.sleep(0.05)
+                continue
+            self.admitted_s.append(trio.current_time())
+            await trio.sleep(0.1)
+            permit.settle(0)
+
+    @stateful.rule(
+        name=strategies.sampled_from(("r1-0", "r1-1", "r2-0", "r2-1"))
+    )
+    def crash(self, name):
+        """Kill an entry; the list still has it."""
+
+        def kill():
+            entry = self.entries.get(name)
+            if entry is not None and entry.scope is not None:
+                self.network.leave(f"{name}:1")
+                entry.scope.cancel()
+                entry.scope = None
+
+        self.call(kill)
+
+    @stateful.rule(
+        name=strategies.sampled_from(("r1-0", "r1-1", "r2-0", "r2-1"))
+    )
+    def restart_or_join(self, name):
+        """Start an entry again, or a new one."""
+
+        def start():
+            entry = self.entries.get(name)
+            if entry is None or entry.scope is None:
+                self._add(name, name.split("-")[0])
+
+        self.call(start)
+
+    @stateful.rule(
+        name=strategies.sampled_from(("r1-0", "r1-1", "r2-0", "r2-1"))
+    )
+    def drop_from_list(self, name):
+        """Take a dead entry out of the list."""
+
+        def drop():
+            entry = self.entries.get(name)
+            if entry is not None and entry.scope is None:
+                del self.entries[name]
+                self.vm_by_name.pop(name, None)
+                self.version += 1
+
+        self.call(drop)
+
+    @stateful.rule(name=strategies.sampled_from(("new-a", "new-b")))
+    def join(self, name):
+        """Add an entry that may become the owner."""
+
+        def start():
+            if name not in self.entries:
+                self._add(name, "r1")
+
+        self.call(start)
+
+    @stateful.rule()
+    def cut_regions(self):
+        """Cut the two regions off from each other."""
+
+        def cut():
+            for one in self.vm_by_name.values():
+                for two in self.vm_by_name.values():
+                    if one.region != two.region:
+                        self.network.cut(one.address, two.address)
+
+        self.call(cut)
+
+    @stateful.rule()
+    def heal(self):
+        """Let everything through again."""
+        self.call(self.network.heal)
+
+    @stateful.rule(count=strategies.integers(1, 4))
+    def lose_answers(self, count):
+        """Lose the next answers."""
+        self.network.faults.lose_answers = count
+
+    @stateful.rule(seconds=strategies.sampled_from((0.5, 1.0, 3.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.runtime.advance(seconds)
+
+    @stateful.invariant()
+    def no_window_passes_the_bound(self):
+        """Check every window of the chosen length."""
+        bound = limit_bound.get_admitted_bound(
+            RATE, WINDOW_S, len(REGIONS), entries=6
+        )
+        first = 0
+        for index, at_s in enumerate(self.admitted_s):
+            while at_s - self.admitted_s[first] > WINDOW_S:
+                first += 1
+            assert index - first + 1 <= bound
+
+    def teardown(self):
+        """End the world."""
+        try:
+            self.runtime.advance(2)
+            self.no_window_passes_the_bound()
+        finally:
+            self.runtime.stop()
+
+
+TestLimits = LimitMachine.TestCase
+TestLimits.settings = hypothesis.settings(
+    max_examples=15, stateful_step_count=25, deadline=None
+)
--- /dev/null
+++ b/tests/machines/test_orders.py
@@ -0,0 +1,331 @@
+"""Orders by key and by ticket against a naive count of executions.
+
+Agents crash, restart, freeze and wake; questions and answers are lost,
+late and repeated; VM lists lag differently. Whatever happens, a backend
+server executes an order at most once, and what a caller was told holds.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+import trio
+
+from bench import memory
+from bench import runtime as runtime_module
+from greengagetrack.connection.backend import base as backend_base
+from greengagetrack.connection import base as link_base
+from greengagetrack.connection import messages
+from greengagetrack.connection.platform import base as platform_base
+from greengagetrack.connection import seal
+from greengagetrack.process import agent as agent_module
+from greengagetrack.process import orders
+from greengagetrack.process import runner
+from greengagetrack.process import vm_view as vm_view_module
+from greengagetrack.request import attempt as attempt_module
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request import outcome
+from greengagetrack.request import ticket as ticket_module
+from greengagetrack.version import rank
+
+SERVICE = "ledger"
+WINDOW_S = 5.0
+LIST_LAG_S = 2.0
+BUDGET_MS = 1500
+CALL_S = 0.4
+RING = seal.new_key_ring([b"0123456789abcdef"])
+AGENTS = ("a", "b", "c")
+KEYS = ("k1", "k2", "k3")
+
+
+class _CountingBackend(backend_base.Backend):
+    """Counts executions by order; they outlive the agent's process."""
+
+    def __init__(self, executions):
+        self._executions = executions
+
+    async def run(self, call):
+        order = msgspec.json.decode(call.payload)["order"]
+        self._executions[order] = self._executions.get(order, 0) + 1
+        await trio.sleep(CALL_S)
+        yield backend_base.Result(b'"done"')
+
+    async def get_load(self):
+        await trio.lowlevel.checkpoint()
+        return backend_base.BackendLoad(slots=2)
+
+    async def load_model(self, model, fencing):
+        return False
+
+
+class _LaggingList(platform_base.VmListService):
+    """A VM list that this reader sees some time later."""
+
+    def __init__(self, world, lag_s):
+        self._world = world
+        self._lag_s = lag_s
+
+    async def read(self, version):
+        await trio.lowlevel.checkpoint()
+        seen_s = trio.current_time() - self._lag_s
+        seen = self._world.history[0]
+        for published_s, vm_list in self._world.history:
+            if published_s <= seen_s:
+                seen = (published_s, vm_list)
+        return seen[1] if seen[1].version != version else None
+
+
+class _Agent:
+    def __init__(self, name):
+        self.name = name
+        self.address = f"{name}:1"
+        self.scope = None
+        self.process = None
+        self.incarnation = ""
+
+
+class OrderMachine(stateful.RuleBasedStateMachine):
+    """Interleaves orders with every failure of an agent or a link."""
+
+    def __init__(self):
+        super().__init__()
+        self.runtime = runtime_module.new_runtime()
+        self.executions = {}
+        self.refused = set()
+        self.tickets = []
+        self.numbers = 0
+        self.incarnations = 0
+        self.agent_by_name = {}
+        self.history = []
+        self.call(self._set_up)
+        # The window after the start is over for all of them.
+        self.runtime.advance(WINDOW_S + 1)
+
+    def call(self, function, *arguments):
+        async def run():
+            return function(*arguments)
+
+        return self.runtime.run(run)
+
+    def _set_up(self):
+        self.network = memory.Network(self.runtime.nursery)
+        for name in AGENTS:
+            self.agent_by_name[name] = _Agent(name)
+        self._publish()
+        for name in AGENTS:
+            self._start(name)
+
+    def _publish(self):
+        vms = [
+            platform_base.Vm(name, f"{name}:1", "agent", "r", "r-1", SERVICE)
+            for name in self.agent_by_name
+        ]
+        version = len(self.history) + 1
+        vm_list = platform_base.VmList(version, vms)
+        self.history.append((trio.current_time(), vm_list))
+
+    def _start(self, name, lag_s=0.0):
+        self.runtime.nursery.start_soon(self._run_agent, name, lag_s)
+
+    async def _run_agent(self, name, lag_s):
+        node = self.agent_by_name[name]
+        self.incarnations += 1
+        node.incarnation = f"{self.incarnations:04d}"
+        links = link_base.new_links(
+            memory.MemoryLinkFactory(self.network, node.address)
+        )
+        view = vm_view_module.new_vm_view(_LaggingList(self, lag_s), 0.5, 1)
+        book = orders.new_order_book(
+            name, node.incarnation, RING, view, links, WINDOW_S
+        )
+        work = runner.new_runner(
+            _CountingBackend(self.executions), 2, book.release
+        )
+        node.process = agent_module.new_agent(
+            name, SERVICE, node.incarnation, work, book
+        )
+        with trio.CancelScope() as scope:
+            node.scope = scope
+            async with trio.open_nursery() as nursery:
+                await nursery.start(view.keep)
+                self.network.listen(node.address, node.process.handle)
+                nursery.start_soon(node.process.run)
+
+    def _submit(self, order, name, incarnation, claim):
+        self.numbers += 1
+        submit = messages.Submit(
+            attempt=messages.AttemptId(f"e{self.numbers}", 1),
+            incarnation=incarnation,
+            service=SERVICE,
+            budget_ms=BUDGET_MS,
+            payload=msgspec.json.encode({"order": order}),
+            organisation="o",
+            is_repeatable=False,
+            order=claim,
+            wait_ms=100,
+        )
+        link = memory.MemoryLink(
+            self.network, f"entry{self.numbers}", f"{name}:1"
+        )
+        self.runtime.nursery.start_soon(self._carry, order, link, submit)
+
+    async def _carry(self, order, link, submit):
+        run = attempt_module.new_attempt_run(
+            link,
+            submit,
+            deadline_module.new_deadline(BUDGET_MS),
+            lambda tokens: None,
+            lambda: False,
+        )
+        end = await run.run()
+        if isinstance(end, outcome.Refused) and run.is_settled:
+            self.refused.add(order)
+            # Told so, the caller may be right to think it never ran.
+            assert not self.executions.get(order), (order, end)
+
+    def _get_claim(self, order, ticket="", key=""):
+        return messages.OrderClaim("o", order.encode(), ticket, key)
+
+    @stateful.rule(key=strategies.sampled_from(KEYS), data=strategies.data())
+    def send_key(self, key, data):
+        """Send a key to the home of one view, or to any agent."""
+        names = sorted(self.agent_by_name)
+        home = rank.get_first(f"{SERVICE}|o|{key}", names)
+        name = data.draw(strategies.sampled_from([home, home, *names]))
+        node = self.agent_by_name[name]
+        self.call(
+            self._submit,
+            key,
+            name,
+            node.incarnation,
+            self._get_claim(key, key=key),
+        )
+
+    @stateful.rule(name=strategies.sampled_from(AGENTS))
+    def get_ticket(self, name):
+        """Get a ticket of an agent that lives."""
+        node = self.agent_by_name.get(name)
+        if node is None or node.scope is None or len(self.tickets) > 8:
+            return
+
+        def issue():
+            request = messages.IssueTicket(
+                node.incarnation, SERVICE, "kit", "o"
+            )
+            return node.process.book.issue_ticket(request).token
+
+        token = self.call(issue)
+        if token:
+            self.tickets.append((f"t{len(self.tickets)}", name, token))
+
+    @stateful.precondition(lambda self: self.tickets)
+    @stateful.rule(data=strategies.data())
+    def send_ticket(self, data):
+        """Send an order with a ticket, for the first time or again."""
+        order, name, token = data.draw(strategies.sampled_from(self.tickets))
+        body = ticket_module.read_ticket(token, RING)
+        self.call(
+            self._submit,
+            order,
+            name,
+            body.incarnation,
+            self._get_claim(order, ticket=token),
+        )
+
+    @stateful.rule(name=strategies.sampled_from(AGENTS))
+    def crash(self, name):
+        """Kill an agent's process."""
+
+        def kill():
+            node = self.agent_by_name.get(name)
+            if node is not None and node.scope is not None:
+                self.network.leave(node.address)
+                node.scope.cancel()
+                node.scope = None
+
+        self.call(kill)
+        self.runtime.advance(0.05)
+
+    @stateful.rule(
+        name=strategies.sampled_from(AGENTS),
+        lag_s=strategies.sampled_from((0.0, 1.0, LIST_LAG_S)),
+    )
+    def restart(self, name, lag_s):
+        """Start an agent again, whose list lags by some time."""
+
+        def start():
+            if name not in self.agent_by_name:
+                self.agent_by_name[name] = _Agent(name)
+                self._publish()
+            if self.agent_by_name[name].scope is None:
+                self._start(name, lag_s)
+
+        self.call(start)
+        self.runtime.advance(0.05)
+
+    @stateful.rule(name=strategies.sampled_from(AGENTS))
+    def drop_from_list(self, name):
+        """Take a dead agent out of the VM list."""
+
+        def drop():
+            node = self.agent_by_name.get(name)
+            if node is not None and node.scope is None:
+                del self.agent_by_name[name]
+                self._publish()
+
+        if len(self.agent_by_name) > 1:
+            self.call(drop)
+
+    @stateful.rule(name=strategies.sampled_from(AGENTS))
+    def freeze(self, name):
+        """Hold an agent's messages."""
+        self.call(self.network.freeze, f"{name}:1")
+
+    @stateful.rule(name=strategies.sampled_from(AGENTS))
+    def thaw(self, name):
+        """Let an agent's messages go on."""
+        self.call(self.network.thaw, f"{name}:1")
+
+    @stateful.rule(count=strategies.integers(1, 3))
+    def lose_answers(self, count):
+        """Lose the next answers."""
+        self.network.faults.lose_answers = count
+
+    @stateful.rule(
+        count=strategies.integers(1, 3),
+        delay_s=strategies.sampled_from((0.05, 0.6, 3.0)),
+    )
+    def repeat_questions(self, count, delay_s):
+        """Deliver the next questions twice, the second time late."""
+        self.network.faults.repeat_questions = count
+        self.network.faults.repeat_delay_s = delay_s
+
+    @stateful.rule(seconds=strategies.sampled_from((0.05, 0.3, 1.0, 3.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.runtime.advance(seconds)
+
+    @stateful.invariant()
+    def no_order_ran_twice(self):
+        """Check the executions that the backend server counted."""
+        doubled = {o: n for o, n in self.executions.items() if n > 1}
+        assert not doubled
+
+    def teardown(self):
+        """Let everything come to its end, then look again."""
+        try:
+            self.call(self._heal)
+            self.runtime.advance(6)
+            self.no_order_ran_twice()
+        finally:
+            self.runtime.stop()
+
+    def _heal(self):
+        for name in AGENTS:
+            self.network.thaw(f"{name}:1")
+
+
+TestOrders = OrderMachine.TestCase
+TestOrders.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=40, deadline=None
+)
