--- /dev/null
+++ b/bench/compare.py
@@ -0,0 +1,152 @@
+"""Runs both systems on the same work and sets their figures side by side."""
+
+import concurrent.futures
+import multiprocessing
+import statistics
+
+import msgspec
+
+from bench import experiment
+
+WORKERS = 6
+
+
+class Job(msgspec.Struct, frozen=True):
+    """One experiment to run in a process of its own."""
+
+    system: str
+    deployment: str
+    fault: str
+    seed: int
+    duration_s: float
+
+
+class Pair(msgspec.Struct):
+    """The results of both systems on the same work."""
+
+    ours: experiment.Result
+    naive: experiment.Result
+
+    def get_missed_ratio(self):
+        """Return the baseline's missed deadlines over ours."""
+        return self.naive.missed / max(self.ours.missed, 1)
+
+    def get_bytes_ratio(self):
+        """Return cross-region bytes for each answer in time, as ratio."""
+        return _divide(
+            _per_answer(self.ours, self.ours.cross_region_bytes),
+            _per_answer(self.naive, self.naive.cross_region_bytes),
+        )
+
+    def get_engine_ratio(self):
+        """Return engine seconds for each answer in time, as ratio."""
+        return _divide(
+            _per_answer(self.ours, self.ours.engine_seconds),
+            _per_answer(self.naive, self.naive.engine_seconds),
+        )
+
+
+class Medians(msgspec.Struct):
+    """The last line of a comparison."""
+
+    deployment: str
+    fault: str
+    seeds: int
+    missed_ratio: float
+    attainment: float
+    naive_attainment: float
+    cross_region_bytes_ratio: float
+    engine_seconds_ratio: float
+    faults: int
+    naive_faults: int
+
+
+def _per_answer(result, amount):
+    return amount / max(result.counts.in_time, 1)
+
+
+def _divide(value, other):
+    return value / other if other else 0.0
+
+
+def run_job(job):
+    """Return the `Result` of a job, without the single answers."""
+    result = experiment.run_experiment(
+        job.system, job.deployment, job.fault, job.seed, job.duration_s
+    )
+    result.answers = []
+    return result
+
+
+def run_jobs(jobs):
+    """Return the results of jobs, run a few at a time, in their order."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(
+        WORKERS, mp_context=context
+    ) as pool:
+        return list(pool.map(run_job, jobs))
+
+
+def compare(deployment, fault, seeds, duration_s):
+    """Return the `Pair` of each seed."""
+    jobs = [
+        Job(system, deployment, fault, seed, duration_s)
+        for seed in range(seeds)
+        for system in ("greengagetrack", "naive")
+    ]
+    results = run_jobs(jobs)
+    return [
+        Pair(results[index], results[index + 1])
+        for index in range(0, len(results), 2)
+    ]
+
+
+def get_medians(deployment, fault, pairs):
+    """Return the `Medians` of some pairs."""
+
+    def median(values):
+        return round(statistics.median(values), 4)
+
+    return Medians(
+        deployment=deployment,
+        fault=fault,
+        seeds=len(pairs),
+        missed_ratio=median(pair.get_missed_ratio() for pair in pairs),
+        attainment=median(pair.ours.counts.attainment for pair in pairs),
+        naive_attainment=median(
+            pair.naive.counts.attainment for pair in pairs
+        ),
+        cross_region_bytes_ratio=median(
+            pair.get_bytes_ratio() for pair in pairs
+        ),
+        engine_seconds_ratio=median(pair.get_engine_ratio() for pair in pairs),
+        faults=sum(pair.ours.counts.get_faults() for pair in pairs),
+        naive_faults=sum(pair.naive.counts.get_faults() for pair in pairs),
+    )
+
+
+def format_pair(pair):
+    """Return a line for one seed."""
+    ours, naive = pair.ours, pair.naive
+    return (
+        f"seed {ours.seed} {ours.calendar}: missed {naive.missed} / "
+        f"{ours.missed} = {pair.get_missed_ratio():.2f}, attainment "
+        f"{ours.counts.attainment:.4f} (naive "
+        f"{naive.counts.attainment:.4f}), bytes ratio "
+        f"{pair.get_bytes_ratio():.2f}, engine seconds ratio "
+        f"{pair.get_engine_ratio():.2f}, faults "
+        f"{ours.counts.get_faults()} (naive "
+        f"{naive.counts.get_faults()}), reasons {ours.reasons}"
+    )
+
+
+def format_spread(pairs):
+    """Return a line with the spread of each ratio over the seeds."""
+    parts = []
+    for name, values in (
+        ("missed_ratio", [pair.get_missed_ratio() for pair in pairs]),
+        ("bytes_ratio", [pair.get_bytes_ratio() for pair in pairs]),
+        ("engine_ratio", [pair.get_engine_ratio() for pair in pairs]),
+    ):
+        parts.append(f"{name} {min(values):.2f} to {max(values):.2f}")
+    return "spread over seeds: " + ", ".join(parts)
--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,262 @@
+"""One experiment on a mock clock: a system, a night, a fault, a seed.
+
+The control modules are the real ones; links and backend servers are in
+memory. So a result depends on the decisions and the seed alone, and not
+on how busy the machine is.
+"""
+
+import msgspec
+import trio
+import trio.testing
+
+from bench import caller as caller_module
+from bench import counts as counts_module
+from bench import deployment as deployment_module
+from bench import faults
+from bench import load
+from bench import naive
+from bench.standins import records as records_module
+from bench import virtual
+from greengagetrack.process import placement
+from greengagetrack.request import outcome
+from greengagetrack.version import folder
+
+WARM_S = 20.0
+COOL_S = 8.0
+ENTRIES_PER_REGION = 2
+
+
+class Result(msgspec.Struct):
+    """What one experiment gave."""
+
+    system: str
+    deployment: str
+    calendar: str
+    fault: str
+    seed: int
+    counts: counts_module.Counts
+    missed: int
+    cross_region_bytes: int
+    engine_seconds: float
+    seconds_by_stage: dict[str, float]
+    reasons: dict[str, int]
+    answers: list[caller_module.Answer] = []
+
+
+class ExperimentWorld(virtual.VirtualWorld):
+    """A virtual world with what faults need."""
+
+    def __init__(self, nursery, deployment):
+        super().__init__(nursery, deployment, ENTRIES_PER_REGION)
+        self.cut_pairs = set()
+        self.table, _findings = folder.build_from_folder(
+            deployment.get_table_folder()
+        )
+
+    def cut(self, region, other):
+        """Cut two regions off from each other."""
+        self.cut_pairs.add(frozenset((region, other)))
+        for one in self.node_by_name.values():
+            for two in self.node_by_name.values():
+                if (one.vm.region, two.vm.region) == (region, other):
+                    self.network.cut(one.vm.address, two.vm.address)
+
+    def heal(self):
+        """Let everything through again."""
+        self.cut_pairs.clear()
+        self.network.heal()
+
+    def restart_entry(self, region):
+        """Kill one entry of a region, and start it again."""
+        for node in self.node_by_name.values():
+            is_entry = node.vm.role == "entry" and node.vm.region == region
+            if is_entry and node.is_running():
+                self.kill_node(node)
+                self._nursery.start_soon(self.start_node, node)
+                return
+
+    def preload(self):
+        """Give every engine the model that the plan gives it."""
+        for region in self.deployment.regions:
+            for size in self.deployment.services:
+                agents = [
+                    f"{place.name}-agent"
+                    for place in deployment_module.get_backends(
+                        self.deployment
+                    )
+                    if place.size == size and place.region == region
+                ]
+                service = self.table.service_by_name[size.name]
+                plan = placement.get_plan(size.name, service, agents)
+                for agent, model in plan.items():
+                    name = agent.removesuffix("-agent")
+                    self.server_by_name[name].model = model
+
+
+class Experiment:
+    """Sends a night's requests to one system and judges the answers."""
+
+    def __init__(self, system, deployment, calendar, fault, seed, duration_s):
+        self._system = system
+        self._deployment = deployment
+        self._calendar = calendar
+        self._fault = fault
+        self._seed = seed
+        self._duration_s = duration_s
+        self._answers = []
+        self._turn = 0
+        self._naive_by_region = {}
+        self._world = None
+
+    async def run(self):
+        """Return the `Result`."""
+        async with trio.open_nursery() as nursery:
+            self._world = ExperimentWorld(nursery, self._deployment)
+            self._world.preload()
+            await self._start()
+            await trio.sleep(WARM_S)
+            self._world.records.executions.clear()
+            self._world.network.cross_region_bytes = 0
+            nursery.start_soon(
+                faults.inject, self._fault, self._world, self._duration_s
+            )
+            await self._send_all(nursery)
+            await trio.sleep(COOL_S)
+            result = self._get_result()
+            nursery.cancel_scope.cancel()
+        return result
+
+    async def _start(self):
+        if self._system == "greengagetrack":
+            await self._world.start()
+            return
+        for region in self._deployment.regions:
+            router = naive.NaiveRouter(self._world, region)
+            self._naive_by_region[region] = router
+
+    def _get_server(self, region):
+        if self._system == "naive":
+            return self._naive_by_region[region]
+        nodes = [
+            node
+            for node in self._world.node_by_name.values()
+            if node.vm.role == "entry" and node.is_running()
+        ]
+        near = [node for node in nodes if node.vm.region == region]
+        ready = [node for node in near or nodes if node.process.is_ready()]
+        self._turn += 1
+        return (ready or nodes)[self._turn % len(ready or nodes)].process
+
+    async def _send_all(self, nursery):
+        plans = load.get_plans(
+            self._calendar,
+            self._deployment.regions,
+            self._duration_s,
+            self._seed,
+        )
+        started_s = trio.current_time()
+        for index, plan in enumerate(plans):
+            await trio.sleep_until(started_s + plan.at_s)
+            nursery.start_soon(self._send, nursery, plan, f"m{index}")
+
+    async def _send(self, nursery, plan, marker):
+        answer = caller_module.Answer(plan, marker, sent_s=trio.current_time())
+        self._answers.append(answer)
+        tokens = []
+        done = trio.Event()
+        server = self._get_server(plan.region)
+        ticket = ""
+        if plan.is_order and self._system == "greengagetrack":
+            token = await server.issue_ticket(plan.pipeline, plan.organisation)
+            ticket = token if isinstance(token, str) else ""
+        spent_ms = (trio.current_time() - answer.sent_s) * 1000
+        request = self._world.new_request(
+            plan.pipeline,
+            plan.organisation,
+            marker,
+            budget_ms=max(1, int(plan.deadline_ms - spent_ms)),
+            ticket=ticket,
+        )
+
+        async def serve():
+            end = await server.serve(
+                request, lambda offset, fresh: tokens.extend(fresh)
+            )
+            self._judge(answer, end, tokens)
+            done.set()
+
+        nursery.start_soon(serve)
+        with trio.move_on_after(plan.deadline_ms / 1000 + 2.0):
+            await done.wait()
+
+    def _judge(self, answer, end, tokens):
+        answer.latency_s = trio.current_time() - answer.sent_s
+        if not isinstance(end, outcome.Whole):
+            answer.outcome = type(end).__name__.lower()
+            answer.reason = str(end.reason)
+            answer.ran = str(outcome.get_ran(end))
+            return
+        result = msgspec.json.decode(end.result)
+        count = answer.plan.tokens
+        if count:
+            text = records_module.get_text(answer.marker, count)
+            is_own = result["text"] == text == "".join(tokens)
+        else:
+            is_own = result["marker"] == answer.marker
+        answer.is_misdelivered = not is_own
+        answer.outcome = "whole" if is_own else "wrong"
+
+    def _get_result(self):
+        executions = self._world.records.executions
+        counts = counts_module.count(
+            self._answers, executions, self._deployment.orders
+        )
+        engines = {
+            size.name
+            for size in self._deployment.services
+            if size.kind == "engine"
+        }
+        seconds_by_stage = {}
+        for execution in executions:
+            seconds = seconds_by_stage.get(execution.stage, 0.0)
+            seconds += execution.engine_ms / 1000
+            seconds_by_stage[execution.stage] = round(seconds, 3)
+        reasons = {}
+        for answer in self._answers:
+            if answer.outcome != "whole":
+                reason = answer.reason or answer.outcome
+                reasons[reason] = reasons.get(reason, 0) + 1
+        return Result(
+            system=self._system,
+            deployment=self._deployment.name,
+            calendar=self._calendar.name,
+            fault=self._fault,
+            seed=self._seed,
+            counts=counts,
+            missed=counts.requests - counts.in_time,
+            cross_region_bytes=self._world.network.cross_region_bytes,
+            engine_seconds=sum(
+                execution.engine_ms / 1000
+                for execution in executions
+                if execution.service in engines
+            ),
+            seconds_by_stage=seconds_by_stage,
+            reasons=reasons,
+            answers=self._answers,
+        )
+
+
+def run_experiment(system, deployment_name, fault, seed, duration_s):
+    """Return the `Result` of one experiment on a mock clock."""
+    deployment = deployment_module.DEPLOYMENT_BY_NAME[deployment_name]
+    calendars = load.CALENDARS_BY_DEPLOYMENT[deployment_name]
+    experiment = Experiment(
+        system,
+        deployment,
+        calendars[seed % len(calendars)],
+        fault,
+        seed,
+        duration_s,
+    )
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(experiment.run, clock=clock)
--- /dev/null
+++ b/bench/naive.py
@@ -0,0 +1,120 @@
+"""The baseline: round robin, no limits, retries everything.
+
+It has the same callers, backend servers and delays as the system itself.
+"""
+
+import itertools
+
+import msgspec
+import trio
+
+from bench import deployment as deployment_module
+from bench import fakes
+from greengagetrack.connection.backend import base
+from greengagetrack.request import outcome
+from greengagetrack.request import pipeline as pipeline_module
+
+TRIES = 3
+NEAR_DELAY_S = 0.001
+
+
+class NaiveRouter:
+    """Sends each stage to the next backend server of its service."""
+
+    def __init__(self, world, region):
+        self._world = world
+        self._region = region
+        self._turns = {}
+        self._calls = itertools.count(1)
+        self.cut_regions = set()
+
+    def _get_next(self, stage):
+        """Return the next backend server in turn."""
+        places = [
+            place
+            for place in deployment_module.get_backends(self._world.deployment)
+            if place.size.name == stage.service
+            and self._is_listed(place)
+            and self._has_model(place, stage)
+        ]
+        if not places:
+            return None
+        turn = self._turns.setdefault(stage.service, itertools.count())
+        return places[next(turn) % len(places)]
+
+    def _is_listed(self, place):
+        return f"{place.name}-agent" in self._world.node_by_name
+
+    def _has_model(self, place, stage):
+        server = self._world.server_by_name[place.name]
+        return stage.model in ("", server.model)
+
+    async def serve(self, request, on_tokens):
+        """Return the outcome of a request; nothing is ever cancelled."""
+        pipeline = self._world.table.pipeline_by_name[request.pipeline]
+        previous = b"null"
+        for stage in pipeline.stage:
+            end = await self._run_stage(request, stage, previous, on_tokens)
+            if end is None:
+                return outcome.Unknown(outcome.Reason.BACKEND_FAILED)
+            previous = end
+        return outcome.Whole(previous)
+
+    async def _run_stage(self, request, stage, previous, on_tokens):
+        for _try in range(TRIES):
+            place = self._get_next(stage)
+            if place is None:
+                return None
+            end = await self._call(place, request, stage, previous)
+            if end is not None:
+                result, tokens = end
+                if stage.max_tokens:
+                    on_tokens(0, tokens)
+                return result
+        return None
+
+    async def _call(self, place, request, stage, previous):
+        """Return `(result, tokens)` of one call, or None."""
+        payload = pipeline_module.StageInput(
+            request=msgspec.Raw(request.body),
+            stage=stage.name,
+            previous=msgspec.Raw(previous),
+            model=stage.model,
+            max_tokens=stage.max_tokens,
+            prefix=f"{request.pipeline}/{request.organisation}",
+        )
+        body = msgspec.json.encode(payload)
+        call = base.Call(f"naive-{next(self._calls)}", body, 600.0)
+        if not await self._cross(place, len(body)):
+            return None
+        backend = fakes.ServerBackend(
+            self._world.server_by_name[place.name], place.size.kind
+        )
+        tokens = []
+        result = None
+        async for event in backend.run(call):
+            if isinstance(event, base.Tokens):
+                tokens += event.tokens
+            elif isinstance(event, base.Result):
+                result = event.result
+        if stage.max_tokens and result is not None:
+            text = "".join(tokens)
+            result = msgspec.json.encode(
+                pipeline_module.GeneratedText(text, len(tokens))
+            )
+        size = len(result) if result is not None else 0
+        if result is None or not await self._cross(place, size):
+            return None
+        return result, tokens
+
+    async def _cross(self, place, size):
+        """Spend the time of the way; return whether it is open."""
+        if place.region == self._region:
+            await trio.sleep(NEAR_DELAY_S)
+            return True
+        await trio.sleep(deployment_module.REGION_DELAY_S)
+        pair = frozenset((place.region, self._region))
+        if pair in self._world.cut_pairs:
+            return False
+        self._world.network.cross_region_bytes += size
+        return True
--- a/bench/standins/backends.py
+++ b/bench/standins/backends.py
@@ -3,6 +3,7 @@
 import msgspec
 import quart
 import quart_trio
+import trio
 
 from bench.standins import server as server_module
 
@@ -54,6 +55,8 @@
         if refusal is not None:
             return refusal
         body = await _read_call()
+        if not server.has_model_for(body):
+            return _refuse("no", "the model is not loaded")
 
         async def write():
             async for line in server.complete(body):
@@ -81,6 +84,7 @@
         server = server_by_name[name]
         server.check_alive()
         body = await quart.request.get_json()
+        await trio.sleep(server.condition.load_s)
         if server.load_model(body["model"], body["fencing"]):
             return _json({"model": server.model})
         return _refuse("no", "the fencing number is old", 409)
--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -27,6 +27,7 @@
     is_leaving: bool = False
     ignores_fencing: bool = False
     slow_factor: float = 1.0
+    load_s: float = 0.0
 
 
 class CallBody(msgspec.Struct):
@@ -101,6 +102,10 @@
         self._prefixes.clear()
         return True
 
+    def has_model_for(self, body):
+        """Return whether the model that a completion needs is loaded."""
+        return body.input.get("model", "") in ("", self.model)
+
     def check_alive(self):
         """Break the connection of a server that is dead."""
         if self.condition.is_dead:
--- a/greengagetrack/command/greengagetrackd.py
+++ b/greengagetrack/command/greengagetrackd.py
@@ -16,9 +16,10 @@
 
 _SUMMARY = """Run one entry or one agent of greengagetrack.
 
-Each flag is also an environment variable, GREENGAGETRACK_ and its name in
-capitals; the flag wins. Exit codes: 0 stopped and everything in progress
-ended whole; 2 the settings are wrong; 3 stopped with work in progress.
+Each flag is also an environment variable; the flag wins. The variable of
+--data-centre is ``GREENGAGETRACK_DATA_CENTRE``, and so on. Exit codes: 0
+stopped, and everything in progress ended whole; 2 the settings are wrong;
+3 stopped with work in progress.
 """
 
 
@@ -79,7 +80,7 @@
     defopt.run(
         add_settings_flags(run_daemon),
         no_negated_flags=True,
-        cli_options="all",
+        cli_options="has_default",
     )
 
 
--- a/greengagetrack/process/placement.py
+++ b/greengagetrack/process/placement.py
@@ -99,8 +99,9 @@
         if model != self._planned:
             self._planned = model
             self._planned_at_s = now
-            return
-        if now - self._planned_at_s < DAMPING_S + delay_s:
+        # An engine that holds nothing gains from any load.
+        damping_s = DAMPING_S if self._agent.runner.model else 0.0
+        if now - self._planned_at_s < damping_s + delay_s:
             return
         await self._load(model)
 
--- a/greengagetrack/version/table.py
+++ b/greengagetrack/version/table.py
@@ -74,6 +74,10 @@
         """Return the plan of an organisation, or None."""
         return self._plan_by_organisation.get(name)
 
+    def get_organisations(self):
+        """Return `(name, plan)` of every organisation."""
+        return self._plan_by_organisation.items()
+
     def get_organisation_count(self):
         """Return how many organisations the table has."""
         return len(self._plan_by_organisation)
