Run real daemons on loopback under kills, pauses, drains and cuts

Cause: the mock clock can't show what processes, sockets and signals do.

Agents keep links to their fellow agents, since a promise that has to open its link first comes too late.

--- a/bench/command.py
+++ b/bench/command.py
@@ -12,6 +12,7 @@
 from bench import deployment as deployment_module
 from bench import experiment
 from bench import faults
+from bench import processes
 from bench import report as report_module
 
 EXIT_WRONG = 1
@@ -104,6 +105,46 @@
     _print_json(compare_module.get_medians(deployment, fault, pairs))
 
 
+def run(
+    name: str,
+    *,
+    system: str = "greengagetrack",
+    deployment: str = "kitamura",
+    seed: int = 0,
+    duration: float = 15.0,
+    logs: str = "",
+):
+    """Run real daemons on loopback and print one JSON line.
+
+    The run "smoke" has no faults; "orders" kills, pauses, drains and cuts
+    as the seed says. Exit codes: 0 all is right; 1 something that never
+    may go wrong did.
+
+    :param name: smoke or orders.
+    :param system: greengagetrack or naive.
+    :param deployment: kitamura or federation.
+    :param seed: The seed of arrivals and faults.
+    :param duration: How long requests come, in seconds.
+    :param logs: The folder for the daemons' logs.
+    """
+    _check_choice("the run", name, ("smoke", "orders"))
+    _check_choice("--system", system, ("greengagetrack", "naive"))
+    known = deployment_module.DEPLOYMENT_BY_NAME
+    _check_choice("--deployment", deployment, known)
+    result = processes.run_processes(
+        name, system, deployment, seed, duration, logs or None
+    )
+    _print_json(result)
+    wrong = (
+        result.lost
+        + result.misdelivered
+        + result.doubled_orders
+        + result.untrue_refusals
+        + result.cut_streams
+    )
+    sys.exit(EXIT_WRONG if wrong else 0)
+
+
 def scenario(file: str):
     """Run one feature file on the mock clock.
 
@@ -131,6 +172,7 @@
             "demo": demo,
             "night": night,
             "compare": compare,
+            "run": run,
             "scenario": scenario,
         },
         no_negated_flags=True,
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -66,6 +66,14 @@
         self.cut_pairs.clear()
         self.network.heal()
 
+    def is_cut(self, region, other):
+        """Return whether two regions are cut off from each other."""
+        return frozenset((region, other)) in self.cut_pairs
+
+    def count_crossing(self, size):
+        """Count bytes that went between regions beside the links."""
+        self.network.cross_region_bytes += size
+
     def restart_entry(self, region):
         """Kill one entry of a region, and start it again."""
         for node in self.node_by_name.values():
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -18,6 +18,14 @@
 NEAR_DELAY_S = 0.001
 
 
+class NaiveRequest(msgspec.Struct, frozen=True):
+    """What the naive router needs of a request."""
+
+    pipeline: str
+    organisation: str
+    body: bytes
+
+
 class NaiveRouter:
     """Sends each stage to the next backend server of its service."""
 
@@ -113,8 +121,7 @@
             await trio.sleep(NEAR_DELAY_S)
             return True
         await trio.sleep(deployment_module.REGION_DELAY_S)
-        pair = frozenset((place.region, self._region))
-        if pair in self._world.cut_pairs:
+        if self._world.is_cut(place.region, self._region):
             return False
-        self._world.network.cross_region_bytes += size
+        self._world.count_crossing(size)
         return True
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,321 @@
+"""Runs with real daemons: a load of orders and drafts, and real faults."""
+
+import random
+import signal
+
+import httpx
+import msgspec
+import trio
+
+from bench import caller as caller_module
+from bench import counts as counts_module
+from bench import deployment as deployment_module
+from bench import load
+from bench import naive
+from bench import world as world_module
+from greengagetrack.request import outcome
+
+READY_TIMEOUT_S = 60.0
+READY_CHECK_S = 0.5
+WARM_S = 5.0
+COOL_S = 6.0
+REPEATS = 3
+REPEAT_PAUSE_S = 0.5
+RATE_SHARE = 0.15
+FAULT_GAP_S = 2.0
+FAULT_HOLD_S = 2.0
+TICKET_SHARE = 0.6
+KEY_SHARE = 0.3
+
+
+class ProcessResult(msgspec.Struct):
+    """The one JSON line of a run with processes."""
+
+    run: str
+    system: str
+    deployment: str
+    seed: int
+    requests: int
+    whole: int
+    refused: int
+    unknown: int
+    lost: int
+    misdelivered: int
+    doubled_orders: int
+    untrue_refusals: int
+    cut_streams: int
+    work_after_leaving_s: float
+    attainment: float
+    faults: list[str]
+    reasons: dict[str, int]
+
+
+class Run:
+    """One run: the load, the faults, and the judgement."""
+
+    def __init__(self, world, system, name, seed, duration_s):
+        self._world = world
+        self._system = system
+        self._name = name
+        self._seed = seed
+        self._duration_s = duration_s
+        self._random = random.Random(f"{name}-{seed}")
+        self._caller = caller_module.new_caller()
+        self._answers = []
+        self._faults = []
+        self._left_s = []
+        self._naive_by_region = {}
+        self._killed_s = {}
+
+    async def run(self):
+        """Return the `ProcessResult`."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            try:
+                self._world.records.executions.clear()
+                async with trio.open_nursery() as load_nursery:
+                    if self._name == "orders":
+                        load_nursery.start_soon(self._inject_faults)
+                    await self._send_all(load_nursery)
+                await trio.sleep(COOL_S)
+                result = self._get_result()
+            finally:
+                await self._world.stop()
+            nursery.cancel_scope.cancel()
+        return result
+
+    async def _start(self, nursery):
+        is_naive = self._system == "naive"
+        if not is_naive:
+            await self._world.start(nursery, is_in_process=False)
+            await self._wait_until_ready()
+            return
+        await self._world.start_outside(nursery)
+        for region in self._world.deployment.regions:
+            router = naive.NaiveRouter(self._world, region)
+            self._naive_by_region[region] = router
+
+    async def _wait_until_ready(self):
+        agents = len(self._world.get_agents())
+        async with httpx.AsyncClient(trust_env=False) as client:
+            with trio.fail_after(READY_TIMEOUT_S):
+                for node in self._world.get_entries():
+                    url = f"http://127.0.0.1:{node.admin_port}"
+                    while await _count_available(client, url) < agents:
+                        await trio.sleep(READY_CHECK_S)
+        await trio.sleep(WARM_S)
+
+    async def _send_all(self, nursery):
+        deployment = self._world.deployment
+        calendars = load.CALENDARS_BY_DEPLOYMENT[deployment.name]
+        plans = load.get_plans(
+            calendars[self._seed % len(calendars)],
+            deployment.regions,
+            self._duration_s,
+            self._seed,
+        )
+        plans = [p for p in plans if self._random.random() < RATE_SHARE]
+        started_s = trio.current_time()
+        for plan in plans:
+            await trio.sleep_until(started_s + plan.at_s)
+            nursery.start_soon(self._send, plan)
+
+    async def _send(self, plan):
+        marker = caller_module.new_marker()
+        if self._system == "naive":
+            await self._send_naive(plan, marker)
+            return
+        if not plan.is_order:
+            self._answers.append(await self._send_once(plan, marker))
+            return
+        draw = self._random.random()
+        ticket, key = "", ""
+        if draw < TICKET_SHARE:
+            ticket = await self._get_ticket(plan)
+        elif draw < TICKET_SHARE + KEY_SHARE:
+            key = marker
+        for _repeat in range(REPEATS if ticket or key else 1):
+            answer = await self._send_once(plan, marker, ticket, key)
+            self._answers.append(answer)
+            if answer.outcome == "whole":
+                # A caller that is not sure asks again, now and then.
+                if self._random.random() < 0.8 or not (ticket or key):
+                    return
+            await trio.sleep(REPEAT_PAUSE_S)
+
+    def _get_urls(self, region):
+        """Return the entries as a balancer would try them."""
+        entries = [
+            node
+            for node in self._world.get_entries()
+            if node.process.poll() is None and not node.is_leaving
+        ]
+        self._random.shuffle(entries)
+        entries.sort(key=lambda node: node.region != region)
+        return [self._world.get_entry_url(node) for node in entries]
+
+    async def _get_ticket(self, plan):
+        for url in self._get_urls(plan.region):
+            ticket = await self._caller.get_ticket(url, plan)
+            if ticket:
+                return ticket
+        return ""
+
+    async def _send_once(self, plan, marker, ticket="", key=""):
+        answer = None
+        for url in self._get_urls(plan.region):
+            answer = await self._caller.send(url, plan, marker, ticket, key)
+            if answer.reason != "not_connected":
+                return answer
+        return answer
+
+    async def _send_naive(self, plan, marker):
+        answer = caller_module.Answer(plan, marker, sent_s=trio.current_time())
+        body = msgspec.json.encode({"marker": marker})
+        request = naive.NaiveRequest(plan.pipeline, plan.organisation, body)
+        router = self._naive_by_region[plan.region]
+        tokens = []
+        end = await router.serve(request, lambda _, new: tokens.extend(new))
+        answer.latency_s = trio.current_time() - answer.sent_s
+        is_whole = isinstance(end, outcome.Whole)
+        answer.outcome = "whole" if is_whole else "unknown"
+        self._answers.append(answer)
+
+    async def _inject_faults(self):
+        """Let one fault after another happen, as the seed says."""
+        end_s = trio.current_time() + self._duration_s
+        kinds = [
+            self._kill_agent,
+            self._kill_backend,
+            self._pause_agent,
+            self._pause_entry,
+            self._drain_agent,
+            self._cut_regions,
+            self._kill_entry,
+        ]
+        if self._system == "naive":
+            kinds = [self._kill_backend, self._cut_regions]
+        while trio.current_time() + FAULT_GAP_S < end_s:
+            await trio.sleep(FAULT_GAP_S)
+            fault = self._random.choice(kinds)
+            self._faults.append(fault.__name__.removeprefix("_"))
+            await fault()
+
+    def _pick_agent(self):
+        orders = [
+            node
+            for node in self._world.get_agents()
+            if node.process.poll() is None
+        ]
+        return self._random.choice(orders)
+
+    async def _kill_agent(self):
+        node = self._pick_agent()
+        await self._kill_and_restart(node)
+
+    async def _kill_entry(self):
+        node = self._random.choice(self._world.get_entries())
+        self._killed_s[self._world.get_entry_url(node)] = trio.current_time()
+        await self._kill_and_restart(node)
+
+    async def _kill_and_restart(self, node):
+        self._world.signal_node(node, signal.SIGKILL)
+        await trio.sleep(FAULT_HOLD_S)
+        node.process.wait()
+        await self._world.start_node(node)
+
+    async def _kill_backend(self):
+        servers = list(self._world.server_by_name.values())
+        server = self._random.choice(servers)
+        server.condition.is_dead = True
+        await trio.sleep(FAULT_HOLD_S)
+        server.condition.is_dead = False
+
+    async def _pause_agent(self):
+        await self._pause(self._pick_agent())
+
+    async def _pause_entry(self):
+        await self._pause(self._random.choice(self._world.get_entries()))
+
+    async def _pause(self, node):
+        self._world.signal_node(node, signal.SIGSTOP)
+        await trio.sleep(self._random.uniform(1.0, 4.0))
+        self._world.signal_node(node, signal.SIGCONT)
+
+    async def _drain_agent(self):
+        node = self._pick_agent()
+        server = self._world.server_by_name[node.backend.name]
+        started_s = trio.current_time()
+        code = await self._world.stop_node(node)
+        self._faults.append(f"drained with exit code {code}")
+        self._left_s.append(max(0.0, server.last_call_s - started_s))
+        await self._world.start_node(node)
+
+    async def _cut_regions(self):
+        first, *others = self._world.deployment.regions
+        other = self._random.choice(others)
+        self._world.cut(first, other)
+        await trio.sleep(FAULT_HOLD_S)
+        self._world.heal()
+
+    def _get_result(self):
+        counts = counts_module.count(
+            self._answers,
+            self._world.records.executions,
+            self._world.deployment.orders,
+        )
+        self._forgive_dead_entries(counts)
+        names = (
+            "requests whole refused unknown lost misdelivered "
+            "doubled_orders untrue_refusals cut_streams attainment"
+        )
+        reasons = {}
+        for answer in self._answers:
+            if answer.outcome != "whole":
+                reason = f"{answer.outcome} {answer.reason}"
+                reasons[reason] = reasons.get(reason, 0) + 1
+        return ProcessResult(
+            run=self._name,
+            system=self._system,
+            deployment=self._world.deployment.name,
+            seed=self._seed,
+            work_after_leaving_s=round(max(self._left_s, default=0.0), 3),
+            faults=self._faults,
+            reasons=reasons,
+            **{name: getattr(counts, name) for name in names.split()},
+        )
+
+    def _forgive_dead_entries(self, counts):
+        """Count connections of killed entries as unknown, not as lost.
+
+        A caller whose entry was killed with -9 sees its connection break;
+        no process is left that could have answered it.
+        """
+        for answer in self._answers:
+            ended_s = answer.sent_s + answer.latency_s
+            is_broken = answer.outcome == "lost" and any(
+                answer.sent_s <= killed_s <= ended_s
+                for killed_s in self._killed_s.values()
+            )
+            if is_broken:
+                answer.outcome = "unknown"
+                counts.lost -= 1
+                counts.unknown += 1
+                counts.cut_streams -= answer.is_cut
+
+
+async def _count_available(client, url):
+    try:
+        response = await client.get(f"{url}/admin/v1/members", timeout=2.0)
+    except httpx.HTTPError:
+        return 0
+    return sum(member["is_available"] for member in response.json())
+
+
+def run_processes(name, system, deployment_name, seed, duration_s, logs):
+    """Return the `ProcessResult` of one run on loopback."""
+    deployment = deployment_module.DEPLOYMENT_BY_NAME[deployment_name]
+    entries = dict.fromkeys(deployment.regions, 1)
+    world = world_module.World(deployment, entries, logs)
+    run = Run(world, system, name, seed, duration_s)
+    return trio.run(run.run)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -28,6 +28,14 @@
         """Let all pairs through again."""
         self.cut_pairs.clear()
 
+    def is_cut(self, region, other):
+        """Return whether a pair is cut."""
+        return _get_pair(region, other) in self.cut_pairs
+
+    def count(self, region, other, size):
+        """Count bytes that crossed beside the relays."""
+        self.bytes_by_pair[_get_pair(region, other)] += size
+
     def get_bytes(self):
         """Return all bytes that crossed between regions."""
         return sum(self.bytes_by_pair.values())
--- a/bench/world.py
+++ b/bench/world.py
@@ -71,6 +71,9 @@
         self.server_by_name = {}
         self.base_port = 0
         self.table_version = 1
+        self.table, _findings = folder.build_from_folder(
+            deployment.get_table_folder()
+        )
         self.decisions = None
         self._entries_per_region = entries_per_region
         self._log_folder = log_folder
@@ -154,15 +157,46 @@
 
     async def start(self, nursery, is_in_process=True):
         """Bring everything up and wait until callers may come."""
-        self._nursery = nursery
         self._is_in_process = is_in_process
+        await self.start_outside(nursery)
+        for node in list(self.node_by_name.values()):
+            await self.start_node(node)
+
+    async def start_outside(self, nursery):
+        """Bring up what is around the daemons, and none of them."""
+        self._nursery = nursery
         self._plan()
+        self._preload()
         self.publish_table()
         await self._start_standins()
         await self._start_relays()
         self.publish_vms()
-        for node in list(self.node_by_name.values()):
-            await self.start_node(node)
+
+    def _preload(self):
+        """Give every engine a model, so that a run starts warm."""
+        for server in self.server_by_name.values():
+            models = self.table.service_by_name[server.service].models
+            if models:
+                names = sorted(models)
+                index = int(server.name.rsplit("-", 1)[1])
+                server.model = names[index % len(names)]
+
+    def cut(self, region, other):
+        """Cut two regions off from each other."""
+        self.fabric.cut(region, other)
+
+    def heal(self):
+        """Let everything through again."""
+        self.fabric.heal()
+
+    def is_cut(self, region, other):
+        """Return whether two regions are cut off from each other."""
+        return self.fabric.is_cut(region, other)
+
+    def count_crossing(self, size):
+        """Count bytes that went between regions beside the relays."""
+        first, other, *_rest = self.deployment.regions
+        self.fabric.count(first, other, size)
 
     async def _start_standins(self):
         regions = self.deployment.regions
--- a/greengagetrack/process/orders.py
+++ b/greengagetrack/process/orders.py
@@ -239,6 +239,20 @@
                 return Deny(_Reason.KEY_MOVING, _Ran.UNKNOWN)
         return None
 
+    async def keep_links(self, service):
+        """Keep links to the other agents of the service.
+
+        A promise is asked for while a caller waits; a link that is opened
+        only then would come too late.
+        """
+        while True:
+            changed = self._vm_view.changed
+            for name in self._vm_view.get_agents(service):
+                address = self._vm_view.get_address(name)
+                if name != self._agent and address is not None:
+                    self._links.get_link(address)
+            await changed.wait()
+
     def promise(self, request):
         """Return whether this agent promises not to run a key.
 
