Tell only what changed in digests between entries

Change: a digest carries in full only agents whose incarnation, draining, model, slots or coarse load changed since the receiver confirmed them, and the rest as 32-bit numbers. The receiver names numbers that it does not know, and these are told in full the next time.

--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -57,11 +57,14 @@
         self.node_by_name = {}
         self.server_by_name = {}
         self.table_version = 1
-        self.text_by_key = folder.read_folder(deployment.get_table_folder())
+        self.text_by_key = self._read_table()
         self._incarnations = itertools.count(1)
         self.network.region_delay_s = deployment_module.REGION_DELAY_S
         self._plan(entries_per_region)
 
+    def _read_table(self):
+        return folder.read_folder(self.deployment.get_table_folder())
+
     def _plan(self, entries_per_region):
         for region in self.deployment.regions:
             for index in range(entries_per_region):
@@ -72,14 +75,14 @@
             )
             self.add_node(f"{place.name}-agent", "agent", place.region, place)
 
-    def add_node(self, name, role, region, backend=None):
+    def add_node(self, name, role, region, backend=None, data_centre=None):
         """Add a VM that is not started yet; return its node."""
         vm = platform_base.Vm(
             name=name,
             address=f"{name}:1",
             role=role,
             region=region,
-            data_centre=f"{region}-1",
+            data_centre=data_centre or f"{region}-1",
             service=backend.size.name if backend else "",
         )
         node = Node(vm, backend)
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -132,12 +132,17 @@
 
 
 class Digest(_Message, tag="digest"):
-    """The agents that one entry hears directly, or a few per service."""
+    """The agents that one entry hears directly, or a few per service.
+
+    `unchanged` names living agents, by number, about which the receiver
+    was told everything before.
+    """
 
     entry: str
     incarnation: str
     table_version: int
     agents: list[AgentState] = []
+    unchanged: list[int] = []
 
 
 class LeaseRequest(_Message, tag="lease_request"):
@@ -233,10 +238,13 @@
 
 
 class Heard(_Message, tag="heard"):
-    """The answer to a report or a digest."""
+    """The answer to a report or a digest.
+
+    `unknown` names the agents of a digest that must be told in full.
+    """
 
     table_version: int
-    demand_by_model: dict[str, float] = {}
+    unknown: list[int] = []
 
 
 class Rejected(_Message, tag="rejected"):
--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -122,8 +122,9 @@
 
     def _take_digest(self, digest):
         self.fleet.take_digest(digest)
+        unknown = self.fleet.take_unchanged(digest.unchanged)
         self._hear(digest.entry, digest.table_version)
-        return messages.Heard(self.tables.get_version())
+        return messages.Heard(self.tables.get_version(), unknown)
 
     def _hear(self, name, version):
         address = self.vm_view.get_address(name)
--- a/greengagetrack/process/fleet.py
+++ b/greengagetrack/process/fleet.py
@@ -7,6 +7,7 @@
 import trio
 
 from greengagetrack.connection import messages
+from greengagetrack.version import rank
 
 SILENCE_S = 2.5
 REMOTE_SILENCE_S = 4.0
@@ -16,6 +17,8 @@
 BREAKER_OPEN_MAX_S = 10.0
 SLOW_START_S = 5.0
 LATENCY_SMOOTHING = 0.1
+# An unchanged agent was heard within one heartbeat of the one who says so.
+UNCHANGED_AGE_S = 1.0
 
 
 class AgentView:
@@ -125,9 +128,15 @@
 class Fleet:
     """The agents by name, as the list and the reports give them."""
 
-    __slots__ = ("_agents_by_service", "_vm_view", "agent_by_name")
+    __slots__ = (
+        "_agent_by_number",
+        "_agents_by_service",
+        "_vm_view",
+        "agent_by_name",
+    )
 
     def __init__(self, vm_view):
+        self._agent_by_number = {}
         self._vm_view = vm_view
         self._agents_by_service = {}
         self.agent_by_name = {}
@@ -148,6 +157,10 @@
             else:
                 agent.is_listed_leaving = vm.is_leaving
         self._agents_by_service = {}
+        self._agent_by_number = {
+            get_number(name): agent
+            for name, agent in self.agent_by_name.items()
+        }
         for agent in self.agent_by_name.values():
             same = self._agents_by_service.setdefault(agent.service, [])
             same.append(agent)
@@ -171,6 +184,19 @@
             agent.is_direct = True
             agent.prefixes = frozenset(report.prefixes)
 
+    def take_unchanged(self, numbers):
+        """Note that agents live; return the numbers of unknown ones."""
+        unknown = []
+        for number in numbers:
+            agent = self._agent_by_number.get(number)
+            if agent is None or agent.heard_at_s is None:
+                unknown.append(number)
+            elif not (agent.is_direct and agent.is_alive()):
+                agent.is_direct = False
+                heard_at_s = trio.current_time() - UNCHANGED_AGE_S
+                agent.heard_at_s = max(agent.heard_at_s, heard_at_s)
+        return unknown
+
     def take_digest(self, digest):
         """Take what another entry knows of agents."""
         for state in digest.agents:
@@ -265,6 +291,11 @@
     )
 
 
+def get_number(name):
+    """Return the number that stands for an agent in digests."""
+    return rank.get_score("agent", name) & 0xFFFFFFFF
+
+
 def new_fleet(vm_view):
     """Return a fleet without agents until `sync()`."""
     return Fleet(vm_view)
--- a/greengagetrack/process/gossip.py
+++ b/greengagetrack/process/gossip.py
@@ -18,6 +18,7 @@
 ASK_TIMEOUT_S = 1.0
 REMOTE_BYTES_PER_S = 1500.0
 REMOTE_DIGEST_BYTES = 600.0
+LOAD_STEPS = 4
 
 
 def get_report_targets(agent, vm_view, region, data_centre):
@@ -45,7 +46,14 @@
 class Gossip:
     """Sends the digests of one entry."""
 
-    __slots__ = ("_fleet", "_links", "_place", "_tables", "_vm_view")
+    __slots__ = (
+        "_fleet",
+        "_links",
+        "_place",
+        "_tables",
+        "_told_by_address",
+        "_vm_view",
+    )
 
     def __init__(self, place, fleet, vm_view, links, table_keeper):
         self._place = place
@@ -53,6 +61,7 @@
         self._vm_view = vm_view
         self._links = links
         self._tables = table_keeper
+        self._told_by_address = {}
 
     async def keep(self):
         """Send digests again and again until cancelled."""
@@ -107,16 +116,58 @@
             nursery.start_soon(self._send, address_by_name[name], states)
 
     async def _send(self, address, states):
+        told = self._told_by_address.setdefault(address, {})
+        fresh = [
+            state
+            for state in states
+            if told.get(state.agent) != get_signature(state)
+        ]
+        fresh_names = {state.agent for state in fresh}
         digest = messages.Digest(
             entry=self._place.name,
             incarnation=self._place.incarnation,
             table_version=self._tables.get_version(),
-            agents=states,
+            agents=fresh,
+            unchanged=[
+                fleet_module.get_number(state.agent)
+                for state in states
+                if state.agent not in fresh_names
+            ],
         )
         link = self._links.get_link(address)
         reply = await link.ask(digest, ASK_TIMEOUT_S)
         if isinstance(reply, messages.Heard):
+            self._note_told(address, states, reply.unknown)
             self._tables.hear(reply.table_version, address)
+        else:
+            # It may not have heard: all is told again.
+            self._told_by_address.pop(address, None)
+
+    def _note_told(self, address, states, unknown):
+        missing = frozenset(unknown)
+        self._told_by_address[address] = {
+            state.agent: get_signature(state)
+            for state in states
+            if fleet_module.get_number(state.agent) not in missing
+        }
+
+
+def get_signature(state):
+    """Return what of a state is worth telling when it changes.
+
+    Loads are compared in coarse steps: an entry corrects them anyway by
+    what it sent itself.
+    """
+    load = state.load
+    outstanding = load.running + load.queued
+    step = round(LOAD_STEPS * outstanding / max(load.slots, 1))
+    return (
+        state.incarnation,
+        state.is_draining,
+        state.model,
+        load.slots,
+        step,
+    )
 
 
 def new_gossip(place, fleet, vm_view, links, table_keeper):
