--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -121,8 +121,16 @@
         return messages.Heard(self.tables.get_version())
 
     def _take_digest(self, digest):
-        self.fleet.take_digest(digest)
-        unknown = self.fleet.take_unchanged(digest.unchanged)
+        vm = self.vm_view.vm_by_name.get(digest.entry)
+        if vm is None:
+            return messages.Heard(self.tables.get_version())
+        own = self.place.data_centre
+        silence_s = gossip.get_silence_s(self.vm_view, own, vm.data_centre)
+        is_far = vm.data_centre != own
+        self.fleet.take_digest(digest, silence_s, is_far)
+        unknown = self.fleet.take_unchanged(
+            digest.unchanged, silence_s, is_far
+        )
         self._hear(digest.entry, digest.table_version)
         return messages.Heard(self.tables.get_version(), unknown)
 
--- a/greengagetrack/process/fleet.py
+++ b/greengagetrack/process/fleet.py
@@ -10,7 +10,7 @@
 from greengagetrack.version import rank
 
 SILENCE_S = 2.5
-REMOTE_SILENCE_S = 4.0
+RELAY_HOPS_S = 2.5
 CANDIDATES_PER_SERVICE = 6
 BREAKER_FAILURES = 3
 BREAKER_OPEN_S = 1.0
@@ -33,6 +33,7 @@
         "incarnation",
         "is_direct",
         "is_draining",
+        "is_from_speaker",
         "is_listed_leaving",
         "latency_ms",
         "load",
@@ -44,6 +45,7 @@
         "region",
         "sent_at_s",
         "service",
+        "silence_s",
     )
 
     def __init__(self, vm):
@@ -58,6 +60,8 @@
         self.heard_at_s = None
         self.first_heard_s = None
         self.is_direct = False
+        self.is_from_speaker = False
+        self.silence_s = SILENCE_S
         self.is_draining = False
         self.load = messages.Load()
         self.model = ""
@@ -75,8 +79,7 @@
 
     def is_alive(self):
         """Return whether it was heard a short time ago."""
-        limit_s = SILENCE_S if self.is_direct else REMOTE_SILENCE_S
-        return self.get_age_s() <= limit_s
+        return self.get_age_s() <= self.silence_s
 
     def is_available(self):
         """Return whether it may get new work."""
@@ -182,30 +185,53 @@
         agent = self._take(report, age_s=0.0)
         if agent is not None:
             agent.is_direct = True
+            agent.is_from_speaker = False
+            agent.silence_s = SILENCE_S
             agent.prefixes = frozenset(report.prefixes)
 
-    def take_unchanged(self, numbers):
+    def take_unchanged(self, numbers, silence_s, is_from_speaker):
         """Note that agents live; return the numbers of unknown ones."""
         unknown = []
         for number in numbers:
             agent = self._agent_by_number.get(number)
             if agent is None or agent.heard_at_s is None:
                 unknown.append(number)
-            elif not (agent.is_direct and agent.is_alive()):
-                agent.is_direct = False
+            elif not self._has_better_source(agent, is_from_speaker):
+                self._mark_relayed(agent, silence_s, is_from_speaker)
                 heard_at_s = trio.current_time() - UNCHANGED_AGE_S
                 agent.heard_at_s = max(agent.heard_at_s, heard_at_s)
         return unknown
 
-    def take_digest(self, digest):
-        """Take what another entry knows of agents."""
+    def take_digest(self, digest, silence_s, is_from_speaker):
+        """Take what another entry knows of agents.
+
+        `silence_s` is how long their silence means nothing: it depends on
+        how often digests come that way.
+        """
         for state in digest.agents:
             agent = self.agent_by_name.get(state.agent)
-            if agent is not None and agent.is_direct and agent.is_alive():
+            if agent is not None and self._has_better_source(
+                agent, is_from_speaker
+            ):
                 continue
             self._take(state, state.age_ms / 1000)
             if agent is not None:
-                agent.is_direct = False
+                self._mark_relayed(agent, silence_s, is_from_speaker)
+
+    def _has_better_source(self, agent, is_from_speaker):
+        """Return whether the agent is heard nearer to itself."""
+        if not agent.is_alive():
+            return False
+        return agent.is_direct or (
+            agent.is_from_speaker and not is_from_speaker
+        )
+
+    def _mark_relayed(self, agent, silence_s, is_from_speaker):
+        agent.is_direct = False
+        agent.silence_s = silence_s
+        # One who heard it from another data centre relays it; one who
+        # heard it from a neighbour does not.
+        agent.is_from_speaker = is_from_speaker
 
     def _take(self, state, age_s):
         agent = self.agent_by_name.get(state.agent)
@@ -243,12 +269,16 @@
         for agent in self.agent_by_name.values():
             agent.heard_at_s = None
 
-    def get_direct_states(self):
-        """Return the agents that this entry hears from themselves."""
+    def get_relayed_states(self):
+        """Return the agents that neighbours hear of from this entry.
+
+        These are the ones that report here, and the ones that speakers of
+        other data centres told of.
+        """
         return [
             _get_state(agent)
             for agent in self.agent_by_name.values()
-            if agent.is_direct and agent.is_alive()
+            if (agent.is_direct or agent.is_from_speaker) and agent.is_alive()
         ]
 
     def get_states(self, data_centre, per_service=None):
--- a/greengagetrack/process/gossip.py
+++ b/greengagetrack/process/gossip.py
@@ -17,7 +17,7 @@
 PERIOD_S = 1.0
 ASK_TIMEOUT_S = 1.0
 REMOTE_BYTES_PER_S = 1500.0
-REMOTE_DIGEST_BYTES = 600.0
+REMOTE_DIGEST_BYTES = 250.0
 LOAD_STEPS = 4
 
 
@@ -43,6 +43,16 @@
     return max(PERIOD_S, needed_s / REMOTE_BYTES_PER_S)
 
 
+def get_silence_s(vm_view, own_data_centre, from_data_centre):
+    """Return how long the silence of a relayed agent means nothing."""
+    if from_data_centre == own_data_centre:
+        return fleet_module.SILENCE_S + PERIOD_S
+    entries = vm_view.get_entries()
+    others = len({vm.data_centre for vm in entries}) - 1
+    period_s = get_remote_period_s(others)
+    return fleet_module.RELAY_HOPS_S + 1.5 * period_s
+
+
 class Gossip:
     """Sends the digests of one entry."""
 
@@ -84,20 +94,11 @@
         entries = self._vm_view.get_entries(self._place.data_centre)
         states = []
         if len(entries) > REPORT_TARGETS:
-            states = self._get_direct_states()
+            states = self._fleet.get_relayed_states()
         for vm in entries:
             if vm.name != self._place.name:
                 nursery.start_soon(self._send, vm.address, states)
 
-    def _get_direct_states(self):
-        """Return what the other local entries may not hear themselves."""
-        states = self._fleet.get_direct_states()
-        for name in self._get_other_data_centres():
-            states += self._fleet.get_states(
-                name, fleet_module.CANDIDATES_PER_SERVICE
-            )
-        return states
-
     def _tell_other(self, nursery, data_centre):
         route = f"{self._place.data_centre}>{data_centre}"
         own = self._vm_view.get_entries(self._place.data_centre)
