Write docs/CAPACITY.md from measured slopes

Change: 'greengagebench capacity' works the page out from slopes that are kept in the repository, with formula, slope, figure, limit, margin and module for each line; '--measure' takes the slopes anew. 'greengagebench fleet' runs one fleet.

--- a/bench/command.py
+++ b/bench/command.py
@@ -7,11 +7,14 @@
 import msgspec
 import trio
 
+from bench import capacity as capacity_module
+from bench import capacity_page
 from bench import compare as compare_module
 from bench import demo as demo_module
 from bench import deployment as deployment_module
 from bench import experiment
 from bench import faults
+from bench import fleet as fleet_module
 from bench import processes
 from bench import report as report_module
 
@@ -145,6 +148,44 @@
     sys.exit(EXIT_WRONG if wrong else 0)
 
 
+def fleet(
+    *,
+    entries: int = 12,
+    agents: int = 48,
+    organisations: int = 1000,
+    regions: int = 3,
+    data_centres: int = 3,
+    fault: str = "none",
+    seed: int = 0,
+):
+    """Run a fleet's control modules on a mock clock; print one JSON line.
+
+    :param entries: How many entries.
+    :param agents: How many agents.
+    :param organisations: How many organisations the table has.
+    :param regions: How many regions.
+    :param data_centres: How many data centres.
+    :param fault: What happens to the fleet.
+    :param seed: A number that is printed with the result.
+    """
+    _check_choice("--fault", fault, fleet_module.FAULTS)
+    size = fleet_module.FleetSize(
+        entries, agents, organisations, regions, data_centres
+    )
+    _print_json(fleet_module.run_fleet(size, fault, seed))
+
+
+def capacity(*, measure: bool = False):
+    """Write docs/CAPACITY.md from the slopes that are kept.
+
+    :param measure: Measure the slopes anew first; takes two minutes.
+    """
+    if measure:
+        capacity_module.write(capacity_module.measure())
+    capacity_page.write_page(capacity_module.read())
+    print(capacity_module.PAGE)
+
+
 def scenario(file: str):
     """Run one feature file on the mock clock.
 
@@ -173,6 +214,8 @@
             "night": night,
             "compare": compare,
             "run": run,
+            "fleet": fleet,
+            "capacity": capacity,
             "scenario": scenario,
         },
         no_negated_flags=True,
