--- a/greengagetrack/process/agent.py
+++ b/greengagetrack/process/agent.py
@@ -136,8 +136,7 @@
     def _is_hopeless(self, submit):
         wait_ms = self.runner.predict_wait_ms(submit.priority)
         longest_ms = submit.longest_wait_ms or submit.budget_ms
-        cost_ms = self.runner.get_cost_ms(submit.row)
-        return wait_ms > longest_ms or wait_ms + cost_ms > submit.budget_ms
+        return wait_ms > min(longest_ms, submit.budget_ms)
 
     def _accept(self, submit):
         record = record_module.new_record(submit)
--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -11,7 +11,6 @@
 
 SERVICE_MS_START = 100.0
 SMOOTHING = 0.2
-LATEST_START_SHARE = 0.8
 SHORT_RETRY_MS = 250
 
 _log = logging.getLogger(__name__)
@@ -73,7 +72,7 @@
 
     def get_cost_ms(self, row):
         """Return the predicted time of one call of a row."""
-        return self._service_ms_by_row.get(row, SERVICE_MS_START)
+        return self._service_ms_by_row.get(row, self.service_ms)
 
     def predict_wait_ms(self, priority):
         """Return how long a new attempt of a priority would wait."""
@@ -87,14 +86,11 @@
         submit = record.submit
         now = trio.current_time()
         wait_s = submit.longest_wait_ms / 1000 or budget_s
-        cost_ms = self.get_cost_ms(submit.row)
-        # What would start later than this could not finish in time.
-        useful_s = budget_s - LATEST_START_SHARE * cost_ms / 1000
         waiting = fair_queue.Waiting(
             record,
             now + budget_s,
-            now + min(useful_s, wait_s),
-            cost_ms,
+            now + min(budget_s, wait_s),
+            self.get_cost_ms(submit.row),
         )
         shed = self._queue.add(waiting)
         if shed is not None:
