--- a/bench/caller.py
+++ b/bench/caller.py
@@ -39,6 +39,7 @@
     retry_after_ms: int = 0
     request_id: str = ""
     sent_s: float = 0.0
+    identity: str = "neither"
 
     def is_in_time(self):
         """Return whether the whole answer came within the deadline."""
@@ -95,6 +96,8 @@
             "Greengagetrack-Kind": plan.kind,
             "Greengagetrack-Deadline-Ms": str(plan.deadline_ms),
         }
+        if ticket or key:
+            answer.identity = "ticket" if ticket else "key"
         if ticket:
             headers["Greengagetrack-Ticket"] = ticket
         if key:
--- a/bench/command.py
+++ b/bench/command.py
@@ -16,6 +16,7 @@
 from bench import faults
 from bench import fleet as fleet_module
 from bench import processes
+from bench import reference as reference_module
 from bench import report as report_module
 
 EXIT_WRONG = 1
@@ -186,6 +187,12 @@
     print(capacity_module.PAGE)
 
 
+def reference():
+    """Write the reference pages below docs/ref from the code."""
+    for path in reference_module.write_pages():
+        print(path)
+
+
 def scenario(file: str):
     """Run one feature file on the mock clock.
 
@@ -216,6 +223,7 @@
             "run": run,
             "fleet": fleet,
             "capacity": capacity,
+            "reference": reference,
             "scenario": scenario,
         },
         no_negated_flags=True,
--- a/bench/counts.py
+++ b/bench/counts.py
@@ -31,6 +31,30 @@
         )
 
 
+def trace_doubles(answers, executions, order_stages):
+    """Return a line for each order that was executed more than once."""
+    executions_by_marker = collections.defaultdict(list)
+    for execution in executions:
+        if execution.stage in order_stages:
+            executions_by_marker[execution.marker].append(execution)
+    lines = []
+    for marker, same in executions_by_marker.items():
+        if len(same) < 2:
+            continue
+        runs = [
+            f"{each.server} at {each.started_s:.2f} ({each.call_id})"
+            for each in same
+        ]
+        told = [
+            f"{each.outcome} {each.reason} from {each.sent_s:.2f} to "
+            f"{each.sent_s + each.latency_s:.2f} by {each.identity}"
+            for each in answers
+            if each.marker == marker
+        ]
+        lines.append(f"{marker}: ran {'; '.join(runs)}; told {told}")
+    return lines
+
+
 def count(answers, executions, order_stages):
     """Return the `Counts` of answers against executions.
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -48,6 +48,7 @@
     attainment: float
     faults: list[str]
     reasons: dict[str, int]
+    doubles: list[str]
 
 
 class Run:
@@ -281,6 +282,11 @@
             seed=self._seed,
             work_after_leaving_s=round(max(self._left_s, default=0.0), 3),
             faults=self._faults,
+            doubles=counts_module.trace_doubles(
+                self._answers,
+                self._world.records.executions,
+                self._world.deployment.orders,
+            ),
             reasons=reasons,
             **{name: getattr(counts, name) for name in names.split()},
         )
--- a/greengagetrack/process/orders.py
+++ b/greengagetrack/process/orders.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import logging
 
 import msgspec
 import trio
@@ -24,6 +25,7 @@
 PROMISE_WINDOWS = 2.0
 KEY_MAX_CHARS = 255
 
+_log = logging.getLogger(__name__)
 _Reason = outcome.Reason
 _Ran = outcome.Ran
 
@@ -103,8 +105,22 @@
     async def claim(self, submit, record):
         """Return `Run`, `Join` or `Deny` for an order."""
         if submit.order.ticket:
-            return self._claim_ticket(submit, record)
-        return await self._claim_key(submit, record)
+            claim = self._claim_ticket(submit, record)
+        else:
+            claim = await self._claim_key(submit, record)
+        denied = isinstance(claim, Deny)
+        _log.info(
+            "order claimed",
+            extra={
+                "decision": f"order_{type(claim).__name__.lower()}",
+                "request": submit.request_id,
+                "attempt": submit.attempt.number,
+                "by": "ticket" if submit.order.ticket else "key",
+                "reason": claim.reason if denied else "",
+                "table_version": submit.table_version,
+            },
+        )
+        return claim
 
     def release(self, record):
         """Let an order run again that provably did not run."""
