Keep a key for the retry window after its order has ended

Ruled out: tickets, retries inside a request, hedges.

Change: the window runs from the end of the order and not from its claim, as the design says.

--- a/greengagetrack/process/orders.py
+++ b/greengagetrack/process/orders.py
@@ -136,12 +136,18 @@
         """Forget what no repeat may ask for any more."""
         now = trio.current_time()
         for claim, order in list(self._order_by_claim.items()):
-            if order.ends_s <= now and order.record.is_final():
+            if order.ends_s <= now and self._is_over(order.record):
                 del self._order_by_claim[claim]
         for key, (_asker, ends_s) in list(self._promise_by_key.items()):
             if ends_s <= now:
                 del self._promise_by_key[key]
 
+    def _is_over(self, record):
+        """Return whether the retry window after an order has passed."""
+        if not record.is_final():
+            return False
+        return trio.current_time() - record.finished_at_s >= self._window_s
+
     def _claim_ticket(self, submit, record):
         body = ticket_module.read_ticket(submit.order.ticket, self._key_ring)
         if body is None:
