--- a/greengagetrack/process/agent.py
+++ b/greengagetrack/process/agent.py
@@ -203,6 +203,8 @@
         if withdraw.incarnation != self.incarnation:
             return messages.WithdrawReply(False)
         record = self.log.get_record(withdraw.attempt)
+        # Nobody waits for its result any more, so a drain need not either.
+        self._delivered.add(withdraw.attempt)
         if record is None:
             return messages.WithdrawReply(self._bury(withdraw.attempt))
         if record.withdraw():
