Describe the administration API by OpenAPI and serve a status page

Cause: operators had to read JSON, and nothing said what it holds.

Figures: a test asks every described path and decodes each answer by its type; it passes.

--- a/greengagetrack/connection/admin.py
+++ b/greengagetrack/connection/admin.py
@@ -1,9 +1,14 @@
 """The administration API: read-only, on a port of its own."""
 
+import typing
+
 import msgspec
 import quart
 import quart_trio
 
+from greengagetrack.connection import openapi
+from greengagetrack.connection import status_page
+
 DECISIONS_SHOWN = 200
 
 
@@ -66,6 +71,52 @@
     owners: list[str]
 
 
+class ShownSetting(msgspec.Struct):
+    """The value of a setting, without secrets, and its source."""
+
+    value: str
+    source: str
+
+
+class Attainment(msgspec.Struct):
+    """How the newest requests of this entry ended, by pipeline."""
+
+    pipeline: str
+    requests: int
+    whole: int
+    attainment: float
+
+
+_Lines = list[dict[str, typing.Any]]
+
+COMMON_OPERATIONS = (
+    openapi.Operation("/admin/v1/status", "The process.", Status),
+    openapi.Operation("/admin/v1/table", "The table.", TableStatus),
+    openapi.Operation(
+        "/admin/v1/settings", "The settings.", dict[str, ShownSetting]
+    ),
+    openapi.Operation("/admin/v1/decisions", "Recent decisions.", _Lines),
+    openapi.Operation(
+        "/admin/v1/requests/{request_id}",
+        "The recent log lines of one request.",
+        _Lines,
+        "request_id",
+    ),
+)
+ENTRY_OPERATIONS = (
+    *COMMON_OPERATIONS,
+    openapi.Operation(
+        "/admin/v1/members", "The agents that it knows.", list[Member]
+    ),
+    openapi.Operation("/admin/v1/limits", "Limits and leases.", LimitsStatus),
+    openapi.Operation(
+        "/admin/v1/attainment",
+        "How recent requests ended, by pipeline.",
+        list[Attainment],
+    ),
+)
+
+
 def _json(body):
     return quart.Response(
         msgspec.json.encode(body), content_type="application/json"
@@ -109,6 +160,33 @@
     )
 
 
+def _add_description_routes(app, operations):
+    description = openapi.new_description(
+        "greengagetrack administration", operations
+    )
+
+    @app.get("/admin/v1/openapi.json")
+    async def describe():
+        return _json(description)
+
+    @app.get("/")
+    async def show_status_page():
+        return quart.Response(status_page.PAGE, content_type="text/html")
+
+
+def _get_attainment(decisions):
+    """Return how the kept requests ended, by pipeline."""
+    ends_by_pipeline = {}
+    for line in decisions.get_recent(decisions.records.maxlen):
+        if line["message"] in ("request ended", "request refused"):
+            ends = ends_by_pipeline.setdefault(line["pipeline"], [])
+            ends.append(line["outcome"] == "whole")
+    return [
+        Attainment(name, len(ends), sum(ends), sum(ends) / len(ends))
+        for name, ends in sorted(ends_by_pipeline.items())
+    ]
+
+
 def _add_common_routes(app, settings, keeper, decisions):
     @app.get("/admin/v1/table")
     async def table():
@@ -118,7 +196,7 @@
     async def show_settings():
         return _json(
             {
-                name: {"value": given.get_shown(), "source": given.source}
+                name: ShownSetting(given.get_shown(), given.source)
                 for name, given in settings.given_by_name.items()
             }
         )
@@ -150,6 +228,11 @@
     """Return the administration API of an entry."""
     app = quart_trio.QuartTrio("greengagetrack-admin")
     _add_common_routes(app, settings, entry.tables, decisions)
+    _add_description_routes(app, ENTRY_OPERATIONS)
+
+    @app.get("/admin/v1/attainment")
+    async def attainment():
+        return _json(_get_attainment(decisions))
 
     @app.get("/admin/v1/status")
     async def status():
@@ -185,6 +268,7 @@
     """Return the administration API of an agent."""
     app = quart_trio.QuartTrio("greengagetrack-admin")
     _add_common_routes(app, settings, keeper, decisions)
+    _add_description_routes(app, COMMON_OPERATIONS)
 
     @app.get("/admin/v1/status")
     async def status():
--- /dev/null
+++ b/tests/unit/test_admin.py
@@ -0,0 +1,45 @@
+"""The administration API answers what its description says."""
+
+import json
+
+import msgspec
+import trio
+import trio.testing
+
+from bench import deployment as deployment_module
+from bench import virtual
+from greengagetrack.connection import admin
+from greengagetrack.process import logs
+from greengagetrack.process import settings
+
+FLAGS = {"role": "entry", "name": "e1", "region": "r", "data_centre": "d"}
+
+
+def test_every_described_path_answers_its_type():
+    async def run():
+        async with trio.open_nursery() as nursery:
+            world = virtual.VirtualWorld(nursery, deployment_module.KITAMURA)
+            await world.start()
+            await trio.sleep(15)
+            given = settings.gather(FLAGS, {})
+            values = settings.Settings(given, FLAGS)
+            decisions = logs.DecisionHandler()
+            app = admin.new_entry_app(world.get_entry(), values, decisions)
+            client = app.test_client()
+            response = await client.get("/admin/v1/openapi.json")
+            described = json.loads(await response.get_data())
+            assert set(described["paths"]) == {
+                operation.path for operation in admin.ENTRY_OPERATIONS
+            }
+            for operation in admin.ENTRY_OPERATIONS:
+                path = operation.path.replace("{request_id}", "none")
+                response = await client.get(path)
+                assert response.status_code == 200
+                body = await response.get_data()
+                msgspec.json.decode(body, type=operation.answer)
+            page = await (await client.get("/")).get_data()
+            # The page works with no asset from outside.
+            assert b"http" not in page
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.01))
