Do not start what can't finish in time

Change: an attempt leaves the queue, refused as not run, once less than 0.8 of the usual time of its row is left.

--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -11,6 +11,7 @@
 
 SERVICE_MS_START = 100.0
 SMOOTHING = 0.2
+LATEST_START_SHARE = 0.8
 SHORT_RETRY_MS = 250
 
 _log = logging.getLogger(__name__)
@@ -86,11 +87,14 @@
         submit = record.submit
         now = trio.current_time()
         wait_s = submit.longest_wait_ms / 1000 or budget_s
+        cost_ms = self.get_cost_ms(submit.row)
+        # What would start later than this could not finish in time.
+        useful_s = budget_s - LATEST_START_SHARE * cost_ms / 1000
         waiting = fair_queue.Waiting(
             record,
             now + budget_s,
-            now + min(budget_s, wait_s),
-            self.get_cost_ms(submit.row),
+            now + min(max(useful_s, 0.0), wait_s),
+            cost_ms,
         )
         shed = self._queue.add(waiting)
         if shed is not None:
