Bound the labels of metrics

Cause: the status page, looked at in a browser, showed a pipeline 'stok' that a caller had made up; it was a label of the metrics too, and so was every organisation, 42,000 of them at the size to design for.

--- a/greengagetrack/connection/admin.py
+++ b/greengagetrack/connection/admin.py
@@ -178,6 +178,8 @@
     """Return how the kept requests ended, by pipeline."""
     ends_by_pipeline = {}
     for line in decisions.get_recent(decisions.records.maxlen):
+        if line.get("outcome") == "pipeline_unknown":
+            continue
         if line["message"] in ("request ended", "request refused"):
             ends = ends_by_pipeline.setdefault(line["pipeline"], [])
             ends.append(line["outcome"] == "whole")
--- a/greengagetrack/process/metrics.py
+++ b/greengagetrack/process/metrics.py
@@ -4,6 +4,8 @@
 
 from greengagetrack.request import outcome
 
+ORGANISATIONS_MAX = 200
+OTHER = "other"
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 
 
@@ -15,6 +17,7 @@
         "_dropped",
         "_engine_seconds",
         "_latency",
+        "_organisations",
         "_requests",
         "registry",
     )
@@ -22,6 +25,7 @@
     def __init__(self, process):
         labels = {"process": process}
         self.registry = aioprometheus.Registry()
+        self._organisations = set()
         self._requests = aioprometheus.Counter(
             "greengagetrack_requests_total",
             "Requests by pipeline, outcome and reason.",
@@ -59,9 +63,11 @@
         is_whole = isinstance(end, outcome.Whole)
         kind = type(end).__name__.lower()
         reason = "" if is_whole else str(end.reason)
+        # A name that callers made up must not become a label.
+        is_known = reason != outcome.Reason.PIPELINE_UNKNOWN
         self._requests.inc(
             {
-                "pipeline": request.pipeline,
+                "pipeline": request.pipeline if is_known else OTHER,
                 "outcome": kind,
                 "reason": reason,
             }
@@ -83,10 +89,22 @@
         """Count the backend server time of a stage."""
         labels = {
             "stage": "/".join(task.stage.key),
-            "organisation": task.organisation,
+            "organisation": self._get_label(task.organisation),
         }
         self._engine_seconds.add(labels, engine_ms / 1000)
 
+    def _get_label(self, organisation):
+        """Return the label of an organisation; the first ones have one.
+
+        A label for each of tens of thousands would fill the memory.
+        """
+        if organisation in self._organisations:
+            return organisation
+        if len(self._organisations) >= ORGANISATIONS_MAX:
+            return OTHER
+        self._organisations.add(organisation)
+        return organisation
+
     def render(self, accept):
         """Return `(body, headers)` in a format that is accepted."""
         return aioprometheus.render(self.registry, accept)
