Predict the wait of a class by the work of its class and above

Cause: short requests of a high class were refused as late: the whole backlog of an agent was counted before them, though they pass most of it.

Change: load reports carry the backlog of each class; an entry counts only classes at or above its own, and what it sent since the report.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -29,7 +29,7 @@
     """What an agent says of its own load.
 
     `service_ms` is the recent mean time of one call; `backlog_ms` is the
-    work that waits, in call time.
+    work that waits, in call time, and `backlog_by_priority` its parts.
     """
 
     slots: int = 1
@@ -37,6 +37,7 @@
     queued: int = 0
     service_ms: float = 0.0
     backlog_ms: float = 0.0
+    backlog_by_priority: dict[int, float] = {}
 
 
 class OrderClaim(_Message):
--- a/greengagetrack/process/admission.py
+++ b/greengagetrack/process/admission.py
@@ -70,7 +70,7 @@
         )
         deadline = deadline_module.new_deadline(budget_ms)
         stages = routing.get_stage_keys(request.pipeline, pipeline)
-        refusal = self._find_late(stages, deadline)
+        refusal = self._find_late(stages, deadline, limits.row.priority)
         if refusal is not None:
             return refusal
         tokens = sum(stage.stage.max_tokens for stage in stages)
@@ -96,9 +96,9 @@
             return outcome.Refused(_Reason.DEADLINE_INVALID, detail)
         return None
 
-    def _find_late(self, stages, deadline):
+    def _find_late(self, stages, deadline, priority):
         """Refuse what is predicted to miss its deadline anyway."""
-        path_ms = self._router.predict_path_ms(stages)
+        path_ms = self._router.predict_path_ms(stages, priority)
         if path_ms is None:
             return outcome.Refused(_Reason.NO_CAPACITY)
         left_ms = deadline.get_left_ms()
--- a/greengagetrack/process/fair_queue.py
+++ b/greengagetrack/process/fair_queue.py
@@ -127,6 +127,14 @@
             for entry in heap
         )
 
+    def get_backlog_by_priority(self):
+        """Return the work that waits in each class, in milliseconds."""
+        backlog = {}
+        for group, heap in self._heap_by_group.items():
+            waiting_ms = sum(entry[2].cost_ms for entry in heap)
+            backlog[group[0]] = backlog.get(group[0], 0.0) + waiting_ms
+        return backlog
+
     def get_next_expiry_s(self):
         """Return when the first attempt becomes useless, or None."""
         moments = (
--- a/greengagetrack/process/routing.py
+++ b/greengagetrack/process/routing.py
@@ -65,11 +65,11 @@
     """Chooses agents; a subclass is a policy."""
 
     @abc.abstractmethod
-    def choose(self, stage, deadline, excluded=(), prefix=None):
+    def choose(self, stage, deadline, excluded=(), prefix=None, priority=0):
         """Return a `Choice` for one attempt, or None if there is none."""
 
     @abc.abstractmethod
-    def predict_path_ms(self, stages):
+    def predict_path_ms(self, stages, priority=0):
         """Return how long the stages of a whole run would take now."""
 
 
@@ -99,7 +99,7 @@
             self.statistics_by_stage[key] = StageStatistics()
         return self.statistics_by_stage[key]
 
-    def choose(self, stage, deadline, excluded=(), prefix=None):
+    def choose(self, stage, deadline, excluded=(), prefix=None, priority=0):
         """Return the `Choice` of the lowest cost, or None.
 
         Other regions are looked at only when no local agent is predicted
@@ -107,14 +107,16 @@
         """
         agents = self._get_candidates(stage, excluded)
         local = [agent for agent in agents if agent.region == self._region]
-        best = self._choose_among(stage, self._sample(local), prefix)
+        best = self._choose_among(stage, self._sample(local), prefix, priority)
         limit_ms = deadline.get_left_ms() * _get_rest_share(stage)
         if best is not None and best.finish_ms <= limit_ms:
             return best
         if stage.stage.region == "home":
             return best
         remote = [agent for agent in agents if agent.region != self._region]
-        other = self._choose_among(stage, self._sample(remote), prefix)
+        other = self._choose_among(
+            stage, self._sample(remote), prefix, priority
+        )
         if best is None or other is None:
             return best or other
         return other if other.cost < best.cost else best
@@ -150,15 +152,17 @@
             return agents
         return self._random.sample(agents, SAMPLE_SIZE)
 
-    def _choose_among(self, stage, agents, prefix):
-        choices = [self._predict(stage, agent, prefix) for agent in agents]
+    def _choose_among(self, stage, agents, prefix, priority):
+        choices = [
+            self._predict(stage, agent, prefix, priority) for agent in agents
+        ]
         return min(choices, key=lambda choice: choice.cost, default=None)
 
-    def _predict(self, stage, agent, prefix):
+    def _predict(self, stage, agent, prefix, priority):
         service_ms = self.get_statistics(stage.key).mean_ms
         if prefix is not None and prefix in agent.prefixes:
             service_ms *= 1 - PREFIX_DISCOUNT
-        wait_ms = predict_wait_ms(agent, service_ms)
+        wait_ms = predict_wait_ms(agent, service_ms, priority)
         is_remote = agent.region != self._region
         finish_ms = wait_ms + service_ms
         if is_remote:
@@ -175,7 +179,7 @@
         price = table.region_by_name[region].price_per_gb
         return CROSSING_PRICE_MS * price * table.policy.cost_weight
 
-    def predict_path_ms(self, stages):
+    def predict_path_ms(self, stages, priority=0):
         """Return the predicted time of the stages, one after another."""
         total_ms = 0.0
         for stage in stages:
@@ -183,21 +187,31 @@
             if not agents:
                 return None
             choices = [
-                self._predict(stage, agent, None).finish_ms
+                self._predict(stage, agent, None, priority).finish_ms
                 for agent in self._sample(agents)
             ]
             total_ms += min(choices)
         return total_ms
 
 
-def predict_wait_ms(agent, service_ms):
-    """Return how long a new attempt would wait at an agent."""
-    slots = max(agent.load.slots, 1)
-    ahead = agent.count_outstanding() - slots + 1
-    if ahead <= 0:
+def predict_wait_ms(agent, service_ms, priority):
+    """Return how long a new attempt of a priority would wait.
+
+    Only work of its class and above is ahead of it in the queue. What was
+    sent since the report is counted whole: its class is not known.
+    """
+    load = agent.load
+    slots = max(load.slots, 1)
+    if agent.count_outstanding() < slots:
         return 0.0
-    each_ms = agent.load.service_ms or service_ms
-    return ahead * each_ms / slots
+    each_ms = load.service_ms or service_ms
+    ahead_ms = sum(
+        backlog_ms
+        for other, backlog_ms in load.backlog_by_priority.items()
+        if other >= priority
+    )
+    ahead_ms += len(agent.sent_at_s) * each_ms
+    return (ahead_ms + each_ms / 2) / slots
 
 
 def _get_rest_share(stage):
--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -59,12 +59,14 @@
 
     def get_load(self):
         """Return the load as it is reported."""
+        backlog_by_priority = self._queue.get_backlog_by_priority()
         return messages.Load(
             slots=self.slots if self.backend_ok else 0,
             running=self.running,
             queued=len(self._queue),
             service_ms=self.service_ms,
-            backlog_ms=self._queue.get_backlog_ms(),
+            backlog_ms=sum(backlog_by_priority.values()),
+            backlog_by_priority=backlog_by_priority,
         )
 
     def is_idle(self):
--- a/greengagetrack/request/stage.py
+++ b/greengagetrack/request/stage.py
@@ -300,12 +300,15 @@
             self._deadline,
             self._excluded,
             self._task.prefix,
+            self._task.limits.row.priority,
         )
         if choice is None and self._excluded and not is_hedge:
             # Every agent was tried: a second round is better than none.
             self._excluded.clear()
             return self._services.router.choose(
-                self._task.stage, self._deadline
+                self._task.stage,
+                self._deadline,
+                priority=self._task.limits.row.priority,
             )
         if choice is not None:
             self._excluded.add(choice.agent.name)
