Keep an agent's slots when its backend server's report is late

One load report over its 1 s took all slots of an agent away, and under overload that was nearly all agents at once.

Change: a report that is late is told apart from a backend server that is not there; only five late ones in a row take the slots away.

Conclusion: a lost report must not look like a lost server.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -40,6 +40,7 @@
     request_id: str = ""
     sent_s: float = 0.0
     identity: str = "neither"
+    url: str = ""
 
     def is_in_time(self):
         """Return whether the whole answer came within the deadline."""
@@ -90,7 +91,7 @@
 
     async def send(self, url, plan, marker, ticket="", key=""):
         """Return the `Answer` to one request."""
-        answer = Answer(plan, marker, sent_s=trio.current_time())
+        answer = Answer(plan, marker, sent_s=trio.current_time(), url=url)
         headers = {
             "Greengagetrack-Organisation": plan.organisation,
             "Greengagetrack-Kind": plan.kind,
--- a/greengagetrack/connection/backend/base.py
+++ b/greengagetrack/connection/backend/base.py
@@ -54,6 +54,10 @@
     fencing: int = 0
 
 
+class LoadLate(msgspec.Struct, frozen=True):
+    """The backend server is there, but its report did not come in time."""
+
+
 class Backend(abc.ABC):
     """The one connection to a backend server."""
 
@@ -67,7 +71,7 @@
 
     @abc.abstractmethod
     async def get_load(self):
-        """Return the `BackendLoad`, or None when it can't be read."""
+        """Return the `BackendLoad`, `LoadLate`, or None if it is down."""
 
     @abc.abstractmethod
     async def load_model(self, model, fencing):
--- a/greengagetrack/connection/backend/http.py
+++ b/greengagetrack/connection/backend/http.py
@@ -92,13 +92,15 @@
         self._url = url
 
     async def get_load(self):
-        """Return the `BackendLoad`, or None when it can't be read."""
+        """Return the `BackendLoad`, `LoadLate`, or None if it is down."""
         try:
             response = await self._client.get(
                 f"{self._url}/v1/load", timeout=LOAD_TIMEOUT_S
             )
             response.raise_for_status()
             return _load_decoder.decode(response.content)
+        except httpx.ReadTimeout:
+            return base.LoadLate()
         except (httpx.HTTPError, msgspec.MsgspecError):
             return None
 
--- a/greengagetrack/process/placement.py
+++ b/greengagetrack/process/placement.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from greengagetrack.connection.backend import base
 from greengagetrack.version import rank
 from greengagetrack.version import rows
 
@@ -140,7 +141,10 @@
         """
         before = await self._backend.get_load()
         wanted, _delay_s = self._get_wanted()
-        if before is None or wanted != model or before.model == model:
+        if not isinstance(before, base.BackendLoad) or wanted != model:
+            self._planned = None
+            return
+        if before.model == model:
             self._planned = None
             return
         agreed = await self._backend.load_model(model, before.fencing + 1)
@@ -151,7 +155,7 @@
                 "decision": "placement",
                 "model": model,
                 "before": before.model,
-                "after": after.model if after is not None else "",
+                "after": getattr(after, "model", ""),
                 "fencing": before.fencing + 1,
                 "agreed": agreed,
                 "table_version": self._tables.get_version(),
--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -12,6 +12,7 @@
 SERVICE_MS_START = 100.0
 SMOOTHING = 0.2
 LATEST_START_SHARE = 0.8
+LATE_POLLS_MAX = 5
 SHORT_RETRY_MS = 250
 
 _log = logging.getLogger(__name__)
@@ -26,6 +27,7 @@
 
     __slots__ = (
         "_backend",
+        "_late_polls",
         "_nursery",
         "_on_released",
         "_queue",
@@ -46,6 +48,7 @@
         self._queue = queue
         self._on_released = on_released
         self._service_ms_by_row = {}
+        self._late_polls = 0
         self._wake = trio.Event()
         self._nursery = None
         self.slots = slots
@@ -217,6 +220,13 @@
     async def poll_backend(self):
         """Read the backend server's own report once."""
         load = await self._backend.get_load()
+        if isinstance(load, base.LoadLate):
+            # A busy backend server answers late; that alone must not take
+            # all of its slots away just when they are needed.
+            self._late_polls += 1
+            self.backend_ok &= self._late_polls < LATE_POLLS_MAX
+            return
+        self._late_polls = 0
         self.backend_ok = load is not None
         if load is not None:
             self.slots = load.slots
