--- a/greengagetrack/process/routing.py
+++ b/greengagetrack/process/routing.py
@@ -13,9 +13,7 @@
 PREFIX_DISCOUNT = 0.25
 CROSSING_PRICE_MS = 20.0
 OUTLIER_FACTOR = 3.0
-# One of three may be ejected, and two of six.
-OUTLIER_SHARE_MAX = 0.34
-SLOW_RATIO = 2.0
+OUTLIER_SHARE_MAX = 0.3
 SAMPLES_MAX = 128
 PERCENTILE = 0.95
 SAMPLES_MIN = 20
@@ -162,7 +160,6 @@
 
     def _predict(self, stage, agent, prefix, priority):
         service_ms = self.get_statistics(stage.key).mean_ms
-        service_ms *= self._get_slowness(agent)
         if prefix is not None and prefix in agent.prefixes:
             service_ms *= 1 - PREFIX_DISCOUNT
         wait_ms = predict_wait_ms(agent, service_ms, priority)
@@ -175,18 +172,6 @@
             cost += self._get_crossing_cost(agent.region)
         return Choice(agent, finish_ms, wait_ms, cost, is_remote)
 
-    def _get_slowness(self, agent):
-        """Return how many times slower than its like an agent is.
-
-        Reports mix calls of all lengths, so only a large ratio counts.
-        """
-        peers = self._fleet.get_agents(agent.service)
-        median_ms = statistics.median(peer.load.service_ms for peer in peers)
-        if median_ms <= 0:
-            return 1.0
-        ratio = agent.load.service_ms / median_ms
-        return ratio if ratio > SLOW_RATIO else 1.0
-
     def _get_crossing_cost(self, region):
         table = self._get_table()
         if table is None or region not in table.region_by_name:
