--- a/greengagetrack/request/budget.py
+++ b/greengagetrack/request/budget.py
@@ -24,13 +24,9 @@
         """Earn the share that one first attempt allows."""
         self._level = min(BUDGET_BURST, self._level + self.share)
 
-    def is_empty(self):
-        """Return whether no further extra attempt is within the budget."""
-        return self._level < 1.0
-
     def take(self):
         """Return whether one more extra attempt is within the budget."""
-        if self.is_empty():
+        if self._level < 1.0:
             return False
         self._level -= 1.0
         return True
--- a/greengagetrack/request/stage.py
+++ b/greengagetrack/request/stage.py
@@ -9,14 +9,11 @@
 from greengagetrack.connection import messages
 from greengagetrack.process import routing
 from greengagetrack.request import attempt
-from greengagetrack.request import leg as leg_module
 from greengagetrack.request import outcome
 
 TRIES_MAX = 4
 RETRY_PAUSE_S = 0.02
 HEDGE_DELAY_MIN_MS = 50.0
-PACE_CHECK_S = 0.25
-PACE_MARGIN = 1.2
 
 _Reason = outcome.Reason
 _log = logging.getLogger(__name__)
@@ -59,6 +56,19 @@
     get_table_version: object
 
 
+class Leg:
+    """One attempt in the race for a stage's result."""
+
+    __slots__ = ("choice", "end", "run", "scope", "started_s")
+
+    def __init__(self, choice):
+        self.choice = choice
+        self.run = None
+        self.end = None
+        self.scope = trio.CancelScope()
+        self.started_s = trio.current_time()
+
+
 class StageRun:
     """Runs one stage until it has a result or nothing more may be tried.
 
@@ -194,46 +204,8 @@
                 return
             if all(leg.end is not None for leg in legs):
                 return
-            if self._is_too_slow():
-                self._move_on()
             self._news = trio.Event()
-            with trio.move_on_after(PACE_CHECK_S):
-                await self._news.wait()
-
-    def _is_too_slow(self):
-        """Return whether another agent would finish a stream in time.
-
-        The leading leg's own pace must miss the deadline, and the usual
-        pace of the stage must meet it.
-        """
-        leg = self._leader
-        stage = self._task.stage.stage
-        if leg is None or leg.end is not None or not stage.repeatable:
-            return False
-        pace_s = leg.get_pace_s()
-        if pace_s is None or self._task.pinned is not None:
-            return False
-        left = stage.max_tokens - len(self._tokens)
-        left_s = self._deadline.get_left_s()
-        usual_s = self._get_statistics().mean_ms / 1000
-        usual_s *= PACE_MARGIN * left / stage.max_tokens
-        return usual_s < left_s < left * pace_s
-
-    def _move_on(self):
-        """Stop the leading leg, so that the next try resumes its stream."""
-        if self.tries >= TRIES_MAX or self._services.retry_budget.is_empty():
-            return
-        _log.info(
-            "stream moves on",
-            extra={
-                "decision": "move",
-                "request": self._task.request_id,
-                "agent": self._leader.choice.agent.name,
-                "tokens": len(self._tokens),
-            },
-        )
-        self._excluded.add(self._leader.choice.agent.name)
-        self._leader.scope.cancel()
+            await self._news.wait()
 
     def _get_end(self, legs):
         if self._leader is not None:
@@ -308,7 +280,7 @@
         submit = self._new_submit(agent)
         agent.note_sent()
         self._log_choice(choice, submit, is_hedge)
-        leg = leg_module.new_leg(choice)
+        leg = Leg(choice)
         leg.run = attempt.new_attempt_run(
             self._services.links.get_link(agent.address),
             submit,
@@ -352,7 +324,6 @@
         if self._leader is not leg:
             self._services.metrics.note_dropped(self._task)
             return
-        leg.note_tokens(len(tokens))
         self._tokens += tokens
         self._on_tokens(tokens)
         self._news.set()
