Keep callers served while an entry restarts

A new entry was ready before it heard any agent, the limits that a dead entry owned had only the reserve of 10%, and a leg that was abandoned while its process ended broke the process.

Change: readiness waits until each listed service has a living agent, at most 10 s. The reserve is 40% of a region's share. An abandoned leg in an ending process is left to its deadline.

--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -27,6 +27,7 @@
 TICKET_TRIES = 3
 FLOOR_TIMEOUT_S = 1.0
 READY_POLL_S = 0.1
+READY_LIMIT_S = 10.0
 DRAIN_CHECK_S = 0.05
 LISTEN_GRACE_S = 2.0
 
@@ -53,6 +54,7 @@
         "_gossip",
         "_links",
         "_seed",
+        "_started_s",
         "_ticket_keys",
         "decisions",
         "fleet",
@@ -79,6 +81,7 @@
         self._links = links
         self._ticket_keys = ticket_keys
         self._seed = seed
+        self._started_s = trio.current_time()
         get_table = table_keeper.get_table
         self.router = routing.new_router(
             self.fleet, place.region, place.rtt_ms_by_region, get_table, seed
@@ -215,7 +218,22 @@
 
     def is_ready(self):
         """Return whether callers may be sent here."""
-        return not self.is_draining and self.tables.get_table() is not None
+        table = self.tables.get_table()
+        if self.is_draining or table is None:
+            return False
+        return self._hears_services(table) or self._is_old_enough()
+
+    def _hears_services(self, table):
+        """Return whether every listed service has an agent that lives."""
+        return all(
+            self.fleet.get_available(service)
+            for service in table.service_by_name
+            if self.fleet.get_agents(service)
+        )
+
+    def _is_old_enough(self):
+        # A service that is down as a whole must not keep an entry out.
+        return trio.current_time() - self._started_s >= READY_LIMIT_S
 
     async def serve(self, request, on_tokens):
         """Return the outcome of one request of a caller."""
--- a/greengagetrack/process/limit_owner.py
+++ b/greengagetrack/process/limit_owner.py
@@ -17,7 +17,7 @@
 LEASE_S = 2.0
 SLOT_LEASE_S = 4.0
 BURST_S = 1.0
-RESERVE_SHARE = 0.1
+RESERVE_SHARE = 0.4
 LOAN_SHARE = 0.5
 LOAN_PAUSE_S = 0.25
 LOAN_TIMEOUT_S = 0.2
--- a/greengagetrack/request/stage.py
+++ b/greengagetrack/request/stage.py
@@ -240,10 +240,16 @@
 
     def _abandon(self, leg):
         """Withdraw a leg that nobody waits for any more."""
-        if leg.run.has_left:
+        if not leg.run.has_left:
+            return
+        try:
             self._services.background.start_soon(
                 leg.run.give_up, _Reason.CALLER_LEFT
             )
+        except RuntimeError:
+            # The process ends and its nursery is closed: the agent gives
+            # the attempt up at its deadline.
+            _log.debug("attempt left to its deadline")
 
     def _note_end(self, leg, end):
         agent = leg.choice.agent
