--- a/bench/command.py
+++ b/bench/command.py
@@ -210,6 +210,7 @@
     folder = os.path.dirname(os.path.abspath(__file__))
     test = os.path.join(folder, "scenarios", "test_feature.py")
     options = ["-p", "bench.scenarios.steps", "-q", "--rootdir", folder]
+    options.append("--disable-warnings")
     sys.exit(pytest.main([test, *options, "-p", "no:cacheprovider"]))
 
 
