Compare the manifest itself now and then, not only its revision

A service that was reset counts its revisions anew, and the new manifest had the number that the watchers knew.

Change: a watcher whose wait ends with nothing new reads the manifest and compares its text; the wait is 3 s instead of 10 s.

The new test fails without the change.

Conclusion: what is watched must be reconciled by its content.

--- a/greengagetrack/process/tables.py
+++ b/greengagetrack/process/tables.py
@@ -18,7 +18,7 @@
 from greengagetrack.version import table as table_module
 
 WATCHERS_PER_DATA_CENTRE = 2
-WATCH_WAIT_S = 10.0
+WATCH_WAIT_S = 3.0
 WATCH_PAUSE_S = 0.2
 WATCH_PAUSE_MAX_S = 5.0
 RELAY_SILENCE_S = 10.0
@@ -131,6 +131,11 @@
             value = await self._config.watch(
                 table_module.MANIFEST_KEY, self.revision, WATCH_WAIT_S
             )
+            if value is None:
+                # A service that was reset can give a revision that is
+                # known to another text, so the value itself is compared
+                # now and then.
+                value = await self._config.read(table_module.MANIFEST_KEY)
             if value is None:
                 failures = min(failures + 1, 8)
                 pause_s = WATCH_PAUSE_S * 2**failures
--- a/tests/features/table.feature
+++ b/tests/features/table.feature
@@ -31,3 +31,12 @@
     And 5 seconds pass
     Then every process has table version 2
 
+
+  Scenario: A change right after a reset is in force within seconds
+    Given the kitamura fleet
+    When the table is published again
+    And 5 seconds pass
+    And the configuration service comes back with version 1
+    And the table is published again
+    And 5 seconds pass
+    Then every process has table version 3
--- /dev/null
+++ b/tests/unit/test_tables.py
@@ -0,0 +1,49 @@
+"""The keeper of the table reconciles with what is published."""
+
+import trio
+import trio.testing
+
+from bench import deployment as deployment_module
+from bench.standins import platform as platform_module
+from greengagetrack.process import tables
+from greengagetrack.process import vm_view as vm_view_module
+from greengagetrack.version import folder
+
+LIMIT_S = 5.0
+
+
+def test_a_known_revision_with_another_text_is_noticed():
+    folder_name = deployment_module.KITAMURA.get_table_folder()
+    texts = folder.read_folder(folder_name)
+
+    async def run():
+        platform = platform_module.Platform()
+        platform.publish(2, texts)
+        view = vm_view_module.new_vm_view(
+            platform_module.VmListFake(platform), 1.0, 1
+        )
+        keeper = tables.new_table_keeper(
+            "e",
+            "d",
+            platform_module.ConfigFake(platform),
+            view,
+            None,
+            is_partial=False,
+            seed=1,
+        )
+        keeper.read_inline()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.keep_config)
+            await trio.sleep(1)
+            assert keeper.get_version() == 2
+            # The service is reset: it counts its revisions from one, and
+            # gives the same number to the manifest of version 3.
+            platform.published_by_key.clear()
+            platform.revision = 0
+            platform.publish(3, texts)
+            assert platform.get("manifest").revision == keeper.revision
+            await trio.sleep(LIMIT_S)
+            assert keeper.get_version() == 3
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
