Take out what nothing calls, and let one piece serve where two stood

Read of the whole change. Dead: two slots and a test that is always true in the entry, emptying a queue, a whole take from a bucket, the slot time of a stand-in, the relay's byte sum, an import kept alive by __all__. Twice: the 32-bit number of a name in digests, cutting two regions (scenarios and experiments), the signature of each state, worked out a second time after each answer.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -57,10 +57,7 @@
     def cut(self, region, other):
         """Cut two regions off from each other."""
         self.cut_pairs.add(frozenset((region, other)))
-        for one in self.node_by_name.values():
-            for two in self.node_by_name.values():
-                if (one.vm.region, two.vm.region) == (region, other):
-                    self.network.cut(one.vm.address, two.vm.address)
+        super().cut(region, other)
 
     def heal(self):
         """Let everything through again."""
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -36,10 +36,6 @@
         """Count bytes that crossed beside the relays."""
         self.bytes_by_pair[_get_pair(region, other)] += size
 
-    def get_bytes(self):
-        """Return all bytes that crossed between regions."""
-        return sum(self.bytes_by_pair.values())
-
     async def carry(self, stream, target, pair):
         """Carry one connection until an end closes or it is cut."""
         if pair in self.cut_pairs:
--- a/bench/scenarios/context.py
+++ b/bench/scenarios/context.py
@@ -1,6 +1,5 @@
 """What the steps of one scenario share."""
 
-from bench import counts
 from bench import deployment as deployment_module
 from bench import runtime as runtime_module
 from bench.standins import records as records_module
@@ -151,6 +150,3 @@
     def stop(self):
         """End the world."""
         self.runtime.stop()
-
-
-__all__ = ("BROKEN_DOCUMENT", "Conversation", "Scenario", "counts")
--- a/bench/scenarios/steps.py
+++ b/bench/scenarios/steps.py
@@ -198,15 +198,7 @@
 @when(parse("{region} and {other} are cut off from each other"))
 def cut_regions(scenario, region, other):
     """Let nothing through between two regions."""
-
-    def act():
-        nodes = scenario.world.node_by_name.values()
-        for one in nodes:
-            for two in nodes:
-                if (one.vm.region, two.vm.region) == (region, other):
-                    scenario.world.network.cut(one.vm.address, two.vm.address)
-
-    scenario.call(act)
+    scenario.call(scenario.world.cut, region, other)
 
 
 @when(parse("nothing gets from {name} to {other}"))
--- a/bench/standins/server.py
+++ b/bench/standins/server.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import math
 
 import msgspec
 import trio
@@ -230,11 +229,3 @@
             execution.tokens += count
             yield {"offset": index, "tokens": tokens}
             index += count
-
-
-def get_slot_seconds(profile, tokens):
-    """Return how long a completion holds its slot in an idle engine."""
-    lines = math.ceil(tokens / TOKENS_PER_LINE)
-    return (
-        profile.prefill_ms + lines * TOKENS_PER_LINE * profile.token_ms
-    ) / (1000)
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -107,6 +107,13 @@
         node.vm = msgspec.structs.replace(node.vm, is_leaving=True)
         self.publish_vms()
 
+    def cut(self, region, other):
+        """Cut two regions off from each other."""
+        for one in self.node_by_name.values():
+            for two in self.node_by_name.values():
+                if (one.vm.region, two.vm.region) == (region, other):
+                    self.network.cut(one.vm.address, two.vm.address)
+
     async def start(self):
         """Publish the table and the list, and start every process."""
         self.publish_table()
--- a/greengagetrack/process/buckets.py
+++ b/greengagetrack/process/buckets.py
@@ -34,13 +34,6 @@
         self._level -= granted
         return granted
 
-    def take_whole(self, amount):
-        """Return whether the whole `amount` was taken."""
-        if self.get_level() < amount:
-            return False
-        self._level -= amount
-        return True
-
     def add(self, amount):
         """Put back or charge (below zero) an amount."""
         self._level = min(self.capacity, self.get_level() + amount)
--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -53,10 +53,8 @@
         "_background",
         "_gossip",
         "_links",
-        "_seed",
         "_started_s",
         "_ticket_keys",
-        "decisions",
         "fleet",
         "in_progress",
         "is_draining",
@@ -80,7 +78,6 @@
         self.is_draining = False
         self._links = links
         self._ticket_keys = ticket_keys
-        self._seed = seed
         self._started_s = trio.current_time()
         get_table = table_keeper.get_table
         self.router = routing.new_router(
@@ -183,16 +180,13 @@
             addresses = {
                 vm.address
                 for vm in self.vm_view.vm_by_name.values()
-                if vm.name != self.place.name and self._is_peer(vm)
+                if vm.name != self.place.name
             }
             for address in addresses:
                 self._links.get_link(address)
             self._links.keep_only(addresses)
             await changed.wait()
 
-    def _is_peer(self, vm):
-        return True
-
     async def _follow_table(self):
         while True:
             accepted = self.tables.accepted
--- a/greengagetrack/process/fair_queue.py
+++ b/greengagetrack/process/fair_queue.py
@@ -109,15 +109,6 @@
                 expired += [entry[2] for entry in late]
         return expired
 
-    def take_all(self):
-        """Return everything that waits, and be empty."""
-        waiting = [
-            entry[2] for heap in self._heap_by_group.values() for entry in heap
-        ]
-        self._heap_by_group.clear()
-        self.size = 0
-        return waiting
-
     def get_backlog_ms(self, priority=None):
         """Return the work that waits at or above a priority."""
         return sum(
--- a/greengagetrack/process/fleet.py
+++ b/greengagetrack/process/fleet.py
@@ -323,7 +323,7 @@
 
 def get_number(name):
     """Return the number that stands for an agent in digests."""
-    return rank.get_score("agent", name) & 0xFFFFFFFF
+    return rank.get_number("agent", name)
 
 
 def new_fleet(vm_view):
--- a/greengagetrack/process/gossip.py
+++ b/greengagetrack/process/gossip.py
@@ -117,11 +117,14 @@
             nursery.start_soon(self._send, address_by_name[name], states)
 
     async def _send(self, address, states):
-        told = self._told_by_address.setdefault(address, {})
+        told = self._told_by_address.get(address, {})
+        signature_by_agent = {
+            state.agent: get_signature(state) for state in states
+        }
         fresh = [
             state
             for state in states
-            if told.get(state.agent) != get_signature(state)
+            if told.get(state.agent) != signature_by_agent[state.agent]
         ]
         fresh_names = {state.agent for state in fresh}
         digest = messages.Digest(
@@ -138,18 +141,18 @@
         link = self._links.get_link(address)
         reply = await link.ask(digest, ASK_TIMEOUT_S)
         if isinstance(reply, messages.Heard):
-            self._note_told(address, states, reply.unknown)
+            self._note_told(address, signature_by_agent, reply.unknown)
             self._tables.hear(reply.table_version, address)
         else:
             # It may not have heard: all is told again.
             self._told_by_address.pop(address, None)
 
-    def _note_told(self, address, states, unknown):
+    def _note_told(self, address, signature_by_agent, unknown):
         missing = frozenset(unknown)
         self._told_by_address[address] = {
-            state.agent: get_signature(state)
-            for state in states
-            if fleet_module.get_number(state.agent) not in missing
+            agent: signature
+            for agent, signature in signature_by_agent.items()
+            if fleet_module.get_number(agent) not in missing
         }
 
 
--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -212,11 +212,6 @@
         if record.cancel_scope is not None and not record.is_final():
             record.cancel_scope.cancel()
 
-    def refuse_waiting(self, reason):
-        """Refuse everything that has not started."""
-        for waiting in self._queue.take_all():
-            self._refuse(waiting.record, reason)
-
     async def poll_backend(self):
         """Read the backend server's own report once."""
         load = await self._backend.get_load()
--- a/greengagetrack/request/pipeline.py
+++ b/greengagetrack/request/pipeline.py
@@ -216,7 +216,7 @@
 
 def get_prefix_hash(prefix):
     """Return the number that stands for a prompt prefix in digests."""
-    return rank.get_score("prefix", prefix) & 0xFFFFFFFF
+    return rank.get_number("prefix", prefix)
 
 
 def _pin(agent):
--- a/greengagetrack/version/rank.py
+++ b/greengagetrack/version/rank.py
@@ -8,6 +8,11 @@
     return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
 
 
+def get_number(kind, name):
+    """Return the 32-bit number that stands for a name in digests."""
+    return get_score(kind, name) & 0xFFFFFFFF
+
+
 def rank(key, members):
     """Return `members` by falling rank for `key`."""
     return sorted(
