--- a/bench/world.py
+++ b/bench/world.py
@@ -20,6 +20,7 @@
 from greengagetrack.process import daemon
 from greengagetrack.process import logs
 from greengagetrack.process import settings as settings_module
+from greengagetrack.process import stop as stop_module
 from greengagetrack.version import folder
 
 PEER_KEY = "00112233445566778899aabbccddeeff"
@@ -280,7 +281,7 @@
             raise ValueError("; ".join(str(problem) for problem in problems))
         if self.decisions is None:
             self.decisions = logs.set_up("bench", "INFO", self._open_log())
-        node.stop = daemon.Stop()
+        node.stop = stop_module.Stop()
         node.process = await self._nursery.start(
             daemon.run, settings, node.stop, self.decisions
         )
--- a/greengagetrack/command/greengagectl.py
+++ b/greengagetrack/command/greengagectl.py
@@ -8,7 +8,7 @@
 import httpx
 import msgspec
 
-from greengagetrack.command import greengagetrackd
+from greengagetrack.command import standalone
 from greengagetrack.process import settings as settings_module
 from greengagetrack.version import checks
 from greengagetrack.version import folder
@@ -225,7 +225,7 @@
             "status": status,
             "explain": {"request": explain_request},
             "drain": drain,
-            "settings": greengagetrackd.add_settings_flags(settings),
+            "settings": standalone.add_settings_flags(settings),
         },
         no_negated_flags=True,
         cli_options="has_default",
--- /dev/null
+++ b/greengagetrack/command/node.py
@@ -0,0 +1,37 @@
+"""The daemon on a node of the users' platform: one direct entry."""
+
+import gc
+import sys
+
+import trio
+
+from greengagetrack.platform import adapter as adapter_module
+from greengagetrack.process.direct import daemon
+from greengagetrack.process import logs
+from greengagetrack.process import stop as stop_module
+
+EXIT_SETTINGS = 2
+METRICS_PORT = 9464
+COLLECT_THRESHOLD = 20000
+
+
+async def _run(adapter):
+    stop = stop_module.Stop()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop.follow_signals)
+        code = await daemon.run(adapter, stop)
+        nursery.cancel_scope.cancel()
+    return code
+
+
+def run_node(path):
+    """Run the entry that the node file at `path` describes."""
+    try:
+        adapter = adapter_module.new_adapter(path, METRICS_PORT)
+    except ValueError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.set_up_bounded(adapter.get_settings().name, "INFO")
+    gc.freeze()
+    gc.set_threshold(COLLECT_THRESHOLD)
+    return trio.run(_run, adapter)
--- /dev/null
+++ b/greengagetrack/command/standalone.py
@@ -0,0 +1,85 @@
+"""The daemon with its settings in flags and variables."""
+
+import inspect
+import os
+import sys
+import typing
+
+import defopt
+import trio
+
+from greengagetrack.process import daemon
+from greengagetrack.process import logs
+from greengagetrack.process import settings as settings_module
+from greengagetrack.process import stop as stop_module
+
+EXIT_SETTINGS = 2
+
+_SUMMARY = """Run one entry or one agent of greengagetrack.
+
+Each flag is also an environment variable; the flag wins. The variable of
+--data-centre is ``GREENGAGETRACK_DATA_CENTRE``, and so on. Exit codes: 0
+stopped, and everything in progress ended whole; 2 the settings are wrong;
+3 stopped with work in progress.
+"""
+
+
+def add_settings_flags(function):
+    """Give `function` one optional flag for each setting."""
+    parameters = []
+    lines = [inspect.getdoc(function) or _SUMMARY, ""]
+    for setting in settings_module.ALL_SETTINGS:
+        parameters.append(
+            inspect.Parameter(
+                setting.name,
+                inspect.Parameter.KEYWORD_ONLY,
+                annotation=typing.Optional[str],
+                default=None,
+            )
+        )
+        lines.append(f":param {setting.name}: {setting.help}")
+    function.__signature__ = inspect.Signature(parameters)
+    function.__annotations__ = {
+        setting.name: typing.Optional[str]
+        for setting in settings_module.ALL_SETTINGS
+    }
+    function.__doc__ = "\n".join(lines)
+    return function
+
+
+def read_or_exit(flag_by_name, environment):
+    """Return the settings, or tell every mistake and exit."""
+    given = settings_module.gather(flag_by_name, environment)
+    settings, problems = settings_module.read_settings(given)
+    if problems:
+        for problem in problems:
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    return settings
+
+
+async def _run(settings, decisions):
+    stop = stop_module.Stop()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop.follow_signals)
+        code = await daemon.run(settings, stop, decisions)
+        nursery.cancel_scope.cancel()
+    return code
+
+
+def run_daemon(**flags):
+    settings = read_or_exit(flags, os.environ)
+    decisions = logs.set_up(settings.name, settings.log_level)
+    sys.exit(trio.run(_run, settings, decisions))
+
+
+run_daemon.__doc__ = _SUMMARY
+
+
+def main():
+    """Run the program."""
+    defopt.run(
+        add_settings_flags(run_daemon),
+        no_negated_flags=True,
+        cli_options="has_default",
+    )
--- /dev/null
+++ b/greengagetrack/connection/http/server.py
@@ -0,0 +1,340 @@
+"""Serves callers over HTTP/1.1: one task for each connection.
+
+The server reads one request after the other, whole, and hands each as an
+`Exchange` to a handler. It notices when the caller leaves and cancels the
+handler then. What the handler leaves unfinished ends with the connection,
+so an answer that was cut never looks complete.
+"""
+
+import logging
+
+import h11
+import trio
+
+from greengagetrack.connection.http import fields
+
+RECEIVE_BYTES = 65536
+BACKLOG = 1024
+AHEAD_MAX_BYTES = 262144
+LINGER_S = 0.5
+IDLE_SLACK_S = 1.0
+ACCEPT_PAUSE_S = 0.05
+SEND_TIMEOUT_S = 10.0
+
+_log = logging.getLogger(__name__)
+
+
+class Exchange:
+    """One request of a caller and the only way to answer it.
+
+    An answer is sent either whole by `answer`, or by `start`, any number
+    of `send`, and `finish`.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_is_closing",
+        "body",
+        "headers",
+        "is_finished",
+        "is_started",
+        "method",
+        "received_s",
+        "target",
+    )
+
+    def __init__(self, connection, request, body):
+        self._connection = connection
+        self._is_closing = False
+        self.method = bytes(request.method)
+        self.target = bytes(request.target)
+        self.headers = list(request.headers.raw_items())
+        self.body = body
+        self.received_s = trio.current_time()
+        self.is_started = False
+        self.is_finished = False
+
+    async def answer(self, status, headers, body=b""):
+        """Send a whole answer."""
+        framing = [(b"Content-Length", b"%d" % len(body))]
+        data = self._write_head(status, list(headers) + framing)
+        protocol = self._connection.protocol
+        if body and self.method != b"HEAD":
+            data += protocol.send(h11.Data(data=body))
+        self.is_started = True
+        await self._connection.send(data + protocol.send(h11.EndOfMessage()))
+        self.is_finished = True
+
+    async def start(self, status, headers):
+        """Send the head of an answer whose length is not known."""
+        # Without a length, h11 frames the body in chunks.
+        self.is_started = True
+        await self._connection.send(self._write_head(status, headers))
+
+    async def send(self, data):
+        """Send bytes of the body."""
+        event = h11.Data(data=data)
+        await self._connection.send(self._connection.protocol.send(event))
+
+    async def finish(self):
+        """Send the end of the body: from now on the answer is whole."""
+        event = h11.EndOfMessage()
+        await self._connection.send(self._connection.protocol.send(event))
+        self.is_finished = True
+
+    def _write_head(self, status, headers):
+        if self._connection.is_draining():
+            headers = list(headers) + [(b"Connection", b"close")]
+        response = h11.Response(status_code=status, headers=headers)
+        return self._connection.protocol.send(response)
+
+
+class _Problem(Exception):
+    """A request that can't be read; ends its connection.
+
+    It never leaves this module.
+    """
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
+class _CallerConnection:
+    """One connection of a caller."""
+
+    __slots__ = ("_server", "_stream", "protocol", "requests")
+
+    def __init__(self, server, stream):
+        self._server = server
+        self._stream = stream
+        self.protocol = self._new_protocol()
+        self.requests = 0
+
+    def _new_protocol(self):
+        limits = self._server.get_limits()
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
+        )
+
+    def is_draining(self):
+        """Return whether this connection ends with its next answer."""
+        return self._server.is_draining
+
+    async def send(self, data):
+        """Send bytes; a caller that does not read them has left."""
+        with trio.fail_after(SEND_TIMEOUT_S):
+            await self._stream.send_all(data)
+
+    async def serve(self):
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_next():
+                self.protocol.start_next_cycle()
+        except _Problem as problem:
+            await self._refuse(problem.status)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ):
+            # The caller left; whatever ran for it was cancelled.
+            pass
+
+    async def _serve_next(self):
+        """Serve one request; return whether another may follow."""
+        request = await self._read_head()
+        if request is None:
+            return False
+        body = await self._read_body()
+        exchange = Exchange(self, request, body)
+        self.requests += 1
+        self._server.in_progress += 1
+        try:
+            await self._run_handler(exchange)
+        finally:
+            self._server.in_progress -= 1
+        if not exchange.is_finished:
+            return False
+        if self.protocol.our_state is not h11.DONE:
+            return False
+        return self.protocol.their_state is h11.DONE
+
+    async def _run_handler(self, exchange):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._server.handle(exchange)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_caller(self, scope):
+        """Cancel the handler when the caller leaves."""
+        ahead_bytes = 0
+        while ahead_bytes < AHEAD_MAX_BYTES:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            # The next request of the same connection waits its turn.
+            ahead_bytes += len(data)
+            self.protocol.receive_data(data)
+
+    async def _read_head(self):
+        """Return the next request's head, or None if none comes."""
+        event = self._next_event()
+        if event is h11.NEED_DATA and not self._has_bytes():
+            if not await self._wait_idle():
+                return None
+            event = self._next_event()
+        limits = self._server.get_limits()
+        with trio.move_on_after(limits.header_timeout_s):
+            while event is h11.NEED_DATA:
+                if not await self._receive():
+                    return None
+                event = self._next_event()
+        if event is h11.NEED_DATA:
+            raise _Problem(408)
+        if not isinstance(event, h11.Request):
+            return None
+        self._check_head(event, limits)
+        return event
+
+    def _has_bytes(self):
+        return bool(self.protocol.trailing_data[0])
+
+    async def _wait_idle(self):
+        """Wait for the first byte of a request; False if none comes.
+
+        The limit may change while a connection is idle.
+        """
+        start_s = trio.current_time()
+        while True:
+            limit_s = self._server.get_limits().idle_timeout_s + IDLE_SLACK_S
+            left_s = start_s + limit_s - trio.current_time()
+            if left_s <= 0 or self._server.is_closing:
+                return False
+            with trio.move_on_after(min(left_s, IDLE_SLACK_S)):
+                return await self._receive()
+
+    async def _receive(self):
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        self.protocol.receive_data(data)
+        return bool(data)
+
+    def _next_event(self):
+        try:
+            return self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _Problem(error.error_status_hint) from None
+
+    def _check_head(self, request, limits):
+        headers = list(request.headers)
+        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        if size + len(request.target) > limits.header_max_bytes:
+            raise _Problem(431)
+        if not request.target.startswith(b"/"):
+            raise _Problem(400)
+        lengths = fields.get_values(headers, b"content-length")
+        # Two framings in one message are how a request is smuggled.
+        if lengths and fields.get_values(headers, b"transfer-encoding"):
+            raise _Problem(400)
+        if lengths and int(lengths[0]) > limits.body_max_bytes:
+            raise _Problem(413)
+
+    async def _read_body(self):
+        limits = self._server.get_limits()
+        if self.protocol.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            await self.send(self.protocol.send(informational))
+        parts = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_max_bytes:
+                    raise _Problem(413)
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            elif event is h11.NEED_DATA:
+                with trio.move_on_after(limits.idle_timeout_s) as scope:
+                    await self._receive()
+                if scope.cancelled_caught:
+                    raise _Problem(408)
+            else:
+                raise trio.BrokenResourceError("left within a body")
+
+    async def _refuse(self, status):
+        """Answer a request that can't be read, and end the connection."""
+        _log.info(
+            "request unreadable",
+            extra={"decision": "refuse", "status": status},
+        )
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = h11.Response(
+            status_code=status,
+            headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+        )
+        data = self.protocol.send(response)
+        data += self.protocol.send(h11.EndOfMessage())
+        with trio.move_on_after(LINGER_S):
+            try:
+                await self._stream.send_all(data)
+                await self._stream.send_eof()
+                # Unread bytes would reset the connection before the
+                # caller has read the answer.
+                while await self._stream.receive_some(RECEIVE_BYTES):
+                    pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+
+
+class Server:
+    """Accepts callers at one address and serves each in a task."""
+
+    __slots__ = (
+        "_address",
+        "get_limits",
+        "handle",
+        "in_progress",
+        "is_closing",
+        "is_draining",
+    )
+
+    def __init__(self, address, handle, get_limits):
+        self._address = address
+        self.handle = handle
+        self.get_limits = get_limits
+        self.in_progress = 0
+        self.is_draining = False
+        self.is_closing = False
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        host, _separator, port = self._address.rpartition(":")
+        listeners = await trio.open_tcp_listeners(
+            int(port), host=host, backlog=BACKLOG
+        )
+        await trio.serve_listeners(
+            self._serve_connection, listeners, task_status=task_status
+        )
+
+    async def _serve_connection(self, stream):
+        try:
+            await _CallerConnection(self, stream).serve()
+        finally:
+            stream.socket.close()
+
+
+def new_server(address, handle, get_limits):
+    """Return a server that passes each `Exchange` to `handle`.
+
+    `get_limits()` returns the `catalog.CallerLimits` in force.
+    """
+    return Server(address, handle, get_limits)
--- /dev/null
+++ b/greengagetrack/platform/adapter.py
@@ -0,0 +1,85 @@
+"""Puts the platform's parts together for an entry of the product."""
+
+from greengagetrack.platform import callers
+from greengagetrack.platform import engines
+from greengagetrack.platform import names
+from greengagetrack.platform import settings as settings_module
+from greengagetrack.platform import store
+from greengagetrack.process.direct import daemon
+from greengagetrack.process.direct import entry as entry_module
+
+
+class PlatformAdapter(daemon.Adapter):
+    """An entry on a `front` machine."""
+
+    __slots__ = ("_metrics_port", "_node", "_path")
+
+    def __init__(self, path, node, metrics_port):
+        self._path = path
+        self._node = node
+        self._metrics_port = metrics_port
+
+    def get_settings(self):
+        """Return the `DirectSettings`."""
+        node = self._node
+        return entry_module.DirectSettings(
+            name=node.node,
+            data_centre=node.zone,
+            region_by_data_centre=node.zones,
+            key_bound_s=node.bounds.revoke_ms / 1000,
+            budget_ratio=node.bounds.budget_ratio,
+            budget_slack=node.bounds.budget_slack,
+            budget_window_s=node.bounds.budget_window_s,
+        )
+
+    def get_caller_address(self):
+        """Return where consumers connect, HOST:PORT."""
+        return self._node.listen.front
+
+    def get_ready_address(self):
+        """Return where readiness is asked, HOST:PORT."""
+        return self._node.listen.ready
+
+    def get_metrics_address(self):
+        """Return where metrics are served, HOST:PORT."""
+        return f"{self._node.ip}:{self._metrics_port}"
+
+    def get_grace_s(self):
+        """Return the seconds from the wish to stop to the kill."""
+        return self._node.bounds.grace_s
+
+    def new_source(self, pool):
+        """Return the `Source` of catalog and servers."""
+        return store.new_store_source(self._node.provider.address, pool)
+
+    def new_gateway(self, pool):
+        """Return the `Gateway` to the engines."""
+        return engines.new_engine_gateway(pool)
+
+    async def serve_exchange(self, entry, exchange):
+        """Serve one exchange of a consumer."""
+        await callers.serve_exchange(entry, exchange)
+
+    async def serve_ready(self, entry, exchange):
+        """Answer whether the entry is ready."""
+        if exchange.target.partition(b"?")[0] != names.READY_PATH:
+            await exchange.answer(404, [])
+            return
+        await exchange.answer(200 if entry.is_ready() else 503, [])
+
+    def reload(self):
+        """Read the settings again; return a text: what changed."""
+        try:
+            node = settings_module.read_node_file(self._path)
+        except ValueError as error:
+            return str(error)
+        if node == self._node:
+            return "unchanged"
+        self._node = node
+        return "changed; addresses count from the next start"
+
+
+def new_adapter(path, metrics_port):
+    """Return the adapter that the node file at `path` describes."""
+    node = settings_module.read_node_file(path)
+    return PlatformAdapter(path, node, metrics_port)
--- /dev/null
+++ b/greengagetrack/platform/callers.py
@@ -0,0 +1,124 @@
+"""The consumers' HTTP: requests in, answers and statuses out."""
+
+from greengagetrack.connection.http import fields
+from greengagetrack.platform import names
+from greengagetrack.request.direct import reply as reply_module
+from greengagetrack.request.direct import request as request_module
+from greengagetrack.request import outcome
+
+RETRY_AFTER = b"Retry-After"
+
+_Reason = outcome.Reason
+
+_STATUS_BY_REASON = {
+    _Reason.PIPELINE_UNKNOWN: 404,
+    _Reason.ORGANISATION_UNKNOWN: 401,
+    _Reason.BODY_INVALID: 400,
+}
+
+
+class HttpReply(reply_module.Reply):
+    """Answers one exchange of a consumer."""
+
+    __slots__ = ("_exchange",)
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+
+    @property
+    def is_started(self):
+        """Return whether the consumer has seen part of an answer."""
+        return self._exchange.is_started
+
+    async def send_whole(self, status, headers, body):
+        """Send an answer that is complete."""
+        await self._exchange.answer(status, headers, body)
+
+    async def start(self, status, headers):
+        """Send the head of a stream."""
+        await self._exchange.start(status, headers)
+
+    async def send_part(self, data):
+        """Send bytes of the stream."""
+        await self._exchange.send(data)
+
+    async def finish(self):
+        """Say that the stream is complete."""
+        await self._exchange.finish()
+
+
+async def serve_exchange(entry, exchange):
+    """Serve one exchange of a consumer by `entry`."""
+    request = read_request(exchange)
+    end = await entry.serve(request, HttpReply(exchange))
+    if exchange.is_started:
+        return
+    status, headers = get_refusal(end)
+    await exchange.answer(status, [*_echo(request), *headers])
+
+
+def _echo(request):
+    return [(names.REQUEST_ID, request.request_id)]
+
+
+def get_refusal(end):
+    """Return the status and the fields that tell of an end."""
+    if isinstance(end, outcome.Refused):
+        status = _STATUS_BY_REASON.get(end.reason, 503)
+        if status != 503:
+            return status, []
+        seconds = f"{end.retry_after_ms / 1000:.3f}".encode()
+        return status, [(RETRY_AFTER, seconds)]
+    if end.reason in (_Reason.DEADLINE_PASSED, _Reason.AGENT_SILENT):
+        return 504, []
+    return 502, []
+
+
+def read_request(exchange):
+    """Return the `DirectRequest` of an exchange."""
+    headers = exchange.headers
+    host = _get_text(headers, b"host").partition(":")[0].lower()
+    parts = _read_parts(_get_text(headers, names.PROMPT_PREFIX.lower()))
+    tokens = _read_numbers(_get_text(headers, names.TOKEN_COUNTS.lower()))
+    return request_module.DirectRequest(
+        request_id=fields.get_value(headers, names.REQUEST_ID.lower(), b""),
+        method=exchange.method,
+        target=exchange.target,
+        host=host,
+        headers=fields.keep_end_to_end(headers, names.NOT_PASSED_ON),
+        body=exchange.body,
+        received_s=exchange.received_s,
+        deadline_ms=_read_deadline(headers),
+        api_key=_get_text(headers, names.API_KEY.lower()) or None,
+        parts=parts,
+        prompt_tokens=tokens[0] if tokens else 0,
+        output_tokens=tokens[1] if len(tokens) > 1 else 0,
+        piece_counts=_read_numbers(_get_text(headers, names.PIECES.lower())),
+        piece_key=_get_text(headers, names.PIECE_KEY.lower()),
+    )
+
+
+def _get_text(headers, name):
+    return fields.get_value(headers, name, b"").decode("latin-1").strip()
+
+
+def _read_deadline(headers):
+    text = _get_text(headers, names.DEADLINE_MS.lower())
+    return float(text) if text.isdigit() else None
+
+
+def _read_numbers(text):
+    words = [word.strip() for word in text.split(",")]
+    if not all(word.isdigit() for word in words):
+        return ()
+    return tuple(int(word) for word in words)
+
+
+def _read_parts(text):
+    parts = []
+    for word in text.split(","):
+        part_id, separator, tokens = word.strip().partition(":")
+        if not (separator and tokens.isdigit()):
+            return ()
+        parts.append((part_id, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/greengagetrack/platform/document.py
@@ -0,0 +1,203 @@
+"""Translates the published configuration and the servers' entries."""
+
+import msgspec
+
+from greengagetrack.connection import gateway
+from greengagetrack.platform import names
+from greengagetrack.version import catalog
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    after: list[int] = []
+    bytes: float = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float = 0
+    priority: int = 0
+    service: str | None = None
+    backends: list[_Share] | None = None
+    attempts: int = 1
+    stages: list[_Stage] | None = None
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Pieces(msgspec.Struct):
+    batch: int
+    call_ms: float
+    item_ms: float
+    slots: int = 1
+    queue: int = 0
+    headroom_mb: float = 0
+    handle_s: float = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: float = 0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    max_conns: int = 64
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 5000
+    idle_timeout_ms: float = 60000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    cold_left_ms: float = 0
+    born: int = 0
+
+
+_MB = 1_000_000
+_KIND = {
+    "safe": catalog.Repeat.SAFE,
+    "unsafe": catalog.Repeat.UNSAFE,
+    "stream": catalog.Repeat.STREAM,
+}
+
+
+def read_config(data):
+    """Return the `Catalog` of a published document, or a text: why not."""
+    try:
+        config = msgspec.json.decode(data, type=_Config)
+        return _translate(config)
+    except (msgspec.MsgspecError, KeyError, UnicodeError) as error:
+        return f"{names.CONFIG_KEY}: {error}"
+
+
+def _translate(config):
+    limits = catalog.CallerLimits(
+        header_max_bytes=config.limits.max_header_bytes,
+        body_max_bytes=config.limits.max_body_bytes,
+        header_timeout_s=config.limits.header_timeout_ms / 1000,
+        idle_timeout_s=config.limits.idle_timeout_ms / 1000,
+    )
+    organisation_by_key = {}
+    for tenant in config.tenants or ():
+        organisation = catalog.Organisation(tenant.name, tenant.priority)
+        for key in tenant.api_keys:
+            organisation_by_key[key] = organisation
+    return catalog.new_catalog(
+        config.version,
+        [_translate_route(route) for route in config.routes],
+        [_translate_service(service) for service in config.services],
+        limits,
+        organisation_by_key,
+        config.tenants is not None,
+    )
+
+
+def _translate_route(route):
+    shares = [
+        catalog.Share(share.service, share.weight)
+        for share in route.backends or ()
+    ] or [catalog.Share(route.service or "")]
+    return catalog.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        repeat=_KIND[route.kind],
+        shares=tuple(shares),
+        timeout_ms=route.timeout_ms,
+        aim_ms=route.goal_ms or route.timeout_ms,
+        attempts=max(route.attempts, 1),
+        priority=route.priority,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        gap_aim_ms=route.gap_aim_ms,
+        stages=tuple(
+            catalog.Stage(stage.service, tuple(stage.after), int(stage.bytes))
+            for stage in route.stages or ()
+        ),
+    )
+
+
+def _translate_service(service):
+    batching = generation = None
+    if service.pieces is not None:
+        pieces = service.pieces
+        batching = catalog.Batching(
+            batch_max=pieces.batch,
+            call_ms=pieces.call_ms,
+            piece_ms=pieces.item_ms,
+            slots=pieces.slots,
+            queue_max=pieces.queue,
+            room_bytes=pieces.headroom_mb * _MB,
+            keep_s=pieces.handle_s,
+        )
+    if service.engine is not None:
+        engine = service.engine
+        generation = catalog.Generation(
+            engine.slots, int(engine.kv_capacity), engine.stride
+        )
+    return catalog.Service(
+        name=service.name,
+        health_path=service.health_path,
+        connections_max=service.max_conns,
+        batching=batching,
+        generation=generation,
+    )
+
+
+def read_entry(server_id, data):
+    """Return the `Server` of an entry, or a text: why not."""
+    try:
+        entry = msgspec.json.decode(data, type=_Entry)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        return f"{names.SERVERS_PREFIX}{server_id}: {error}"
+    host, separator, port = entry.address.rpartition(":")
+    if not (separator and host and port.isdigit()):
+        return f"{names.SERVERS_PREFIX}{server_id}: its address"
+    if entry.state not in (names.READY, names.DRAINING):
+        return f"{names.SERVERS_PREFIX}{server_id}: its state"
+    return gateway.Server(
+        server_id=server_id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=max(entry.slots, 1),
+        is_leaving=entry.state == names.DRAINING,
+        lifetime=entry.born,
+    )
--- /dev/null
+++ b/greengagetrack/platform/engines.py
@@ -0,0 +1,258 @@
+"""Calls the platform's engines: requests, streams, pieces of stages."""
+
+import msgspec
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection.http import client
+from greengagetrack.connection.http import fields
+from greengagetrack.platform import names
+from greengagetrack.request import outcome
+
+FREE_TIMEOUT_S = 1.0
+NOT_RUN_ALWAYS = 421
+
+_Reason = outcome.Reason
+_Ran = outcome.Ran
+
+
+class _Item(msgspec.Struct, omit_defaults=True):
+    id: str
+    stage: int
+    piece: int
+    left_ms: int | None = None
+    key: str | None = None
+    inputs: tuple[str, ...] | None = None
+
+
+class _Items(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Made(msgspec.Struct):
+    handle: str = ""
+    reason: str = ""
+
+
+class _MadeItems(msgspec.Struct):
+    items: list[_Made]
+
+
+class _Handles(msgspec.Struct):
+    handles: list[str]
+
+
+_FAILURE = {
+    "late": gateway.PieceFailure.LATE,
+    "gone": gateway.PieceFailure.INPUT_GONE,
+    "room": gateway.PieceFailure.NO_ROOM,
+}
+
+
+class EngineAnswer(gateway.Answer):
+    """The answer of an engine over HTTP."""
+
+    __slots__ = ("_call", "headers", "is_events", "is_not_run", "status")
+
+    def __init__(self, call, head):
+        self._call = call
+        self.status = head.status
+        self.headers = fields.keep_end_to_end(head.headers)
+        self.is_not_run = _is_not_run(head)
+        content_type = fields.get_value(head.headers, b"content-type", b"")
+        self.is_events = content_type.startswith(names.EVENT_STREAM)
+
+    async def receive_part(self):
+        """Return bytes, None at the whole end, or a `Failure`."""
+        part = await self._call.receive_part()
+        if isinstance(part, client.Broken):
+            return _new_failure(part)
+        return part
+
+    def finish(self):
+        """Let go; the work stops if the answer is not whole yet."""
+        self._call.finish()
+
+
+def _is_not_run(head):
+    if head.status == NOT_RUN_ALWAYS:
+        return True
+    return fields.get_value(head.headers, names.NOT_RUN.lower()) is not None
+
+
+def _new_failure(problem):
+    if isinstance(problem, client.NotSent):
+        return gateway.Failure(
+            _Reason.LINK_DOWN,
+            _Ran.NO,
+            problem.detail,
+            is_server_gone=True,
+        )
+    return gateway.Failure(
+        _Reason.BACKEND_FAILED,
+        _Ran.UNKNOWN,
+        problem.detail,
+        is_server_gone=problem.was_idle,
+    )
+
+
+class EngineGateway(gateway.Gateway):
+    """Calls engines over connections that are kept."""
+
+    __slots__ = ("_pool",)
+
+    def __init__(self, pool):
+        self._pool = pool
+
+    def count_connections(self, server):
+        """Return how many connections to a server are open."""
+        return self._pool.count(server.address)
+
+    def forget_server(self, server):
+        """Close what is kept for a server that is gone."""
+        self._pool.drop_address(server.address)
+
+    async def open_answer(self, server, request):
+        """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
+        head = client.RequestHead(
+            request.method, request.target, _new_headers(server, request)
+        )
+        call = await self._pool.open_call(
+            server.address, head, request.body, request.is_fresh
+        )
+        if not isinstance(call, client.Call):
+            return _new_failure(call)
+        answer = None
+        try:
+            received = await call.receive_head(
+                lambda head: _is_answer_to(head, request.request_id)
+            )
+            if isinstance(received, client.Broken):
+                return _new_failure(received)
+            call.note_headers(received.headers)
+            answer = EngineAnswer(call, received)
+            return answer
+        finally:
+            if answer is None:
+                call.finish()
+
+    async def run_pieces(self, server, pieces):
+        """Return a handle or a `PieceFailure` for each, or a `Failure`."""
+        items = [
+            _Item(
+                id=piece.request_id,
+                stage=piece.stage,
+                piece=piece.number,
+                left_ms=piece.left_ms,
+                key=piece.key if piece.inputs is None else None,
+                inputs=piece.inputs,
+            )
+            for piece in pieces
+        ]
+        answered = await self._post(
+            server, names.STAGE_RUN_PATH, _Items(items)
+        )
+        if isinstance(answered, gateway.Failure):
+            return answered
+        return _read_made(answered, len(pieces))
+
+    async def free_results(self, address, handles):
+        """Tell the maker at `address` that its results are not needed."""
+        with trio.move_on_after(FREE_TIMEOUT_S):
+            await self._exchange(
+                address, names.STAGE_FREE_PATH, _Handles(handles), []
+            )
+
+    async def _post(self, server, path, body):
+        expected = (names.EXPECT_INSTANCE, server.server_id.encode())
+        answered = await self._exchange(server.address, path, body, [expected])
+        if isinstance(answered, gateway.Failure):
+            return answered
+        head, data = answered
+        if head.status == 200:
+            return data
+        return gateway.Failure(
+            _Reason.BACKEND_REFUSED,
+            _Ran.NO if _is_not_run(head) else _Ran.UNKNOWN,
+            f"status {head.status}",
+            is_other_server=head.status == NOT_RUN_ALWAYS,
+        )
+
+    async def _exchange(self, address, path, body, headers):
+        """Return the head and the body of an answer, or a `Failure`."""
+        data = msgspec.json.encode(body)
+        head = client.RequestHead(
+            b"POST",
+            path,
+            [
+                (b"Host", address.encode()),
+                (b"Content-Type", b"application/json"),
+                (b"Content-Length", b"%d" % len(data)),
+                *headers,
+            ],
+        )
+        call = await self._pool.open_call(address, head, data)
+        if not isinstance(call, client.Call):
+            return _new_failure(call)
+        try:
+            received = await call.receive_head(lambda _head: True)
+            if isinstance(received, client.Broken):
+                return _new_failure(received)
+            call.note_headers(received.headers)
+            parts = []
+            while True:
+                part = await call.receive_part()
+                if isinstance(part, client.Broken):
+                    return _new_failure(part)
+                if part is None:
+                    return received, b"".join(parts)
+                parts.append(part)
+        finally:
+            call.finish()
+
+
+def _is_answer_to(head, request_id):
+    echoed = fields.get_value(head.headers, names.REQUEST_ID.lower())
+    return echoed is None or echoed == request_id
+
+
+def _read_made(data, count):
+    try:
+        made = msgspec.json.decode(data, type=_MadeItems).items
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        return gateway.Failure(
+            _Reason.BACKEND_FAILED, _Ran.UNKNOWN, f"pieces: {error}"
+        )
+    if len(made) != count:
+        return gateway.Failure(
+            _Reason.BACKEND_FAILED, _Ran.UNKNOWN, "another count of pieces"
+        )
+    return [
+        item.handle or _FAILURE.get(item.reason, gateway.PieceFailure.ERROR)
+        for item in made
+    ]
+
+
+def _new_headers(server, request):
+    headers = list(request.headers)
+    headers.append((names.EXPECT_INSTANCE, server.server_id.encode()))
+    headers.append((names.DEADLINE_MS, b"%d" % request.left_ms))
+    if request.organisation is not None:
+        headers.append((names.TENANT, request.organisation.encode()))
+    if request.urgency is not None:
+        headers.append((names.REQUEST_PRIORITY, b"%d" % request.urgency))
+    if request.inputs:
+        inputs = ",".join(request.inputs).encode()
+        headers.append((names.INPUTS, inputs))
+    if request.resume_after is not None:
+        name = names.LAST_EVENT_ID.lower()
+        headers = [each for each in headers if each[0].lower() != name]
+        headers.append((names.LAST_EVENT_ID, request.resume_after))
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return headers
+
+
+def new_engine_gateway(pool):
+    """Return a gateway that calls engines over `pool`."""
+    return EngineGateway(pool)
--- /dev/null
+++ b/greengagetrack/platform/names.py
@@ -0,0 +1,49 @@
+"""The names of the platform: header fields, paths and words."""
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE_MS = b"X-Deadline-Ms"
+PROMPT_PREFIX = b"X-Prompt-Prefix"
+TOKEN_COUNTS = b"X-Token-Counts"
+LENGTH_HINT = b"X-Length-Hint"
+LAST_EVENT_ID = b"Last-Event-Id"
+SEAL = b"X-Engine-Seal"
+TENANT = b"X-Tenant"
+EXPECT_INSTANCE = b"X-Expect-Instance"
+ENGINE_LOAD = b"X-Engine-Load"
+NOT_RUN = b"X-Not-Run"
+REQUEST_PRIORITY = b"X-Request-Priority"
+PIECES = b"X-Pieces"
+PIECE_KEY = b"X-Piece-Key"
+INPUTS = b"X-Inputs"
+API_KEY = b"Api-Key"
+
+# Fields that only the system may set, and those it sets anew.
+NOT_PASSED_ON = frozenset(
+    name.lower()
+    for name in (
+        API_KEY,
+        TENANT,
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        REQUEST_PRIORITY,
+        INPUTS,
+        b"X-Hold",
+        b"X-Pin-Ms",
+        b"X-Kv-Backup",
+        b"Kv-From",
+        b"Kv-Fetch",
+    )
+)
+
+READY_PATH = b"/api/readyz"
+STAGE_RUN_PATH = b"/api/stage-run"
+STAGE_FREE_PATH = b"/api/stage-free"
+
+RANGE_PATH = "/api/kv-range"
+WATCH_PATH = "/api/kv-watch"
+SERVERS_PREFIX = "servers/"
+CONFIG_KEY = "op/config"
+
+READY = "ready"
+DRAINING = "draining"
+EVENT_STREAM = b"text/event-stream"
--- /dev/null
+++ b/greengagetrack/platform/store.py
@@ -0,0 +1,149 @@
+"""Reads the platform's store: list, page, and list what has changed."""
+
+import base64
+import urllib.parse
+
+import msgspec
+import trio
+
+from greengagetrack.connection.http import client
+from greengagetrack.connection import source
+from greengagetrack.platform import document
+from greengagetrack.platform import names
+
+CALL_TIMEOUT_S = 1.0
+PAGES_MAX = 200
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    current_rev: int
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Item]
+    current_rev: int
+
+
+class StoreSource(source.Source):
+    """The configuration and the servers' entries in the store."""
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, address, pool):
+        self._address = address
+        self._pool = pool
+
+    async def list_all(self):
+        """Return whole `News`, or `Unreachable`."""
+        items = []
+        revision = None
+        query = {"path_prefix": ""}
+        for _page in range(PAGES_MAX):
+            page = await self._get(names.RANGE_PATH, query, _Page)
+            if isinstance(page, source.Unreachable):
+                return page
+            # Pages are no snapshot: changes since the first come later.
+            revision = revision or page.current_rev
+            items += page.items
+            if not page.has_more or not page.items:
+                return _read_news(items, revision, is_whole=True)
+            query["after"] = page.items[-1].key
+        return source.Unreachable("too many pages")
+
+    async def list_changes(self, revision):
+        """Return `News`, `HistoryLost` or `Unreachable`."""
+        query = {"path_prefix": "", "after": revision, "wait_ms": 0}
+        changes = await self._get(names.WATCH_PATH, query, _Changes)
+        if not isinstance(changes, _Changes):
+            return changes
+        return _read_news(changes.events, changes.current_rev)
+
+    async def _get(self, path, query, answer_type):
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        status, body = 0, b"no answer in time"
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            status, body = await self._call(target.encode())
+        if status == 410:
+            return source.HistoryLost()
+        if status != 200:
+            return source.Unreachable(f"{status} {body[:80]!r}")
+        try:
+            return msgspec.json.decode(body, type=answer_type)
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            return source.Unreachable(f"unreadable: {error}")
+
+    async def _call(self, target):
+        """Return the status and the body; status 0 tells of no answer."""
+        host = self._address.encode()
+        request = client.RequestHead(b"GET", target, [(b"Host", host)])
+        call = await self._pool.open_call(self._address, request, b"")
+        if not isinstance(call, client.Call):
+            return 0, call.detail.encode()
+        try:
+            head = await call.receive_head(lambda _head: True)
+            if isinstance(head, client.Broken):
+                return 0, head.detail.encode()
+            parts = []
+            while True:
+                part = await call.receive_part()
+                if isinstance(part, client.Broken):
+                    return 0, part.detail.encode()
+                if part is None:
+                    return head.status, b"".join(parts)
+                parts.append(part)
+        finally:
+            call.finish()
+
+
+def _read_news(items, revision, is_whole=False):
+    """Return the `News` of the newest state of each key in `items`."""
+    item_by_key = {item.key: item for item in items}
+    servers, removed, problems = [], [], []
+    newest = None
+    for key, item in item_by_key.items():
+        if key == names.CONFIG_KEY and not item.tombstone:
+            newest = document.read_config(base64.b64decode(item.value))
+            if isinstance(newest, str):
+                problems.append(newest)
+                newest = None
+        elif key.startswith(names.SERVERS_PREFIX):
+            server_id = key[len(names.SERVERS_PREFIX) :]
+            server = None
+            if not item.tombstone:
+                server = _read_server(server_id, item.value)
+            if isinstance(server, str):
+                problems.append(server)
+            elif server is not None:
+                servers.append(server)
+                continue
+            removed.append(server_id)
+    return source.News(
+        revision=revision,
+        catalog=newest,
+        servers=tuple(servers),
+        removed=tuple(removed),
+        is_whole=is_whole,
+        problems=tuple(problems),
+    )
+
+
+def _read_server(server_id, value):
+    try:
+        data = base64.b64decode(value)
+    except ValueError as error:
+        return f"{names.SERVERS_PREFIX}{server_id}: {error}"
+    return document.read_entry(server_id, data)
+
+
+def new_store_source(address, pool):
+    """Return the source that reads the store at `address`."""
+    return StoreSource(address, pool)
--- a/greengagetrack/process/daemon.py
+++ b/greengagetrack/process/daemon.py
@@ -4,7 +4,6 @@
 import logging
 import os
 import secrets
-import signal
 import time
 
 import trio
@@ -67,29 +66,6 @@
         before_s = now
 
 
-class Stop:
-    """The wish to stop: first gracefully, then at once."""
-
-    __slots__ = ("drain", "now")
-
-    def __init__(self):
-        self.drain = trio.Event()
-        self.now = trio.Event()
-
-    def ask(self):
-        """Ask to stop: the second time means at once."""
-        if self.drain.is_set():
-            self.now.set()
-        self.drain.set()
-
-    async def follow_signals(self):
-        """Take SIGTERM and SIGINT as wishes to stop."""
-        signals = (signal.SIGTERM, signal.SIGINT)
-        with trio.open_signal_receiver(*signals) as received:
-            async for _signal in received:
-                self.ask()
-
-
 async def _drain(process, limit_s, stop):
     """Return whether everything in progress ended whole."""
     process.start_draining()
--- /dev/null
+++ b/greengagetrack/process/direct/chooser.py
@@ -0,0 +1,174 @@
+"""Chooses the backend server of a request that the entry calls itself.
+
+First a filter (known, not leaving, not tried, not full), then the lowest
+cost in milliseconds among the rest: the predicted wait, what crossing
+data centres or regions costs, and what a held prompt prefix saves.
+"""
+
+import hashlib
+
+import msgspec
+
+from greengagetrack.process.direct import directory as directory_module
+
+PREFILL_TOKENS_PER_MS = 100.0
+STEP_MS_PER_RUNNING = 0.4
+PLAIN_MS_DEFAULT = 25.0
+REGION_PENALTY_MS = 60.0
+DATA_CENTRE_PENALTY_MS = 4.0
+SUSPECT_PENALTY_MS = 5000.0
+FAILURE_PENALTY_MS = 400.0
+HOME_BONUS_MS = 20.0
+CONNECTION_SHARE = 8
+CONNECTIONS_MIN = 4
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A server, what was predicted for it, and how many there were."""
+
+    server: directory_module.KnownServer
+    cost_ms: float
+    wait_ms: float
+    new_tokens: int
+    candidates: int
+
+
+class Chooser:
+    """Chooses servers for the entry in one data centre."""
+
+    __slots__ = (
+        "_data_centre",
+        "_directory",
+        "_gateway",
+        "_get_catalog",
+        "_random",
+        "_region_by_data_centre",
+    )
+
+    def __init__(
+        self,
+        directory,
+        gateway,
+        get_catalog,
+        data_centre,
+        region_by_data_centre,
+        generator,
+    ):
+        self._directory = directory
+        self._gateway = gateway
+        self._get_catalog = get_catalog
+        self._data_centre = data_centre
+        self._region_by_data_centre = region_by_data_centre
+        self._random = generator
+
+    def choose_service(self, route):
+        """Return the name of one of a route's services, by weight."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        if not any(weights):
+            return route.shares[0].service
+        return self._random.choices(route.shares, weights)[0].service
+
+    def choose(self, service, request, excluded=(), near=None):
+        """Return the best `Choice`, or None if no server may be asked.
+
+        `near` names the data centre where the request's inputs lie.
+        """
+        servers = self._get_candidates(service, excluded)
+        if not servers:
+            return None
+        home = _get_home(servers, request.parts)
+        choices = [
+            self._predict(server, request, near, home, len(servers))
+            for server in servers
+        ]
+        self._random.shuffle(choices)
+        return min(choices, key=lambda choice: choice.cost_ms)
+
+    def _get_candidates(self, service, excluded):
+        catalog = self._get_catalog()
+        known = catalog.service_by_name.get(service)
+        most = known.connections_max if known else CONNECTIONS_MIN
+        most = max(most // CONNECTION_SHARE, CONNECTIONS_MIN)
+        return [
+            server
+            for server in self._directory.get_servers(service)
+            if server.server_id not in excluded and server.outstanding < most
+        ]
+
+    def _predict(self, server, request, near, home, count):
+        held = server.count_held_tokens(request.parts)
+        new_tokens = max(request.prompt_tokens - held, 0)
+        wait_ms = self._predict_wait_ms(server, request, new_tokens)
+        cost_ms = wait_ms + self._get_distance_ms(server, near)
+        cost_ms += FAILURE_PENALTY_MS * server.failure_share
+        if server.is_suspect():
+            cost_ms += SUSPECT_PENALTY_MS
+        if server is home:
+            cost_ms -= HOME_BONUS_MS
+        return Choice(server, cost_ms, wait_ms, new_tokens, count)
+
+    def _predict_wait_ms(self, server, request, new_tokens):
+        if request.prompt_tokens:
+            prefill = server.prefill_tokens + new_tokens
+            wait_ms = prefill / PREFILL_TOKENS_PER_MS
+            wait_ms += server.outstanding * STEP_MS_PER_RUNNING
+            return wait_ms * server.slowness
+        each_ms = server.latency_ms or PLAIN_MS_DEFAULT
+        ahead = server.outstanding / server.published.slots
+        return each_ms * (1 + ahead)
+
+    def _get_distance_ms(self, server, near):
+        centre = server.published.data_centre
+        wanted = near or self._data_centre
+        if centre == wanted:
+            return 0.0
+        regions = self._region_by_data_centre
+        if regions.get(centre) == regions.get(wanted):
+            return DATA_CENTRE_PENALTY_MS
+        return REGION_PENALTY_MS
+
+    def is_local(self, server):
+        """Return whether a server is in this entry's data centre."""
+        return server.published.data_centre == self._data_centre
+
+    def get_distance_ms(self, server):
+        """Return what using a server from here costs, in milliseconds."""
+        return self._get_distance_ms(server, None)
+
+
+def _get_home(servers, parts):
+    """Return the server that entries agree on for a prompt's prefix.
+
+    The last part belongs to the request alone; the one before it is the
+    longest that others may share.
+    """
+    if len(parts) < 2:
+        return None
+    part = parts[-2][0]
+
+    def get_score(server):
+        text = f"{part}|{server.server_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return max(servers, key=get_score)
+
+
+def new_chooser(
+    directory,
+    gateway,
+    get_catalog,
+    data_centre,
+    region_by_data_centre,
+    generator,
+):
+    """Return the chooser of the entry in `data_centre`."""
+    return Chooser(
+        directory,
+        gateway,
+        get_catalog,
+        data_centre,
+        region_by_data_centre,
+        generator,
+    )
--- /dev/null
+++ b/greengagetrack/process/direct/daemon.py
@@ -0,0 +1,154 @@
+"""Runs a direct entry as a process: start, reload, leave."""
+
+import abc
+import logging
+import random
+import signal
+
+import trio
+
+from greengagetrack.connection.http import client
+from greengagetrack.connection.http import server as server_module
+from greengagetrack.process.direct import entry as entry_module
+
+ROTATION_S = 2.6
+DRAIN_CHECK_S = 0.05
+EXIT_MARGIN_S = 0.4
+EXIT_OK = 0
+EXIT_CUT = 3
+
+_log = logging.getLogger(__name__)
+
+
+class Adapter(abc.ABC):
+    """What a platform has to give so that an entry can run there."""
+
+    @abc.abstractmethod
+    def get_settings(self):
+        """Return the `DirectSettings`."""
+
+    @abc.abstractmethod
+    def get_caller_address(self):
+        """Return where callers connect, HOST:PORT."""
+
+    @abc.abstractmethod
+    def get_ready_address(self):
+        """Return where readiness is asked, HOST:PORT."""
+
+    @abc.abstractmethod
+    def get_metrics_address(self):
+        """Return where metrics are served, HOST:PORT."""
+
+    @abc.abstractmethod
+    def get_grace_s(self):
+        """Return the seconds from the wish to stop to the kill."""
+
+    @abc.abstractmethod
+    def new_source(self, pool):
+        """Return the `Source` of catalog and servers."""
+
+    @abc.abstractmethod
+    def new_gateway(self, pool):
+        """Return the `Gateway` to backend servers."""
+
+    @abc.abstractmethod
+    async def serve_exchange(self, entry, exchange):
+        """Serve one exchange of a caller."""
+
+    @abc.abstractmethod
+    async def serve_ready(self, entry, exchange):
+        """Answer whether the entry is ready."""
+
+    @abc.abstractmethod
+    def reload(self):
+        """Read the settings again; return a text: what changed."""
+
+
+async def run(adapter, stop, task_status=trio.TASK_STATUS_IGNORED):
+    """Run an entry until it is asked to stop; return the exit code."""
+    settings = adapter.get_settings()
+    _log.info(
+        "started",
+        extra={
+            "decision": "start",
+            "role": "entry",
+            "data_centre": settings.data_centre,
+            "key_bound_s": settings.key_bound_s,
+        },
+    )
+    async with trio.open_nursery() as nursery:
+        pool = client.new_pool(nursery)
+        entry = entry_module.new_direct_entry(
+            settings,
+            adapter.new_source(pool),
+            adapter.new_gateway(pool),
+            pool,
+            nursery,
+            random.Random(settings.name),
+        )
+        callers = await _start_servers(nursery, adapter, entry)
+        nursery.start_soon(entry.run)
+        nursery.start_soon(_follow_reloads, adapter)
+        task_status.started(entry)
+        await stop.drain.wait()
+        is_drained = await _drain(entry, callers, adapter.get_grace_s(), stop)
+        nursery.cancel_scope.cancel()
+    _log.info("stopped", extra={"decision": "stop", "drained": is_drained})
+    return EXIT_OK if is_drained else EXIT_CUT
+
+
+async def _start_servers(nursery, adapter, entry):
+    """Listen for callers, readiness and metrics; return the callers'."""
+    callers = server_module.new_server(
+        adapter.get_caller_address(),
+        lambda exchange: adapter.serve_exchange(entry, exchange),
+        entry.get_limits,
+    )
+    ready = server_module.new_server(
+        adapter.get_ready_address(),
+        lambda exchange: adapter.serve_ready(entry, exchange),
+        entry.get_limits,
+    )
+    metrics = server_module.new_server(
+        adapter.get_metrics_address(),
+        lambda exchange: _serve_metrics(entry, exchange),
+        entry.get_limits,
+    )
+    await nursery.start(ready.serve)
+    await nursery.start(metrics.serve)
+    await nursery.start(callers.serve)
+    return callers
+
+
+async def _serve_metrics(entry, exchange):
+    body, headers = entry.metrics.render([])
+    fields = [(key.encode(), value.encode()) for key, value in headers.items()]
+    await exchange.answer(200, fields, body)
+
+
+async def _follow_reloads(adapter):
+    with trio.open_signal_receiver(signal.SIGHUP) as received:
+        async for _signal in received:
+            changed = adapter.reload()
+            _log.info(
+                "settings read again",
+                extra={"decision": "reload", "outcome": changed},
+            )
+
+
+async def _drain(entry, callers, grace_s, stop):
+    """Leave without a cut; return whether all requests ended.
+
+    Requests still come for as long as others need to see that this entry
+    is not ready; they are served, and their connections end with them.
+    """
+    started_s = trio.current_time()
+    limit_s = started_s + grace_s - EXIT_MARGIN_S
+    entry.start_draining()
+    callers.is_draining = True
+    with trio.move_on_at(limit_s):
+        await trio.sleep(ROTATION_S)
+        while callers.in_progress and not stop.now.is_set():
+            await trio.sleep(DRAIN_CHECK_S)
+    callers.is_closing = True
+    return callers.in_progress == 0
--- /dev/null
+++ b/greengagetrack/process/direct/directory.py
@@ -0,0 +1,202 @@
+"""The backend servers that this entry knows, and what it sees of them.
+
+The published list says who exists. What the entry sees itself (a refused
+connection, silence, failed answers) goes before it for the next choice.
+"""
+
+import logging
+
+import trio
+
+SUSPECT_S = 1.0
+SUSPECT_MAX_S = 4.0
+FAILURE_WEIGHT = 0.2
+EJECT_SHARE = 0.45
+EJECT_S = 2.5
+LATENCY_WEIGHT = 0.2
+LAPSE_GRACE_S = 2.3
+PARTS_MAX = 2000
+
+_log = logging.getLogger(__name__)
+
+
+class KnownServer:
+    """One server: its published entry and what this entry saw of it."""
+
+    __slots__ = (
+        "failure_share",
+        "gone_at_s",
+        "latency_ms",
+        "outstanding",
+        "part_times",
+        "prefill_tokens",
+        "published",
+        "slowness",
+        "suspect_until_s",
+        "suspicions",
+    )
+
+    def __init__(self, published):
+        self.published = published
+        self.outstanding = 0
+        self.prefill_tokens = 0
+        self.failure_share = 0.0
+        self.latency_ms = None
+        self.slowness = 1.0
+        self.suspect_until_s = 0.0
+        self.suspicions = 0
+        self.gone_at_s = None
+        self.part_times = {}
+
+    @property
+    def server_id(self):
+        """Return the id of the server's lifetime."""
+        return self.published.server_id
+
+    def is_usable(self):
+        """Return whether new work may be sent here at all."""
+        return not self.published.is_leaving
+
+    def is_suspect(self):
+        """Return whether others go first for the moment."""
+        return trio.current_time() < self.suspect_until_s
+
+    def note_success(self, spent_ms):
+        """Learn from a whole answer."""
+        self.suspicions = 0
+        self.failure_share *= 1 - FAILURE_WEIGHT
+        if self.latency_ms is None:
+            self.latency_ms = spent_ms
+        change = (spent_ms - self.latency_ms) * LATENCY_WEIGHT
+        self.latency_ms += change
+
+    def note_failure(self):
+        """Learn from an answer that failed or was cut."""
+        self.failure_share += (1 - self.failure_share) * FAILURE_WEIGHT
+        if self.failure_share > EJECT_SHARE:
+            self._suspect(EJECT_S)
+            # The next answers decide whether it stays away longer.
+            self.failure_share = EJECT_SHARE * 0.7
+
+    def note_unreachable(self):
+        """Learn that it can't be reached."""
+        self.suspicions += 1
+        pause_s = min(SUSPECT_S * self.suspicions, SUSPECT_MAX_S)
+        self._suspect(pause_s)
+
+    def _suspect(self, pause_s):
+        self.suspect_until_s = trio.current_time() + pause_s
+        _log.info(
+            "server suspected",
+            extra={
+                "decision": "suspect",
+                "server": self.server_id,
+                "pause_s": pause_s,
+                "failure_share": round(self.failure_share, 2),
+            },
+        )
+
+    def note_parts(self, parts):
+        """Note the prompt parts that the server holds from now on."""
+        now = trio.current_time()
+        for part_id, _tokens in parts:
+            self.part_times.pop(part_id, None)
+            self.part_times[part_id] = now
+        while len(self.part_times) > PARTS_MAX:
+            self.part_times.pop(next(iter(self.part_times)))
+
+    def count_held_tokens(self, parts):
+        """Return the tokens of the leading parts that it holds."""
+        held = 0
+        for part_id, tokens in parts:
+            if part_id not in self.part_times:
+                break
+            held += tokens
+        return held
+
+
+class Directory:
+    """All known servers by id, and by service."""
+
+    __slots__ = ("_forget", "changed", "is_lapse_possible", "server_by_id")
+
+    def __init__(self, forget):
+        self._forget = forget
+        self.server_by_id = {}
+        self.changed = trio.Event()
+        self.is_lapse_possible = False
+
+    def get_servers(self, service):
+        """Return the servers of a service that may get new work."""
+        return [
+            server
+            for server in self.server_by_id.values()
+            if server.published.service == service and server.is_usable()
+        ]
+
+    def get_by_address(self, address):
+        """Return the server at an address, or None."""
+        for server in self.server_by_id.values():
+            if server.published.address == address:
+                return server
+        return None
+
+    def take_news(self, news):
+        """Apply what the source says."""
+        for published in news.servers:
+            self._take_server(published)
+        for server_id in news.removed:
+            self._take_removal(server_id)
+        if news.is_whole:
+            named = {published.server_id for published in news.servers}
+            for server_id in set(self.server_by_id) - named:
+                self._take_removal(server_id)
+        self._remove_gone()
+        event, self.changed = self.changed, trio.Event()
+        event.set()
+
+    def _take_server(self, published):
+        known = self.server_by_id.get(published.server_id)
+        if known is None or known.published.lifetime != published.lifetime:
+            self.server_by_id[published.server_id] = KnownServer(published)
+            self._log_change("server appeared", published)
+            return
+        if known.published.is_leaving != published.is_leaving:
+            self._log_change("server state changed", published)
+        known.published = published
+        known.gone_at_s = None
+
+    def _take_removal(self, server_id):
+        known = self.server_by_id.get(server_id)
+        if known is None:
+            return
+        if known.gone_at_s is None:
+            # Entries lapse while the source is down, and come back soon
+            # after it if their servers live.
+            grace_s = LAPSE_GRACE_S if self.is_lapse_possible else 0.0
+            known.gone_at_s = trio.current_time() + grace_s
+
+    def _remove_gone(self):
+        now = trio.current_time()
+        for server_id, known in list(self.server_by_id.items()):
+            if known.gone_at_s is not None and known.gone_at_s <= now:
+                del self.server_by_id[server_id]
+                self._forget(known)
+                self._log_change("server gone", known.published)
+
+    def _log_change(self, message, published):
+        _log.info(
+            message,
+            extra={
+                "decision": "directory",
+                "server": published.server_id,
+                "service": published.service,
+                "address": published.address,
+                "leaving": published.is_leaving,
+            },
+        )
+
+
+def new_directory(forget):
+    """Return an empty directory; `forget(server)` is told who is gone."""
+    return Directory(forget)
--- /dev/null
+++ b/greengagetrack/process/direct/entry.py
@@ -0,0 +1,193 @@
+"""The entry that calls backend servers itself: admission and its parts."""
+
+import logging
+
+import msgspec
+import trio
+
+from greengagetrack.process.direct import batcher as batcher_module
+from greengagetrack.process.direct import budget as budget_module
+from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import keeper as keeper_module
+from greengagetrack.process.direct import metrics as metrics_module
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request.direct import request as request_module
+from greengagetrack.request.direct import run as run_module
+from greengagetrack.request import outcome
+from greengagetrack.version import catalog as catalog_module
+
+FRESHNESS_MARGIN_S = 1.0
+RETRY_AFTER_START_MS = 300
+RETRY_AFTER_STALE_MS = 500
+HOUSEKEEPING_S = 0.5
+
+_Reason = outcome.Reason
+_log = logging.getLogger(__name__)
+
+
+class DirectSettings(msgspec.Struct, frozen=True):
+    """What the entry must be told of itself and of its bounds."""
+
+    name: str
+    data_centre: str
+    region_by_data_centre: dict[str, str]
+    key_bound_s: float
+    budget_ratio: float
+    budget_slack: float
+    budget_window_s: float
+
+
+class DirectEntry:
+    """Everything that the requests of one entry share."""
+
+    __slots__ = (
+        "_batchers",
+        "_pool",
+        "_services",
+        "directory",
+        "is_draining",
+        "keeper",
+        "lease",
+        "metrics",
+        "settings",
+    )
+
+    def __init__(self, settings, source, gateway, pool, nursery, generator):
+        self.settings = settings
+        self.is_draining = False
+        self._pool = pool
+        self.metrics = metrics_module.new_direct_metrics(settings.name)
+        self.lease = freshness.new_freshness_lease(
+            settings.key_bound_s - FRESHNESS_MARGIN_S
+        )
+        self.directory = directory_module.new_directory(
+            lambda known: gateway.forget_server(known.published)
+        )
+        self.keeper = keeper_module.new_catalog_keeper(
+            source, self.directory, self.lease, generator
+        )
+        get_catalog = self.keeper.get_catalog
+        chooser = chooser_module.new_chooser(
+            self.directory,
+            gateway,
+            get_catalog,
+            settings.data_centre,
+            settings.region_by_data_centre,
+            generator,
+        )
+        budgets = budget_module.new_shared_budgets(
+            settings.budget_ratio,
+            settings.budget_slack,
+            settings.budget_window_s,
+        )
+        self._batchers = batcher_module.new_batchers(
+            self.directory, gateway, chooser, budgets, get_catalog, nursery
+        )
+        self._services = run_module.RunServices(
+            chooser, gateway, self._batchers, budgets, self.metrics
+        )
+
+    async def run(self):
+        """Run the tasks of the entry until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.keeper.keep)
+            nursery.start_soon(self._batchers.keep)
+            nursery.start_soon(self._keep_house)
+
+    async def _keep_house(self):
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self._pool.drop_idle()
+
+    def get_limits(self):
+        """Return what callers may send."""
+        catalog = self.keeper.get_catalog()
+        if catalog is None:
+            return catalog_module.CallerLimits()
+        return catalog.limits
+
+    def is_ready(self):
+        """Return whether callers may be sent here."""
+        if self.is_draining or self.keeper.get_catalog() is None:
+            return False
+        return bool(self.directory.server_by_id) and self.lease.is_fresh()
+
+    def start_draining(self):
+        """Be not ready from now on; requests that come are served."""
+        self.is_draining = True
+        _log.info("draining", extra={"decision": "drain"})
+
+    def admit(self, request):
+        """Return `Admitted` or `Refused`."""
+        catalog = self.keeper.get_catalog()
+        if catalog is None:
+            return outcome.Refused(
+                _Reason.NO_TABLE, retry_after_ms=RETRY_AFTER_START_MS
+            )
+        route = catalog.find_route(request.host, request.path)
+        if route is None:
+            return self._refuse_unknown(_Reason.PIPELINE_UNKNOWN)
+        organisation = None
+        if catalog.has_organisations and not route.is_public:
+            # The caller sent this no later than now, so an entry that is
+            # fresh at this moment has not missed its key for too long,
+            # whenever the request runs.
+            if not self.lease.is_fresh():
+                return self._refuse_stale()
+            organisation = catalog.find_organisation(request.api_key)
+            if organisation is None:
+                return self._refuse_unknown(_Reason.ORGANISATION_UNKNOWN)
+        limit_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        deadline = deadline_module.Deadline(
+            request.received_s + limit_ms / 1000
+        )
+        return request_module.Admitted(
+            request, route, organisation, deadline, catalog.version
+        )
+
+    def _refuse_unknown(self, reason):
+        # An entry that may have missed a change must not deny anything.
+        if not self.lease.is_fresh():
+            return self._refuse_stale()
+        return outcome.Refused(reason)
+
+    def _refuse_stale(self):
+        return outcome.Refused(
+            _Reason.NO_TABLE,
+            "the catalog may be out of date",
+            RETRY_AFTER_STALE_MS,
+        )
+
+    async def serve(self, request, reply):
+        """Return the end of one request; its answer goes to `reply`."""
+        admitted = self.admit(request)
+        if isinstance(admitted, outcome.Refused):
+            self._note_refusal(request, admitted)
+            return admitted
+        run = run_module.new_direct_run(self._services, admitted, reply)
+        return await run.run()
+
+    def _note_refusal(self, request, refused):
+        self.metrics.note_refusal(refused.reason)
+        _log.info(
+            "request refused",
+            extra={
+                "decision": "refuse",
+                "request": request.log_id,
+                "outcome": refused.reason,
+                "detail": refused.detail,
+                "host": request.host,
+                "retry_after_ms": refused.retry_after_ms,
+                "catalog_version": self.keeper.get_version(),
+                "freshness_age_s": self.lease.get_age_s(),
+            },
+        )
+
+
+def new_direct_entry(settings, source, gateway, pool, nursery, generator):
+    """Return an entry whose background calls run in `nursery`."""
+    return DirectEntry(settings, source, gateway, pool, nursery, generator)
--- /dev/null
+++ b/greengagetrack/process/direct/keeper.py
@@ -0,0 +1,148 @@
+"""Keeps the newest catalog and the list of servers of this entry.
+
+One question in each period brings the changes of both, and confirms at
+the same time that the catalog is the newest. Versions only rise.
+"""
+
+import logging
+
+import trio
+
+from greengagetrack.connection import source as source_module
+
+PERIOD_S = 1.1
+RETRY_S = 0.25
+SLOW_ANSWER_S = 0.6
+LAPSE_MEMORY_S = 6.0
+
+_log = logging.getLogger(__name__)
+
+
+class CatalogKeeper:
+    """Follows one source and applies what it says."""
+
+    __slots__ = (
+        "_directory",
+        "_is_reached",
+        "_random",
+        "_source",
+        "_troubled_at_s",
+        "accepted",
+        "catalog",
+        "lease",
+        "revision",
+    )
+
+    def __init__(self, source, directory, lease, generator):
+        self._source = source
+        self._directory = directory
+        self._random = generator
+        self._is_reached = None
+        self._troubled_at_s = None
+        self.lease = lease
+        self.catalog = None
+        self.revision = None
+        self.accepted = trio.Event()
+
+    def get_catalog(self):
+        """Return the catalog in force, or None before the first one."""
+        return self.catalog
+
+    def get_version(self):
+        """Return the version in force, 0 before the first one."""
+        return 0 if self.catalog is None else self.catalog.version
+
+    async def keep(self):
+        """Follow the source until cancelled."""
+        while True:
+            if await self._ask_once():
+                await trio.sleep(PERIOD_S * self._random.uniform(0.85, 1.0))
+            else:
+                await trio.sleep(RETRY_S * self._random.uniform(0.8, 1.2))
+
+    async def _ask_once(self):
+        """Ask the source once; return whether it answered."""
+        sent_s = self.lease.now_s()
+        started_s = trio.current_time()
+        if self.revision is None:
+            answer = await self._source.list_all()
+        else:
+            answer = await self._source.list_changes(self.revision)
+        if trio.current_time() - started_s > SLOW_ANSWER_S:
+            self._troubled_at_s = trio.current_time()
+        if isinstance(answer, source_module.HistoryLost):
+            _log.info("history lost", extra={"decision": "list again"})
+            self.revision = None
+            return False
+        self._note_reached(answer)
+        if isinstance(answer, source_module.Unreachable):
+            return False
+        self._take(answer, sent_s)
+        return True
+
+    def _note_reached(self, answer):
+        is_reached = not isinstance(answer, source_module.Unreachable)
+        if not is_reached:
+            self._troubled_at_s = trio.current_time()
+        if is_reached == self._is_reached:
+            return
+        self._is_reached = is_reached
+        _log.info(
+            "source regained" if is_reached else "source lost",
+            extra={
+                "decision": "dependency",
+                "detail": "" if is_reached else answer.detail,
+                "catalog_version": self.get_version(),
+                "freshness_age_s": self.lease.get_age_s(),
+            },
+        )
+
+    def _take(self, news, sent_s):
+        if self.revision is not None and news.revision < self.revision:
+            # The source answers from the past: it confirms nothing.
+            _log.warning(
+                "answer from the past",
+                extra={
+                    "decision": "ignore",
+                    "revision": news.revision,
+                    "known_revision": self.revision,
+                },
+            )
+            return
+        for problem in news.problems:
+            _log.warning(
+                "entry unreadable",
+                extra={"decision": "ignore", "detail": problem},
+            )
+        self._directory.is_lapse_possible = self._is_lapse_possible()
+        self._directory.take_news(news)
+        self._take_catalog(news.catalog)
+        self.revision = news.revision
+        if self.catalog is not None:
+            self.lease.confirm(sent_s)
+
+    def _is_lapse_possible(self):
+        if self._troubled_at_s is None:
+            return False
+        return trio.current_time() - self._troubled_at_s < LAPSE_MEMORY_S
+
+    def _take_catalog(self, catalog):
+        if catalog is None or catalog.version <= self.get_version():
+            return
+        before = self.get_version()
+        self.catalog = catalog
+        event, self.accepted = self.accepted, trio.Event()
+        event.set()
+        _log.info(
+            "catalog accepted",
+            extra={
+                "decision": "accept",
+                "catalog_version": catalog.version,
+                "before": before,
+            },
+        )
+
+
+def new_catalog_keeper(source, directory, lease, generator):
+    """Return a keeper that has read nothing yet."""
+    return CatalogKeeper(source, directory, lease, generator)
--- /dev/null
+++ b/greengagetrack/process/direct/metrics.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of the direct way, by aioprometheus."""
+
+import aioprometheus
+
+from greengagetrack.request.direct import run
+
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+ROUTES_MAX = 64
+OTHER = "other"
+
+
+class DirectMetrics:
+    """The metrics of one entry, in a registry of their own."""
+
+    __slots__ = ("_choices", "_ends", "_labels", "_latency", "registry")
+
+    def __init__(self, process):
+        labels = {"process": process}
+        self._labels = set()
+        self.registry = aioprometheus.Registry()
+        self._ends = aioprometheus.Counter(
+            "greengagetrack_requests_total",
+            "Requests by route, outcome and reason.",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._choices = aioprometheus.Counter(
+            "greengagetrack_choices_total",
+            "Choices of a backend server by service.",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._latency = aioprometheus.Histogram(
+            "greengagetrack_request_seconds",
+            "Time of admitted requests by route and outcome.",
+            buckets=list(LATENCY_BUCKETS_S),
+            const_labels=labels,
+            registry=self.registry,
+        )
+
+    def _get_label(self, name):
+        """Return the label of a route; the first ones have their own."""
+        if name not in self._labels:
+            if len(self._labels) >= ROUTES_MAX:
+                return OTHER
+            self._labels.add(name)
+        return name
+
+    def note_choice(self, service):
+        """Count one choice of a server."""
+        self._choices.inc({"service": service})
+
+    def note_end(self, route, end, spent_ms):
+        """Count the end of an admitted request."""
+        label = self._get_label(route.name)
+        name = run.get_outcome_name(end)
+        reason = str(getattr(end, "reason", ""))
+        self._ends.inc({"route": label, "outcome": name, "reason": reason})
+        self._latency.observe(
+            {"route": label, "outcome": name}, spent_ms / 1000
+        )
+
+    def note_refusal(self, reason):
+        """Count a request that was not admitted."""
+        labels = {"route": "", "outcome": "refused", "reason": str(reason)}
+        self._ends.inc(labels)
+
+    def render(self, accept):
+        """Return `(body, headers)` in a format that is accepted."""
+        return aioprometheus.render(self.registry, accept)
+
+
+def new_direct_metrics(process):
+    """Return the metrics of the process `process`, all zero."""
+    return DirectMetrics(process)
--- /dev/null
+++ b/greengagetrack/process/stop.py
@@ -0,0 +1,28 @@
+"""The wish to stop a process, and the signals that carry it."""
+
+import signal
+
+import trio
+
+
+class Stop:
+    """The wish to stop: first gracefully, then at once."""
+
+    __slots__ = ("drain", "now")
+
+    def __init__(self):
+        self.drain = trio.Event()
+        self.now = trio.Event()
+
+    def ask(self):
+        """Ask to stop: the second time means at once."""
+        if self.drain.is_set():
+            self.now.set()
+        self.drain.set()
+
+    async def follow_signals(self):
+        """Take SIGTERM and SIGINT as wishes to stop."""
+        signals = (signal.SIGTERM, signal.SIGINT)
+        with trio.open_signal_receiver(*signals) as received:
+            async for _signal in received:
+                self.ask()
--- /dev/null
+++ b/greengagetrack/request/direct/graph.py
@@ -0,0 +1,125 @@
+"""The stages of one request: each starts when all it needs is there."""
+
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.request.direct import piece
+from greengagetrack.request import outcome
+
+ROUNDS_MAX = 2
+
+_Reason = outcome.Reason
+
+
+class StageGraph:
+    """Runs the stages of an admitted request.
+
+    Results stay at their makers; the graph holds their handles and gives
+    them back when the request is over.
+    """
+
+    __slots__ = ("_admitted", "_batchers", "_done", "_failure", "_tasks")
+
+    def __init__(self, admitted, batchers):
+        self._admitted = admitted
+        self._batchers = batchers
+        self._tasks = {}
+        self._failure = None
+        self._done = {}
+
+    def _count_pieces(self, index):
+        counts = self._admitted.request.piece_counts
+        return counts[index] if index < len(counts) else 0
+
+    async def run(self):
+        """Return the handles that the request needs, or `Refused`."""
+        for _round in range(ROUNDS_MAX):
+            self._failure = None
+            stages = self._admitted.route.stages
+            self._done = {index: trio.Event() for index in range(len(stages))}
+            async with trio.open_nursery() as nursery:
+                for index in range(len(stages)):
+                    nursery.start_soon(self._run_stage, index)
+            if self._failure is None:
+                return self.get_inputs()
+            if self._failure is not gateway.PieceFailure.INPUT_GONE:
+                break
+        reason = _Reason.NO_CAPACITY
+        if self._failure is gateway.PieceFailure.LATE:
+            reason = _Reason.DEADLINE_PASSED
+        return outcome.Refused(reason, f"stage: {self._failure}")
+
+    async def _run_stage(self, index):
+        stage = self._admitted.route.stages[index]
+        for before in stage.after:
+            await self._done[before].wait()
+        if self._failure is None and self._count_pieces(index):
+            await self._make_pieces(index, stage)
+        self._done[index].set()
+
+    async def _make_pieces(self, index, stage):
+        inputs = self._get_handles(stage.after) if stage.after else None
+        tasks = [
+            self._new_task(index, number, inputs)
+            for number in range(self._count_pieces(index))
+        ]
+        self._tasks[index] = tasks
+        await self._batchers.get(stage.service).make(tasks)
+        for task in tasks:
+            if isinstance(task.result, gateway.PieceFailure):
+                self._failure = self._failure or task.result
+
+    def _new_task(self, index, number, inputs):
+        request = self._admitted.request
+        task = piece.PieceTask(
+            request.log_id, index, number, request.piece_key, inputs
+        )
+        task.deadline = self._admitted.deadline
+        task.aim_at_s = self._admitted.aim_at_s
+        task.priority = self._admitted.priority
+        return task
+
+    def _get_handles(self, indexes):
+        return tuple(
+            task.result
+            for index in indexes
+            for task in self._tasks.get(index, ())
+        )
+
+    def get_inputs(self):
+        """Return the handles of all pieces that no other stage follows."""
+        last = self._admitted.route.get_last_stages()
+        return self._get_handles(
+            [index for index in last if self._count_pieces(index)]
+        )
+
+    def get_heaviest_data_centre(self):
+        """Return where most bytes of the inputs lie, or None."""
+        bytes_by_centre = {}
+        for index in self._admitted.route.get_last_stages():
+            size = self._admitted.route.stages[index].result_bytes
+            for task in self._tasks.get(index, ()):
+                centre = task.maker.published.data_centre
+                before = bytes_by_centre.get(centre, 0)
+                bytes_by_centre[centre] = before + size
+        if not bytes_by_centre:
+            return None
+        return max(bytes_by_centre, key=bytes_by_centre.get)
+
+    async def free(self):
+        """Give all results back to their makers."""
+        handles_by_address = {}
+        for tasks in self._tasks.values():
+            for task in tasks:
+                if task.maker is not None:
+                    address = task.maker.published.address
+                    handles = handles_by_address.setdefault(address, [])
+                    handles.append(task.result)
+        self._tasks = {}
+        if handles_by_address:
+            await self._batchers.free(handles_by_address)
+
+
+def new_stage_graph(admitted, batchers):
+    """Return the graph of an admitted request, with nothing made yet."""
+    return StageGraph(admitted, batchers)
--- /dev/null
+++ b/greengagetrack/request/direct/piece.py
@@ -0,0 +1,57 @@
+"""One piece of a stage, from the moment it is wanted to its result."""
+
+import trio
+
+from greengagetrack.connection import gateway as gateway_module
+
+
+class PieceTask:
+    """One piece that waits for a server or is being made."""
+
+    __slots__ = (
+        "aim_at_s",
+        "deadline",
+        "done",
+        "inputs",
+        "key",
+        "maker",
+        "number",
+        "priority",
+        "request_id",
+        "result",
+        "stage",
+        "tries",
+        "waiting_since_s",
+    )
+
+    def __init__(self, request_id, stage, number, key, inputs):
+        self.request_id = request_id
+        self.stage = stage
+        self.number = number
+        self.key = key
+        self.inputs = inputs
+        self.aim_at_s = 0.0
+        self.deadline = None
+        self.priority = 0
+        self.tries = 0
+        self.result = None
+        self.maker = None
+        self.waiting_since_s = trio.current_time()
+        self.done = trio.Event()
+
+    def settle(self, result, maker=None):
+        """End the piece with a handle or a failure."""
+        self.result = result
+        self.maker = maker
+        self.done.set()
+
+    def to_piece(self):
+        """Return the piece as it goes into a call."""
+        return gateway_module.Piece(
+            request_id=self.request_id,
+            stage=self.stage,
+            number=self.number,
+            left_ms=self.deadline.get_left_ms(),
+            key=self.key,
+            inputs=self.inputs,
+        )
--- /dev/null
+++ b/greengagetrack/request/direct/request.py
@@ -0,0 +1,63 @@
+"""A caller's request, read and understood, before anything is decided."""
+
+import msgspec
+
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.version import catalog
+
+
+class DirectRequest(msgspec.Struct):
+    """One request as its caller sent it.
+
+    `headers` are those to pass on. `parts` are the parts of its prompt as
+    `(id, tokens)`; `piece_counts` gives the number of pieces of each
+    stage.
+    """
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: str
+    headers: list
+    body: bytes
+    received_s: float
+    deadline_ms: float | None = None
+    api_key: str | None = None
+    parts: tuple = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    piece_counts: tuple[int, ...] = ()
+    piece_key: str = ""
+
+    @property
+    def path(self):
+        """Return the target without its query, as text."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+    @property
+    def log_id(self):
+        """Return the id as text, for logs and pieces."""
+        return self.request_id.decode("latin-1")
+
+
+class Admitted(msgspec.Struct):
+    """A request that may run: its route and whose it is."""
+
+    request: DirectRequest
+    route: catalog.Route
+    organisation: catalog.Organisation | None
+    deadline: deadline_module.Deadline
+    catalog_version: int
+
+    @property
+    def priority(self):
+        """Return the rank: the organisation's goes before the route's."""
+        if self.organisation is not None:
+            if self.organisation.priority is not None:
+                return self.organisation.priority
+        return self.route.priority
+
+    @property
+    def aim_at_s(self):
+        """Return until when an answer is worth most."""
+        return self.request.received_s + self.route.aim_ms / 1000
--- /dev/null
+++ b/greengagetrack/request/direct/run.py
@@ -0,0 +1,479 @@
+"""The run of one admitted request: its stages, then its attempts.
+
+Each attempt goes to one backend server. What happens next depends on what
+is proved about the last one: a request that provably did not run may go
+to another server; one that may have run only if it is idempotent, within
+the route's attempts, the shared budget and the time left.
+"""
+
+import logging
+
+import msgspec
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection.http import events
+from greengagetrack.request.direct import graph as graph_module
+from greengagetrack.request import outcome
+
+SENDS_EXTRA = 1
+LEFT_MIN_MS = 5
+ANSWER_MAX_BYTES = 8 * 1024 * 1024
+RETRY_AFTER_MIN_MS = 100
+FIRST_EVENT_MIN_S = 1.2
+FIRST_EVENT_X = 5.0
+GAP_S = 1.2
+SERVER_ERROR = 500
+
+_Reason = outcome.Reason
+_Ran = outcome.Ran
+_log = logging.getLogger(__name__)
+
+
+class Relayed(msgspec.Struct, frozen=True):
+    """The answer of a backend server reached the caller whole."""
+
+    status: int
+
+
+class Cut(msgspec.Struct, frozen=True):
+    """The answer had begun and could not be completed."""
+
+    reason: outcome.Reason
+    detail: str = ""
+
+
+class RunServices(msgspec.Struct):
+    """What the process lends to every run."""
+
+    chooser: object
+    gateway: object
+    batchers: object
+    budgets: object
+    metrics: object
+
+
+class DirectRun:
+    """Runs one request until its caller has an answer or none can come."""
+
+    __slots__ = (
+        "_admitted",
+        "_attempts",
+        "_excluded",
+        "_graph",
+        "_inputs",
+        "_is_run_possible",
+        "_last_event",
+        "_last_failure",
+        "_near",
+        "_refusal",
+        "_reply",
+        "_sends",
+        "_service",
+        "_services",
+        "_splitter",
+        "_started_s",
+    )
+
+    def __init__(self, services, admitted, reply):
+        self._services = services
+        self._admitted = admitted
+        self._reply = reply
+        self._graph = None
+        self._inputs = ()
+        self._near = None
+        self._service = ""
+        self._excluded = set()
+        self._sends = 0
+        self._attempts = 0
+        self._is_run_possible = False
+        self._last_event = None
+        self._last_failure = None
+        self._refusal = None
+        self._splitter = None
+        self._started_s = trio.current_time()
+
+    async def run(self):
+        """Return `Relayed`, `Refused`, `Unknown` or `Cut`."""
+        end = None
+        try:
+            with trio.move_on_at(self._admitted.deadline.at_s):
+                end = await self._run_all()
+            if end is None:
+                end = self._end_late()
+            return end
+        finally:
+            self._note_end(end)
+            if self._graph is not None:
+                with trio.CancelScope(shield=True):
+                    await self._graph.free()
+
+    def _end_late(self):
+        if self._reply.is_started:
+            return Cut(_Reason.DEADLINE_PASSED)
+        return self._settle(outcome.Refused(_Reason.DEADLINE_PASSED))
+
+    def _settle(self, end):
+        """Return an end that is true for all attempts, not just one."""
+        if self._reply.is_started and not isinstance(end, Relayed):
+            return Cut(end.reason, end.detail)
+        if isinstance(end, outcome.Refused) and self._is_run_possible:
+            return outcome.Unknown(end.reason, end.detail)
+        return end
+
+    async def _run_all(self):
+        admitted = self._admitted
+        if admitted.route.stages:
+            batchers = self._services.batchers
+            self._graph = graph_module.new_stage_graph(admitted, batchers)
+            inputs = await self._graph.run()
+            if isinstance(inputs, outcome.Refused):
+                return inputs
+            self._inputs = inputs
+            self._near = self._graph.get_heaviest_data_centre()
+        chooser = self._services.chooser
+        self._service = chooser.choose_service(admitted.route)
+        self._services.budgets.get(self._service).note_first()
+        while True:
+            end = await self._attempt()
+            if end is not None:
+                return self._settle(end)
+            if not self._may_send_again():
+                return self._settle(self._new_refusal())
+
+    def _new_refusal(self):
+        failure = self._last_failure
+        if failure is None:
+            return outcome.Refused(
+                _Reason.NO_CAPACITY, retry_after_ms=RETRY_AFTER_MIN_MS
+            )
+        if self._is_run_possible:
+            return outcome.Unknown(failure.reason, failure.detail)
+        return outcome.Refused(
+            failure.reason, failure.detail, RETRY_AFTER_MIN_MS
+        )
+
+    def _may_send_again(self):
+        """Return whether one more server may be asked."""
+        route = self._admitted.route
+        if self._last_failure is None:
+            return False
+        if self._admitted.deadline.get_left_ms() < LEFT_MIN_MS:
+            return False
+        if self._is_run_possible and not route.is_idempotent:
+            return False
+        if self._attempts >= route.attempts:
+            return False
+        if self._sends >= route.attempts + SENDS_EXTRA:
+            return False
+        if self._sends == 0:
+            return True
+        return self._services.budgets.get(self._service).take()
+
+    async def _attempt(self):
+        """Ask one server; return an end, or None to think again."""
+        choice = self._services.chooser.choose(
+            self._service, self._admitted.request, self._excluded, self._near
+        )
+        if choice is None:
+            return self._new_refusal()
+        server = choice.server
+        self._excluded.add(server.server_id)
+        self._log_choice(choice)
+        prefill = choice.new_tokens
+        server.outstanding += 1
+        server.prefill_tokens += prefill
+        server.note_parts(self._admitted.request.parts)
+        exchange = _Exchange(server, prefill)
+        try:
+            return await self._exchange(exchange)
+        finally:
+            exchange.note_prefilled()
+            server.outstanding -= 1
+
+    async def _exchange(self, exchange):
+        server = exchange.server
+        answer = None
+        limit_s = self._get_first_limit_s(exchange)
+        with trio.move_on_after(limit_s) as scope:
+            answer = await self._services.gateway.open_answer(
+                server.published, self._new_server_request()
+            )
+        if scope.cancelled_caught:
+            answer = gateway.Failure(
+                _Reason.AGENT_SILENT, _Ran.UNKNOWN, "no answer in time"
+            )
+        if isinstance(answer, gateway.Failure):
+            return self._take_failure(exchange, answer)
+        self._sends += 1
+        try:
+            return await self._take_answer(exchange, answer)
+        finally:
+            answer.finish()
+
+    def _get_first_limit_s(self, exchange):
+        """Return how long a first sign may take before others are asked.
+
+        A request that may run once only waits as long as its caller does.
+        """
+        route = self._admitted.route
+        if not route.is_idempotent or self._attempts + 1 >= route.attempts:
+            return self._admitted.deadline.get_left_s() + 1.0
+        aim_s = route.aim_ms / 1000
+        return max(FIRST_EVENT_MIN_S, aim_s)
+
+    def _new_server_request(self):
+        admitted = self._admitted
+        request = admitted.request
+        return gateway.ServerRequest(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            left_ms=max(admitted.deadline.get_left_ms(), 1),
+            organisation=(
+                admitted.organisation.name if admitted.organisation else None
+            ),
+            urgency=min(max(admitted.priority, 0), 9),
+            inputs=self._inputs,
+            resume_after=self._last_event,
+            is_fresh=not admitted.route.is_idempotent,
+        )
+
+    def _take_failure(self, exchange, failure):
+        """Learn from a failed send; None asks for the next server."""
+        server = exchange.server
+        if failure.ran is _Ran.UNKNOWN:
+            self._sends += 1
+            self._attempts += 1
+            self._is_run_possible = True
+        if failure.is_server_gone or failure.is_other_server:
+            server.note_unreachable()
+        elif failure.reason is _Reason.AGENT_SILENT:
+            server.note_unreachable()
+        else:
+            server.note_failure()
+        self._last_failure = failure
+        self._log_failure(server, failure)
+        return None
+
+    async def _take_answer(self, exchange, answer):
+        if answer.is_not_run:
+            return await self._take_rejection(exchange, answer)
+        self._attempts += 1
+        self._is_run_possible = True
+        if answer.is_events and answer.status < 300:
+            return await self._relay_events(exchange, answer)
+        return await self._relay_whole(exchange, answer)
+
+    async def _take_rejection(self, exchange, answer):
+        # What is read whole leaves the connection for the next request.
+        with trio.move_on_after(0.2):
+            while isinstance(await answer.receive_part(), bytes):
+                pass
+        failure = gateway.Failure(
+            _Reason.BACKEND_REFUSED,
+            _Ran.NO,
+            f"status {answer.status}",
+            is_other_server=answer.status == 421,
+        )
+        return self._take_failure(exchange, failure)
+
+    async def _relay_whole(self, exchange, answer):
+        parts, size = [], 0
+        while True:
+            part = await answer.receive_part()
+            if part is None:
+                break
+            if isinstance(part, gateway.Failure):
+                self._attempts -= 1
+                return self._take_failure(exchange, part)
+            parts.append(part)
+            size += len(part)
+            if size > ANSWER_MAX_BYTES:
+                return outcome.Unknown(
+                    _Reason.BACKEND_FAILED, "an answer over the limit"
+                )
+        exchange.note_whole(answer.status)
+        if self._is_better_repeated(answer.status):
+            exchange.server.note_failure()
+            self._last_failure = gateway.Failure(
+                _Reason.BACKEND_FAILED,
+                _Ran.UNKNOWN,
+                f"status {answer.status}",
+            )
+            if self._may_send_again():
+                self._log_failure(exchange.server, self._last_failure)
+                return None
+        if self._reply.is_started:
+            return Cut(_Reason.BACKEND_FAILED, f"status {answer.status}")
+        await self._reply.send_whole(
+            answer.status, answer.headers, b"".join(parts)
+        )
+        return Relayed(answer.status)
+
+    def _is_better_repeated(self, status):
+        return status >= SERVER_ERROR and self._admitted.route.is_idempotent
+
+    async def _relay_events(self, exchange, answer):
+        if not self._reply.is_started:
+            await self._reply.start(answer.status, answer.headers)
+        self._splitter = events.EventSplitter()
+        while True:
+            part = None
+            with trio.move_on_after(self._get_gap_s()) as scope:
+                part = await answer.receive_part()
+            if scope.cancelled_caught:
+                part = gateway.Failure(
+                    _Reason.AGENT_SILENT, _Ran.UNKNOWN, "a stream stalled"
+                )
+            if isinstance(part, gateway.Failure):
+                self._attempts -= 1
+                return self._take_failure(exchange, part)
+            if part is None:
+                return await self._end_events(exchange, answer)
+            exchange.note_prefilled()
+            problem = await self._pass_events(part)
+            if problem is not None:
+                self._attempts -= 1
+                return self._take_failure(exchange, problem)
+
+    def _get_gap_s(self):
+        route = self._admitted.route
+        if not route.is_resumable or self._attempts >= route.attempts:
+            return self._admitted.deadline.get_left_s() + 1.0
+        if self._last_event is None:
+            return max(FIRST_EVENT_MIN_S, route.aim_ms / 1000)
+        return max(GAP_S, FIRST_EVENT_X * route.gap_aim_ms / 1000 / 2)
+
+    async def _pass_events(self, part):
+        """Pass whole events on; return a `Failure` if one is out of turn."""
+        whole = self._splitter.feed(part)
+        passed = []
+        problem = None
+        for event in whole:
+            if not self._is_next(event):
+                problem = gateway.Failure(
+                    _Reason.BACKEND_FAILED,
+                    _Ran.UNKNOWN,
+                    f"event {event.event_id!r} after {self._last_event!r}",
+                )
+                break
+            if event.event_id is not None:
+                self._last_event = event.event_id
+            passed.append(event.data)
+        if passed:
+            await self._reply.send_part(b"".join(passed))
+        return problem
+
+    def _is_next(self, event):
+        if event.event_id is None or self._last_event is None:
+            return True
+        if not (event.event_id.isdigit() and self._last_event.isdigit()):
+            return True
+        return int(event.event_id) == int(self._last_event) + 1
+
+    async def _end_events(self, exchange, answer):
+        rest = self._splitter.get_rest()
+        if rest:
+            await self._reply.send_part(rest)
+        await self._reply.finish()
+        exchange.note_whole(answer.status)
+        return Relayed(answer.status)
+
+    def _log_choice(self, choice):
+        server = choice.server
+        self._services.metrics.note_choice(self._service)
+        _log.info(
+            "server chosen",
+            extra={
+                "decision": "route",
+                "request": self._admitted.request.log_id,
+                "route": self._admitted.route.name,
+                "service": self._service,
+                "server": server.server_id,
+                "data_centre": server.published.data_centre,
+                "cost_ms": round(choice.cost_ms, 1),
+                "wait_ms": round(choice.wait_ms, 1),
+                "outstanding": server.outstanding,
+                "candidates": choice.candidates,
+                "new_tokens": choice.new_tokens,
+                "send": self._sends + 1,
+                "left_ms": self._admitted.deadline.get_left_ms(),
+                "catalog_version": self._admitted.catalog_version,
+            },
+        )
+
+    def _log_failure(self, server, failure):
+        _log.warning(
+            "attempt failed",
+            extra={
+                "decision": "attempt",
+                "request": self._admitted.request.log_id,
+                "route": self._admitted.route.name,
+                "server": server.server_id,
+                "outcome": failure.reason,
+                "ran": failure.ran,
+                "detail": failure.detail,
+                "sends": self._sends,
+                "last_event": (self._last_event or b"").decode("latin-1"),
+            },
+        )
+
+    def _note_end(self, end):
+        spent_ms = (trio.current_time() - self._started_s) * 1000
+        self._services.metrics.note_end(self._admitted.route, end, spent_ms)
+        is_whole = isinstance(end, Relayed)
+        level = logging.INFO if is_whole else logging.WARNING
+        _log.log(
+            level,
+            "request ended",
+            extra={
+                "decision": "end",
+                "request": self._admitted.request.log_id,
+                "route": self._admitted.route.name,
+                "outcome": get_outcome_name(end),
+                "reason": getattr(end, "reason", ""),
+                "detail": getattr(end, "detail", ""),
+                "status": getattr(end, "status", 0),
+                "spent_ms": round(spent_ms, 1),
+                "sends": self._sends,
+                "left_ms": self._admitted.deadline.get_left_ms(),
+                "catalog_version": self._admitted.catalog_version,
+            },
+        )
+
+
+def get_outcome_name(end):
+    """Return the name of an end; a caller that left has none."""
+    return "caller_left" if end is None else type(end).__name__.lower()
+
+
+class _Exchange:
+    """What one attempt holds at its server."""
+
+    __slots__ = ("_prefill", "_started_s", "server")
+
+    def __init__(self, server, prefill):
+        self.server = server
+        self._prefill = prefill
+        self._started_s = trio.current_time()
+
+    def note_prefilled(self):
+        """Note once that the server has read the prompt."""
+        self.server.prefill_tokens -= self._prefill
+        self._prefill = 0
+
+    def note_whole(self, status):
+        """Learn from a whole answer."""
+        if status < SERVER_ERROR:
+            spent_s = trio.current_time() - self._started_s
+            self.server.note_success(spent_s * 1000)
+        else:
+            self.server.note_failure()
+
+
+def new_direct_run(services, admitted, reply):
+    """Return the run of an admitted request."""
+    return DirectRun(services, admitted, reply)
