--- a/greengagetrack/command/node.py
+++ b/greengagetrack/command/node.py
@@ -1,6 +1,7 @@
 """The daemon on a node of the users' platform: one direct entry."""
 
 import gc
+import os
 import sys
 
 import trio
@@ -8,6 +9,7 @@
 from greengagetrack.platform import adapter as adapter_module
 from greengagetrack.process.direct import daemon
 from greengagetrack.process import logs
+from greengagetrack.process import settings as settings_module
 from greengagetrack.process import stop as stop_module
 
 EXIT_SETTINGS = 2
@@ -15,11 +17,11 @@
 COLLECT_THRESHOLD = 20000
 
 
-async def _run(adapter):
+async def _run(adapter, peer_keys):
     stop = stop_module.Stop()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stop.follow_signals)
-        code = await daemon.run(adapter, stop)
+        code = await daemon.run(adapter, peer_keys, stop)
         nursery.cancel_scope.cancel()
     return code
 
@@ -28,10 +30,11 @@
     """Run the entry that the node file at `path` describes."""
     try:
         adapter = adapter_module.new_adapter(path, METRICS_PORT)
+        peer_keys = settings_module.read_peer_keys(os.environ)
     except ValueError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     logs.set_up_bounded(adapter.get_settings().name, "INFO")
     gc.freeze()
     gc.set_threshold(COLLECT_THRESHOLD)
-    return trio.run(_run, adapter)
+    return trio.run(_run, adapter, peer_keys)
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -64,6 +64,8 @@
     status: int
     headers: list
     is_not_run: bool
+    is_other_server: bool
+    is_input_gone: bool
     is_events: bool
 
     @abc.abstractmethod
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -248,6 +248,66 @@
     unknown: list[int] = []
 
 
+class EntryDigest(_Message, tag="entry_digest"):
+    """What one entry that calls servers itself tells another.
+
+    `freshness_age_s` is the age of its last confirmation that its catalog
+    is the newest, negative without one.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    catalog_version: int = 0
+    freshness_age_s: float = -1.0
+    is_leaving: bool = False
+    peers: list[str] = []
+
+
+class EntryHeard(_Message, tag="entry_heard"):
+    """The answer to a digest: the answering entry's own."""
+
+    digest: EntryDigest
+
+
+class WantedPiece(_Message):
+    """One piece of a stage that another entry gathers.
+
+    `due_ms` is the time left until it should be made, `left_ms` until
+    nobody wants it any more.
+    """
+
+    request_id: str
+    stage: int
+    number: int
+    due_ms: int
+    left_ms: int
+    priority: int = 0
+    key: str = ""
+    inputs: tuple[str, ...] | None = None
+
+
+class MakePieces(_Message, tag="make_pieces"):
+    """Ask the entry that gathers a service's pieces to have some made."""
+
+    service: str
+    pieces: list[WantedPiece]
+
+
+class MadePiece(_Message):
+    """The handle of a result and its maker, or why there is none."""
+
+    handle: str = ""
+    server_id: str = ""
+    failure: str = ""
+
+
+class PiecesMade(_Message, tag="pieces_made"):
+    """The answer to `MakePieces`, in its order."""
+
+    pieces: list[MadePiece]
+
+
 class Rejected(_Message, tag="rejected"):
     """A message that could not be taken, with what was wrong."""
 
@@ -257,10 +317,11 @@
 REQUESTS = (
     Submit | Pull | Withdraw | IssueTicket | AskPromise | Report
     | Digest | LeaseRequest | HandOver | FetchManifest | FetchDocument
+    | EntryDigest | MakePieces
 )  # fmt: skip
 REPLIES = (
     Chunk | WithdrawReply | Ticket | Promise | Heard | LeaseReply
-    | Manifest | Document | Rejected
+    | Manifest | Document | Rejected | EntryHeard | PiecesMade
 )  # fmt: skip
 
 _encoder = msgspec.msgpack.Encoder()
--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -25,6 +25,8 @@
         return entry_module.DirectSettings(
             name=node.node,
             data_centre=node.zone,
+            peer_address=node.listen.control,
+            seeds=tuple(node.seeds),
             region_by_data_centre=node.zones,
             key_bound_s=node.bounds.revoke_ms / 1000,
             budget_ratio=node.bounds.budget_ratio,
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -10,7 +10,8 @@
 from greengagetrack.request import outcome
 
 FREE_TIMEOUT_S = 1.0
-NOT_RUN_ALWAYS = 421
+OTHER_ENGINE = 421
+INPUT_GONE = 409
 
 _Reason = outcome.Reason
 _Ran = outcome.Ran
@@ -52,13 +53,23 @@
 class EngineAnswer(gateway.Answer):
     """The answer of an engine over HTTP."""
 
-    __slots__ = ("_call", "headers", "is_events", "is_not_run", "status")
+    __slots__ = (
+        "_call",
+        "headers",
+        "is_events",
+        "is_input_gone",
+        "is_not_run",
+        "is_other_server",
+        "status",
+    )
 
     def __init__(self, call, head):
         self._call = call
         self.status = head.status
         self.headers = fields.keep_end_to_end(head.headers)
         self.is_not_run = _is_not_run(head)
+        self.is_other_server = head.status == OTHER_ENGINE
+        self.is_input_gone = head.status == INPUT_GONE
         content_type = fields.get_value(head.headers, b"content-type", b"")
         self.is_events = content_type.startswith(names.EVENT_STREAM)
 
@@ -75,7 +86,7 @@
 
 
 def _is_not_run(head):
-    if head.status == NOT_RUN_ALWAYS:
+    if head.status == OTHER_ENGINE:
         return True
     return fields.get_value(head.headers, names.NOT_RUN.lower()) is not None
 
@@ -175,7 +186,7 @@
             _Reason.BACKEND_REFUSED,
             _Ran.NO if _is_not_run(head) else _Ran.UNKNOWN,
             f"status {head.status}",
-            is_other_server=head.status == NOT_RUN_ALWAYS,
+            is_other_server=head.status == OTHER_ENGINE,
         )
 
     async def _exchange(self, address, path, body, headers):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -15,6 +15,7 @@
 CALL_SLACK_S = 0.8
 CALL_TIMEOUT_X = 4.0
 TRIES_MAX = 3
+PRIORITY_STEP_S = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
         "_get_catalog",
         "_lane_by_id",
         "_nursery",
+        "_peers",
         "_queue",
         "service",
     )
@@ -53,11 +55,31 @@
         self._budgets = parts.budgets
         self._get_catalog = parts.get_catalog
         self._nursery = parts.nursery
+        self._peers = parts.peers
         self._queue = []
         self._lane_by_id = {}
 
+    def get_call_s(self, fill):
+        """Return how long a call takes that is full to the part `fill`."""
+        batching = self._get_batching()
+        if batching is None:
+            return 0.0
+        work_ms = batching.piece_ms * batching.batch_max * fill
+        return (batching.call_ms + work_ms) / 1000
+
     async def make(self, tasks):
-        """Make all pieces; return when each has its result."""
+        """Make all pieces, at the entry that gathers them or from here.
+
+        Returns when each piece has its result.
+        """
+        address = self._peers.get_gatherer(self.service)
+        if address is not None:
+            if await self._peers.make_at(address, self.service, tasks):
+                return
+        await self.make_here(tasks)
+
+    async def make_here(self, tasks):
+        """Make all pieces by calls of this entry."""
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.note_first()
@@ -148,7 +170,7 @@
         ) / 1000
         if len(self._queue) > batching.batch_max * len(near):
             return True
-        urgent = min(task.aim_at_s for task in self._queue)
+        urgent = min(task.due_s for task in self._queue)
         start_s = max(free_at_s, trio.current_time())
         return start_s + call_s > urgent
 
@@ -247,7 +269,10 @@
 
 
 def _get_urgency(task):
-    return (task.priority, task.aim_at_s)
+    """Return what sorts pieces: those that can be on time go first."""
+    is_late = task.due_s < trio.current_time()
+    due_s = task.deadline.at_s if is_late else task.due_s
+    return (is_late, due_s + PRIORITY_STEP_S * task.priority)
 
 
 class Batchers:
@@ -261,10 +286,18 @@
         "gateway",
         "get_catalog",
         "nursery",
+        "peers",
     )
 
     def __init__(
-        self, directory, gateway, chooser, budgets, get_catalog, nursery
+        self,
+        directory,
+        gateway,
+        chooser,
+        budgets,
+        get_catalog,
+        nursery,
+        peers,
     ):
         self.directory = directory
         self.gateway = gateway
@@ -272,6 +305,7 @@
         self.budgets = budgets
         self.get_catalog = get_catalog
         self.nursery = nursery
+        self.peers = peers
         self._batcher_by_service = {}
 
     def get(self, service):
@@ -288,7 +322,7 @@
             for batcher in self._batcher_by_service.values():
                 batcher.wake()
 
-    async def free(self, handles_by_address):
+    def free(self, handles_by_address):
         """Give results back that are not needed any more."""
         for address, handles in handles_by_address.items():
             self.nursery.start_soon(
@@ -296,6 +330,10 @@
             )
 
 
-def new_batchers(directory, gateway, chooser, budgets, get_catalog, nursery):
+def new_batchers(
+    directory, gateway, chooser, budgets, get_catalog, nursery, peers
+):
     """Return empty batchers whose calls run in `nursery`."""
-    return Batchers(directory, gateway, chooser, budgets, get_catalog, nursery)
+    return Batchers(
+        directory, gateway, chooser, budgets, get_catalog, nursery, peers
+    )
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -7,8 +7,10 @@
 
 import trio
 
+from greengagetrack.connection import base as link_base
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import server as server_module
+from greengagetrack.connection import nng
 from greengagetrack.process.direct import entry as entry_module
 
 ROTATION_S = 2.6
@@ -64,7 +66,7 @@
         """Read the settings again; return a text: what changed."""
 
 
-async def run(adapter, stop, task_status=trio.TASK_STATUS_IGNORED):
+async def run(adapter, peer_keys, stop, task_status=trio.TASK_STATUS_IGNORED):
     """Run an entry until it is asked to stop; return the exit code."""
     settings = adapter.get_settings()
     _log.info(
@@ -78,20 +80,25 @@
     )
     async with trio.open_nursery() as nursery:
         pool = client.new_pool(nursery)
+        links = link_base.new_links(nng.new_link_factory(peer_keys))
+        peer_server = nng.new_server(settings.peer_address, peer_keys)
         entry = entry_module.new_direct_entry(
             settings,
             adapter.new_source(pool),
             adapter.new_gateway(pool),
             pool,
+            links,
             nursery,
             random.Random(settings.name),
         )
+        await nursery.start(peer_server.serve, entry.peers.handle)
         callers = await _start_servers(nursery, adapter, entry)
         nursery.start_soon(entry.run)
         nursery.start_soon(_follow_reloads, adapter)
         task_status.started(entry)
         await stop.drain.wait()
         is_drained = await _drain(entry, callers, adapter.get_grace_s(), stop)
+        links.close()
         nursery.cancel_scope.cancel()
     _log.info("stopped", extra={"decision": "stop", "drained": is_drained})
     return EXIT_OK if is_drained else EXIT_CUT
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -12,6 +12,7 @@
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import keeper as keeper_module
 from greengagetrack.process.direct import metrics as metrics_module
+from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request.direct import run as run_module
@@ -32,6 +33,8 @@
 
     name: str
     data_centre: str
+    peer_address: str
+    seeds: tuple[str, ...]
     region_by_data_centre: dict[str, str]
     key_bound_s: float
     budget_ratio: float
@@ -51,10 +54,13 @@
         "keeper",
         "lease",
         "metrics",
+        "peers",
         "settings",
     )
 
-    def __init__(self, settings, source, gateway, pool, nursery, generator):
+    def __init__(
+        self, settings, source, gateway, pool, links, nursery, generator
+    ):
         self.settings = settings
         self.is_draining = False
         self._pool = pool
@@ -82,9 +88,19 @@
             settings.budget_slack,
             settings.budget_window_s,
         )
+        self.peers = peers_module.new_peers(
+            settings, links, self.lease, self.keeper, self.directory
+        )
         self._batchers = batcher_module.new_batchers(
-            self.directory, gateway, chooser, budgets, get_catalog, nursery
+            self.directory,
+            gateway,
+            chooser,
+            budgets,
+            get_catalog,
+            nursery,
+            self.peers,
         )
+        self.peers.batchers = self._batchers
         self._services = run_module.RunServices(
             chooser, gateway, self._batchers, budgets, self.metrics
         )
@@ -94,6 +110,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.keeper.keep)
             nursery.start_soon(self._batchers.keep)
+            nursery.start_soon(self.peers.keep)
             nursery.start_soon(self._keep_house)
 
     async def _keep_house(self):
@@ -117,6 +134,7 @@
     def start_draining(self):
         """Be not ready from now on; requests that come are served."""
         self.is_draining = True
+        self.peers.is_leaving = True
         _log.info("draining", extra={"decision": "drain"})
 
     def admit(self, request):
@@ -188,6 +206,10 @@
         )
 
 
-def new_direct_entry(settings, source, gateway, pool, nursery, generator):
+def new_direct_entry(
+    settings, source, gateway, pool, links, nursery, generator
+):
     """Return an entry whose background calls run in `nursery`."""
-    return DirectEntry(settings, source, gateway, pool, nursery, generator)
+    return DirectEntry(
+        settings, source, gateway, pool, links, nursery, generator
+    )
--- a/greengagetrack/process/settings.py
+++ b/greengagetrack/process/settings.py
@@ -240,6 +240,18 @@
             raise AttributeError(name) from None
 
 
+def read_peer_keys(environment):
+    """Return the keys between processes; raise `ValueError` with advice."""
+    setting = SETTING_BY_NAME["peer_keys"]
+    text = environment.get(setting.variable)
+    if text is None:
+        raise ValueError(f"Set {setting.variable}: {setting.help}")
+    try:
+        return setting.read(text)
+    except ValueError as error:
+        raise ValueError(f"{setting.variable}: {error}.") from None
+
+
 def gather(flag_by_name, environment):
     """Return each setting as given by a flag, a variable or default."""
     given_by_name = {}
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -7,6 +7,8 @@
 from greengagetrack.request import outcome
 
 ROUNDS_MAX = 2
+GENERATION_S = 0.15
+CALL_FILL = 0.5
 
 _Reason = outcome.Reason
 
@@ -42,6 +44,7 @@
                     nursery.start_soon(self._run_stage, index)
             if self._failure is None:
                 return self.get_inputs()
+            self.free()
             if self._failure is not gateway.PieceFailure.INPUT_GONE:
                 break
         reason = _Reason.NO_CAPACITY
@@ -68,6 +71,23 @@
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
                 self._failure = self._failure or task.result
+        self._free_used(stage.after)
+
+    def _free_used(self, indexes):
+        """Give back the results whose followers all have theirs."""
+        stages = self._admitted.route.stages
+        for index in indexes:
+            followers = [
+                follower
+                for follower, stage in enumerate(stages)
+                if index in stage.after and self._count_pieces(follower)
+            ]
+            if all(self._is_made(follower) for follower in followers):
+                self._free_stages([index])
+
+    def _is_made(self, index):
+        tasks = self._tasks.get(index, ())
+        return bool(tasks) and all(task.done.is_set() for task in tasks)
 
     def _new_task(self, index, number, inputs):
         request = self._admitted.request
@@ -75,10 +95,21 @@
             request.log_id, index, number, request.piece_key, inputs
         )
         task.deadline = self._admitted.deadline
-        task.aim_at_s = self._admitted.aim_at_s
+        task.due_s = self._admitted.aim_at_s - self._get_rest_s(index)
         task.priority = self._admitted.priority
         return task
 
+    def _get_rest_s(self, index):
+        """Return the usual time of what follows a stage."""
+        rest_s = GENERATION_S
+        for follower, stage in enumerate(self._admitted.route.stages):
+            if index in stage.after:
+                call_s = self._batchers.get(stage.service).get_call_s(
+                    CALL_FILL
+                )
+                rest_s = max(rest_s, call_s + self._get_rest_s(follower))
+        return rest_s
+
     def _get_handles(self, indexes):
         return tuple(
             task.result
@@ -99,6 +130,8 @@
         for index in self._admitted.route.get_last_stages():
             size = self._admitted.route.stages[index].result_bytes
             for task in self._tasks.get(index, ()):
+                if task.maker is None:
+                    continue
                 centre = task.maker.published.data_centre
                 before = bytes_by_centre.get(centre, 0)
                 bytes_by_centre[centre] = before + size
@@ -106,18 +139,19 @@
             return None
         return max(bytes_by_centre, key=bytes_by_centre.get)
 
-    async def free(self):
+    def free(self):
         """Give all results back to their makers."""
+        self._free_stages(list(self._tasks))
+
+    def _free_stages(self, indexes):
         handles_by_address = {}
-        for tasks in self._tasks.values():
-            for task in tasks:
+        for index in indexes:
+            for task in self._tasks.pop(index, ()):
                 if task.maker is not None:
                     address = task.maker.published.address
                     handles = handles_by_address.setdefault(address, [])
                     handles.append(task.result)
-        self._tasks = {}
-        if handles_by_address:
-            await self._batchers.free(handles_by_address)
+        self._batchers.free(handles_by_address)
 
 
 def new_stage_graph(admitted, batchers):
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -9,7 +9,7 @@
     """One piece that waits for a server or is being made."""
 
     __slots__ = (
-        "aim_at_s",
+        "due_s",
         "deadline",
         "done",
         "inputs",
@@ -30,7 +30,7 @@
         self.number = number
         self.key = key
         self.inputs = inputs
-        self.aim_at_s = 0.0
+        self.due_s = 0.0
         self.deadline = None
         self.priority = 0
         self.tries = 0
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -80,7 +80,7 @@
         self._admitted = admitted
         self._reply = reply
         self._graph = None
-        self._inputs = ()
+        self._inputs = None
         self._near = None
         self._service = ""
         self._excluded = set()
@@ -104,9 +104,13 @@
             return end
         finally:
             self._note_end(end)
-            if self._graph is not None:
-                with trio.CancelScope(shield=True):
-                    await self._graph.free()
+            self._free_inputs()
+
+    def _free_inputs(self):
+        """Give back the results of the stages; a later send needs new ones."""
+        if self._graph is not None:
+            self._graph.free()
+        self._inputs = None
 
     def _end_late(self):
         if self._reply.is_started:
@@ -122,25 +126,34 @@
         return end
 
     async def _run_all(self):
-        admitted = self._admitted
-        if admitted.route.stages:
-            batchers = self._services.batchers
-            self._graph = graph_module.new_stage_graph(admitted, batchers)
-            inputs = await self._graph.run()
-            if isinstance(inputs, outcome.Refused):
-                return inputs
-            self._inputs = inputs
-            self._near = self._graph.get_heaviest_data_centre()
         chooser = self._services.chooser
-        self._service = chooser.choose_service(admitted.route)
+        self._service = chooser.choose_service(self._admitted.route)
         self._services.budgets.get(self._service).note_first()
         while True:
-            end = await self._attempt()
+            end = None
+            if self._inputs is None:
+                end = await self._make_inputs()
+            if end is None:
+                end = await self._attempt()
             if end is not None:
                 return self._settle(end)
             if not self._may_send_again():
                 return self._settle(self._new_refusal())
 
+    async def _make_inputs(self):
+        """Run the stages; return `Refused` if they can't be made."""
+        self._inputs = ()
+        if not self._admitted.route.stages:
+            return None
+        batchers = self._services.batchers
+        self._graph = graph_module.new_stage_graph(self._admitted, batchers)
+        inputs = await self._graph.run()
+        if isinstance(inputs, outcome.Refused):
+            return inputs
+        self._inputs = inputs
+        self._near = self._graph.get_heaviest_data_centre()
+        return None
+
     def _new_refusal(self):
         failure = self._last_failure
         if failure is None:
@@ -272,11 +285,13 @@
         with trio.move_on_after(0.2):
             while isinstance(await answer.receive_part(), bytes):
                 pass
+        if answer.is_input_gone:
+            self._free_inputs()
         failure = gateway.Failure(
             _Reason.BACKEND_REFUSED,
             _Ran.NO,
             f"status {answer.status}",
-            is_other_server=answer.status == 421,
+            is_other_server=answer.is_other_server,
         )
         return self._take_failure(exchange, failure)
 
@@ -333,7 +348,10 @@
                 return self._take_failure(exchange, part)
             if part is None:
                 return await self._end_events(exchange, answer)
-            exchange.note_prefilled()
+            if not exchange.is_prefilled:
+                # The server has read the inputs by its first event.
+                exchange.note_prefilled()
+                self._free_inputs()
             problem = await self._pass_events(part)
             if problem is not None:
                 self._attempts -= 1
@@ -453,15 +471,17 @@
 class _Exchange:
     """What one attempt holds at its server."""
 
-    __slots__ = ("_prefill", "_started_s", "server")
+    __slots__ = ("_prefill", "_started_s", "is_prefilled", "server")
 
     def __init__(self, server, prefill):
         self.server = server
         self._prefill = prefill
         self._started_s = trio.current_time()
+        self.is_prefilled = False
 
     def note_prefilled(self):
-        """Note once that the server has read the prompt."""
+        """Note that the server has read the prompt."""
+        self.is_prefilled = True
         self.server.prefill_tokens -= self._prefill
         self._prefill = 0
 
