--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -97,6 +97,8 @@
 
     def _get_batching(self):
         catalog = self._get_catalog()
+        if catalog is None:
+            return None
         service = catalog.service_by_name.get(self.service)
         return service.batching if service else None
 
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -29,7 +29,14 @@
 class Peer:
     """One other entry, as far as it has been heard."""
 
-    __slots__ = ("address", "data_centre", "heard_s", "is_leaving", "name")
+    __slots__ = (
+        "address",
+        "catalog_version",
+        "data_centre",
+        "heard_s",
+        "is_leaving",
+        "name",
+    )
 
     def __init__(self, address):
         self.address = address
@@ -37,6 +44,7 @@
         self.data_centre = ""
         self.heard_s = None
         self.is_leaving = False
+        self.catalog_version = 0
 
     def is_alive(self):
         """Return whether the peer was heard lately and stays."""
@@ -130,6 +138,7 @@
         peer.name = digest.name
         peer.data_centre = digest.data_centre
         peer.is_leaving = digest.is_leaving
+        peer.catalog_version = digest.catalog_version
         peer.heard_s = trio.current_time()
         for address in digest.peers:
             self._learn(address)
@@ -178,7 +187,9 @@
         candidates = {
             peer.name: peer.address
             for peer in self._peer_by_address.values()
-            if peer.data_centre == self._data_centre and peer.is_near_alive()
+            if peer.data_centre == self._data_centre
+            and peer.is_near_alive()
+            and peer.catalog_version
         }
         if not self.is_leaving:
             candidates[self._name] = None
