--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -83,6 +83,7 @@
     LATE = "late"
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
+    NO_SERVER = "no_server"
     ERROR = "error"
 
 
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -248,6 +248,14 @@
     unknown: list[int] = []
 
 
+class PoolWait(_Message):
+    """How long a piece would wait in a pool that the sender gathers."""
+
+    service: str
+    data_centre: str
+    wait_ms: int
+
+
 class EntryDigest(_Message, tag="entry_digest"):
     """What one entry that calls servers itself tells another.
 
@@ -262,6 +270,7 @@
     freshness_age_s: float = -1.0
     is_leaving: bool = False
     peers: list[str] = []
+    waits: list[PoolWait] = []
 
 
 class EntryHeard(_Message, tag="entry_heard"):
@@ -283,6 +292,7 @@
     due_ms: int
     left_ms: int
     priority: int = 0
+    result_bytes: int = 0
     key: str = ""
     inputs: tuple[str, ...] | None = None
 
@@ -291,9 +301,19 @@
     """Ask the entry that gathers a service's pieces to have some made."""
 
     service: str
+    data_centre: str
     pieces: list[WantedPiece]
 
 
+class FreeResults(_Message, tag="free_results"):
+    """Tell the entry that gathers for a pool what is not needed any more."""
+
+    service: str
+    data_centre: str
+    server_id: str
+    handles: list[str]
+
+
 class MadePiece(_Message):
     """The handle of a result and its maker, or why there is none."""
 
@@ -306,6 +326,7 @@
     """The answer to `MakePieces`, in its order."""
 
     pieces: list[MadePiece]
+    wait_ms: int = 0
 
 
 class Rejected(_Message, tag="rejected"):
@@ -317,7 +338,7 @@
 REQUESTS = (
     Submit | Pull | Withdraw | IssueTicket | AskPromise | Report
     | Digest | LeaseRequest | HandOver | FetchManifest | FetchDocument
-    | EntryDigest | MakePieces
+    | EntryDigest | MakePieces | FreeResults
 )  # fmt: skip
 REPLIES = (
     Chunk | WithdrawReply | Ticket | Promise | Heard | LeaseReply
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -1,12 +1,13 @@
 """Gathers pieces of stages into calls of the servers that make them.
 
 A call costs its time before the first piece, so full calls are what the
-capacity of a service comes from. Pieces wait in one queue per service;
-while a server of the service works for this entry, the queue fills the
-next call by itself.
+capacity of a service comes from. One entry gathers the pieces for all
+servers of a service in a data centre; while they work, its queue fills
+the next call by itself.
 """
 
 import logging
+import math
 
 import trio
 
@@ -16,70 +17,87 @@
 CALL_TIMEOUT_X = 4.0
 TRIES_MAX = 3
 PRIORITY_STEP_S = 0.1
+ROOM_SHARE = 0.92
+FREE_DELAY_S = 0.03
+KEEP_MARGIN_S = 0.2
+ROOM_PAUSE_S = 0.1
+FAILURE_SHARE_MAX = 0.3
 
 _log = logging.getLogger(__name__)
 
 
 class Lane:
-    """The calls of this entry to one server."""
+    """The calls of this entry to one server, and the room used there."""
 
-    __slots__ = ("busy_until_s", "calls", "server")
+    __slots__ = (
+        "_held",
+        "busy_until_s",
+        "calls",
+        "freed",
+        "paused_until_s",
+        "server",
+        "used_bytes",
+    )
 
     def __init__(self, server):
         self.server = server
         self.calls = 0
         self.busy_until_s = 0.0
+        self.paused_until_s = 0.0
+        self.used_bytes = 0
+        self.freed = []
+        self._held = {}
+
+    def hold(self, handle, size_bytes, until_s):
+        """Note a result that takes room until it is freed or expires."""
+        self._held[handle] = (size_bytes, until_s)
+
+    def release(self, handle):
+        """Note that a result is freed; return whether it was held."""
+        held = self._held.pop(handle, None)
+        if held is None:
+            return False
+        self.used_bytes -= held[0]
+        return True
+
+    def release_expired(self):
+        """Forget the results that the server has dropped by itself."""
+        now = trio.current_time()
+        # They are in the order in which they expire.
+        for handle, (_size, until_s) in list(self._held.items()):
+            if until_s > now:
+                return
+            self.release(handle)
 
 
 class Batcher:
-    """The queue of one service."""
+    """The queue of one service in one data centre."""
 
     __slots__ = (
         "_budgets",
-        "_chooser",
+        "_data_centre",
         "_directory",
         "_gateway",
         "_get_catalog",
         "_lane_by_id",
         "_nursery",
-        "_peers",
         "_queue",
         "service",
     )
 
-    def __init__(self, service, parts):
+    def __init__(self, service, data_centre, parts):
         self.service = service
+        self._data_centre = data_centre
         self._directory = parts.directory
         self._gateway = parts.gateway
-        self._chooser = parts.chooser
         self._budgets = parts.budgets
         self._get_catalog = parts.get_catalog
         self._nursery = parts.nursery
-        self._peers = parts.peers
         self._queue = []
         self._lane_by_id = {}
 
-    def get_call_s(self, fill):
-        """Return how long a call takes that is full to the part `fill`."""
-        batching = self._get_batching()
-        if batching is None:
-            return 0.0
-        work_ms = batching.piece_ms * batching.batch_max * fill
-        return (batching.call_ms + work_ms) / 1000
-
     async def make(self, tasks):
-        """Make all pieces, at the entry that gathers them or from here.
-
-        Returns when each piece has its result.
-        """
-        address = self._peers.get_gatherer(self.service)
-        if address is not None:
-            if await self._peers.make_at(address, self.service, tasks):
-                return
-        await self.make_here(tasks)
-
-    async def make_here(self, tasks):
-        """Make all pieces by calls of this entry."""
+        """Make all pieces; return when each has its result."""
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.note_first()
@@ -95,6 +113,20 @@
                 task for task in self._queue if id(task) not in wanted
             ]
 
+    def get_wait_s(self):
+        """Return how long a piece that came now would wait for its call."""
+        batching = self._get_batching()
+        lanes = self._get_lanes() if batching else []
+        if not lanes:
+            return math.inf
+        now = trio.current_time()
+        call_s = (
+            batching.call_ms + batching.piece_ms * batching.batch_max
+        ) / 1000
+        ahead = len(self._queue) / batching.batch_max / len(lanes)
+        free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
+        return free_s + ahead * call_s
+
     def _get_batching(self):
         catalog = self._get_catalog()
         if catalog is None:
@@ -104,15 +136,16 @@
 
     def _dispatch(self):
         """Hand waiting pieces to servers that are free for this entry."""
+        self._drop_late()
+        if not self._queue:
+            return
         batching = self._get_batching()
-        if batching is None:
-            self._settle_all(gateway_module.PieceFailure.ERROR)
+        lanes = self._get_lanes()
+        if batching is None or not lanes:
+            self._settle_all(gateway_module.PieceFailure.NO_SERVER)
             return
-        self._drop_late()
-        for lane in self._get_lanes():
-            if not self._queue:
-                return
-            if self._is_lane_wanted(lane, batching):
+        for lane in lanes:
+            if self._queue and self._is_free(lane, batching):
                 self._send(lane, batching)
 
     def _settle_all(self, failure):
@@ -124,69 +157,55 @@
         for task in self._queue:
             if task.deadline.is_past():
                 task.settle(gateway_module.PieceFailure.LATE)
-        self._queue = [task for task in self._queue if task.result is None]
+        self._queue = [task for task in self._queue if not task.is_settled()]
 
     def _get_lanes(self):
-        """Return the lanes, the nearest first."""
+        """Return the lanes, the soundest first."""
         lanes = []
         for server in self._directory.get_servers(self.service):
+            if server.published.data_centre != self._data_centre:
+                continue
             lane = self._lane_by_id.get(server.server_id)
             if lane is None or lane.server is not server:
                 lane = Lane(server)
                 self._lane_by_id[server.server_id] = lane
             lanes.append(lane)
-        lanes.sort(key=self._get_rank)
+        sound = [lane for lane in lanes if not lane.server.is_suspect()]
+        lanes = sound or lanes
+        lanes.sort(key=_get_rank)
         return lanes
 
-    def _get_rank(self, lane):
-        server = lane.server
-        return (
-            server.is_suspect(),
-            server.failure_share > 0.3,
-            self._chooser.get_distance_ms(server),
-            server.server_id,
-        )
-
-    def _is_lane_wanted(self, lane, batching):
-        if lane.calls >= batching.slots:
-            return False
-        if self._chooser.is_local(lane.server):
-            return True
-        return self._is_local_late(batching)
-
-    def _is_local_late(self, batching):
-        """Return whether the near servers can't make the aims."""
-        near = [
-            lane
-            for lane in self._lane_by_id.values()
-            if self._chooser.is_local(lane.server)
-            and lane.server.is_usable()
-            and not lane.server.is_suspect()
-            and lane.server.server_id in self._directory.server_by_id
-        ]
-        if not near:
-            return True
-        free_at_s = min(lane.busy_until_s for lane in near)
-        call_s = (
-            batching.call_ms + batching.piece_ms * batching.batch_max
-        ) / 1000
-        if len(self._queue) > batching.batch_max * len(near):
-            return True
-        urgent = min(task.due_s for task in self._queue)
-        start_s = max(free_at_s, trio.current_time())
-        return start_s + call_s > urgent
+    def _is_free(self, lane, batching):
+        now = trio.current_time()
+        return lane.calls < batching.slots and lane.paused_until_s <= now
 
     def _send(self, lane, batching):
-        """Start one call with the most urgent pieces."""
+        """Start one call with the most urgent pieces that have room."""
         # No await: a piece must be in one call only.
         self._queue.sort(key=_get_urgency)
-        batch = self._queue[: batching.batch_max]
-        del self._queue[: batching.batch_max]
+        batch = self._take_batch(lane, batching)
+        if not batch:
+            return
         lane.calls += 1
         work_s = (batching.call_ms + batching.piece_ms * len(batch)) / 1000
         lane.busy_until_s = trio.current_time() + work_s
         self._nursery.start_soon(self._run_call, lane, batch, work_s)
 
+    def _take_batch(self, lane, batching):
+        lane.release_expired()
+        room_bytes = batching.room_bytes * ROOM_SHARE - lane.used_bytes
+        batch = []
+        for task in self._queue:
+            if len(batch) >= batching.batch_max:
+                break
+            if batching.room_bytes and task.result_bytes > room_bytes:
+                break
+            room_bytes -= task.result_bytes
+            batch.append(task)
+        del self._queue[: len(batch)]
+        lane.used_bytes += sum(task.result_bytes for task in batch)
+        return batch
+
     async def _run_call(self, lane, batch, work_s):
         server = lane.server
         started_s = trio.current_time()
@@ -201,59 +220,65 @@
             server.outstanding -= 1
             lane.calls -= 1
         spent_ms = (trio.current_time() - started_s) * 1000
+        lane.busy_until_s = 0.0
         self._note_call(server, batch, made, spent_ms, work_s)
-        if isinstance(made, list):
-            for task, result in zip(batch, made, strict=True):
-                self._take_result(task, result, server)
-        else:
-            for task in batch:
-                self._take_failure(task, made)
+        if not isinstance(made, list):
+            made = [gateway_module.PieceFailure.ERROR] * len(batch)
+        for task, result in zip(batch, made, strict=True):
+            self._take_result(lane, task, result)
         self._dispatch()
 
     def _note_call(self, server, batch, made, spent_ms, work_s):
         is_made = isinstance(made, list)
+        failed = 0
         if is_made:
             server.note_success(spent_ms)
+            failed = sum(
+                isinstance(each, gateway_module.PieceFailure) for each in made
+            )
         elif made is None or made.is_server_gone or made.is_other_server:
             server.note_unreachable()
         else:
             server.note_failure()
-        failed = 0
-        if is_made:
-            failed = sum(
-                isinstance(each, gateway_module.PieceFailure) for each in made
-            )
+        detail = "made"
+        if not is_made:
+            detail = made.detail if made else "no answer in time"
         _log.info(
             "pieces made" if is_made else "pieces failed",
             extra={
                 "decision": "batch",
                 "service": self.service,
                 "server": server.server_id,
-                "data_centre": server.published.data_centre,
+                "data_centre": self._data_centre,
                 "pieces": len(batch),
                 "failed": failed,
                 "requests": sorted({task.request_id for task in batch}),
                 "spent_ms": round(spent_ms, 1),
                 "work_ms": round(work_s * 1000, 1),
                 "waiting": len(self._queue),
-                "outcome": "made"
-                if is_made
-                else (made.detail if made else "no answer in time"),
+                "outcome": detail,
             },
         )
 
-    def _take_result(self, task, result, server):
-        if not isinstance(result, gateway_module.PieceFailure):
-            task.settle(result, server)
-        elif result is gateway_module.PieceFailure.INPUT_GONE:
-            task.settle(result)
-        elif result is gateway_module.PieceFailure.LATE:
+    def _take_result(self, lane, task, result):
+        failure = gateway_module.PieceFailure
+        if not isinstance(result, failure):
+            keep_s = self._get_batching().keep_s + KEEP_MARGIN_S
+            until_s = trio.current_time() + keep_s
+            lane.hold(result, task.result_bytes, until_s)
+            if task.is_settled():
+                # Nobody waits for it any more.
+                self.free(lane.server.server_id, [result])
+            task.settle(result, lane.server)
+            return
+        lane.used_bytes -= task.result_bytes
+        if result in (failure.INPUT_GONE, failure.LATE):
             task.settle(result)
-        else:
-            self._try_again(task, result)
-
-    def _take_failure(self, task, failure):
-        self._try_again(task, gateway_module.PieceFailure.ERROR)
+            return
+        if result is failure.NO_ROOM:
+            # It has less room than this entry believes.
+            lane.paused_until_s = trio.current_time() + ROOM_PAUSE_S
+        self._try_again(task, result)
 
     def _try_again(self, task, failure):
         task.tries += 1
@@ -264,12 +289,40 @@
         else:
             self._queue.append(task)
 
+    def free(self, server_id, handles):
+        """Give back results that are not needed any more."""
+        lane = self._lane_by_id.get(server_id)
+        if lane is None:
+            return
+        is_flush_due = not lane.freed
+        lane.freed += [handle for handle in handles if lane.release(handle)]
+        if lane.freed and is_flush_due:
+            self._nursery.start_soon(self._flush_freed, lane)
+        self.wake()
+
+    async def _flush_freed(self, lane):
+        # A moment later one call frees the results of many requests.
+        await trio.sleep(FREE_DELAY_S)
+        handles, lane.freed = lane.freed, []
+        await self._gateway.free_results(
+            lane.server.published.address, handles
+        )
+
     def wake(self):
-        """Look at the queue again: servers may have come or gone."""
+        """Look at the queue again: something may have changed."""
         if self._queue:
             self._dispatch()
 
 
+def _get_rank(lane):
+    server = lane.server
+    return (
+        server.failure_share > FAILURE_SHARE_MAX,
+        lane.used_bytes,
+        server.server_id,
+    )
+
+
 def _get_urgency(task):
     """Return what sorts pieces: those that can be on time go first."""
     is_late = task.due_s < trio.current_time()
@@ -277,65 +330,19 @@
     return (is_late, due_s + PRIORITY_STEP_S * task.priority)
 
 
-class Batchers:
-    """The batchers of all services."""
+class BatcherParts:
+    """What all batchers of an entry share."""
 
-    __slots__ = (
-        "_batcher_by_service",
-        "budgets",
-        "chooser",
-        "directory",
-        "gateway",
-        "get_catalog",
-        "nursery",
-        "peers",
-    )
+    __slots__ = ("budgets", "directory", "gateway", "get_catalog", "nursery")
 
-    def __init__(
-        self,
-        directory,
-        gateway,
-        chooser,
-        budgets,
-        get_catalog,
-        nursery,
-        peers,
-    ):
+    def __init__(self, directory, gateway, budgets, get_catalog, nursery):
         self.directory = directory
         self.gateway = gateway
-        self.chooser = chooser
         self.budgets = budgets
         self.get_catalog = get_catalog
         self.nursery = nursery
-        self.peers = peers
-        self._batcher_by_service = {}
-
-    def get(self, service):
-        """Return the batcher of a service."""
-        if service not in self._batcher_by_service:
-            self._batcher_by_service[service] = Batcher(service, self)
-        return self._batcher_by_service[service]
-
-    async def keep(self):
-        """Wake the queues whenever the servers change."""
-        while True:
-            with trio.move_on_after(0.2):
-                await self.directory.changed.wait()
-            for batcher in self._batcher_by_service.values():
-                batcher.wake()
-
-    def free(self, handles_by_address):
-        """Give results back that are not needed any more."""
-        for address, handles in handles_by_address.items():
-            self.nursery.start_soon(
-                self.gateway.free_results, address, handles
-            )
 
 
-def new_batchers(
-    directory, gateway, chooser, budgets, get_catalog, nursery, peers
-):
-    """Return empty batchers whose calls run in `nursery`."""
-    return Batchers(
-        directory, gateway, chooser, budgets, get_catalog, nursery, peers
-    )
+def new_batcher(service, data_centre, parts):
+    """Return the batcher of a service in a data centre."""
+    return Batcher(service, data_centre, parts)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -13,6 +13,7 @@
 from greengagetrack.process.direct import keeper as keeper_module
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
+from greengagetrack.process.direct import pools as pools_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request.direct import run as run_module
@@ -46,7 +47,7 @@
     """Everything that the requests of one entry share."""
 
     __slots__ = (
-        "_batchers",
+        "_pools",
         "_pool",
         "_services",
         "directory",
@@ -91,25 +92,22 @@
         self.peers = peers_module.new_peers(
             settings, links, self.lease, self.keeper, self.directory
         )
-        self._batchers = batcher_module.new_batchers(
-            self.directory,
-            gateway,
-            chooser,
-            budgets,
-            get_catalog,
-            nursery,
-            self.peers,
+        batcher_parts = batcher_module.BatcherParts(
+            self.directory, gateway, budgets, get_catalog, nursery
+        )
+        self._pools = pools_module.new_pools(
+            settings.data_centre, batcher_parts, self.peers
         )
-        self.peers.batchers = self._batchers
+        self.peers.pools = self._pools
         self._services = run_module.RunServices(
-            chooser, gateway, self._batchers, budgets, self.metrics
+            chooser, gateway, self._pools, budgets, self.metrics
         )
 
     async def run(self):
         """Run the tasks of the entry until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.keeper.keep)
-            nursery.start_soon(self._batchers.keep)
+            nursery.start_soon(self._pools.keep)
             nursery.start_soon(self.peers.keep)
             nursery.start_soon(self._keep_house)
 
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -5,7 +5,6 @@
 done here instead.
 """
 
-import hashlib
 import logging
 
 import trio
@@ -16,12 +15,14 @@
 from greengagetrack.request.direct import piece as piece_module
 
 NEAR_PERIOD_S = 0.4
-FAR_ROUNDS = 4
+FAR_ROUNDS = 2
 ASK_TIMEOUT_S = 0.6
 SILENCE_S = 1.3
+FAR_SILENCE_S = 2.6
 FORGET_S = 30.0
 WATCH_S = 0.1
 PEERS_MAX = 2000
+WAIT_MAX_S = 30.0
 
 _log = logging.getLogger(__name__)
 
@@ -46,17 +47,12 @@
         self.is_leaving = False
         self.catalog_version = 0
 
-    def is_alive(self):
+    def is_alive(self, is_near):
         """Return whether the peer was heard lately and stays."""
         if self.heard_s is None or self.is_leaving:
             return False
-        return trio.current_time() - self.heard_s < SILENCE_S * FAR_ROUNDS
-
-    def is_near_alive(self):
-        """Return whether a peer of this data centre may be relied on."""
-        if not self.is_alive():
-            return False
-        return trio.current_time() - self.heard_s < SILENCE_S
+        limit_s = SILENCE_S if is_near else FAR_SILENCE_S
+        return trio.current_time() - self.heard_s < limit_s
 
 
 class Peers:
@@ -68,16 +64,16 @@
         "_keeper",
         "_lease",
         "_links",
-        "_name",
         "_own_address",
         "_peer_by_address",
         "_round",
-        "batchers",
+        "name",
+        "pools",
         "is_leaving",
     )
 
     def __init__(self, settings, links, lease, keeper, directory):
-        self._name = settings.name
+        self.name = settings.name
         self._data_centre = settings.data_centre
         self._own_address = settings.peer_address
         self._links = links
@@ -86,7 +82,7 @@
         self._directory = directory
         self._peer_by_address = {}
         self._round = 0
-        self.batchers = None
+        self.pools = None
         self.is_leaving = False
         for address in settings.seeds:
             self._learn(address)
@@ -104,7 +100,7 @@
     def _new_digest(self):
         age_s = self._lease.get_age_s()
         return messages.EntryDigest(
-            name=self._name,
+            name=self.name,
             address=self._own_address,
             data_centre=self._data_centre,
             catalog_version=self._keeper.get_version(),
@@ -115,6 +111,10 @@
                 for peer in self._peer_by_address.values()
                 if peer.heard_s is not None
             ],
+            waits=[
+                messages.PoolWait(service, centre, _to_ms(wait_s))
+                for service, centre, wait_s in self.pools.get_told_waits()
+            ],
         )
 
     async def handle(self, message):
@@ -124,6 +124,8 @@
             return messages.EntryHeard(self._new_digest())
         if isinstance(message, messages.MakePieces):
             return await self._make_for_peer(message)
+        if isinstance(message, messages.FreeResults):
+            return self._free_for_peer(message)
         return messages.Rejected("an entry does not answer this message")
 
     def _hear(self, digest):
@@ -142,6 +144,9 @@
         peer.heard_s = trio.current_time()
         for address in digest.peers:
             self._learn(address)
+        for wait in digest.waits:
+            pool = self.pools.get_pool(wait.service, wait.data_centre)
+            pool.hear_wait(wait.wait_ms / 1000)
 
     async def keep(self):
         """Tell the others of this entry until cancelled."""
@@ -179,40 +184,33 @@
             if peer.heard_s is not None and now - peer.heard_s > FORGET_S:
                 del self._peer_by_address[peer.address]
 
-    def get_gatherer(self, service):
-        """Return the address of who gathers a service's pieces here.
+    def get_living(self, data_centre):
+        """Return the peers that may gather for a data centre.
 
-        None means this entry itself.
+        The second value says whether this entry is one of them. Where a
+        data centre has no living entry, all entries may.
         """
-        candidates = {
-            peer.name: peer.address
+        is_own = data_centre == self._data_centre
+        peers = [
+            peer
             for peer in self._peer_by_address.values()
-            if peer.data_centre == self._data_centre
-            and peer.is_near_alive()
-            and peer.catalog_version
-        }
-        if not self.is_leaving:
-            candidates[self._name] = None
-        if not candidates:
-            return None
-
-        def get_score(name):
-            text = f"{service}|{name}".encode()
-            return hashlib.blake2b(text, digest_size=8).digest()
-
-        return candidates[max(candidates, key=get_score)]
-
-    async def make_at(self, address, service, tasks):
+            if peer.is_alive(is_own) and peer.catalog_version
+        ]
+        near = [peer for peer in peers if peer.data_centre == data_centre]
+        if near or is_own:
+            return near, is_own and not self.is_leaving
+        return peers, not self.is_leaving
+
+    async def make_at(self, peer, pool, tasks):
         """Have a peer make pieces; return whether all are settled."""
-        peer = self._peer_by_address[address]
         reply = None
         async with trio.open_nursery() as nursery:
 
             async def ask():
                 nonlocal reply
                 left_s = max(task.deadline.get_left_s() for task in tasks)
-                link = self._links.get_link(address)
-                message = _new_message(service, tasks)
+                link = self._links.get_link(peer.address)
+                message = _new_message(pool, tasks)
                 reply = await link.ask(message, left_s + WATCH_S)
                 nursery.cancel_scope.cancel()
 
@@ -226,18 +224,27 @@
                 extra={
                     "decision": "gather here",
                     "peer": peer.name,
-                    "service": service,
+                    "service": pool.service,
+                    "data_centre": pool.data_centre,
                     "requests": sorted({task.request_id for task in tasks}),
                 },
             )
             return False
         self._settle(tasks, reply)
+        pool.hear_wait(reply.wait_ms / 1000)
         return True
 
+    async def free_at(self, peer, pool, server_id, handles):
+        """Have the gatherer of a pool give results back."""
+        message = messages.FreeResults(
+            pool.service, pool.data_centre, server_id, handles
+        )
+        link = self._links.get_link(peer.address)
+        await link.ask(message, ASK_TIMEOUT_S)
+
     def _is_reachable(self, peer):
-        if peer.heard_s is None:
-            return False
-        if trio.current_time() - peer.heard_s > SILENCE_S:
+        is_near = peer.data_centre == self._data_centre
+        if not peer.is_alive(is_near) and not peer.is_leaving:
             return False
         return self._links.get_link(peer.address).is_up()
 
@@ -254,14 +261,28 @@
 
     async def _make_for_peer(self, message):
         tasks = [_new_task(wanted) for wanted in message.pieces]
-        await self.batchers.get(message.service).make_here(tasks)
-        return messages.PiecesMade([_new_made(task) for task in tasks])
+        pool = self.pools.get_pool(message.service, message.data_centre)
+        await pool.batcher.make(tasks)
+        return messages.PiecesMade(
+            [_new_made(task) for task in tasks],
+            _to_ms(pool.batcher.get_wait_s()),
+        )
+
+    def _free_for_peer(self, message):
+        pool = self.pools.get_pool(message.service, message.data_centre)
+        pool.batcher.free(message.server_id, message.handles)
+        return messages.EntryHeard(self._new_digest())
+
+
+def _to_ms(wait_s):
+    return int(min(wait_s, WAIT_MAX_S) * 1000)
 
 
-def _new_message(service, tasks):
+def _new_message(pool, tasks):
     now = trio.current_time()
     return messages.MakePieces(
-        service,
+        pool.service,
+        pool.data_centre,
         [
             messages.WantedPiece(
                 request_id=task.request_id,
@@ -270,6 +291,7 @@
                 due_ms=int((task.due_s - now) * 1000),
                 left_ms=task.deadline.get_left_ms(),
                 priority=task.priority,
+                result_bytes=task.result_bytes,
                 key=task.key,
                 inputs=task.inputs,
             )
@@ -287,6 +309,7 @@
         wanted.inputs,
     )
     task.priority = wanted.priority
+    task.result_bytes = wanted.result_bytes
     task.due_s = trio.current_time() + wanted.due_ms / 1000
     task.deadline = deadline_module.new_deadline(wanted.left_ms)
     return task
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -20,11 +20,11 @@
     them back when the request is over.
     """
 
-    __slots__ = ("_admitted", "_batchers", "_done", "_failure", "_tasks")
+    __slots__ = ("_admitted", "_pools", "_done", "_failure", "_tasks")
 
-    def __init__(self, admitted, batchers):
+    def __init__(self, admitted, pools):
         self._admitted = admitted
-        self._batchers = batchers
+        self._pools = pools
         self._tasks = {}
         self._failure = None
         self._done = {}
@@ -67,7 +67,7 @@
             for number in range(self._count_pieces(index))
         ]
         self._tasks[index] = tasks
-        await self._batchers.get(stage.service).make(tasks)
+        await self._pools.make(stage.service, tasks)
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
                 self._failure = self._failure or task.result
@@ -97,6 +97,8 @@
         task.deadline = self._admitted.deadline
         task.due_s = self._admitted.aim_at_s - self._get_rest_s(index)
         task.priority = self._admitted.priority
+        stage = self._admitted.route.stages[index]
+        task.result_bytes = stage.result_bytes
         return task
 
     def _get_rest_s(self, index):
@@ -104,9 +106,7 @@
         rest_s = GENERATION_S
         for follower, stage in enumerate(self._admitted.route.stages):
             if index in stage.after:
-                call_s = self._batchers.get(stage.service).get_call_s(
-                    CALL_FILL
-                )
+                call_s = self._pools.get_call_s(stage.service, CALL_FILL)
                 rest_s = max(rest_s, call_s + self._get_rest_s(follower))
         return rest_s
 
@@ -144,16 +144,10 @@
         self._free_stages(list(self._tasks))
 
     def _free_stages(self, indexes):
-        handles_by_address = {}
         for index in indexes:
-            for task in self._tasks.pop(index, ()):
-                if task.maker is not None:
-                    address = task.maker.published.address
-                    handles = handles_by_address.setdefault(address, [])
-                    handles.append(task.result)
-        self._batchers.free(handles_by_address)
+            self._pools.free(self._tasks.pop(index, ()))
 
 
-def new_stage_graph(admitted, batchers):
+def new_stage_graph(admitted, pools):
     """Return the graph of an admitted request, with nothing made yet."""
-    return StageGraph(admitted, batchers)
+    return StageGraph(admitted, pools)
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -16,9 +16,11 @@
         "key",
         "maker",
         "number",
+        "pool",
         "priority",
         "request_id",
         "result",
+        "result_bytes",
         "stage",
         "tries",
         "waiting_since_s",
@@ -35,12 +37,20 @@
         self.priority = 0
         self.tries = 0
         self.result = None
+        self.result_bytes = 0
         self.maker = None
+        self.pool = None
         self.waiting_since_s = trio.current_time()
         self.done = trio.Event()
 
+    def is_settled(self):
+        """Return whether the piece has its result, or why it has none."""
+        return self.done.is_set()
+
     def settle(self, result, maker=None):
-        """End the piece with a handle or a failure."""
+        """End the piece with a handle or a failure; the first end counts."""
+        if self.is_settled():
+            return
         self.result = result
         self.maker = maker
         self.done.set()
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -48,7 +48,7 @@
 
     chooser: object
     gateway: object
-    batchers: object
+    pools: object
     budgets: object
     metrics: object
 
@@ -145,8 +145,8 @@
         self._inputs = ()
         if not self._admitted.route.stages:
             return None
-        batchers = self._services.batchers
-        self._graph = graph_module.new_stage_graph(self._admitted, batchers)
+        pools = self._services.pools
+        self._graph = graph_module.new_stage_graph(self._admitted, pools)
         inputs = await self._graph.run()
         if isinstance(inputs, outcome.Refused):
             return inputs
