--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -260,7 +260,8 @@
     """What one entry that calls servers itself tells another.
 
     `freshness_age_s` is the age of its last confirmation that its catalog
-    is the newest, negative without one.
+    is the newest, negative without one. `parts` names large prompt parts,
+    each with the id of the server that it was just sent to.
     """
 
     name: str
@@ -271,6 +272,7 @@
     is_leaving: bool = False
     peers: list[str] = []
     waits: list[PoolWait] = []
+    parts: list[tuple[str, str]] = []
 
 
 class EntryHeard(_Message, tag="entry_heard"):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -17,6 +17,7 @@
 CALL_TIMEOUT_X = 4.0
 TRIES_MAX = 3
 PRIORITY_STEP_S = 0.1
+LATE_SLACK_S = 0.1
 ROOM_SHARE = 0.92
 FREE_DELAY_S = 0.03
 KEEP_MARGIN_S = 0.2
@@ -123,7 +124,8 @@
         call_s = (
             batching.call_ms + batching.piece_ms * batching.batch_max
         ) / 1000
-        ahead = len(self._queue) / batching.batch_max / len(lanes)
+        # What fits into the next calls does not wait for a later one.
+        ahead = len(self._queue) // (batching.batch_max * len(lanes))
         free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
         return free_s + ahead * call_s
 
@@ -325,7 +327,7 @@
 
 def _get_urgency(task):
     """Return what sorts pieces: those that can be on time go first."""
-    is_late = task.due_s < trio.current_time()
+    is_late = task.due_s + LATE_SLACK_S < trio.current_time()
     due_s = task.deadline.at_s if is_late else task.due_s
     return (is_late, due_s + PRIORITY_STEP_S * task.priority)
 
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -8,17 +8,24 @@
 import hashlib
 
 import msgspec
+import trio
 
 from greengagetrack.process.direct import directory as directory_module
 
 PREFILL_TOKENS_PER_MS = 100.0
 STEP_MS_PER_RUNNING = 0.4
 PLAIN_MS_DEFAULT = 25.0
-REGION_PENALTY_MS = 60.0
-DATA_CENTRE_PENALTY_MS = 4.0
+REGION_RTT_MS = 24.0
+DATA_CENTRE_RTT_MS = 1.0
+REGION_MS_PER_KB = 6.0
+INPUT_MS_PER_MB = 45.0
+SHARED_MS_PER_TOKEN = 0.2
+SHARED_WINDOW_S = 8.0
 SUSPECT_PENALTY_MS = 5000.0
 FAILURE_PENALTY_MS = 400.0
-HOME_BONUS_MS = 20.0
+HOME_BONUS_MS = 10.0
+KB = 1000
+MB = 1_000_000
 CONNECTION_SHARE = 8
 CONNECTIONS_MIN = 4
 
@@ -70,21 +77,37 @@
             return route.shares[0].service
         return self._random.choices(route.shares, weights)[0].service
 
-    def choose(self, service, request, excluded=(), near=None):
+    def choose(self, service, request, excluded=(), input_bytes=None):
         """Return the best `Choice`, or None if no server may be asked.
 
-        `near` names the data centre where the request's inputs lie.
+        `input_bytes` tells how many bytes of the request's inputs lie in
+        each data centre.
         """
         servers = self._get_candidates(service, excluded)
         if not servers:
             return None
         home = _get_home(servers, request.parts)
+        recent = self._count_recent_tokens(servers, request.parts)
         choices = [
-            self._predict(server, request, near, home, len(servers))
+            self._predict(server, request, input_bytes or {}, home, recent)
             for server in servers
         ]
         self._random.shuffle(choices)
-        return min(choices, key=lambda choice: choice.cost_ms)
+        best = min(choices, key=lambda choice: choice.cost_ms)
+        return Choice(
+            best.server,
+            best.cost_ms,
+            best.wait_ms,
+            best.new_tokens,
+            len(servers),
+        )
+
+    def _count_recent_tokens(self, servers, parts):
+        """Return the most leading tokens that one server read lately."""
+        since_s = trio.current_time() - SHARED_WINDOW_S
+        return max(
+            server.count_held_tokens(parts[:-1], since_s) for server in servers
+        )
 
     def _get_candidates(self, service, excluded):
         catalog = self._get_catalog()
@@ -97,17 +120,21 @@
             if server.server_id not in excluded and server.outstanding < most
         ]
 
-    def _predict(self, server, request, near, home, count):
+    def _predict(self, server, request, input_bytes, home, recent_tokens):
         held = server.count_held_tokens(request.parts)
         new_tokens = max(request.prompt_tokens - held, 0)
         wait_ms = self._predict_wait_ms(server, request, new_tokens)
-        cost_ms = wait_ms + self._get_distance_ms(server, near)
+        cost_ms = wait_ms + self._get_distance_ms(server, request)
+        cost_ms += self._get_input_ms(server, input_bytes)
+        # Reading again what another server has just read is paid for.
+        again = max(recent_tokens - held, 0)
+        cost_ms += again * SHARED_MS_PER_TOKEN
         cost_ms += FAILURE_PENALTY_MS * server.failure_share
         if server.is_suspect():
             cost_ms += SUSPECT_PENALTY_MS
         if server is home:
             cost_ms -= HOME_BONUS_MS
-        return Choice(server, cost_ms, wait_ms, new_tokens, count)
+        return Choice(server, cost_ms, wait_ms, new_tokens, 0)
 
     def _predict_wait_ms(self, server, request, new_tokens):
         if request.prompt_tokens:
@@ -119,23 +146,22 @@
         ahead = server.outstanding / server.published.slots
         return each_ms * (1 + ahead)
 
-    def _get_distance_ms(self, server, near):
+    def _get_distance_ms(self, server, request):
         centre = server.published.data_centre
-        wanted = near or self._data_centre
-        if centre == wanted:
+        if centre == self._data_centre:
             return 0.0
         regions = self._region_by_data_centre
-        if regions.get(centre) == regions.get(wanted):
-            return DATA_CENTRE_PENALTY_MS
-        return REGION_PENALTY_MS
+        if regions.get(centre) == regions.get(self._data_centre):
+            return DATA_CENTRE_RTT_MS
+        size_kb = len(request.body) / KB
+        return REGION_RTT_MS + REGION_MS_PER_KB * size_kb
 
-    def is_local(self, server):
-        """Return whether a server is in this entry's data centre."""
-        return server.published.data_centre == self._data_centre
-
-    def get_distance_ms(self, server):
-        """Return what using a server from here costs, in milliseconds."""
-        return self._get_distance_ms(server, None)
+    def _get_input_ms(self, server, input_bytes):
+        centre = server.published.data_centre
+        far_bytes = sum(
+            size for where, size in input_bytes.items() if where != centre
+        )
+        return far_bytes / MB * INPUT_MS_PER_MB
 
 
 def _get_home(servers, parts):
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -4,6 +4,7 @@
 connection, silence, failed answers) goes before it for the next choice.
 """
 
+import collections
 import logging
 
 import trio
@@ -16,6 +17,8 @@
 LATENCY_WEIGHT = 0.2
 LAPSE_GRACE_S = 2.3
 PARTS_MAX = 2000
+TOLD_PARTS_MAX = 256
+TOLD_TOKENS_MIN = 500
 
 _log = logging.getLogger(__name__)
 
@@ -98,18 +101,21 @@
 
     def note_parts(self, parts):
         """Note the prompt parts that the server holds from now on."""
-        now = trio.current_time()
         for part_id, _tokens in parts:
-            self.part_times.pop(part_id, None)
-            self.part_times[part_id] = now
+            self.note_part(part_id)
+
+    def note_part(self, part_id):
+        """Note one part that the server holds from now on."""
+        self.part_times.pop(part_id, None)
+        self.part_times[part_id] = trio.current_time()
         while len(self.part_times) > PARTS_MAX:
             self.part_times.pop(next(iter(self.part_times)))
 
-    def count_held_tokens(self, parts):
-        """Return the tokens of the leading parts that it holds."""
+    def count_held_tokens(self, parts, since_s=0.0):
+        """Return the tokens of the leading parts held since `since_s`."""
         held = 0
         for part_id, tokens in parts:
-            if part_id not in self.part_times:
+            if self.part_times.get(part_id, -1.0) < since_s:
                 break
             held += tokens
         return held
@@ -118,13 +124,39 @@
 class Directory:
     """All known servers by id, and by service."""
 
-    __slots__ = ("_forget", "changed", "is_lapse_possible", "server_by_id")
+    __slots__ = (
+        "_forget",
+        "changed",
+        "is_lapse_possible",
+        "server_by_id",
+        "told_parts",
+    )
 
     def __init__(self, forget):
         self._forget = forget
         self.server_by_id = {}
         self.changed = trio.Event()
         self.is_lapse_possible = False
+        self.told_parts = collections.deque(maxlen=TOLD_PARTS_MAX)
+
+    def note_parts(self, server, parts):
+        """Note what a server holds; the large parts are told to peers."""
+        # The last part belongs to the request alone.
+        for part_id, tokens in parts[:-1]:
+            if tokens >= TOLD_TOKENS_MIN:
+                number = self.told_parts[-1][0] + 1 if self.told_parts else 1
+                self.told_parts.append((number, part_id, server.server_id))
+        server.note_parts(parts)
+
+    def get_told_parts(self, after):
+        """Return the parts noted after the one with the number `after`."""
+        return [told for told in self.told_parts if told[0] > after]
+
+    def hear_part(self, part_id, server_id):
+        """Note what a peer says that a server holds."""
+        server = self.server_by_id.get(server_id)
+        if server is not None:
+            server.note_part(part_id)
 
     def get_servers(self, service):
         """Return the servers of a service that may get new work."""
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -100,7 +100,12 @@
         )
         self.peers.pools = self._pools
         self._services = run_module.RunServices(
-            chooser, gateway, self._pools, budgets, self.metrics
+            chooser,
+            self.directory,
+            gateway,
+            self._pools,
+            budgets,
+            self.metrics,
         )
 
     async def run(self):
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -37,6 +37,7 @@
         "heard_s",
         "is_leaving",
         "name",
+        "told_number",
     )
 
     def __init__(self, address):
@@ -46,6 +47,7 @@
         self.heard_s = None
         self.is_leaving = False
         self.catalog_version = 0
+        self.told_number = 0
 
     def is_alive(self, is_near):
         """Return whether the peer was heard lately and stays."""
@@ -97,7 +99,7 @@
             self._peer_by_address[address] = peer
         return peer
 
-    def _new_digest(self):
+    def _new_digest(self, parts=()):
         age_s = self._lease.get_age_s()
         return messages.EntryDigest(
             name=self.name,
@@ -115,6 +117,7 @@
                 messages.PoolWait(service, centre, _to_ms(wait_s))
                 for service, centre, wait_s in self.pools.get_told_waits()
             ],
+            parts=[(part_id, server_id) for _n, part_id, server_id in parts],
         )
 
     async def handle(self, message):
@@ -144,6 +147,8 @@
         peer.heard_s = trio.current_time()
         for address in digest.peers:
             self._learn(address)
+        for part_id, server_id in digest.parts:
+            self._directory.hear_part(part_id, server_id)
         for wait in digest.waits:
             pool = self.pools.get_pool(wait.service, wait.data_centre)
             pool.hear_wait(wait.wait_ms / 1000)
@@ -167,9 +172,12 @@
     async def _tell(self, peer):
         sent_s = self._lease.now_s()
         link = self._links.get_link(peer.address)
-        reply = await link.ask(self._new_digest(), ASK_TIMEOUT_S)
+        parts = self._directory.get_told_parts(peer.told_number)
+        reply = await link.ask(self._new_digest(parts), ASK_TIMEOUT_S)
         if not isinstance(reply, messages.EntryHeard):
             return
+        if parts:
+            peer.told_number = parts[-1][0]
         self._hear(reply.digest)
         age_s = reply.digest.freshness_age_s
         is_known = reply.digest.catalog_version <= self._keeper.get_version()
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -15,11 +15,17 @@
 from greengagetrack.process.direct import batcher as batcher_module
 
 WAKE_S = 0.1
-CROSSING_S = 0.06
-LARGE_BYTES = 1_000_000
-LARGE_CROSSING_S = 0.12
+CROSSING_S = 0.03
+MOVING_COST_PER_MB = 0.05
+LATE_COST = 1.5
+LATE_SPREAD_S = 0.12
+WAIT_COST_PER_S = 0.15
+WAIT_MAX_S = 30.0
+MB = 1_000_000
 SENT_DECAY_S = 0.8
 WAIT_UNKNOWN_S = 0.15
+WAIT_MIN_S = 0.05
+CALL_FILL = 0.7
 
 _log = logging.getLogger(__name__)
 
@@ -101,9 +107,15 @@
         work_ms = batching.piece_ms * batching.batch_max * fill
         return (batching.call_ms + work_ms) / 1000
 
-    async def make(self, service, tasks):
-        """Make all pieces of one stage; each task has its result then."""
-        pool = self._choose_pool(service, tasks)
+    async def make(self, service, tasks, inputs, followers, end_s):
+        """Make all pieces of one stage; each task has its result then.
+
+        `inputs` are the pieces whose results each of the tasks reads;
+        `followers` are the services of the stages that come after, and
+        `end_s` is when the last of them should be done.
+        """
+        services = [service, *followers]
+        pool = self._choose_pool(services, tasks, inputs, end_s)
         if pool is None:
             for task in tasks:
                 task.settle(gateway_module.PieceFailure.NO_SERVER)
@@ -117,26 +129,56 @@
                 return
         await pool.batcher.make(tasks)
 
-    def _choose_pool(self, service, tasks):
-        """Return the pool that is predicted to be done first, or None."""
-        batching = self.get_batching(service)
+    def _choose_pool(self, services, tasks, inputs, end_s):
+        """Return the pool that costs least.
+
+        Costs are in parts of a usual request's worth.
+        """
+        service = services[0]
         centres = {
             server.published.data_centre
             for server in self._directory.get_servers(service)
         }
-        if batching is None or not centres:
+        if self.get_batching(service) is None or not centres:
             return None
-        pools = [self.get_pool(service, centre) for centre in sorted(centres)]
-        sizes = sum(task.result_bytes for task in tasks)
-        return min(pools, key=lambda pool: self._get_cost_s(pool, sizes))
 
-    def _get_cost_s(self, pool, result_bytes):
-        cost_s = self._get_wait_s(pool)
+        left_s = end_s - trio.current_time()
+
+        def get_cost(centre):
+            pool = self.get_pool(service, centre)
+            finish_s = self._get_finish_s(services, centre)
+            cost = self._get_moving_cost(pool, tasks, inputs)
+            if pool.data_centre != self._data_centre:
+                finish_s += CROSSING_S
+            cost += LATE_COST * get_late_share(finish_s - left_s)
+            return cost + WAIT_COST_PER_S * min(finish_s, WAIT_MAX_S)
+
+        return self.get_pool(service, min(sorted(centres), key=get_cost))
+
+    def _get_finish_s(self, services, centre):
+        """Return the time that services one after another will take."""
+        finish_s = 0.0
+        for service in services:
+            pool = self.get_pool(service, centre)
+            # What comes later finds its queue as it will be then.
+            wait_s = max(self._get_wait_s(pool) - finish_s, WAIT_MIN_S)
+            finish_s += wait_s + self.get_call_s(service, CALL_FILL)
+        return finish_s
+
+    def _get_moving_cost(self, pool, tasks, inputs):
+        """Return what using a pool costs in bytes moved between centres.
+
+        Each piece reads all inputs, so they move once for each piece.
+        """
+        far_bytes = sum(
+            each.result_bytes
+            for each in inputs
+            if each.pool.data_centre != pool.data_centre
+        )
+        moved_bytes = far_bytes * len(tasks)
         if pool.data_centre != self._data_centre:
-            cost_s += CROSSING_S
-            if result_bytes > LARGE_BYTES:
-                cost_s += LARGE_CROSSING_S
-        return cost_s
+            moved_bytes += sum(task.result_bytes for task in tasks)
+        return moved_bytes / MB * MOVING_COST_PER_MB
 
     def _get_wait_s(self, pool):
         if self.get_gatherer(pool) is None:
@@ -146,9 +188,12 @@
             server.published.data_centre == pool.data_centre
             for server in self._directory.get_servers(pool.service)
         )
+        if batching is None or not servers:
+            return math.inf
         each_s = self.get_call_s(pool.service, 1.0) / batching.batch_max
-        ahead_s = pool.count_sent() * each_s / max(servers, 1)
-        return pool.told_wait_s + ahead_s
+        ahead_s = pool.count_sent() * each_s / servers
+        passed_s = trio.current_time() - pool.heard_s
+        return max(pool.told_wait_s - passed_s, WAIT_MIN_S) + ahead_s
 
     def get_gatherer(self, pool):
         """Return the peer that gathers for a pool; None: this entry.
@@ -200,6 +245,12 @@
                 pool.batcher.wake()
 
 
+def get_late_share(over_s):
+    """Return how likely it is to be late when `over_s` too long is told."""
+    exponent = min(max(-over_s / LATE_SPREAD_S, -50.0), 50.0)
+    return 1 / (1 + math.exp(exponent))
+
+
 def new_pools(data_centre, parts, peers):
     """Return the pools as seen by an entry in `data_centre`."""
     return Pools(data_centre, parts, peers)
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -67,12 +67,30 @@
             for number in range(self._count_pieces(index))
         ]
         self._tasks[index] = tasks
-        await self._pools.make(stage.service, tasks)
+        inputs_made = [
+            task
+            for before in stage.after
+            for task in self._tasks.get(before, ())
+        ]
+        await self._pools.make(
+            stage.service,
+            tasks,
+            inputs_made,
+            self._get_followers(index),
+            self._admitted.aim_at_s - GENERATION_S,
+        )
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
                 self._failure = self._failure or task.result
         self._free_used(stage.after)
 
+    def _get_followers(self, index):
+        """Return the services of the stages after one, in their order."""
+        for follower, stage in enumerate(self._admitted.route.stages):
+            if index in stage.after and self._count_pieces(follower):
+                return [stage.service, *self._get_followers(follower)]
+        return []
+
     def _free_used(self, indexes):
         """Give back the results whose followers all have theirs."""
         stages = self._admitted.route.stages
@@ -124,20 +142,16 @@
             [index for index in last if self._count_pieces(index)]
         )
 
-    def get_heaviest_data_centre(self):
-        """Return where most bytes of the inputs lie, or None."""
+    def get_input_bytes(self):
+        """Return how many bytes of the inputs lie in each data centre."""
         bytes_by_centre = {}
         for index in self._admitted.route.get_last_stages():
-            size = self._admitted.route.stages[index].result_bytes
             for task in self._tasks.get(index, ()):
-                if task.maker is None:
-                    continue
-                centre = task.maker.published.data_centre
-                before = bytes_by_centre.get(centre, 0)
-                bytes_by_centre[centre] = before + size
-        if not bytes_by_centre:
-            return None
-        return max(bytes_by_centre, key=bytes_by_centre.get)
+                if task.pool is not None:
+                    centre = task.pool.data_centre
+                    before = bytes_by_centre.get(centre, 0)
+                    bytes_by_centre[centre] = before + task.result_bytes
+        return bytes_by_centre
 
     def free(self):
         """Give all results back to their makers."""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -47,6 +47,7 @@
     """What the process lends to every run."""
 
     chooser: object
+    directory: object
     gateway: object
     pools: object
     budgets: object
@@ -61,11 +62,11 @@
         "_attempts",
         "_excluded",
         "_graph",
+        "_input_bytes",
         "_inputs",
         "_is_run_possible",
         "_last_event",
         "_last_failure",
-        "_near",
         "_refusal",
         "_reply",
         "_sends",
@@ -81,7 +82,7 @@
         self._reply = reply
         self._graph = None
         self._inputs = None
-        self._near = None
+        self._input_bytes = {}
         self._service = ""
         self._excluded = set()
         self._sends = 0
@@ -151,7 +152,7 @@
         if isinstance(inputs, outcome.Refused):
             return inputs
         self._inputs = inputs
-        self._near = self._graph.get_heaviest_data_centre()
+        self._input_bytes = self._graph.get_input_bytes()
         return None
 
     def _new_refusal(self):
@@ -186,7 +187,10 @@
     async def _attempt(self):
         """Ask one server; return an end, or None to think again."""
         choice = self._services.chooser.choose(
-            self._service, self._admitted.request, self._excluded, self._near
+            self._service,
+            self._admitted.request,
+            self._excluded,
+            self._input_bytes,
         )
         if choice is None:
             return self._new_refusal()
@@ -196,7 +200,9 @@
         prefill = choice.new_tokens
         server.outstanding += 1
         server.prefill_tokens += prefill
-        server.note_parts(self._admitted.request.parts)
+        self._services.directory.note_parts(
+            server, self._admitted.request.parts
+        )
         exchange = _Exchange(server, prefill)
         try:
             return await self._exchange(exchange)
