--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -261,7 +261,8 @@
 
     `freshness_age_s` is the age of its last confirmation that its catalog
     is the newest, negative without one. `parts` names large prompt parts,
-    each with the id of the server that it was just sent to.
+    each with the id of the server that it was just sent to; `loads` has
+    the requests and prompt tokens that the sender has outstanding.
     """
 
     name: str
@@ -273,6 +274,7 @@
     peers: list[str] = []
     waits: list[PoolWait] = []
     parts: list[tuple[str, str]] = []
+    loads: list[tuple[str, int, int]] = []
 
 
 class EntryHeard(_Message, tag="entry_heard"):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -18,8 +18,9 @@
 TRIES_MAX = 3
 PRIORITY_STEP_S = 0.1
 LATE_SLACK_S = 0.1
-ROOM_SHARE = 0.92
-FREE_DELAY_S = 0.03
+ROOM_SHARE = 1.0
+FREE_DELAY_S = 0.01
+BATCH_WEIGHT = 0.25
 KEEP_MARGIN_S = 0.2
 ROOM_PAUSE_S = 0.1
 FAILURE_SHARE_MAX = 0.3
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "_held",
+        "batch_usual",
         "busy_until_s",
         "calls",
         "freed",
@@ -40,8 +42,9 @@
         "used_bytes",
     )
 
-    def __init__(self, server):
+    def __init__(self, server, batch_max):
         self.server = server
+        self.batch_usual = float(batch_max)
         self.calls = 0
         self.busy_until_s = 0.0
         self.paused_until_s = 0.0
@@ -49,6 +52,14 @@
         self.freed = []
         self._held = {}
 
+    def note_batch(self, size, batch_max, is_cut):
+        """Learn how many pieces a call takes when more are waiting.
+
+        Where the room for results is short, calls are never full.
+        """
+        seen = size if is_cut else batch_max
+        self.batch_usual += (seen - self.batch_usual) * BATCH_WEIGHT
+
     def hold(self, handle, size_bytes, until_s):
         """Note a result that takes room until it is freed or expires."""
         self._held[handle] = (size_bytes, until_s)
@@ -125,7 +136,8 @@
             batching.call_ms + batching.piece_ms * batching.batch_max
         ) / 1000
         # What fits into the next calls does not wait for a later one.
-        ahead = len(self._queue) // (batching.batch_max * len(lanes))
+        each_call = sum(lane.batch_usual for lane in lanes)
+        ahead = int(len(self._queue) / max(each_call, 1.0))
         free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
         return free_s + ahead * call_s
 
@@ -164,12 +176,14 @@
     def _get_lanes(self):
         """Return the lanes, the soundest first."""
         lanes = []
+        batching = self._get_batching()
+        batch_max = batching.batch_max if batching else 1
         for server in self._directory.get_servers(self.service):
             if server.published.data_centre != self._data_centre:
                 continue
             lane = self._lane_by_id.get(server.server_id)
             if lane is None or lane.server is not server:
-                lane = Lane(server)
+                lane = Lane(server, batch_max)
                 self._lane_by_id[server.server_id] = lane
             lanes.append(lane)
         sound = [lane for lane in lanes if not lane.server.is_suspect()]
@@ -188,6 +202,7 @@
         batch = self._take_batch(lane, batching)
         if not batch:
             return
+        lane.note_batch(len(batch), batching.batch_max, bool(self._queue))
         lane.calls += 1
         work_s = (batching.call_ms + batching.piece_ms * len(batch)) / 1000
         lane.busy_until_s = trio.current_time() + work_s
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -13,13 +13,14 @@
 from greengagetrack.process.direct import directory as directory_module
 
 PREFILL_TOKENS_PER_MS = 100.0
-STEP_MS_PER_RUNNING = 0.4
+STEP_MS_PER_RUNNING = 2.0
+FIRST_TOKEN_MS = 40.0
 PLAIN_MS_DEFAULT = 25.0
 REGION_RTT_MS = 24.0
 DATA_CENTRE_RTT_MS = 1.0
-REGION_MS_PER_KB = 6.0
-INPUT_MS_PER_MB = 45.0
-SHARED_MS_PER_TOKEN = 0.2
+REGION_MS_PER_KB = 4.0
+INPUT_MS_PER_MB = 30.0
+SHARED_MS_PER_TOKEN = 0.08
 SHARED_WINDOW_S = 8.0
 SUSPECT_PENALTY_MS = 5000.0
 FAILURE_PENALTY_MS = 400.0
@@ -137,14 +138,16 @@
         return Choice(server, cost_ms, wait_ms, new_tokens, 0)
 
     def _predict_wait_ms(self, server, request, new_tokens):
+        running = server.count_running()
         if request.prompt_tokens:
-            prefill = server.prefill_tokens + new_tokens
-            wait_ms = prefill / PREFILL_TOKENS_PER_MS
-            wait_ms += server.outstanding * STEP_MS_PER_RUNNING
+            prefill = new_tokens + server.count_prefill_tokens(
+                PREFILL_TOKENS_PER_MS * 1000
+            )
+            wait_ms = prefill / PREFILL_TOKENS_PER_MS + FIRST_TOKEN_MS
+            wait_ms += running * STEP_MS_PER_RUNNING
             return wait_ms * server.slowness
         each_ms = server.latency_ms or PLAIN_MS_DEFAULT
-        ahead = server.outstanding / server.published.slots
-        return each_ms * (1 + ahead)
+        return each_ms * (1 + running / server.published.slots)
 
     def _get_distance_ms(self, server, request):
         centre = server.published.data_centre
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -16,6 +16,9 @@
 EJECT_S = 2.5
 LATENCY_WEIGHT = 0.2
 LAPSE_GRACE_S = 2.3
+HEARD_LOAD_S = 2.0
+SLOWNESS_MIN = 0.5
+SLOWNESS_MAX = 6.0
 PARTS_MAX = 2000
 TOLD_PARTS_MAX = 256
 TOLD_TOKENS_MIN = 500
@@ -29,6 +32,7 @@
     __slots__ = (
         "failure_share",
         "gone_at_s",
+        "heard_loads",
         "latency_ms",
         "outstanding",
         "part_times",
@@ -50,6 +54,7 @@
         self.suspicions = 0
         self.gone_at_s = None
         self.part_times = {}
+        self.heard_loads = {}
 
     @property
     def server_id(self):
@@ -64,6 +69,33 @@
         """Return whether others go first for the moment."""
         return trio.current_time() < self.suspect_until_s
 
+    def hear_load(self, peer, running, prefill_tokens):
+        """Note what a peer has outstanding here."""
+        now = trio.current_time()
+        self.heard_loads[peer] = (now, running, prefill_tokens)
+
+    def count_running(self):
+        """Return the requests that all entries have outstanding here."""
+        since_s = trio.current_time() - HEARD_LOAD_S
+        return self.outstanding + sum(
+            running
+            for heard_s, running, _tokens in self.heard_loads.values()
+            if heard_s > since_s
+        )
+
+    def count_prefill_tokens(self, tokens_per_s):
+        """Return the prompt tokens that the server has still to read."""
+        now = trio.current_time()
+        total = self.prefill_tokens
+        for heard_s, _running, tokens in self.heard_loads.values():
+            total += max(tokens - (now - heard_s) * tokens_per_s, 0)
+        return total
+
+    def note_first_event(self, spent_ms, predicted_ms):
+        """Learn how slow the server is against what was predicted."""
+        ratio = min(max(spent_ms / predicted_ms, SLOWNESS_MIN), SLOWNESS_MAX)
+        self.slowness += (ratio - self.slowness) * LATENCY_WEIGHT
+
     def note_success(self, spent_ms):
         """Learn from a whole answer."""
         self.suspicions = 0
@@ -152,6 +184,22 @@
         """Return the parts noted after the one with the number `after`."""
         return [told for told in self.told_parts if told[0] > after]
 
+    def get_loads(self):
+        """Return what this entry has outstanding, for its peers."""
+        return [
+            (server.server_id, server.outstanding, server.prefill_tokens)
+            for server in self.server_by_id.values()
+            if server.outstanding
+        ]
+
+    def hear_loads(self, peer, loads):
+        """Take what a peer has outstanding at all servers."""
+        load_by_id = {server_id: load for server_id, *load in loads}
+        for server in self.server_by_id.values():
+            running, tokens = load_by_id.get(server.server_id, (0, 0))
+            if running or peer in server.heard_loads:
+                server.hear_load(peer, running, tokens)
+
     def hear_part(self, part_id, server_id):
         """Note what a peer says that a server holds."""
         server = self.server_by_id.get(server_id)
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -118,6 +118,7 @@
                 for service, centre, wait_s in self.pools.get_told_waits()
             ],
             parts=[(part_id, server_id) for _n, part_id, server_id in parts],
+            loads=self._directory.get_loads(),
         )
 
     async def handle(self, message):
@@ -147,6 +148,7 @@
         peer.heard_s = trio.current_time()
         for address in digest.peers:
             self._learn(address)
+        self._directory.hear_loads(digest.name, digest.loads)
         for part_id, server_id in digest.parts:
             self._directory.hear_part(part_id, server_id)
         for wait in digest.waits:
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -203,7 +203,7 @@
         self._services.directory.note_parts(
             server, self._admitted.request.parts
         )
-        exchange = _Exchange(server, prefill)
+        exchange = _Exchange(server, choice)
         try:
             return await self._exchange(exchange)
         finally:
@@ -356,7 +356,7 @@
                 return await self._end_events(exchange, answer)
             if not exchange.is_prefilled:
                 # The server has read the inputs by its first event.
-                exchange.note_prefilled()
+                exchange.note_first_event()
                 self._free_inputs()
             problem = await self._pass_events(part)
             if problem is not None:
@@ -477,11 +477,18 @@
 class _Exchange:
     """What one attempt holds at its server."""
 
-    __slots__ = ("_prefill", "_started_s", "is_prefilled", "server")
+    __slots__ = (
+        "_predicted_ms",
+        "_prefill",
+        "_started_s",
+        "is_prefilled",
+        "server",
+    )
 
-    def __init__(self, server, prefill):
+    def __init__(self, server, choice):
         self.server = server
-        self._prefill = prefill
+        self._prefill = choice.new_tokens
+        self._predicted_ms = choice.wait_ms
         self._started_s = trio.current_time()
         self.is_prefilled = False
 
@@ -491,6 +498,12 @@
         self.server.prefill_tokens -= self._prefill
         self._prefill = 0
 
+    def note_first_event(self):
+        """Learn from the time of the first event."""
+        self.note_prefilled()
+        spent_ms = (trio.current_time() - self._started_s) * 1000
+        self.server.note_first_event(spent_ms, max(self._predicted_ms, 1.0))
+
     def note_whole(self, status):
         """Learn from a whole answer."""
         if status < SERVER_ERROR:
