Test the connections; never keep one that its server has ended

Cause: an answer without a length ends with its connection, and the protocol engine still said that another request could follow.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -96,6 +96,7 @@
 
     __slots__ = (
         "_connection",
+        "_is_ended",
         "_is_sent",
         "_pool",
         "_protocol",
@@ -111,6 +112,7 @@
         self._connection = connection
         self._request = request
         self._protocol = h11.Connection(h11.CLIENT)
+        self._is_ended = False
         self._is_sent = False
         self._seen_bytes = False
         self._scope = None
@@ -223,6 +225,7 @@
             if not data and not self._seen_bytes:
                 return self._new_broken("closed without an answer")
             self._seen_bytes = True
+            self._is_ended = not data
             try:
                 self._protocol.receive_data(data)
             except h11.RemoteProtocolError as error:
@@ -243,7 +246,7 @@
 
     def _is_reusable(self):
         protocol = self._protocol
-        if not (self.is_whole and self._is_sent):
+        if self._is_ended or not (self.is_whole and self._is_sent):
             return False
         if protocol.our_state is not h11.DONE:
             return False
--- /dev/null
+++ b/tests/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry that calls backend servers itself."""
--- /dev/null
+++ b/tests/direct/loopback.py
@@ -0,0 +1,45 @@
+"""Raw peers on loopback for tests of what passes over a connection."""
+
+import trio
+
+LIMIT_S = 5.0
+
+
+async def read_until(stream, end):
+    """Return what a stream brings up to and with `end`, or up to its end."""
+    data = b""
+    with trio.fail_after(LIMIT_S):
+        while end not in data:
+            more = await stream.receive_some(65536)
+            if not more:
+                return data
+            data += more
+    return data
+
+
+async def read_all(stream):
+    """Return what a stream brings until it ends or is reset."""
+    data = b""
+    with trio.fail_after(LIMIT_S):
+        while True:
+            try:
+                more = await stream.receive_some(65536)
+            except trio.BrokenResourceError:
+                return data
+            if not more:
+                return data
+            data += more
+
+
+async def start_raw_server(nursery, handle):
+    """Serve each connection by `handle(stream)`; return the address."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, handle, listeners)
+    host, port = listeners[0].socket.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+async def open_stream(address):
+    """Return a stream to an address."""
+    host, _separator, port = address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
