Keep a request's pieces together; refuse what stages can't finish

Ruled out: the slow server (its pool was not the one that stood). After: groups go whole into a call, begun ones first; room that others use is counted for a moment; pieces have the deadline less what follows; what the pools can't finish in time is refused at once with when to come back.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -18,11 +18,10 @@
 TRIES_MAX = 3
 PRIORITY_STEP_S = 0.1
 LATE_SLACK_S = 0.1
-ROOM_SHARE = 1.0
 FREE_DELAY_S = 0.01
 BATCH_WEIGHT = 0.25
 KEEP_MARGIN_S = 0.2
-ROOM_PAUSE_S = 0.1
+ASSUMED_S = 0.3
 FAILURE_SHARE_MAX = 0.3
 
 _log = logging.getLogger(__name__)
@@ -32,12 +31,12 @@
     """The calls of this entry to one server, and the room used there."""
 
     __slots__ = (
+        "_assumed",
         "_held",
         "batch_usual",
         "busy_until_s",
         "calls",
         "freed",
-        "paused_until_s",
         "server",
         "used_bytes",
     )
@@ -47,9 +46,9 @@
         self.batch_usual = float(batch_max)
         self.calls = 0
         self.busy_until_s = 0.0
-        self.paused_until_s = 0.0
         self.used_bytes = 0
         self.freed = []
+        self._assumed = 0
         self._held = {}
 
     def note_batch(self, size, batch_max, is_cut):
@@ -64,6 +63,14 @@
         """Note a result that takes room until it is freed or expires."""
         self._held[handle] = (size_bytes, until_s)
 
+    def assume_used(self, size_bytes):
+        """Count room as used for a moment that others have taken."""
+        self._assumed += 1
+        handle = f"assumed {self._assumed}"
+        self.used_bytes += size_bytes
+        until_s = trio.current_time() + ASSUMED_S
+        self._held[handle] = (size_bytes, until_s)
+
     def release(self, handle):
         """Note that a result is freed; return whether it was held."""
         held = self._held.pop(handle, None)
@@ -75,11 +82,35 @@
     def release_expired(self):
         """Forget the results that the server has dropped by itself."""
         now = trio.current_time()
-        # They are in the order in which they expire.
         for handle, (_size, until_s) in list(self._held.items()):
-            if until_s > now:
-                return
-            self.release(handle)
+            if until_s <= now:
+                self.release(handle)
+
+
+class Group:
+    """The waiting pieces of one stage of one request.
+
+    Results of a part of them only take room, so a group goes into one
+    call if it can, and one that was begun goes first.
+    """
+
+    __slots__ = ("is_begun", "tasks")
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.is_begun = False
+
+    def get_urgency(self):
+        """Return what sorts groups: those that can be on time go first."""
+        first = self.tasks[0]
+        is_late = first.due_s + LATE_SLACK_S < trio.current_time()
+        due_s = first.deadline.at_s if is_late else first.due_s
+        rank_s = due_s + PRIORITY_STEP_S * first.priority
+        return (not self.is_begun, is_late, rank_s)
+
+    def drop_settled(self):
+        """Forget the pieces that nobody waits for."""
+        self.tasks = [task for task in self.tasks if not task.is_settled()]
 
 
 class Batcher:
@@ -113,17 +144,26 @@
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.note_first()
-        self._queue += tasks
+        group = Group(list(tasks))
+        self._queue.append(group)
         self._dispatch()
         try:
             for task in tasks:
                 await task.done.wait()
         finally:
             # A caller that left wants none of what still waits.
-            wanted = set(map(id, tasks))
-            self._queue = [
-                task for task in self._queue if id(task) not in wanted
-            ]
+            for task in tasks:
+                task.settle(gateway_module.PieceFailure.LATE)
+            self._drop_settled()
+
+    def count_waiting(self):
+        """Return the pieces that wait for a call."""
+        return sum(len(group.tasks) for group in self._queue)
+
+    def is_busy(self):
+        """Return whether pieces wait or are being made."""
+        calls = sum(lane.calls for lane in self._lane_by_id.values())
+        return bool(self._queue) or calls > 0
 
     def get_wait_s(self):
         """Return how long a piece that came now would wait for its call."""
@@ -137,7 +177,7 @@
         ) / 1000
         # What fits into the next calls does not wait for a later one.
         each_call = sum(lane.batch_usual for lane in lanes)
-        ahead = int(len(self._queue) / max(each_call, 1.0))
+        ahead = int(self.count_waiting() / max(each_call, 1.0))
         free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
         return free_s + ahead * call_s
 
@@ -159,19 +199,26 @@
             self._settle_all(gateway_module.PieceFailure.NO_SERVER)
             return
         for lane in lanes:
-            if self._queue and self._is_free(lane, batching):
+            if self._queue and lane.calls < batching.slots:
                 self._send(lane, batching)
 
     def _settle_all(self, failure):
         queue, self._queue = self._queue, []
-        for task in queue:
-            task.settle(failure)
+        for group in queue:
+            for task in group.tasks:
+                task.settle(failure)
 
     def _drop_late(self):
-        for task in self._queue:
-            if task.deadline.is_past():
-                task.settle(gateway_module.PieceFailure.LATE)
-        self._queue = [task for task in self._queue if not task.is_settled()]
+        for group in self._queue:
+            for task in group.tasks:
+                if task.deadline.is_past():
+                    task.settle(gateway_module.PieceFailure.LATE)
+        self._drop_settled()
+
+    def _drop_settled(self):
+        for group in self._queue:
+            group.drop_settled()
+        self._queue = [group for group in self._queue if group.tasks]
 
     def _get_lanes(self):
         """Return the lanes, the soundest first."""
@@ -191,14 +238,10 @@
         lanes.sort(key=_get_rank)
         return lanes
 
-    def _is_free(self, lane, batching):
-        now = trio.current_time()
-        return lane.calls < batching.slots and lane.paused_until_s <= now
-
     def _send(self, lane, batching):
         """Start one call with the most urgent pieces that have room."""
         # No await: a piece must be in one call only.
-        self._queue.sort(key=_get_urgency)
+        self._queue.sort(key=Group.get_urgency)
         batch = self._take_batch(lane, batching)
         if not batch:
             return
@@ -209,20 +252,35 @@
         self._nursery.start_soon(self._run_call, lane, batch, work_s)
 
     def _take_batch(self, lane, batching):
+        """Return the pieces of the next call, taken from the queue."""
         lane.release_expired()
-        room_bytes = batching.room_bytes * ROOM_SHARE - lane.used_bytes
         batch = []
-        for task in self._queue:
-            if len(batch) >= batching.batch_max:
+        for group in self._queue:
+            free = batching.batch_max - len(batch)
+            if free <= 0:
                 break
-            if batching.room_bytes and task.result_bytes > room_bytes:
+            fitting = min(self._count_room(lane, group, batching), free)
+            # Only what can't go whole, or has begun, is split.
+            is_split = group.is_begun or len(group.tasks) > batching.batch_max
+            if fitting < len(group.tasks) and not (is_split or not batch):
+                continue
+            if not fitting:
                 break
-            room_bytes -= task.result_bytes
-            batch.append(task)
-        del self._queue[: len(batch)]
-        lane.used_bytes += sum(task.result_bytes for task in batch)
+            taken = group.tasks[:fitting]
+            del group.tasks[:fitting]
+            group.is_begun = True
+            batch += taken
+            lane.used_bytes += sum(task.result_bytes for task in taken)
+        self._queue = [group for group in self._queue if group.tasks]
         return batch
 
+    def _count_room(self, lane, group, batching):
+        """Return how many pieces of a group have room at a server."""
+        each = group.tasks[0].result_bytes
+        if not (batching.room_bytes and each):
+            return len(group.tasks)
+        return max(int((batching.room_bytes - lane.used_bytes) / each), 0)
+
     async def _run_call(self, lane, batch, work_s):
         server = lane.server
         started_s = trio.current_time()
@@ -272,7 +330,7 @@
                 "requests": sorted({task.request_id for task in batch}),
                 "spent_ms": round(spent_ms, 1),
                 "work_ms": round(work_s * 1000, 1),
-                "waiting": len(self._queue),
+                "waiting": self.count_waiting(),
                 "outcome": detail,
             },
         )
@@ -289,12 +347,14 @@
             task.settle(result, lane.server)
             return
         lane.used_bytes -= task.result_bytes
+        if task.is_settled():
+            return
         if result in (failure.INPUT_GONE, failure.LATE):
             task.settle(result)
             return
         if result is failure.NO_ROOM:
-            # It has less room than this entry believes.
-            lane.paused_until_s = trio.current_time() + ROOM_PAUSE_S
+            # Something that this entry does not know of takes the room.
+            lane.assume_used(task.result_bytes)
         self._try_again(task, result)
 
     def _try_again(self, task, failure):
@@ -304,7 +364,9 @@
         if is_over or not budget.take():
             task.settle(failure)
         else:
-            self._queue.append(task)
+            group = Group([task])
+            group.is_begun = True
+            self._queue.append(group)
 
     def free(self, server_id, handles):
         """Give back results that are not needed any more."""
@@ -340,13 +402,6 @@
     )
 
 
-def _get_urgency(task):
-    """Return what sorts pieces: those that can be on time go first."""
-    is_late = task.due_s + LATE_SLACK_S < trio.current_time()
-    due_s = task.deadline.at_s if is_late else task.due_s
-    return (is_late, due_s + PRIORITY_STEP_S * task.priority)
-
-
 class BatcherParts:
     """What all batchers of an entry share."""
 
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -155,7 +155,9 @@
     callers.is_draining = True
     with trio.move_on_at(limit_s):
         await trio.sleep(ROTATION_S)
-        while callers.in_progress and not stop.now.is_set():
+        while callers.in_progress or entry.is_busy():
+            if stop.now.is_set():
+                break
             await trio.sleep(DRAIN_CHECK_S)
     callers.is_closing = True
     return callers.in_progress == 0
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -134,10 +134,14 @@
             return False
         return bool(self.directory.server_by_id) and self.lease.is_fresh()
 
+    def is_busy(self):
+        """Return whether this entry still works for its peers."""
+        return self._pools.is_busy()
+
     def start_draining(self):
         """Be not ready from now on; requests that come are served."""
         self.is_draining = True
-        self.peers.is_leaving = True
+        self.peers.leave()
         _log.info("draining", extra={"decision": "drain"})
 
     def admit(self, request):
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -63,6 +63,7 @@
     __slots__ = (
         "_data_centre",
         "_directory",
+        "_hurry",
         "_keeper",
         "_lease",
         "_links",
@@ -84,6 +85,7 @@
         self._directory = directory
         self._peer_by_address = {}
         self._round = 0
+        self._hurry = trio.Event()
         self.pools = None
         self.is_leaving = False
         for address in settings.seeds:
@@ -164,7 +166,15 @@
                         nursery.start_soon(self._tell, peer)
                 self._forget_silent()
                 self._round += 1
-                await trio.sleep(NEAR_PERIOD_S)
+                with trio.move_on_after(NEAR_PERIOD_S):
+                    await self._hurry.wait()
+                    self._hurry = trio.Event()
+
+    def leave(self):
+        """Tell all peers at once that this entry takes no more work."""
+        self.is_leaving = True
+        self._round = 0
+        self._hurry.set()
 
     def _is_due(self, peer):
         if peer.data_centre == self._data_centre:
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -227,6 +227,21 @@
                     self._peers.free_at, peer, pool, server_id, handles
                 )
 
+    def is_busy(self):
+        """Return whether pieces wait or are being made by this entry."""
+        return any(
+            pool.batcher.is_busy() for pool in self._pool_by_key.values()
+        )
+
+    def predict_s(self, services):
+        """Return how soon stages one after another could be done."""
+        centres = {
+            server.published.data_centre
+            for server in self._directory.get_servers(services[0])
+        }
+        times = [self._get_finish_s(services, centre) for centre in centres]
+        return min(times, default=math.inf)
+
     def get_told_waits(self):
         """Return the waits of the pools that this entry gathers."""
         return [
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -3,12 +3,15 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import piece
 from greengagetrack.request import outcome
 
 ROUNDS_MAX = 2
 GENERATION_S = 0.15
 CALL_FILL = 0.5
+LEFT_SHARE = 0.85
+RETRY_MIN_S = 0.2
 
 _Reason = outcome.Reason
 
@@ -33,6 +36,23 @@
         counts = self._admitted.request.piece_counts
         return counts[index] if index < len(counts) else 0
 
+    def find_refusal(self):
+        """Return `Refused` if the stages can't be done in time, else None."""
+        left_s = self._admitted.deadline.get_left_s() - GENERATION_S
+        for index, stage in enumerate(self._admitted.route.stages):
+            if stage.after or not self._count_pieces(index):
+                continue
+            services = [stage.service, *self._get_followers(index)]
+            needed_s = self._pools.predict_s(services)
+            if needed_s > left_s * LEFT_SHARE:
+                over_s = min(needed_s, left_s * 2) - left_s * LEFT_SHARE
+                return outcome.Refused(
+                    _Reason.DEADLINE_UNREACHABLE,
+                    f"stages need {needed_s:.2f} s, {left_s:.2f} s are left",
+                    int((over_s + RETRY_MIN_S) * 1000),
+                )
+        return None
+
     async def run(self):
         """Return the handles that the request needs, or `Refused`."""
         for _round in range(ROUNDS_MAX):
@@ -112,8 +132,12 @@
         task = piece.PieceTask(
             request.log_id, index, number, request.piece_key, inputs
         )
-        task.deadline = self._admitted.deadline
-        task.due_s = self._admitted.aim_at_s - self._get_rest_s(index)
+        # A piece is of no use later than this.
+        rest_s = self._get_rest_s(index)
+        task.deadline = deadline_module.Deadline(
+            self._admitted.deadline.at_s - rest_s
+        )
+        task.due_s = self._admitted.aim_at_s - rest_s
         task.priority = self._admitted.priority
         stage = self._admitted.route.stages[index]
         task.result_bytes = stage.result_bytes
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -148,6 +148,10 @@
             return None
         pools = self._services.pools
         self._graph = graph_module.new_stage_graph(self._admitted, pools)
+        if self._sends == 0:
+            refused = self._graph.find_refusal()
+            if refused is not None:
+                return refused
         inputs = await self._graph.run()
         if isinstance(inputs, outcome.Refused):
             return inputs
