--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -222,22 +222,24 @@
 
     def _get_lanes(self):
         """Return the lanes, the soundest first."""
-        lanes = []
-        batching = self._get_batching()
-        batch_max = batching.batch_max if batching else 1
-        for server in self._directory.get_servers(self.service):
-            if server.published.data_centre != self._data_centre:
-                continue
-            lane = self._lane_by_id.get(server.server_id)
-            if lane is None or lane.server is not server:
-                lane = Lane(server, batch_max)
-                self._lane_by_id[server.server_id] = lane
-            lanes.append(lane)
+        lanes = [
+            self._get_lane(server)
+            for server in self._directory.get_servers(self.service)
+            if server.published.data_centre == self._data_centre
+        ]
         sound = [lane for lane in lanes if not lane.server.is_suspect()]
         lanes = sound or lanes
         lanes.sort(key=_get_rank)
         return lanes
 
+    def _get_lane(self, server):
+        lane = self._lane_by_id.get(server.server_id)
+        if lane is None or lane.server is not server:
+            batching = self._get_batching()
+            lane = Lane(server, batching.batch_max if batching else 1)
+            self._lane_by_id[server.server_id] = lane
+        return lane
+
     def _send(self, lane, batching):
         """Start one call with the most urgent pieces that have room."""
         # No await: a piece must be in one call only.
@@ -369,13 +371,20 @@
             self._queue.append(group)
 
     def free(self, server_id, handles):
-        """Give back results that are not needed any more."""
-        lane = self._lane_by_id.get(server_id)
-        if lane is None:
+        """Give back results that are not needed any more.
+
+        Some may be of calls that another entry made before this one came
+        to gather: their maker frees them all the same.
+        """
+        server = self._directory.server_by_id.get(server_id)
+        if server is None:
             return
+        lane = self._get_lane(server)
+        for handle in handles:
+            lane.release(handle)
         is_flush_due = not lane.freed
-        lane.freed += [handle for handle in handles if lane.release(handle)]
-        if lane.freed and is_flush_due:
+        lane.freed += handles
+        if is_flush_due:
             self._nursery.start_soon(self._flush_freed, lane)
         self.wake()
 
