--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -262,12 +262,12 @@
             if free <= 0:
                 break
             fitting = min(self._count_room(lane, group, batching), free)
-            # Only what can't go whole, or has begun, is split.
+            # Only what can't go whole, or has begun, is split. Small
+            # results pass by large ones that wait for room.
             is_split = group.is_begun or len(group.tasks) > batching.batch_max
-            if fitting < len(group.tasks) and not (is_split or not batch):
+            is_whole = fitting == len(group.tasks)
+            if not fitting or not (is_whole or is_split or not batch):
                 continue
-            if not fitting:
-                break
             taken = group.tasks[:fitting]
             del group.tasks[:fitting]
             group.is_begun = True
@@ -278,10 +278,12 @@
 
     def _count_room(self, lane, group, batching):
         """Return how many pieces of a group have room at a server."""
+        count = len(group.tasks)
         each = group.tasks[0].result_bytes
         if not (batching.room_bytes and each):
-            return len(group.tasks)
-        return max(int((batching.room_bytes - lane.used_bytes) / each), 0)
+            return count
+        free_bytes = batching.room_bytes - lane.used_bytes
+        return min(max(int(free_bytes / each), 0), count)
 
     async def _run_call(self, lane, batch, work_s):
         server = lane.server
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -74,12 +74,28 @@
 
     async def _run_stage(self, index):
         stage = self._admitted.route.stages[index]
-        for before in stage.after:
+        for before in stage.after or self._get_awaited(index):
             await self._done[before].wait()
         if self._failure is None and self._count_pieces(index):
             await self._make_pieces(index, stage)
         self._done[index].set()
 
+    def _get_awaited(self, index):
+        """Return the stages that one which needs none waits for.
+
+        Made at once, its results would only take room at their maker until
+        the longest chain is done. So it starts with the last of the chain.
+        """
+        stages = self._admitted.route.stages
+        if any(index in stage.after for stage in stages):
+            return ()
+        return {
+            before
+            for leaf in self._admitted.route.get_last_stages()
+            if self._count_pieces(leaf)
+            for before in stages[leaf].after
+        }
+
     async def _make_pieces(self, index, stage):
         inputs = self._get_handles(stage.after) if stage.after else None
         tasks = [
