Never call a request refused that may still run at its deadline

Cause: what was handed to a server counted as run only once its answer came, so a deadline in between ended as 'refused', which is told as 503: not run. After: a request counts as possibly run from the send on, until the server or the connection proves that it did not.

--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -218,6 +218,10 @@
         server = exchange.server
         answer = None
         limit_s = self._get_first_limit_s(exchange)
+        # Until its end proves otherwise, what was handed over may run: the
+        # deadline can strike at any moment from here on.
+        was_run_possible = self._is_run_possible
+        self._is_run_possible = True
         with trio.move_on_after(limit_s) as scope:
             answer = await self._services.gateway.open_answer(
                 server.published, self._new_server_request()
@@ -227,8 +231,12 @@
                 _Reason.AGENT_SILENT, _Ran.UNKNOWN, "no answer in time"
             )
         if isinstance(answer, gateway.Failure):
+            if answer.ran is _Ran.NO:
+                self._is_run_possible = was_run_possible
             return self._take_failure(exchange, answer)
         self._sends += 1
+        if answer.is_not_run:
+            self._is_run_possible = was_run_possible
         try:
             return await self._take_answer(exchange, answer)
         finally:
@@ -270,7 +278,6 @@
         if failure.ran is _Ran.UNKNOWN:
             self._sends += 1
             self._attempts += 1
-            self._is_run_possible = True
         if failure.is_server_gone or failure.is_other_server:
             server.note_unreachable()
         elif failure.reason is _Reason.AGENT_SILENT:
@@ -285,7 +292,6 @@
         if answer.is_not_run:
             return await self._take_rejection(exchange, answer)
         self._attempts += 1
-        self._is_run_possible = True
         if answer.is_events and answer.status < 300:
             return await self._relay_events(exchange, answer)
         return await self._relay_whole(exchange, answer)
--- /dev/null
+++ b/tests/direct/fakes.py
@@ -0,0 +1,270 @@
+"""Fakes at the interfaces of the direct way, for a paused clock."""
+
+import random
+
+import trio
+import trio.testing
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import batcher as batcher_module
+from greengagetrack.process.direct import budget as budget_module
+from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import metrics as metrics_module
+from greengagetrack.process.direct import pools as pools_module
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request.direct import reply as reply_module
+from greengagetrack.request.direct import request as request_module
+from greengagetrack.request.direct import run as run_module
+from greengagetrack.request import outcome
+from greengagetrack.version import catalog
+
+REGIONS = {"dc-a": "north", "dc-b": "south"}
+BATCHING = catalog.Batching(
+    batch_max=4, call_ms=100.0, piece_ms=10.0, room_bytes=1000.0, keep_s=4.0
+)
+
+
+def run_paused(check):
+    """Run `await check(nursery)` on a clock that jumps when all wait."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await check(nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def new_server(server_id, service="svc", data_centre="dc-a", **fields):
+    """Return a published server at an address of its own."""
+    return gateway.Server(
+        server_id, service, f"{server_id}:1", data_centre, **fields
+    )
+
+
+def new_route(**fields):
+    """Return a route of the service `svc`."""
+    values = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/",
+        "repeat": catalog.Repeat.SAFE,
+        "shares": (catalog.Share("svc"),),
+        "timeout_ms": 3000.0,
+        "aim_ms": 500.0,
+        "attempts": 2,
+    }
+    return catalog.Route(**{**values, **fields})
+
+
+def new_catalog(version=1, routes=(), keys=None, services=None):
+    """Return a catalog with the services `svc` and `pool`."""
+    return catalog.new_catalog(
+        version,
+        list(routes) or [new_route()],
+        services
+        or [
+            catalog.Service("svc", connections_max=80),
+            catalog.Service("pool", batching=BATCHING),
+        ],
+        catalog.CallerLimits(),
+        {
+            key: catalog.Organisation(name)
+            for key, name in (keys or {}).items()
+        },
+        keys is not None,
+    )
+
+
+class ScriptedAnswer(gateway.Answer):
+    """An answer of given parts; a number among them is a pause."""
+
+    def __init__(self, status=200, parts=(b"ok",), **flags):
+        self.status = status
+        self.headers = [(b"X-Seal", b"s")]
+        self.is_not_run = flags.get("is_not_run", False)
+        self.is_other_server = flags.get("is_other_server", False)
+        self.is_input_gone = flags.get("is_input_gone", False)
+        self.is_events = flags.get("is_events", False)
+        self.is_finished = False
+        self._parts = list(parts)
+
+    async def receive_part(self):
+        await trio.lowlevel.checkpoint()
+        while self._parts:
+            part = self._parts.pop(0)
+            if not isinstance(part, int | float):
+                return part
+            await trio.sleep(part)
+        return None
+
+    def finish(self):
+        self.is_finished = True
+
+
+class FakeGateway(gateway.Gateway):
+    """Plays a script of answers and notes what it was asked."""
+
+    def __init__(self, script=()):
+        self.script = list(script)
+        self.sent = []
+        self.calls = []
+        self.freed = []
+        self.make = None
+
+    async def open_answer(self, server, request):
+        self.sent.append((server.server_id, request))
+        answer = self.script.pop(0) if self.script else ScriptedAnswer()
+        if isinstance(answer, tuple):
+            pause_s, answer = answer
+            await trio.sleep(pause_s)
+        await trio.lowlevel.checkpoint()
+        return answer
+
+    async def run_pieces(self, server, pieces):
+        self.calls.append((server.server_id, list(pieces)))
+        await trio.sleep((100 + 10 * len(pieces)) / 1000)
+        if self.make is not None:
+            return self.make(server, pieces)
+        return [
+            f"{server.server_id}/{piece.request_id}.{piece.stage}."
+            f"{piece.number}"
+            for piece in pieces
+        ]
+
+    async def free_results(self, address, handles):
+        self.freed += handles
+
+    def count_connections(self, server):
+        return 0
+
+    def forget_server(self, server):
+        return None
+
+
+class FakePeers:
+    """No other entry lives."""
+
+    name = "me"
+
+    def get_living(self, _data_centre):
+        return [], True
+
+
+class FakeReply(reply_module.Reply):
+    """Keeps what a caller would see."""
+
+    def __init__(self):
+        self.is_started = False
+        self.is_whole = False
+        self.status = None
+        self.body = b""
+
+    async def send_whole(self, status, headers, body):
+        self.is_started = self.is_whole = True
+        self.status = status
+        self.body = body
+
+    async def start(self, status, headers):
+        self.is_started = True
+        self.status = status
+
+    async def send_part(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.is_whole = True
+
+
+class FakeSource(source_module.Source):
+    """Gives the scripted answers, then is unreachable."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def list_all(self):
+        return await self._answer("all")
+
+    async def list_changes(self, revision):
+        return await self._answer(revision)
+
+    async def _answer(self, question):
+        await trio.lowlevel.checkpoint()
+        self.asked.append(question)
+        if not self.answers:
+            return source_module.Unreachable("the script is over")
+        return self.answers.pop(0)
+
+
+class World:
+    """The parts of an entry around a fake gateway."""
+
+    def __init__(self, nursery, gateway_fake, servers, catalog_now=None):
+        self.gateway = gateway_fake
+        self.catalog = catalog_now or new_catalog()
+        self.directory = directory_module.new_directory(lambda known: None)
+        self.directory.take_news(
+            source_module.News(1, servers=tuple(servers), is_whole=True)
+        )
+        self.budgets = budget_module.new_shared_budgets(0.2, 80.0, 10.0)
+        self.chooser = chooser_module.new_chooser(
+            self.directory,
+            gateway_fake,
+            lambda: self.catalog,
+            "dc-a",
+            REGIONS,
+            random.Random(1),
+        )
+        parts = batcher_module.BatcherParts(
+            self.directory,
+            gateway_fake,
+            self.budgets,
+            lambda: self.catalog,
+            nursery,
+        )
+        self.pools = pools_module.new_pools("dc-a", parts, FakePeers())
+        self.services = run_module.RunServices(
+            self.chooser,
+            self.directory,
+            gateway_fake,
+            self.pools,
+            self.budgets,
+            metrics_module.new_direct_metrics("me"),
+        )
+
+    def admit(self, route, left_s=3.0, **fields):
+        """Return an admitted request of a route."""
+        now = trio.current_time()
+        values = {
+            "request_id": b"id",
+            "method": b"POST",
+            "target": b"/x",
+            "host": "h",
+            "headers": [],
+            "body": b"",
+            "received_s": now,
+        }
+        return request_module.Admitted(
+            request_module.DirectRequest(**{**values, **fields}),
+            route,
+            None,
+            deadline_module.Deadline(now + left_s),
+            1,
+        )
+
+    async def serve(self, route, **fields):
+        """Return the end of a request, and what its caller saw."""
+        reply = FakeReply()
+        admitted = self.admit(route, **fields)
+        run = run_module.new_direct_run(self.services, admitted, reply)
+        return await run.run(), reply
+
+
+def new_failure(ran, **flags):
+    """Return a failed call that ran, did not run, or may have."""
+    return gateway.Failure(
+        outcome.Reason.BACKEND_FAILED, ran, "scripted", **flags
+    )
--- /dev/null
+++ b/tests/direct/test_batcher.py
@@ -0,0 +1,199 @@
+"""Pieces of stages: whole groups, room, retries, none lost or twice."""
+
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request.direct import piece as piece_module
+from tests.direct import fakes
+
+POOL = fakes.new_server("p1", "pool")
+FAR_POOL = fakes.new_server("p2", "pool", "dc-b")
+
+
+def _new_tasks(request_id, count, size=10, due_s=1.0, left_s=5.0):
+    tasks = []
+    for number in range(count):
+        task = piece_module.PieceTask(request_id, 0, number, "k", None)
+        task.due_s = trio.current_time() + due_s
+        task.deadline = deadline_module.new_deadline(left_s * 1000)
+        task.result_bytes = size
+        tasks.append(task)
+    return tasks
+
+
+def _run(check, servers=(POOL,), make=None):
+    async def main(nursery):
+        fake = fakes.FakeGateway()
+        fake.make = make
+        world = fakes.World(nursery, fake, servers)
+        batcher = world.pools.get_pool("pool", "dc-a").batcher
+        await check(nursery, world, batcher)
+
+    fakes.run_paused(main)
+
+
+def test_pieces_that_wait_fill_the_next_call_by_themselves():
+    async def check(nursery, world, batcher):
+        async with trio.open_nursery() as inner:
+            for name in ("a", "b", "c", "d", "e"):
+                inner.start_soon(batcher.make, _new_tasks(name, 1))
+        sizes = [len(pieces) for _server, pieces in world.gateway.calls]
+        assert sizes == [1, 4]
+
+    _run(check)
+
+
+def test_a_group_is_not_split_while_it_can_go_whole():
+    async def check(nursery, world, batcher):
+        async with trio.open_nursery() as inner:
+            inner.start_soon(batcher.make, _new_tasks("first", 1))
+            await trio.sleep(0.01)
+            inner.start_soon(batcher.make, _new_tasks("a", 3, due_s=1.0))
+            inner.start_soon(batcher.make, _new_tasks("b", 3, due_s=2.0))
+            inner.start_soon(batcher.make, _new_tasks("c", 1, due_s=3.0))
+        names = [
+            [piece.request_id for piece in pieces]
+            for _server, pieces in world.gateway.calls
+        ]
+        assert names == [["first"], ["a", "a", "a", "c"], ["b", "b", "b"]]
+
+    _run(check)
+
+
+def test_results_that_fill_the_room_hold_the_next_call_until_freed():
+    async def check(nursery, world, batcher):
+        large = _new_tasks("large", 3, size=300)
+        await batcher.make(large)
+        waiting = _new_tasks("next", 1, size=300)
+        nursery.start_soon(batcher.make, waiting)
+        await trio.sleep(1.0)
+        assert len(world.gateway.calls) == 1
+        batcher.free("p1", [task.result for task in large])
+        await trio.sleep(0.2)
+        assert waiting[0].is_settled()
+        assert sorted(world.gateway.freed) == sorted(
+            task.result for task in large
+        )
+
+    _run(check)
+
+
+def test_small_results_pass_large_ones_that_wait_for_room():
+    async def check(nursery, world, batcher):
+        await batcher.make(_new_tasks("held", 3, size=300))
+        nursery.start_soon(
+            batcher.make, _new_tasks("large", 1, size=300, due_s=0.1)
+        )
+        small = _new_tasks("small", 1, size=1, due_s=2.0)
+        await batcher.make(small)
+        assert isinstance(small[0].result, str)
+
+    _run(check)
+
+
+def test_results_of_an_earlier_gatherer_are_freed_too():
+    async def check(nursery, world, batcher):
+        batcher.free("p1", ["p1/unknown"])
+        await trio.sleep(0.1)
+        assert world.gateway.freed == ["p1/unknown"]
+
+    _run(check)
+
+
+def test_a_failed_call_is_made_again_and_nothing_is_lost_or_twice():
+    answers = iter([False, True])
+
+    def make(server, pieces):
+        if next(answers):
+            return [f"h{piece.number}" for piece in pieces]
+        return fakes.new_failure("unknown")
+
+    async def check(nursery, world, batcher):
+        tasks = _new_tasks("a", 3)
+        await batcher.make(tasks)
+        assert [task.result for task in tasks] == ["h0", "h1", "h2"]
+        assert len(world.gateway.calls) == 2
+
+    _run(check, make=make)
+
+
+def test_results_go_to_their_own_pieces_in_a_mixed_call():
+    async def check(nursery, world, batcher):
+        first = _new_tasks("first", 1)
+        groups = [_new_tasks(name, 2) for name in ("a", "b")]
+        async with trio.open_nursery() as inner:
+            for tasks in (first, *groups):
+                inner.start_soon(batcher.make, tasks)
+                await trio.sleep(0.001)
+        for name, tasks in zip(("a", "b"), groups, strict=True):
+            assert [task.result for task in tasks] == [
+                f"p1/{name}.0.0",
+                f"p1/{name}.0.1",
+            ]
+
+    _run(check)
+
+
+def test_pieces_past_their_deadline_are_not_asked_for():
+    async def check(nursery, world, batcher):
+        nursery.start_soon(batcher.make, _new_tasks("first", 1))
+        await trio.sleep(0.01)
+        late = _new_tasks("late", 1, left_s=0.05)
+        await batcher.make(late)
+        assert late[0].result is gateway.PieceFailure.LATE
+        assert len(world.gateway.calls) == 1
+
+    _run(check)
+
+
+def test_a_caller_that_leaves_takes_its_waiting_pieces_along():
+    async def check(nursery, world, batcher):
+        nursery.start_soon(batcher.make, _new_tasks("first", 1))
+        await trio.sleep(0.01)
+        with trio.move_on_after(0.02):
+            await batcher.make(_new_tasks("left", 2))
+        await trio.sleep(1.0)
+        assert len(world.gateway.calls) == 1
+        assert not batcher.is_busy()
+
+    _run(check)
+
+
+def test_a_result_that_nobody_waits_for_is_freed():
+    async def check(nursery, world, batcher):
+        with trio.move_on_after(0.05):
+            await batcher.make(_new_tasks("left", 1))
+        await trio.sleep(1.0)
+        assert world.gateway.freed == ["p1/left.0.0"]
+
+    _run(check)
+
+
+def test_no_server_is_told_at_once():
+    async def check(nursery, world, batcher):
+        tasks = _new_tasks("a", 1)
+        await batcher.make(tasks)
+        assert tasks[0].result is gateway.PieceFailure.NO_SERVER
+        assert trio.current_time() < 1000
+
+    _run(check, servers=())
+
+
+def test_a_pool_of_another_data_centre_helps_only_against_lateness():
+    async def check(nursery, world, batcher):
+        relaxed = _new_tasks("relaxed", 1, size=900, due_s=5.0)
+        end_s = trio.current_time() + 5.0
+        await world.pools.make("pool", relaxed, [], [], end_s)
+        assert relaxed[0].maker.server_id == "p1"
+        for number in range(8):
+            nursery.start_soon(
+                batcher.make, _new_tasks(f"b{number}", 4, size=1)
+            )
+        await trio.sleep(0.01)
+        urgent = _new_tasks("urgent", 1, size=900, due_s=0.3)
+        end_s = trio.current_time() + 0.3
+        await world.pools.make("pool", urgent, [], [], end_s)
+        assert urgent[0].maker.server_id == "p2"
+
+    _run(check, servers=(POOL, FAR_POOL))
