--- /dev/null
+++ b/tests/direct/test_platform.py
@@ -0,0 +1,384 @@
+"""The platform's formats, and that its names stay in their folder."""
+
+import ast
+import base64
+import json
+import pathlib
+
+import pytest
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection.http import client
+from greengagetrack.connection.http import server as server_module
+from greengagetrack.connection import source as source_module
+from greengagetrack.platform import callers
+from greengagetrack.platform import document
+from greengagetrack.platform import engines
+from greengagetrack.platform import names
+from greengagetrack.platform import settings as settings_module
+from greengagetrack.platform import store
+from greengagetrack.request import outcome
+from greengagetrack.version import catalog
+from tests.direct import loopback
+
+PACKAGE = pathlib.Path(settings_module.__file__).parents[1]
+ENTRY = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "slots": 4,
+    "sequence": 3,
+    "born": 17,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "H.example",
+            "path_prefix": "/a/",
+            "kind": "stream",
+            "timeout_ms": 6000,
+            "goal_ms": 920,
+            "backends": [{"service": "svc", "weight": 90}],
+            "attempts": 2,
+            "stages": [
+                {"service": "pool", "after": [], "bytes": 3000000},
+                {"service": "pool", "after": [0], "bytes": 10},
+            ],
+            "resumable": True,
+            "gap_aim_ms": 400,
+        },
+        {
+            "name": "q",
+            "host": "h.example",
+            "path_prefix": "/a/b/",
+            "kind": "unsafe",
+            "timeout_ms": 800,
+            "service": "svc",
+            "public": True,
+        },
+    ],
+    "services": [
+        {"name": "svc", "max_conns": 9, "engine": {"slots": 128}},
+        {
+            "name": "pool",
+            "pieces": {"batch": 10, "call_ms": 150.0, "item_ms": 13.2},
+        },
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1}],
+    "later": {"unknown": True},
+}
+
+
+def _get_platform_names():
+    """Return the header names and paths that only the adapter may know."""
+    found = set()
+    for value in vars(names).values():
+        text = value.decode() if isinstance(value, bytes) else value
+        if isinstance(text, str) and (
+            text.startswith(("X-", "/api/", "op/", "servers/"))
+            or text == "Api-Key"
+        ):
+            found.add(text)
+    return found
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder():
+    platform_names = _get_platform_names()
+    assert len(platform_names) > 10
+    for path in PACKAGE.rglob("*.py"):
+        if "platform" in path.relative_to(PACKAGE).parts[:1]:
+            continue
+        text = path.read_text()
+        for name in platform_names:
+            assert name not in text, f"{path} names {name}"
+
+
+def test_the_adapter_imports_no_policy():
+    policies = {"chooser", "budget", "batcher", "pools", "graph", "keeper"}
+    for path in (PACKAGE / "platform").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                imported = {alias.name for alias in node.names}
+                assert not imported & policies, path
+
+
+def test_a_published_document_becomes_one_catalog():
+    read = document.read_config(json.dumps(CONFIG).encode())
+    assert read.version == 7
+    route = read.find_route("h.example", "/a/x")
+    assert route.repeat is catalog.Repeat.STREAM
+    assert route.is_idempotent
+    assert route.shares == (catalog.Share("svc", 90),)
+    assert route.get_last_stages() == [1]
+    assert read.find_route("h.example", "/a/b/c").name == "q"
+    assert read.find_route("h.example", "/b/") is None
+    assert read.find_route("other", "/a/") is None
+    assert read.find_organisation("k").name == "t"
+    assert read.find_organisation("x") is None
+    assert read.limits.idle_timeout_s == 15
+    assert read.service_by_name["pool"].batching.batch_max == 10
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"version": "seven"}',
+        json.dumps({**CONFIG, "routes": [{"name": 1}]}).encode(),
+        json.dumps(
+            {**CONFIG, "routes": [{**CONFIG["routes"][1], "kind": "odd"}]}
+        ).encode(),
+    ],
+)
+def test_a_document_that_cannot_be_read_says_why(data):
+    assert document.read_config(data).startswith("op/config: ")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"service": 7},
+        {"address": "nowhere"},
+        {"address": ":80"},
+        {"state": "asleep"},
+        {"state": None},
+        {"slots": "four"},
+    ],
+)
+def test_a_bad_entry_names_no_server(change):
+    data = json.dumps({**ENTRY, **change}).encode()
+    assert isinstance(document.read_entry("i-1", data), str)
+
+
+def test_a_good_entry_names_its_server_and_lifetime():
+    server = document.read_entry("i-1", json.dumps(ENTRY).encode())
+    assert server == gateway.Server(
+        "i-1", "svc", "10.0.0.1:80", "z", slots=4, lifetime=17
+    )
+
+
+def _item(key, value=None, revision=1):
+    item = {"key": key, "revision": revision}
+    if value is None:
+        return {**item, "tombstone": True}
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return {**item, "value": base64.b64encode(data).decode()}
+
+
+def _with_store(answers, check):
+    """Run `check(source, targets)` against a store of scripted answers."""
+    left = list(answers)
+    targets = []
+
+    async def handle(exchange):
+        targets.append(exchange.target)
+        status, body = left.pop(0)
+        if status is None:
+            await trio.sleep_forever()
+        await exchange.answer(status, [], json.dumps(body).encode())
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = server_module.new_server("", handle, catalog.CallerLimits)
+            address = await loopback.start_raw_server(
+                nursery, server._serve_connection
+            )
+            pool = client.new_pool(nursery)
+            await check(store.new_store_source(address, pool), targets)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_listing_takes_all_pages_and_the_revision_of_the_first():
+    async def check(source, targets):
+        news = await source.list_all()
+        assert news.revision == 10
+        assert news.is_whole
+        assert [server.server_id for server in news.servers] == ["i-1"]
+        assert news.catalog.version == 7
+        assert b"after=op%2Fconfig" in targets[1]
+
+    _with_store(
+        [
+            (
+                200,
+                {
+                    "items": [_item("op/config", CONFIG)],
+                    "current_rev": 10,
+                    "has_more": True,
+                },
+            ),
+            (
+                200,
+                {
+                    "items": [_item("servers/i-1", ENTRY)],
+                    "current_rev": 12,
+                },
+            ),
+        ],
+        check,
+    )
+
+
+def test_changes_tell_who_is_gone_and_what_cannot_be_read():
+    async def check(source, targets):
+        news = await source.list_changes(10)
+        assert set(news.removed) == {"i-2", "i-3"}
+        assert [server.server_id for server in news.servers] == ["i-1"]
+        assert len(news.problems) == 1
+        assert news.catalog is None
+        assert isinstance(
+            await source.list_changes(11), source_module.HistoryLost
+        )
+        assert isinstance(
+            await source.list_changes(11), source_module.Unreachable
+        )
+        assert isinstance(
+            await source.list_changes(11), source_module.Unreachable
+        )
+
+    _with_store(
+        [
+            (
+                200,
+                {
+                    "events": [
+                        _item("servers/i-1", b"\x00", 9),
+                        _item("servers/i-1", ENTRY, 10),
+                        _item("servers/i-2", None, 11),
+                        _item("servers/i-3", b"\xff{", 12),
+                    ],
+                    "current_rev": 12,
+                },
+            ),
+            (410, {}),
+            (503, {}),
+            (None, {}),
+        ],
+        check,
+    )
+
+
+def test_what_only_the_system_sets_is_never_passed_on():
+    class Exchange:
+        method = b"POST"
+        target = b"/a/%2e?q=1"
+        body = b"body"
+        received_s = 1.0
+        headers = [
+            (b"Host", b"H.example:80"),
+            (b"X-Request-Id", b"rid"),
+            (b"X-Model", b"m"),
+            (b"X-Token-Counts", b"10,20"),
+            (b"X-Prompt-Prefix", b"aa:3,bb:4"),
+            (b"X-Pieces", b"2,0"),
+            (b"X-Deadline-Ms", b"900"),
+            (b"Api-Key", b"k"),
+            (b"X-Tenant", b"forged"),
+            (b"x-hold", b"forged"),
+            (b"X-Pin-Ms", b"forged"),
+            (b"X-Kv-Backup", b"forged"),
+            (b"Kv-From", b"forged"),
+            (b"Kv-Fetch", b"forged"),
+            (b"X-Inputs", b"forged"),
+            (b"X-Expect-Instance", b"forged"),
+            (b"X-Request-Priority", b"0"),
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Two", b"a"),
+            (b"X-Two", b"b"),
+        ]
+
+    request = callers.read_request(Exchange)
+    assert request.headers == [
+        (b"Host", b"H.example:80"),
+        (b"X-Request-Id", b"rid"),
+        (b"X-Model", b"m"),
+        (b"X-Token-Counts", b"10,20"),
+        (b"X-Prompt-Prefix", b"aa:3,bb:4"),
+        (b"X-Pieces", b"2,0"),
+        (b"X-Two", b"a"),
+        (b"X-Two", b"b"),
+    ]
+    assert request.host == "h.example"
+    assert request.deadline_ms == 900
+    assert request.api_key == "k"
+    assert request.piece_counts == (2, 0)
+    assert request.parts == (("aa", 3), ("bb", 4))
+    assert (request.prompt_tokens, request.output_tokens) == (10, 20)
+
+
+def test_statuses_promise_only_what_is_true():
+    refused = outcome.Refused(outcome.Reason.NO_CAPACITY, retry_after_ms=250)
+    assert callers.get_refusal(refused) == (
+        503,
+        [(b"Retry-After", b"0.250")],
+    )
+    for reason in outcome.Reason:
+        status, _headers = callers.get_refusal(outcome.Unknown(reason))
+        assert status in (502, 504)
+
+
+def test_a_request_goes_to_the_engine_with_the_systems_own_fields():
+    seen = []
+
+    async def handle(exchange):
+        seen.append(exchange)
+        await exchange.answer(200, [(b"X-Request-Id", b"rid")], b"ok")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = server_module.new_server("", handle, catalog.CallerLimits)
+            address = await loopback.start_raw_server(
+                nursery, server._serve_connection
+            )
+            calls = engines.new_engine_gateway(client.new_pool(nursery))
+            answer = await calls.open_answer(
+                gateway.Server("i-1", "svc", address, "z"),
+                gateway.ServerRequest(
+                    request_id=b"rid",
+                    method=b"POST",
+                    target=b"/a/../%2e",
+                    headers=[(b"Host", b"h"), (b"Last-Event-Id", b"1")],
+                    body=b"",
+                    left_ms=700,
+                    organisation="t",
+                    urgency=2,
+                    inputs=("h1", "h2"),
+                    resume_after=b"5",
+                ),
+            )
+            assert answer.status == 200
+            assert await answer.receive_part() == b"ok"
+            answer.finish()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert seen[0].target == b"/a/../%2e"
+    sent = dict(seen[0].headers)
+    assert sent[b"X-Expect-Instance"] == b"i-1"
+    assert sent[b"X-Deadline-Ms"] == b"700"
+    assert sent[b"X-Tenant"] == b"t"
+    assert sent[b"X-Request-Priority"] == b"2"
+    assert sent[b"X-Inputs"] == b"h1,h2"
+    assert sent[b"Last-Event-Id"] == b"5"
+    assert sent[b"Content-Length"] == b"0"
+
+
+def test_a_node_file_that_is_wrong_says_so(tmp_path):
+    path = tmp_path / "node.json"
+    with pytest.raises(ValueError, match="can't be read"):
+        settings_module.read_node_file(str(path))
+    path.write_text('{"node": 1}')
+    with pytest.raises(ValueError, match="not as described"):
+        settings_module.read_node_file(str(path))
