--- a/greengagetrack/command/greengagectl.py
+++ b/greengagetrack/command/greengagectl.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from greengagetrack.command import standalone
+from greengagetrack.command import story
+from greengagetrack.platform import document
 from greengagetrack.process import settings as settings_module
 from greengagetrack.version import checks
 from greengagetrack.version import folder
@@ -39,13 +41,32 @@
     return table
 
 
+def _check_published(path):
+    """Check a document as the platform publishes it."""
+    catalog = document.read_config(pathlib.Path(path).read_bytes())
+    if isinstance(catalog, str):
+        _fail(EXIT_FINDINGS, f"'{path}' can't be read: {catalog}.")
+    missing = catalog.get_services() - catalog.service_by_name.keys()
+    for name in sorted(missing):
+        print(f"error: no service '{name}'; add it or mend the routes")
+    if missing:
+        sys.exit(EXIT_FINDINGS)
+    print(
+        f"ok: version {catalog.version}, "
+        f"{len(catalog.service_by_name)} services"
+    )
+
+
 def check(path: str):
     """Check the documents of a table, as the daemon does.
 
     Exit codes: 0 no errors; 1 the table would be refused.
 
-    :param path: The folder with the TOML documents.
+    :param path: The folder with the TOML documents, or a published file.
     """
+    if pathlib.Path(path).is_file():
+        _check_published(path)
+        return
     table, findings = _read_table(path)
     for finding in findings:
         print(f"{finding.level}: {finding}")
@@ -184,6 +205,28 @@
         print(f"{line['time']} {line['message']}: {rest}")
 
 
+def explain_logs(request: str, *logs: str):
+    """Put a request's story together from the logs of many processes.
+
+    Exit codes: 0 there is a story; 1 no line names the request.
+
+    :param request: The request's id.
+    :param logs: Files with log lines, of one or more processes.
+    """
+    texts = []
+    for log in logs:
+        path = pathlib.Path(log)
+        if not path.is_file():
+            _fail(EXIT_USAGE, f"'{log}' is not a file with log lines.")
+        with path.open(encoding="utf-8", errors="replace") as file:
+            texts += [line for line in file if request in line]
+    lines = story.find_story(request, texts)
+    if not lines:
+        _fail(EXIT_FINDINGS, f"No line names '{request}'.")
+    for fields in lines:
+        print(story.tell_line(fields))
+
+
 def drain():
     """Explain how a process is taken out of service."""
     print(
@@ -223,7 +266,7 @@
         {
             "table": {"check": check, "diff": diff, "explain": explain},
             "status": status,
-            "explain": {"request": explain_request},
+            "explain": {"request": explain_request, "logs": explain_logs},
             "drain": drain,
             "settings": standalone.add_settings_flags(settings),
         },
