--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -84,6 +84,7 @@
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
     NO_SERVER = "no_server"
+    NOT_TAKEN = "not_taken"
     ERROR = "error"
 
 
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -12,6 +12,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.request import outcome
 
 CALL_SLACK_S = 0.8
 CALL_TIMEOUT_X = 4.0
@@ -103,11 +104,16 @@
     def get_urgency(self):
         """Return what sorts groups: those that can be on time go first."""
         first = self.tasks[0]
-        is_late = first.due_s + LATE_SLACK_S < trio.current_time()
+        is_late = self.is_late()
         due_s = first.deadline.at_s if is_late else first.due_s
         rank_s = due_s + PRIORITY_STEP_S * first.priority
         return (not self.is_begun, is_late, rank_s)
 
+    def is_late(self):
+        """Return whether the request can hardly be on time any more."""
+        due_s = self.tasks[0].due_s
+        return due_s + LATE_SLACK_S < trio.current_time()
+
     def drop_settled(self):
         """Forget the pieces that nobody waits for."""
         self.tasks = [task for task in self.tasks if not task.is_settled()]
@@ -166,20 +172,30 @@
         return bool(self._queue) or calls > 0
 
     def get_wait_s(self):
-        """Return how long a piece that came now would wait for its call."""
+        """Return how long a piece that came now would wait for its call.
+
+        Groups that are late already go last and are not in its way.
+        """
         batching = self._get_batching()
         lanes = self._get_lanes() if batching else []
         if not lanes:
             return math.inf
+        ahead = sum(
+            len(group.tasks) for group in self._queue if not group.is_late()
+        )
+        return self._get_wait_behind_s(ahead, lanes, batching)
+
+    def _get_wait_behind_s(self, ahead, lanes, batching):
+        """Return when a call can start that has `ahead` pieces before it."""
         now = trio.current_time()
         call_s = (
             batching.call_ms + batching.piece_ms * batching.batch_max
         ) / 1000
         # What fits into the next calls does not wait for a later one.
         each_call = sum(lane.batch_usual for lane in lanes)
-        ahead = int(self.count_waiting() / max(each_call, 1.0))
+        calls = int(ahead / max(each_call, 1.0))
         free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
-        return free_s + ahead * call_s
+        return free_s + calls * call_s
 
     def _get_batching(self):
         catalog = self._get_catalog()
@@ -190,11 +206,12 @@
 
     def _dispatch(self):
         """Hand waiting pieces to servers that are free for this entry."""
-        self._drop_late()
-        if not self._queue:
-            return
         batching = self._get_batching()
         lanes = self._get_lanes()
+        self._queue.sort(key=Group.get_urgency)
+        self._drop_hopeless(lanes, batching)
+        if not self._queue:
+            return
         if batching is None or not lanes:
             self._settle_all(gateway_module.PieceFailure.NO_SERVER)
             return
@@ -208,11 +225,20 @@
             for task in group.tasks:
                 task.settle(failure)
 
-    def _drop_late(self):
+    def _drop_hopeless(self, lanes, batching):
+        """Give up what can't be made in time behind what goes before it."""
+        if batching is None or not lanes:
+            return
+        now = trio.current_time()
+        ahead = 0
         for group in self._queue:
-            for task in group.tasks:
-                if task.deadline.is_past():
+            wait_s = self._get_wait_behind_s(ahead, lanes, batching)
+            start_s = now + wait_s + batching.call_ms / 1000
+            if start_s > group.tasks[0].deadline.at_s:
+                for task in group.tasks:
                     task.settle(gateway_module.PieceFailure.LATE)
+            else:
+                ahead += len(group.tasks)
         self._drop_settled()
 
     def _drop_settled(self):
@@ -221,14 +247,13 @@
         self._queue = [group for group in self._queue if group.tasks]
 
     def _get_lanes(self):
-        """Return the lanes, the soundest first."""
+        """Return the lanes that may be used now, the soundest first."""
         lanes = [
             self._get_lane(server)
             for server in self._directory.get_servers(self.service)
             if server.published.data_centre == self._data_centre
         ]
-        sound = [lane for lane in lanes if not lane.server.is_suspect()]
-        lanes = sound or lanes
+        lanes = [lane for lane in lanes if not lane.server.is_suspect()]
         lanes.sort(key=_get_rank)
         return lanes
 
@@ -243,7 +268,6 @@
     def _send(self, lane, batching):
         """Start one call with the most urgent pieces that have room."""
         # No await: a piece must be in one call only.
-        self._queue.sort(key=Group.get_urgency)
         batch = self._take_batch(lane, batching)
         if not batch:
             return
@@ -302,7 +326,10 @@
         lane.busy_until_s = 0.0
         self._note_call(server, batch, made, spent_ms, work_s)
         if not isinstance(made, list):
-            made = [gateway_module.PieceFailure.ERROR] * len(batch)
+            failure = gateway_module.PieceFailure.ERROR
+            if made is not None and made.ran is outcome.Ran.NO:
+                failure = gateway_module.PieceFailure.NOT_TAKEN
+            made = [failure] * len(batch)
         for task, result in zip(batch, made, strict=True):
             self._take_result(lane, task, result)
         self._dispatch()
@@ -362,7 +389,8 @@
         self._try_again(task, result)
 
     def _try_again(self, task, failure):
-        task.tries += 1
+        if failure is not gateway_module.PieceFailure.NOT_TAKEN:
+            task.tries += 1
         budget = self._budgets.get(self.service)
         is_over = task.tries >= TRIES_MAX or task.deadline.is_past()
         if is_over or not budget.take():
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -15,6 +15,11 @@
 from greengagetrack.process.direct import batcher as batcher_module
 
 WAKE_S = 0.1
+POOLS_MAX = 3
+ELSEWHERE = (
+    gateway_module.PieceFailure.NO_SERVER,
+    gateway_module.PieceFailure.NOT_TAKEN,
+)
 CROSSING_S = 0.03
 MOVING_COST_PER_MB = 0.05
 LATE_COST = 1.5
@@ -24,6 +29,7 @@
 MB = 1_000_000
 SENT_DECAY_S = 0.8
 WAIT_UNKNOWN_S = 0.15
+USUAL_WAIT_MAX_S = 2.0
 WAIT_MIN_S = 0.05
 CALL_FILL = 0.7
 
@@ -115,11 +121,22 @@
         `end_s` is when the last of them should be done.
         """
         services = [service, *followers]
-        pool = self._choose_pool(services, tasks, inputs, end_s)
-        if pool is None:
-            for task in tasks:
-                task.settle(gateway_module.PieceFailure.NO_SERVER)
-            return
+        tried = set()
+        left = tasks
+        while left and len(tried) < POOLS_MAX:
+            pool = self._choose_pool(services, left, inputs, end_s, tried)
+            if pool is None:
+                break
+            tried.add(pool.data_centre)
+            await self._make_in(pool, left)
+            left = [task for task in left if task.result in ELSEWHERE]
+            if left and len(tried) < POOLS_MAX:
+                for task in left:
+                    task.reopen()
+        for task in left:
+            task.settle(gateway_module.PieceFailure.NO_SERVER)
+
+    async def _make_in(self, pool, tasks):
         for task in tasks:
             task.pool = pool
         peer = self.get_gatherer(pool)
@@ -129,7 +146,7 @@
                 return
         await pool.batcher.make(tasks)
 
-    def _choose_pool(self, services, tasks, inputs, end_s):
+    def _choose_pool(self, services, tasks, inputs, end_s, tried):
         """Return the pool that costs least.
 
         Costs are in parts of a usual request's worth.
@@ -138,7 +155,7 @@
         centres = {
             server.published.data_centre
             for server in self._directory.get_servers(service)
-        }
+        } - tried
         if self.get_batching(service) is None or not centres:
             return None
 
@@ -233,6 +250,18 @@
             pool.batcher.is_busy() for pool in self._pool_by_key.values()
         )
 
+    def get_usual_wait_s(self, service):
+        """Return the wait in the pool of a service that is soonest free."""
+        centres = {
+            server.published.data_centre
+            for server in self._directory.get_servers(service)
+        }
+        waits = [
+            self._get_wait_s(self.get_pool(service, centre))
+            for centre in centres
+        ]
+        return min(min(waits, default=0.0), USUAL_WAIT_MAX_S)
+
     def predict_s(self, services):
         """Return how soon stages one after another could be done."""
         centres = {
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -165,6 +165,7 @@
         for follower, stage in enumerate(self._admitted.route.stages):
             if index in stage.after:
                 call_s = self._pools.get_call_s(stage.service, CALL_FILL)
+                call_s += self._pools.get_usual_wait_s(stage.service)
                 rest_s = max(rest_s, call_s + self._get_rest_s(follower))
         return rest_s
 
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -55,6 +55,12 @@
         self.maker = maker
         self.done.set()
 
+    def reopen(self):
+        """Forget how the piece ended: it is to be made elsewhere."""
+        self.result = None
+        self.maker = None
+        self.done = trio.Event()
+
     def to_piece(self):
         """Return the piece as it goes into a call."""
         return gateway_module.Piece(
