Take a vanished entry for lapsed only just after the store is back

Ruled out: a late answer of the store (told after 0.6 s) and a lost peer. After: what vanishes has the time to return only within 2.3 s of the store's return, and that time ends by itself.

--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -63,7 +63,9 @@
 
     def is_usable(self):
         """Return whether new work may be sent here at all."""
-        return not self.published.is_leaving
+        if self.published.is_leaving:
+            return False
+        return self.gone_at_s is None or self.gone_at_s > trio.current_time()
 
     def is_suspect(self):
         """Return whether others go first for the moment."""
@@ -158,8 +160,8 @@
 
     __slots__ = (
         "_forget",
+        "_lapse_until_s",
         "changed",
-        "is_lapse_possible",
         "server_by_id",
         "told_parts",
     )
@@ -168,9 +170,13 @@
         self._forget = forget
         self.server_by_id = {}
         self.changed = trio.Event()
-        self.is_lapse_possible = False
+        self._lapse_until_s = 0.0
         self.told_parts = collections.deque(maxlen=TOLD_PARTS_MAX)
 
+    def note_source_regained(self):
+        """Give entries that lapsed meanwhile the time to come back."""
+        self._lapse_until_s = trio.current_time() + LAPSE_GRACE_S
+
     def note_parts(self, server, parts):
         """Note what a server holds; the large parts are told to peers."""
         # The last part belongs to the request alone.
@@ -253,8 +259,7 @@
         if known.gone_at_s is None:
             # Entries lapse while the source is down, and come back soon
             # after it if their servers live.
-            grace_s = LAPSE_GRACE_S if self.is_lapse_possible else 0.0
-            known.gone_at_s = trio.current_time() + grace_s
+            known.gone_at_s = max(trio.current_time(), self._lapse_until_s)
 
     def _remove_gone(self):
         now = trio.current_time()
--- a/greengagetrack/process/direct/keeper.py
+++ b/greengagetrack/process/direct/keeper.py
@@ -12,8 +12,6 @@
 
 PERIOD_S = 1.1
 RETRY_S = 0.25
-SLOW_ANSWER_S = 0.6
-LAPSE_MEMORY_S = 6.0
 
 _log = logging.getLogger(__name__)
 
@@ -26,7 +24,6 @@
         "_is_reached",
         "_random",
         "_source",
-        "_troubled_at_s",
         "accepted",
         "catalog",
         "lease",
@@ -38,7 +35,6 @@
         self._directory = directory
         self._random = generator
         self._is_reached = None
-        self._troubled_at_s = None
         self.lease = lease
         self.catalog = None
         self.revision = None
@@ -63,13 +59,10 @@
     async def _ask_once(self):
         """Ask the source once; return whether it answered."""
         sent_s = self.lease.now_s()
-        started_s = trio.current_time()
         if self.revision is None:
             answer = await self._source.list_all()
         else:
             answer = await self._source.list_changes(self.revision)
-        if trio.current_time() - started_s > SLOW_ANSWER_S:
-            self._troubled_at_s = trio.current_time()
         if isinstance(answer, source_module.HistoryLost):
             _log.info("history lost", extra={"decision": "list again"})
             self.revision = None
@@ -82,10 +75,10 @@
 
     def _note_reached(self, answer):
         is_reached = not isinstance(answer, source_module.Unreachable)
-        if not is_reached:
-            self._troubled_at_s = trio.current_time()
         if is_reached == self._is_reached:
             return
+        if is_reached and self._is_reached is not None:
+            self._directory.note_source_regained()
         self._is_reached = is_reached
         _log.info(
             "source regained" if is_reached else "source lost",
@@ -114,18 +107,12 @@
                 "entry unreadable",
                 extra={"decision": "ignore", "detail": problem},
             )
-        self._directory.is_lapse_possible = self._is_lapse_possible()
         self._directory.take_news(news)
         self._take_catalog(news.catalog)
         self.revision = news.revision
         if self.catalog is not None:
             self.lease.confirm(sent_s)
 
-    def _is_lapse_possible(self):
-        if self._troubled_at_s is None:
-            return False
-        return trio.current_time() - self._troubled_at_s < LAPSE_MEMORY_S
-
     def _take_catalog(self, catalog):
         if catalog is None or catalog.version <= self.get_version():
             return
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -213,17 +213,44 @@
 def test_entries_that_lapsed_while_the_source_was_down_have_time_to_return():
     async def check(_nursery):
         directory = directory_module.new_directory(lambda known: None)
-        server = fakes.new_server("a")
-        directory.take_news(_new_news(server, is_whole=True))
-        directory.is_lapse_possible = True
+        directory.take_news(_new_news(fakes.new_server("a"), is_whole=True))
+        directory.note_source_regained()
         directory.take_news(_new_news(is_whole=True))
         assert len(directory.get_servers("svc")) == 1
-        await trio.sleep(directory_module.LAPSE_GRACE_S + 0.1)
-        directory.take_news(_new_news(is_whole=True))
+        await trio.sleep(directory_module.LAPSE_GRACE_S + 0.01)
+        # The time ends by itself, whether the source is heard or not.
         assert directory.get_servers("svc") == []
-        directory.take_news(_new_news(server))
-        directory.is_lapse_possible = False
-        directory.take_news(_new_news(is_whole=True))
+        directory.take_news(_new_news(fakes.new_server("a")))
+        assert len(directory.get_servers("svc")) == 1
+
+    fakes.run_paused(check)
+
+
+def test_a_server_that_goes_later_has_no_such_time():
+    """Kitamura, trouble-1 with the seed 300191956936: DRAIN 3.
+
+    An entry that the source had turned away until five seconds before
+    took a genuine removal for a lapse.
+    """
+
+    async def check(_nursery):
+        source = fakes.FakeSource(
+            _new_news(fakes.new_server("a"), is_whole=True),
+            source_module.Unreachable("down"),
+            _new_news(),
+            _new_news(removed=("a",)),
+        )
+        directory = directory_module.new_directory(lambda known: None)
+        keeper = keeper_module.new_catalog_keeper(
+            source,
+            directory,
+            freshness.new_freshness_lease(BOUND_S, lambda: 1.0),
+            random.Random(1),
+        )
+        for _answer in range(3):
+            await keeper._ask_once()
+        await trio.sleep(directory_module.LAPSE_GRACE_S + 0.5)
+        await keeper._ask_once()
         assert directory.get_servers("svc") == []
 
     fakes.run_paused(check)
