--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -20,7 +20,6 @@
 PRIORITY_STEP_S = 0.1
 LATE_SLACK_S = 0.1
 FREE_DELAY_S = 0.01
-SPLIT_ROOM_SHARE = 0.3
 BATCH_WEIGHT = 0.25
 KEEP_MARGIN_S = 0.2
 ASSUMED_S = 0.3
@@ -287,11 +286,11 @@
             if free <= 0:
                 break
             fitting = min(self._count_room(lane, group, batching), free)
-            # Small results pass by large ones that wait for room.
+            # Only what can't go whole, or has begun, is split. Small
+            # results pass by large ones that wait for room.
+            is_split = group.is_begun or len(group.tasks) > batching.batch_max
             is_whole = fitting == len(group.tasks)
-            if not fitting or not (
-                is_whole or self._is_split(lane, group, batching, batch)
-            ):
+            if not fitting or not (is_whole or is_split or not batch):
                 continue
             taken = group.tasks[:fitting]
             del group.tasks[:fitting]
@@ -301,20 +300,6 @@
         self._queue = [group for group in self._queue if group.tasks]
         return batch
 
-    def _is_split(self, lane, group, batching, batch):
-        """Return whether a part of a group may go into a call.
-
-        A part takes room until the rest is made, so it goes only where it
-        must, or where the rest of a full call would stay unused and there
-        is plenty of room.
-        """
-        if group.is_begun or len(group.tasks) > batching.batch_max:
-            return True
-        if not batch:
-            return True
-        left_bytes = batching.room_bytes - lane.used_bytes
-        return left_bytes > batching.room_bytes * SPLIT_ROOM_SHARE
-
     def _count_room(self, lane, group, batching):
         """Return how many pieces of a group have room at a server."""
         count = len(group.tasks)
