Run whole entries on loopback before a stand-in of the platform

Ten tests without the users' kit: a request of each kind, results of stages only to their request, revoked keys, leaving engines, a stop, silence, and the loss of the entry that gathers.

--- /dev/null
+++ b/bench/standins/site.py
@@ -0,0 +1,299 @@
+"""A small stand-in of the users' platform: a store, engines, stages.
+
+All of it lives in one process on loopback. Engines keep what they ran, so
+that a test can compare it with what callers were told.
+"""
+
+import base64
+import collections
+import urllib.parse
+
+import msgspec
+import trio
+
+from greengagetrack.connection.http import client
+from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import server as server_module
+from greengagetrack.platform import names
+from greengagetrack.version import catalog
+
+HOST = "127.0.0.1"
+PLAIN_S = 0.01
+CALL_S = 0.02
+EVENT_S = 0.005
+EVENTS = 4
+JSON = [(b"Content-Type", b"application/json")]
+
+
+async def start_http(nursery, handle):
+    """Serve `handle(exchange)` on a free port; return the address."""
+    server = server_module.new_server("", handle, catalog.CallerLimits)
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    nursery.start_soon(
+        trio.serve_listeners, server._serve_connection, listeners
+    )
+    return f"{HOST}:{listeners[0].socket.getsockname()[1]}"
+
+
+class StoreStandIn:
+    """Keys with revisions; it lists, tells changes, and can be down."""
+
+    def __init__(self):
+        self.revision = 100
+        self.calls = 0
+        self.is_down = False
+        self._item_by_key = {}
+        self._events = []
+
+    def put(self, key, value):
+        """Write a value as JSON."""
+        data = base64.b64encode(msgspec.json.encode(value)).decode()
+        self.revision += 1
+        item = {"key": key, "revision": self.revision, "value": data}
+        self._item_by_key[key] = item
+        self._events.append(item)
+
+    def delete(self, key):
+        """Remove a key."""
+        self.revision += 1
+        self._item_by_key.pop(key, None)
+        event = {"key": key, "revision": self.revision, "tombstone": True}
+        self._events.append(event)
+
+    async def handle(self, exchange):
+        """Answer one call."""
+        self.calls += 1
+        if self.is_down:
+            await exchange.answer(503, [])
+            return
+        path, _separator, query = exchange.target.decode().partition("?")
+        values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        answer = {"current_rev": self.revision}
+        if path == names.RANGE_PATH:
+            answer["items"] = list(self._item_by_key.values())
+        else:
+            after = int(values["after"])
+            answer["events"] = [
+                event for event in self._events if event["revision"] > after
+            ]
+        await exchange.answer(200, JSON, msgspec.json.encode(answer))
+
+
+class EngineStandIn:
+    """One engine: plain, streaming, or one that makes pieces."""
+
+    def __init__(self, engine_id, service, data_centre, is_stream=False):
+        self.engine_id = engine_id
+        self.service = service
+        self.data_centre = data_centre
+        self.is_stream = is_stream
+        self.address = ""
+        self.runs = collections.Counter()
+        self.inputs_by_request = {}
+        self.calls = []
+        self.freed = set()
+        self.is_silent = False
+
+    def get_entry(self, state=names.READY):
+        """Return what the engine writes about itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "state": state,
+            "slots": 8,
+            "born": 1,
+        }
+
+    async def handle(self, exchange):
+        """Serve one request as the platform's engines do."""
+        headers = exchange.headers
+        wanted = fields.get_value(headers, names.EXPECT_INSTANCE.lower())
+        if wanted is not None and wanted != self.engine_id.encode():
+            await exchange.answer(421, [(names.NOT_RUN, b"1")])
+        elif exchange.target == names.STAGE_RUN_PATH:
+            await self._make_pieces(exchange)
+        elif exchange.target == names.STAGE_FREE_PATH:
+            body = msgspec.json.decode(exchange.body)
+            self.freed.update(body["handles"])
+            await exchange.answer(200, [])
+        else:
+            await self._run(exchange)
+
+    async def _make_pieces(self, exchange):
+        items = msgspec.json.decode(exchange.body)["items"]
+        self.calls.append(items)
+        await trio.sleep(CALL_S)
+        made = [
+            {
+                "handle": f"{self.address}/{item['id']}"
+                f"-{item['stage']}-{item['piece']}"
+            }
+            for item in items
+        ]
+        body = msgspec.json.encode({"items": made})
+        await exchange.answer(200, JSON, body)
+
+    async def _run(self, exchange):
+        headers = exchange.headers
+        request_id = fields.get_value(headers, names.REQUEST_ID.lower())
+        self.runs[request_id] += 1
+        self.inputs_by_request[request_id] = fields.get_value(
+            headers, names.INPUTS.lower(), b""
+        )
+        if self.is_silent:
+            await trio.sleep_forever()
+        own = [
+            (names.REQUEST_ID, request_id),
+            (names.SEAL, f"seal of {self.engine_id}".encode()),
+        ]
+        if not self.is_stream:
+            await trio.sleep(PLAIN_S)
+            body = exchange.method + b" " + exchange.target
+            await exchange.answer(200, own, body)
+            return
+        after = fields.get_value(headers, names.LAST_EVENT_ID.lower(), b"0")
+        own.append((b"Content-Type", names.EVENT_STREAM))
+        await exchange.start(200, own)
+        for number in range(int(after) + 1, EVENTS + 1):
+            await trio.sleep(EVENT_S)
+            await exchange.send(b"id: %d\ndata: word\n\n" % number)
+        await exchange.finish()
+
+
+def _new_route(name, kind, service, **more):
+    return {
+        "name": name,
+        "host": "site.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 3000,
+        "goal_ms": 1000,
+        "service": service,
+        "attempts": 2,
+        **more,
+    }
+
+
+def new_config(version=1, keys=("key-1",)):
+    """Return a configuration with a route of each kind."""
+    stages = [
+        {"service": "prepare", "after": [], "bytes": 1000},
+        {"service": "prepare", "after": [0], "bytes": 100},
+    ]
+    pieces = {"batch": 8, "call_ms": 20.0, "item_ms": 1.0, "headroom_mb": 1}
+    return {
+        "version": version,
+        "routes": [
+            _new_route("draft", "stream", "model", stages=stages)
+            | {"resumable": True, "gap_aim_ms": 200},
+            _new_route("order", "unsafe", "desk"),
+            _new_route("stock", "safe", "desk"),
+            _new_route("open", "safe", "desk", public=True),
+        ],
+        "services": [
+            {"name": "model", "max_conns": 64, "engine": {"slots": 8}},
+            {"name": "desk", "max_conns": 64},
+            {"name": "prepare", "max_conns": 64, "pieces": pieces},
+        ],
+        "limits": {"idle_timeout_ms": 5000, "header_timeout_ms": 1000},
+        "tenants": [{"name": "workshop", "api_keys": list(keys)}],
+    }
+
+
+class SiteStandIn:
+    """The store and all engines of a small site."""
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.store = StoreStandIn()
+        self.store_address = ""
+        self.engine_by_id = {}
+
+    async def start(self):
+        """Start the store and six engines."""
+        self.store_address = await start_http(self._nursery, self.store.handle)
+        self.store.put(names.CONFIG_KEY, new_config())
+        for number in (1, 2):
+            await self.add_engine(f"desk-{number}", "desk")
+            await self.add_engine(f"model-{number}", "model", is_stream=True)
+            await self.add_engine(f"prepare-{number}", "prepare")
+
+    async def add_engine(self, engine_id, service, is_stream=False):
+        """Start one engine and register it."""
+        engine = EngineStandIn(engine_id, service, "dc-a", is_stream)
+        engine.address = await start_http(self._nursery, engine.handle)
+        self.engine_by_id[engine_id] = engine
+        self.publish(engine)
+
+    def publish(self, engine, state=names.READY):
+        """Write an engine's entry to the store."""
+        key = names.SERVERS_PREFIX + engine.engine_id
+        self.store.put(key, engine.get_entry(state))
+
+    def count_runs(self, request_id):
+        """Return how often engines ran a request."""
+        return sum(
+            engine.runs[request_id] for engine in self.engine_by_id.values()
+        )
+
+    def get_node_file(self, name, ports, seeds, revoke_ms=5000):
+        """Return the settings of an entry, as the platform writes them."""
+        caller, ready, control = (f"{HOST}:{port}" for port in ports)
+        return {
+            "node": name,
+            "role": "entry",
+            "ip": HOST,
+            "zone": "dc-a",
+            "region": "north",
+            "zones": {"dc-a": "north"},
+            "listen": {"front": caller, "ready": ready, "control": control},
+            "seeds": seeds,
+            "bounds": {
+                "revoke_ms": revoke_ms,
+                "grace_s": 4,
+                "budget_slack": 58,
+            },
+            "provider": {"address": self.store_address},
+        }
+
+
+class Consumer:
+    """Sends requests to one entry, each on a connection of its own."""
+
+    def __init__(self, nursery, address):
+        self._nursery = nursery
+        self._address = address
+
+    async def ask(self, path, request_id, method=b"POST", key="key-1"):
+        """Return the status, the header fields and the body."""
+        headers = [
+            (b"Host", b"site.example"),
+            (names.REQUEST_ID, request_id),
+            (names.DEADLINE_MS, b"2500"),
+            (names.PIECES, b"2,3"),
+            (names.PIECE_KEY, b"key"),
+            (b"Content-Length", b"4"),
+        ]
+        if key:
+            headers.append((names.API_KEY, key.encode()))
+        pool = client.new_pool(self._nursery)
+        head = client.RequestHead(method, path.encode(), headers)
+        call = await pool.open_call(self._address, head, b"body")
+        if not isinstance(call, client.Call):
+            return 0, [], call.detail.encode()
+        try:
+            answer = await call.receive_head(lambda _head: True)
+            if isinstance(answer, client.Broken):
+                return 0, [], answer.detail.encode()
+            body = b""
+            while True:
+                part = await call.receive_part()
+                if isinstance(part, client.Broken):
+                    return 0, [], part.detail.encode()
+                if part is None:
+                    return answer.status, answer.headers, body
+                body += part
+        finally:
+            call.finish()
+            pool.drop_address(self._address)
--- /dev/null
+++ b/tests/direct/test_site.py
@@ -0,0 +1,245 @@
+"""Whole entries on loopback, before a stand-in of the users' platform."""
+
+import json
+
+import pytest
+import trio
+
+from bench import ports as ports_module
+from bench.standins import site as site_module
+from greengagetrack.connection import seal
+from greengagetrack.platform import adapter as adapter_module
+from greengagetrack.platform import names
+from greengagetrack.process.direct import daemon
+from greengagetrack.process import stop as stop_module
+
+KEYS = seal.new_key_ring([b"k" * 16])
+LIMIT_S = 20.0
+
+
+class _Node:
+    """One entry, run in this process."""
+
+    def __init__(self, adapter, site):
+        self.stop = stop_module.Stop()
+        self.scope = trio.CancelScope()
+        self.code = None
+        self.entry = None
+        self.address = adapter.get_caller_address()
+        self._adapter = adapter
+        self._site = site
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+
+                async def run():
+                    self.code = await daemon.run(
+                        self._adapter, KEYS, self.stop, started
+                    )
+
+                class started:
+                    @staticmethod
+                    def started(entry):
+                        self.entry = entry
+
+                nursery.start_soon(run)
+                while self.entry is None or not self.entry.is_ready():
+                    await trio.sleep(0.02)
+                task_status.started()
+
+
+def _with_nodes(tmp_path, check, count=1, revoke_ms=5000):
+    """Run `check(site, nodes, nursery)` with entries that are ready."""
+
+    async def main():
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                site = site_module.SiteStandIn(nursery)
+                await site.start()
+                sets = [ports_module.find_free_ports(4) for _n in range(count)]
+                seeds = [f"{site_module.HOST}:{ports[2]}" for ports in sets]
+                nodes = []
+                for index, ports in enumerate(sets):
+                    path = tmp_path / f"node-{index}.json"
+                    node_file = site.get_node_file(
+                        f"node-{index}", ports[:3], seeds, revoke_ms
+                    )
+                    path.write_text(json.dumps(node_file))
+                    adapter = adapter_module.new_adapter(str(path), ports[3])
+                    node = _Node(adapter, site)
+                    await nursery.start(node.run)
+                    nodes.append(node)
+                await check(site, nodes, nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_request_of_each_kind_is_served(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        status, headers, body = await consumer.ask("/order/1?a=%2f", b"r1")
+        assert (status, body) == (200, b"POST /order/1?a=%2f")
+        assert (names.SEAL, b"seal of desk-1") in headers or (
+            names.SEAL,
+            b"seal of desk-2",
+        ) in headers
+        status, _headers, body = await consumer.ask("/draft/1", b"r2")
+        assert status == 200
+        assert body.count(b"id: ") == site_module.EVENTS
+        status, _headers, _body = await consumer.ask("/stock/", b"r3", b"GET")
+        assert status == 200
+        assert [
+            site.count_runs(request) for request in (b"r1", b"r2", b"r3")
+        ] == [1, 1, 1]
+
+    _with_nodes(tmp_path, check)
+
+
+def test_each_engine_gets_exactly_the_results_of_its_request(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        async with trio.open_nursery() as inner:
+            for number in range(12):
+                inner.start_soon(consumer.ask, "/draft/1", b"q%d" % number)
+        for engine in site.engine_by_id.values():
+            for request_id, inputs in engine.inputs_by_request.items():
+                handles = inputs.decode().split(",")
+                expected = [f"{request_id.decode()}-1-{n}" for n in range(3)]
+                assert [handle.split("/")[1] for handle in handles] == expected
+        for engine in site.engine_by_id.values():
+            for item in (item for call in engine.calls for item in call):
+                if item["stage"] == 0:
+                    assert item["key"] == "key"
+                    assert "inputs" not in item
+                else:
+                    assert [
+                        handle.split("/")[1] for handle in item["inputs"]
+                    ] == [f"{item['id']}-0-{n}" for n in range(2)]
+
+    _with_nodes(tmp_path, check)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/", "key-1", 404),
+        ("/order/1", "bad", 401),
+        ("/open/1", "", 200),
+    ],
+)
+def test_routes_and_keys_decide(tmp_path, path, key, status):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        answer = await consumer.ask(path, b"r1", key=key)
+        assert answer[0] == status
+
+    _with_nodes(tmp_path, check)
+
+
+def test_a_revoked_key_runs_nowhere_and_public_routes_go_on(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        site.store.put(names.CONFIG_KEY, site_module.new_config(2, ["new"]))
+        await trio.sleep(1.4)
+        assert (await consumer.ask("/order/1", b"r1"))[0] == 401
+        assert (await consumer.ask("/order/1", b"r2", key="new"))[0] == 200
+        site.store.is_down = True
+        await trio.sleep(1.6)
+        # Another entry may know that the key is gone by now.
+        assert (await consumer.ask("/order/1", b"r3", key="new"))[0] == 503
+        assert (await consumer.ask("/nowhere/", b"r4"))[0] == 503
+        assert (await consumer.ask("/open/1", b"r5", key=""))[0] == 200
+        assert site.count_runs(b"r3") == 0
+
+    _with_nodes(tmp_path, check, revoke_ms=2200)
+
+
+def test_a_leaving_engine_gets_no_new_work(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        leaving = site.engine_by_id["desk-1"]
+        site.publish(leaving, names.DRAINING)
+        site.store.delete(names.SERVERS_PREFIX + "model-1")
+        await trio.sleep(1.4)
+        for number in range(10):
+            await consumer.ask("/order/1", b"o%d" % number)
+            await consumer.ask("/draft/1", b"d%d" % number)
+        assert not leaving.runs
+        assert not site.engine_by_id["model-1"].runs
+        assert site.count_runs(b"o9") == 1
+
+    _with_nodes(tmp_path, check)
+
+
+def test_a_stop_cuts_nothing_and_serves_what_still_comes(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        answers = []
+
+        async def ask(number):
+            answers.append(await consumer.ask("/draft/1", b"r%d" % number))
+
+        async with trio.open_nursery() as inner:
+            for number in range(4):
+                inner.start_soon(ask, number)
+            await trio.sleep(0.03)
+            nodes[0].stop.ask()
+            await trio.sleep(0.5)
+            assert not nodes[0].entry.is_ready()
+            inner.start_soon(ask, 4)
+        assert [status for status, _headers, _body in answers] == [200] * 5
+        while nodes[0].code is None:
+            await trio.sleep(0.05)
+        assert nodes[0].code == daemon.EXIT_OK
+
+    _with_nodes(tmp_path, check)
+
+
+def test_a_silent_engine_never_doubles_an_order(tmp_path):
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        for number in (1, 2):
+            site.engine_by_id[f"desk-{number}"].is_silent = True
+        status, _headers, _body = await consumer.ask("/order/1", b"r1")
+        assert status == 504
+        assert site.count_runs(b"r1") == 1
+        status, _headers, _body = await consumer.ask("/stock/1", b"r2")
+        assert status == 504
+        assert site.count_runs(b"r2") == 2
+
+    _with_nodes(tmp_path, check)
+
+
+def test_one_of_two_entries_gathers_and_its_loss_costs_no_request(tmp_path):
+    async def check(site, nodes, nursery):
+        consumers = [
+            site_module.Consumer(nursery, node.address) for node in nodes
+        ]
+        await trio.sleep(1.0)
+        pools = [node.entry._pools for node in nodes]
+        gathering = [
+            node_pools.get_gatherer(node_pools.get_pool("prepare", "dc-a"))
+            is None
+            for node_pools in pools
+        ]
+        assert sorted(gathering) == [False, True]
+        lost = gathering.index(True)
+        answers = []
+
+        async def ask(index, number):
+            consumer = consumers[index]
+            answer = await consumer.ask("/draft/1", b"r%d" % number)
+            answers.append(answer[0])
+
+        async with trio.open_nursery() as inner:
+            for number in range(6):
+                inner.start_soon(ask, 1 - lost, number)
+            await trio.sleep(0.02)
+            nodes[lost].scope.cancel()
+        assert answers == [200] * 6
+        for number in range(6):
+            assert site.count_runs(b"r%d" % number) == 1
+
+    _with_nodes(tmp_path, check, count=2)
