--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -18,7 +18,8 @@
 CALL_TIMEOUT_X = 4.0
 TRIES_MAX = 3
 PRIORITY_STEP_S = 0.1
-LATE_SLACK_S = 0.1
+LATE_SLACK_S = 0.05
+USUAL_FILL = 0.7
 FREE_DELAY_S = 0.01
 BATCH_WEIGHT = 0.25
 KEEP_MARGIN_S = 0.2
@@ -95,10 +96,11 @@
     call if it can, and one that was begun goes first.
     """
 
-    __slots__ = ("is_begun", "tasks")
+    __slots__ = ("call_s", "is_begun", "tasks")
 
-    def __init__(self, tasks):
+    def __init__(self, tasks, call_s):
         self.tasks = tasks
+        self.call_s = call_s
         self.is_begun = False
 
     def get_urgency(self):
@@ -111,8 +113,9 @@
 
     def is_late(self):
         """Return whether the request can hardly be on time any more."""
-        due_s = self.tasks[0].due_s
-        return due_s + LATE_SLACK_S < trio.current_time()
+        # The call itself takes its time after it has begun.
+        done_s = trio.current_time() + self.call_s
+        return done_s > self.tasks[0].due_s + LATE_SLACK_S
 
     def drop_settled(self):
         """Forget the pieces that nobody waits for."""
@@ -150,7 +153,7 @@
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.note_first()
-        group = Group(list(tasks))
+        group = Group(list(tasks), self._get_usual_call_s())
         self._queue.append(group)
         self._dispatch()
         try:
@@ -162,6 +165,13 @@
                 task.settle(gateway_module.PieceFailure.LATE)
             self._drop_settled()
 
+    def _get_usual_call_s(self):
+        batching = self._get_batching()
+        if batching is None:
+            return 0.0
+        work_ms = batching.piece_ms * batching.batch_max * USUAL_FILL
+        return (batching.call_ms + work_ms) / 1000
+
     def count_waiting(self):
         """Return the pieces that wait for a call."""
         return sum(len(group.tasks) for group in self._queue)
@@ -396,7 +406,7 @@
         if is_over or not budget.take():
             task.settle(failure)
         else:
-            group = Group([task])
+            group = Group([task], self._get_usual_call_s())
             group.is_begun = True
             self._queue.append(group)
 
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -9,7 +9,7 @@
 
 ROUNDS_MAX = 2
 GENERATION_S = 0.15
-CALL_FILL = 0.5
+CALL_FILL = 0.7
 LEFT_SHARE = 0.85
 RETRY_MIN_S = 0.2
 
