--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -9,6 +9,7 @@
 import logging
 import math
 
+import msgspec
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
@@ -122,6 +123,19 @@
         self.tasks = [task for task in self.tasks if not task.is_settled()]
 
 
+class Pace(msgspec.Struct, frozen=True):
+    """How a queue goes on: when a call starts, and how much each takes."""
+
+    free_s: float
+    each_round: float
+    round_s: float
+
+    def get_wait_s(self, ahead):
+        """Return when a call can start that has `ahead` pieces before it."""
+        # What fits into the next calls does not wait for a later one.
+        return self.free_s + int(ahead / self.each_round) * self.round_s
+
+
 class Batcher:
     """The queue of one service in one data centre."""
 
@@ -193,19 +207,17 @@
         ahead = sum(
             len(group.tasks) for group in self._queue if not group.is_late()
         )
-        return self._get_wait_behind_s(ahead, lanes, batching)
+        return self._get_pace(lanes, batching).get_wait_s(ahead)
 
-    def _get_wait_behind_s(self, ahead, lanes, batching):
-        """Return when a call can start that has `ahead` pieces before it."""
+    def _get_pace(self, lanes, batching):
+        """Return how the queue goes on from this moment."""
         now = trio.current_time()
-        call_s = (
-            batching.call_ms + batching.piece_ms * batching.batch_max
-        ) / 1000
-        # What fits into the next calls does not wait for a later one.
-        each_call = sum(lane.batch_usual for lane in lanes)
-        calls = int(ahead / max(each_call, 1.0))
-        free_s = min(max(lane.busy_until_s - now, 0.0) for lane in lanes)
-        return free_s + calls * call_s
+        work_ms = batching.piece_ms * batching.batch_max
+        return Pace(
+            free_s=min(max(lane.busy_until_s - now, 0.0) for lane in lanes),
+            each_round=max(sum(lane.batch_usual for lane in lanes), 1.0),
+            round_s=(batching.call_ms + work_ms) / 1000,
+        )
 
     def _get_batching(self):
         catalog = self._get_catalog()
@@ -218,15 +230,17 @@
         """Hand waiting pieces to servers that are free for this entry."""
         batching = self._get_batching()
         lanes = self._get_lanes()
-        self._queue.sort(key=Group.get_urgency)
-        self._drop_hopeless(lanes, batching)
-        if not self._queue:
-            return
         if batching is None or not lanes:
             self._settle_all(gateway_module.PieceFailure.NO_SERVER)
             return
-        for lane in lanes:
-            if self._queue and lane.calls < batching.slots:
+        free = [lane for lane in lanes if lane.calls < batching.slots]
+        if not free:
+            return
+        # The order is needed only where a call starts.
+        self._queue.sort(key=Group.get_urgency)
+        self._drop_hopeless(lanes, batching)
+        for lane in free:
+            if self._queue:
                 self._send(lane, batching)
 
     def _settle_all(self, failure):
@@ -237,13 +251,11 @@
 
     def _drop_hopeless(self, lanes, batching):
         """Give up what can't be made in time behind what goes before it."""
-        if batching is None or not lanes:
-            return
         now = trio.current_time()
+        pace = self._get_pace(lanes, batching)
         ahead = 0
         for group in self._queue:
-            wait_s = self._get_wait_behind_s(ahead, lanes, batching)
-            start_s = now + wait_s + batching.call_ms / 1000
+            start_s = now + pace.get_wait_s(ahead) + batching.call_ms / 1000
             if start_s > group.tasks[0].deadline.at_s:
                 for task in group.tasks:
                     task.settle(gateway_module.PieceFailure.LATE)
