--- a/bench/reference.py
+++ b/bench/reference.py
@@ -8,6 +8,7 @@
 
 from bench.scenarios import steps
 from greengagetrack.connection import problems
+from greengagetrack.process.direct import metrics as direct_metrics
 from greengagetrack.process import metrics
 from greengagetrack.process import settings
 from greengagetrack.request import outcome
@@ -150,7 +151,7 @@
 
 def get_metrics_page():
     """Return the page of metrics and log lines."""
-    text = inspect.getsource(metrics)
+    text = inspect.getsource(metrics) + inspect.getsource(direct_metrics)
     found = re.findall(r'"(greengagetrack_\w+)",\s+"([^"]+)"', text)
     lines = ["# Metrics and log lines\n", NOTE, "## Metrics\n"]
     lines += [f"- `{name}`: {what}" for name, what in found]
@@ -159,7 +160,7 @@
     decisions = set()
     for path in sorted(SOURCES.rglob("*.py")):
         source = path.read_text()
-        decisions |= set(re.findall(r'"decision": "(\w+)"', source))
+        decisions |= set(re.findall(r'"decision": "([\w ]+)"', source))
     decisions |= {"route", "hedge", "order_run", "order_join", "order_deny"}
     lines += [f"- `{decision}`" for decision in sorted(decisions)]
     return "\n".join(lines) + "\n"
