--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -9,6 +9,7 @@
 
 ROUNDS_MAX = 2
 GENERATION_S = 0.15
+MARGIN_SHARE = 0.07
 CALL_FILL = 0.7
 LEFT_SHARE = 0.85
 RETRY_MIN_S = 0.2
@@ -113,7 +114,7 @@
             tasks,
             inputs_made,
             self._get_followers(index),
-            self._admitted.aim_at_s - GENERATION_S,
+            self._get_aim_s() - GENERATION_S,
         )
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
@@ -153,12 +154,21 @@
         task.deadline = deadline_module.Deadline(
             self._admitted.deadline.at_s - rest_s
         )
-        task.due_s = self._admitted.aim_at_s - rest_s
+        task.due_s = self._get_aim_s() - rest_s
         task.priority = self._admitted.priority
         stage = self._admitted.route.stages[index]
         task.result_bytes = stage.result_bytes
         return task
 
+    def _get_aim_s(self):
+        """Return when the answer should begin, with some time to spare.
+
+        Under overload what is due first goes first, and all of it ends
+        just when it is due: without a margin, just too late.
+        """
+        margin_s = self._admitted.route.aim_ms / 1000 * MARGIN_SHARE
+        return self._admitted.aim_at_s - margin_s
+
     def _get_rest_s(self, index):
         """Return the usual time of what follows a stage."""
         rest_s = GENERATION_S
