--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -114,10 +114,6 @@
     async def free_results(self, address, handles):
         """Tell the maker at `address` that its results are not needed."""
 
-    @abc.abstractmethod
-    def count_connections(self, server):
-        """Return how many connections to a server are open."""
-
     @abc.abstractmethod
     def forget_server(self, server):
         """Close what is kept for a server that is gone."""
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -115,10 +115,6 @@
     def __init__(self, pool):
         self._pool = pool
 
-    def count_connections(self, server):
-        """Return how many connections to a server are open."""
-        return self._pool.count(server.address)
-
     def forget_server(self, server):
         """Close what is kept for a server that is gone."""
         self._pool.drop_address(server.address)
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -9,133 +9,24 @@
 import logging
 import math
 
-import msgspec
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.process.direct import group as group_module
+from greengagetrack.process.direct import lane as lane_module
 from greengagetrack.request import outcome
 
 CALL_SLACK_S = 0.8
 CALL_TIMEOUT_X = 4.0
 TRIES_MAX = 3
-PRIORITY_STEP_S = 0.1
-LATE_SLACK_S = 0.05
 USUAL_FILL = 0.7
 FREE_DELAY_S = 0.01
-BATCH_WEIGHT = 0.25
 KEEP_MARGIN_S = 0.2
-ASSUMED_S = 0.3
 FAILURE_SHARE_MAX = 0.3
 
 _log = logging.getLogger(__name__)
 
 
-class Lane:
-    """The calls of this entry to one server, and the room used there."""
-
-    __slots__ = (
-        "_assumed",
-        "_held",
-        "batch_usual",
-        "busy_until_s",
-        "calls",
-        "freed",
-        "server",
-        "used_bytes",
-    )
-
-    def __init__(self, server, batch_max):
-        self.server = server
-        self.batch_usual = float(batch_max)
-        self.calls = 0
-        self.busy_until_s = 0.0
-        self.used_bytes = 0
-        self.freed = []
-        self._assumed = 0
-        self._held = {}
-
-    def note_batch(self, size, batch_max, is_cut):
-        """Learn how many pieces a call takes when more are waiting.
-
-        Where the room for results is short, calls are never full.
-        """
-        seen = size if is_cut else batch_max
-        self.batch_usual += (seen - self.batch_usual) * BATCH_WEIGHT
-
-    def hold(self, handle, size_bytes, until_s):
-        """Note a result that takes room until it is freed or expires."""
-        self._held[handle] = (size_bytes, until_s)
-
-    def assume_used(self, size_bytes):
-        """Count room as used for a moment that others have taken."""
-        self._assumed += 1
-        handle = f"assumed {self._assumed}"
-        self.used_bytes += size_bytes
-        until_s = trio.current_time() + ASSUMED_S
-        self._held[handle] = (size_bytes, until_s)
-
-    def release(self, handle):
-        """Note that a result is freed; return whether it was held."""
-        held = self._held.pop(handle, None)
-        if held is None:
-            return False
-        self.used_bytes -= held[0]
-        return True
-
-    def release_expired(self):
-        """Forget the results that the server has dropped by itself."""
-        now = trio.current_time()
-        for handle, (_size, until_s) in list(self._held.items()):
-            if until_s <= now:
-                self.release(handle)
-
-
-class Group:
-    """The waiting pieces of one stage of one request.
-
-    Results of a part of them only take room, so a group goes into one
-    call if it can, and one that was begun goes first.
-    """
-
-    __slots__ = ("call_s", "is_begun", "tasks")
-
-    def __init__(self, tasks, call_s):
-        self.tasks = tasks
-        self.call_s = call_s
-        self.is_begun = False
-
-    def get_urgency(self):
-        """Return what sorts groups: those that can be on time go first."""
-        first = self.tasks[0]
-        is_late = self.is_late()
-        due_s = first.deadline.at_s if is_late else first.due_s
-        rank_s = due_s + PRIORITY_STEP_S * first.priority
-        return (not self.is_begun, is_late, rank_s)
-
-    def is_late(self):
-        """Return whether the request can hardly be on time any more."""
-        # The call itself takes its time after it has begun.
-        done_s = trio.current_time() + self.call_s
-        return done_s > self.tasks[0].due_s + LATE_SLACK_S
-
-    def drop_settled(self):
-        """Forget the pieces that nobody waits for."""
-        self.tasks = [task for task in self.tasks if not task.is_settled()]
-
-
-class Pace(msgspec.Struct, frozen=True):
-    """How a queue goes on: when a call starts, and how much each takes."""
-
-    free_s: float
-    each_round: float
-    round_s: float
-
-    def get_wait_s(self, ahead):
-        """Return when a call can start that has `ahead` pieces before it."""
-        # What fits into the next calls does not wait for a later one.
-        return self.free_s + int(ahead / self.each_round) * self.round_s
-
-
 class Batcher:
     """The queue of one service in one data centre."""
 
@@ -167,7 +58,7 @@
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.note_first()
-        group = Group(list(tasks), self._get_usual_call_s())
+        group = group_module.Group(list(tasks), self._get_usual_call_s())
         self._queue.append(group)
         self._dispatch()
         try:
@@ -213,7 +104,7 @@
         """Return how the queue goes on from this moment."""
         now = trio.current_time()
         work_ms = batching.piece_ms * batching.batch_max
-        return Pace(
+        return group_module.Pace(
             free_s=min(max(lane.busy_until_s - now, 0.0) for lane in lanes),
             each_round=max(sum(lane.batch_usual for lane in lanes), 1.0),
             round_s=(batching.call_ms + work_ms) / 1000,
@@ -237,7 +128,7 @@
         if not free:
             return
         # The order is needed only where a call starts.
-        self._queue.sort(key=Group.get_urgency)
+        self._queue.sort(key=group_module.Group.get_urgency)
         self._drop_hopeless(lanes, batching)
         for lane in free:
             if self._queue:
@@ -283,7 +174,9 @@
         lane = self._lane_by_id.get(server.server_id)
         if lane is None or lane.server is not server:
             batching = self._get_batching()
-            lane = Lane(server, batching.batch_max if batching else 1)
+            lane = lane_module.Lane(
+                server, batching.batch_max if batching else 1
+            )
             self._lane_by_id[server.server_id] = lane
         return lane
 
@@ -418,7 +311,7 @@
         if is_over or not budget.take():
             task.settle(failure)
         else:
-            group = Group([task], self._get_usual_call_s())
+            group = group_module.Group([task], self._get_usual_call_s())
             group.is_begun = True
             self._queue.append(group)
 
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -2,7 +2,7 @@
 
 import aioprometheus
 
-from greengagetrack.request.direct import run
+from greengagetrack.request.direct import end as end_module
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 ROUTES_MAX = 64
@@ -53,7 +53,7 @@
     def note_end(self, route, end, spent_ms):
         """Count the end of an admitted request."""
         label = self._get_label(route.name)
-        name = run.get_outcome_name(end)
+        name = end_module.get_outcome_name(end)
         reason = str(getattr(end, "reason", ""))
         self._ends.inc({"route": label, "outcome": name, "reason": reason})
         self._latency.observe(
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -6,14 +6,15 @@
 the route's attempts, the shared budget and the time left.
 """
 
-import logging
-
 import msgspec
 import trio
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import events
+from greengagetrack.request.direct import attempt as attempt_module
+from greengagetrack.request.direct import end as end_module
 from greengagetrack.request.direct import graph as graph_module
+from greengagetrack.request.direct import story
 from greengagetrack.request import outcome
 
 SENDS_EXTRA = 1
@@ -21,26 +22,11 @@
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
 RETRY_AFTER_MIN_MS = 100
 FIRST_EVENT_MIN_S = 1.2
-FIRST_EVENT_X = 5.0
 GAP_S = 1.2
-SERVER_ERROR = 500
+GAP_X = 2.5
 
 _Reason = outcome.Reason
 _Ran = outcome.Ran
-_log = logging.getLogger(__name__)
-
-
-class Relayed(msgspec.Struct, frozen=True):
-    """The answer of a backend server reached the caller whole."""
-
-    status: int
-
-
-class Cut(msgspec.Struct, frozen=True):
-    """The answer had begun and could not be completed."""
-
-    reason: outcome.Reason
-    detail: str = ""
 
 
 class RunServices(msgspec.Struct):
@@ -115,13 +101,13 @@
 
     def _end_late(self):
         if self._reply.is_started:
-            return Cut(_Reason.DEADLINE_PASSED)
+            return end_module.Cut(_Reason.DEADLINE_PASSED)
         return self._settle(outcome.Refused(_Reason.DEADLINE_PASSED))
 
     def _settle(self, end):
         """Return an end that is true for all attempts, not just one."""
-        if self._reply.is_started and not isinstance(end, Relayed):
-            return Cut(end.reason, end.detail)
+        if self._reply.is_started and not isinstance(end, end_module.Relayed):
+            return end_module.Cut(end.reason, end.detail)
         if isinstance(end, outcome.Refused) and self._is_run_possible:
             return outcome.Unknown(end.reason, end.detail)
         return end
@@ -200,24 +186,25 @@
             return self._new_refusal()
         server = choice.server
         self._excluded.add(server.server_id)
-        self._log_choice(choice)
+        self._services.metrics.note_choice(self._service)
+        story.log_choice(self._admitted, self._service, self._sends, choice)
         prefill = choice.new_tokens
         server.outstanding += 1
         server.prefill_tokens += prefill
         self._services.directory.note_parts(
             server, self._admitted.request.parts
         )
-        exchange = _Exchange(server, choice)
+        attempt = attempt_module.new_attempt(server, choice)
         try:
-            return await self._exchange(exchange)
+            return await self._send(attempt)
         finally:
-            exchange.note_prefilled()
+            attempt.note_prefilled()
             server.outstanding -= 1
 
-    async def _exchange(self, exchange):
-        server = exchange.server
+    async def _send(self, attempt):
+        server = attempt.server
         answer = None
-        limit_s = self._get_first_limit_s(exchange)
+        limit_s = self._get_first_limit_s()
         # Until its end proves otherwise, what was handed over may run: the
         # deadline can strike at any moment from here on.
         was_run_possible = self._is_run_possible
@@ -233,16 +220,16 @@
         if isinstance(answer, gateway.Failure):
             if answer.ran is _Ran.NO:
                 self._is_run_possible = was_run_possible
-            return self._take_failure(exchange, answer)
+            return self._take_failure(attempt, answer)
         self._sends += 1
         if answer.is_not_run:
             self._is_run_possible = was_run_possible
         try:
-            return await self._take_answer(exchange, answer)
+            return await self._take_answer(attempt, answer)
         finally:
             answer.finish()
 
-    def _get_first_limit_s(self, exchange):
+    def _get_first_limit_s(self):
         """Return how long a first sign may take before others are asked.
 
         A request that may run once only waits as long as its caller does.
@@ -272,9 +259,9 @@
             is_fresh=not admitted.route.is_idempotent,
         )
 
-    def _take_failure(self, exchange, failure):
+    def _take_failure(self, attempt, failure):
         """Learn from a failed send; None asks for the next server."""
-        server = exchange.server
+        server = attempt.server
         if failure.ran is _Ran.UNKNOWN:
             self._sends += 1
             self._attempts += 1
@@ -288,15 +275,15 @@
         self._log_failure(server, failure)
         return None
 
-    async def _take_answer(self, exchange, answer):
+    async def _take_answer(self, attempt, answer):
         if answer.is_not_run:
-            return await self._take_rejection(exchange, answer)
+            return await self._take_rejection(attempt, answer)
         self._attempts += 1
         if answer.is_events and answer.status < 300:
-            return await self._relay_events(exchange, answer)
-        return await self._relay_whole(exchange, answer)
+            return await self._relay_events(attempt, answer)
+        return await self._relay_whole(attempt, answer)
 
-    async def _take_rejection(self, exchange, answer):
+    async def _take_rejection(self, attempt, answer):
         # What is read whole leaves the connection for the next request.
         with trio.move_on_after(0.2):
             while isinstance(await answer.receive_part(), bytes):
@@ -309,9 +296,9 @@
             f"status {answer.status}",
             is_other_server=answer.is_other_server,
         )
-        return self._take_failure(exchange, failure)
+        return self._take_failure(attempt, failure)
 
-    async def _relay_whole(self, exchange, answer):
+    async def _relay_whole(self, attempt, answer):
         parts, size = [], 0
         while True:
             part = await answer.receive_part()
@@ -319,35 +306,40 @@
                 break
             if isinstance(part, gateway.Failure):
                 self._attempts -= 1
-                return self._take_failure(exchange, part)
+                return self._take_failure(attempt, part)
             parts.append(part)
             size += len(part)
             if size > ANSWER_MAX_BYTES:
                 return outcome.Unknown(
                     _Reason.BACKEND_FAILED, "an answer over the limit"
                 )
-        exchange.note_whole(answer.status)
+        attempt.note_whole(answer.status)
         if self._is_better_repeated(answer.status):
-            exchange.server.note_failure()
+            attempt.server.note_failure()
             self._last_failure = gateway.Failure(
                 _Reason.BACKEND_FAILED,
                 _Ran.UNKNOWN,
                 f"status {answer.status}",
             )
             if self._may_send_again():
-                self._log_failure(exchange.server, self._last_failure)
+                self._log_failure(attempt.server, self._last_failure)
                 return None
         if self._reply.is_started:
-            return Cut(_Reason.BACKEND_FAILED, f"status {answer.status}")
+            return end_module.Cut(
+                _Reason.BACKEND_FAILED, f"status {answer.status}"
+            )
         await self._reply.send_whole(
             answer.status, answer.headers, b"".join(parts)
         )
-        return Relayed(answer.status)
+        return end_module.Relayed(answer.status)
 
     def _is_better_repeated(self, status):
-        return status >= SERVER_ERROR and self._admitted.route.is_idempotent
+        return (
+            status >= attempt_module.SERVER_ERROR
+            and self._admitted.route.is_idempotent
+        )
 
-    async def _relay_events(self, exchange, answer):
+    async def _relay_events(self, attempt, answer):
         if not self._reply.is_started:
             await self._reply.start(answer.status, answer.headers)
         self._splitter = events.EventSplitter()
@@ -361,17 +353,27 @@
                 )
             if isinstance(part, gateway.Failure):
                 self._attempts -= 1
-                return self._take_failure(exchange, part)
+                return self._take_failure(attempt, part)
             if part is None:
-                return await self._end_events(exchange, answer)
-            if not exchange.is_prefilled:
+                return await self._end_events(attempt, answer)
+            if not attempt.is_prefilled:
                 # The server has read the inputs by its first event.
-                exchange.note_first_event()
+                attempt.note_first_event()
                 self._free_inputs()
             problem = await self._pass_events(part)
             if problem is not None:
                 self._attempts -= 1
-                return self._take_failure(exchange, problem)
+                return self._take_failure(attempt, problem)
+
+    def _log_failure(self, server, failure):
+        story.log_failure(
+            self._admitted, self._sends, self._last_event, server, failure
+        )
+
+    def _note_end(self, end):
+        spent_ms = (trio.current_time() - self._started_s) * 1000
+        self._services.metrics.note_end(self._admitted.route, end, spent_ms)
+        story.log_end(self._admitted, self._sends, spent_ms, end)
 
     def _get_gap_s(self):
         route = self._admitted.route
@@ -379,7 +381,7 @@
             return self._admitted.deadline.get_left_s() + 1.0
         if self._last_event is None:
             return max(FIRST_EVENT_MIN_S, route.aim_ms / 1000)
-        return max(GAP_S, FIRST_EVENT_X * route.gap_aim_ms / 1000 / 2)
+        return max(GAP_S, GAP_X * route.gap_aim_ms / 1000)
 
     async def _pass_events(self, part):
         """Pass whole events on; return a `Failure` if one is out of turn."""
@@ -408,119 +410,13 @@
             return True
         return int(event.event_id) == int(self._last_event) + 1
 
-    async def _end_events(self, exchange, answer):
+    async def _end_events(self, attempt, answer):
         rest = self._splitter.get_rest()
         if rest:
             await self._reply.send_part(rest)
         await self._reply.finish()
-        exchange.note_whole(answer.status)
-        return Relayed(answer.status)
-
-    def _log_choice(self, choice):
-        server = choice.server
-        self._services.metrics.note_choice(self._service)
-        _log.info(
-            "server chosen",
-            extra={
-                "decision": "route",
-                "request": self._admitted.request.log_id,
-                "route": self._admitted.route.name,
-                "service": self._service,
-                "server": server.server_id,
-                "data_centre": server.published.data_centre,
-                "cost_ms": round(choice.cost_ms, 1),
-                "wait_ms": round(choice.wait_ms, 1),
-                "outstanding": server.outstanding,
-                "candidates": choice.candidates,
-                "new_tokens": choice.new_tokens,
-                "send": self._sends + 1,
-                "left_ms": self._admitted.deadline.get_left_ms(),
-                "catalog_version": self._admitted.catalog_version,
-            },
-        )
-
-    def _log_failure(self, server, failure):
-        _log.warning(
-            "attempt failed",
-            extra={
-                "decision": "attempt",
-                "request": self._admitted.request.log_id,
-                "route": self._admitted.route.name,
-                "server": server.server_id,
-                "outcome": failure.reason,
-                "ran": failure.ran,
-                "detail": failure.detail,
-                "sends": self._sends,
-                "last_event": (self._last_event or b"").decode("latin-1"),
-            },
-        )
-
-    def _note_end(self, end):
-        spent_ms = (trio.current_time() - self._started_s) * 1000
-        self._services.metrics.note_end(self._admitted.route, end, spent_ms)
-        is_whole = isinstance(end, Relayed)
-        level = logging.INFO if is_whole else logging.WARNING
-        _log.log(
-            level,
-            "request ended",
-            extra={
-                "decision": "end",
-                "request": self._admitted.request.log_id,
-                "route": self._admitted.route.name,
-                "outcome": get_outcome_name(end),
-                "reason": getattr(end, "reason", ""),
-                "detail": getattr(end, "detail", ""),
-                "status": getattr(end, "status", 0),
-                "spent_ms": round(spent_ms, 1),
-                "sends": self._sends,
-                "left_ms": self._admitted.deadline.get_left_ms(),
-                "catalog_version": self._admitted.catalog_version,
-            },
-        )
-
-
-def get_outcome_name(end):
-    """Return the name of an end; a caller that left has none."""
-    return "caller_left" if end is None else type(end).__name__.lower()
-
-
-class _Exchange:
-    """What one attempt holds at its server."""
-
-    __slots__ = (
-        "_predicted_ms",
-        "_prefill",
-        "_started_s",
-        "is_prefilled",
-        "server",
-    )
-
-    def __init__(self, server, choice):
-        self.server = server
-        self._prefill = choice.new_tokens
-        self._predicted_ms = choice.wait_ms
-        self._started_s = trio.current_time()
-        self.is_prefilled = False
-
-    def note_prefilled(self):
-        """Note that the server has read the prompt."""
-        self.is_prefilled = True
-        self.server.prefill_tokens -= self._prefill
-        self._prefill = 0
-
-    def note_first_event(self):
-        """Learn from the time of the first event."""
-        self.note_prefilled()
-        spent_ms = (trio.current_time() - self._started_s) * 1000
-        self.server.note_first_event(spent_ms, max(self._predicted_ms, 1.0))
-
-    def note_whole(self, status):
-        """Learn from a whole answer."""
-        if status < SERVER_ERROR:
-            spent_s = trio.current_time() - self._started_s
-            self.server.note_success(spent_s * 1000)
-        else:
-            self.server.note_failure()
+        attempt.note_whole(answer.status)
+        return end_module.Relayed(answer.status)
 
 
 def new_direct_run(services, admitted, reply):
--- /dev/null
+++ b/greengagetrack/request/direct/story.py
@@ -0,0 +1,72 @@
+"""The log lines of one request: what was decided, and on what grounds."""
+
+import logging
+
+from greengagetrack.request.direct import end as end_module
+
+_log = logging.getLogger(__name__)
+
+
+def log_choice(admitted, service, sends, choice):
+    """Tell which server was chosen, and why."""
+    server = choice.server
+    _log.info(
+        "server chosen",
+        extra={
+            "decision": "route",
+            "request": admitted.request.log_id,
+            "route": admitted.route.name,
+            "service": service,
+            "server": server.server_id,
+            "data_centre": server.published.data_centre,
+            "cost_ms": round(choice.cost_ms, 1),
+            "wait_ms": round(choice.wait_ms, 1),
+            "outstanding": server.outstanding,
+            "candidates": choice.candidates,
+            "new_tokens": choice.new_tokens,
+            "send": sends + 1,
+            "left_ms": admitted.deadline.get_left_ms(),
+            "catalog_version": admitted.catalog_version,
+        },
+    )
+
+
+def log_failure(admitted, sends, last_event, server, failure):
+    """Tell what came of an attempt that failed."""
+    _log.warning(
+        "attempt failed",
+        extra={
+            "decision": "attempt",
+            "request": admitted.request.log_id,
+            "route": admitted.route.name,
+            "server": server.server_id,
+            "outcome": failure.reason,
+            "ran": failure.ran,
+            "detail": failure.detail,
+            "sends": sends,
+            "last_event": (last_event or b"").decode("latin-1"),
+        },
+    )
+
+
+def log_end(admitted, sends, spent_ms, end):
+    """Tell how a request ended."""
+    is_whole = isinstance(end, end_module.Relayed)
+    level = logging.INFO if is_whole else logging.WARNING
+    _log.log(
+        level,
+        "request ended",
+        extra={
+            "decision": "end",
+            "request": admitted.request.log_id,
+            "route": admitted.route.name,
+            "outcome": end_module.get_outcome_name(end),
+            "reason": getattr(end, "reason", ""),
+            "detail": getattr(end, "detail", ""),
+            "status": getattr(end, "status", 0),
+            "spent_ms": round(spent_ms, 1),
+            "sends": sends,
+            "left_ms": admitted.deadline.get_left_ms(),
+            "catalog_version": admitted.catalog_version,
+        },
+    )
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -137,9 +137,6 @@
     async def free_results(self, address, handles):
         self.freed += handles
 
-    def count_connections(self, server):
-        return 0
-
     def forget_server(self, server):
         return None
 
