--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -301,7 +301,7 @@
 
 _IDLE = """
 import os, resource
-from greengagetrack.command import greengagetrackd
+from greengagetrack.command import standalone
 print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
 """
 
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -294,7 +294,7 @@
             slopes["floor_memory"].median,
             "MB",
             MEMORY_LIMIT_MB,
-            "command/greengagetrackd.py",
+            "command/standalone.py",
         )
 
     def add_data_path(self):
