--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -13,7 +13,6 @@
 CALL_FILL = 0.7
 LEFT_SHARE = 0.85
 RETRY_MIN_S = 0.2
-RETRY_MAX_S = 10.0
 
 _Reason = outcome.Reason
 
@@ -41,12 +40,17 @@
     def find_refusal(self):
         """Return `Refused` if the stages can't be done in time, else None."""
         left_s = self._admitted.deadline.get_left_s() - GENERATION_S
-        for needed_s in self._predict_s():
+        for index, stage in enumerate(self._admitted.route.stages):
+            if stage.after or not self._count_pieces(index):
+                continue
+            services = [stage.service, *self._get_followers(index)]
+            needed_s = self._pools.predict_s(services)
             if needed_s > left_s * LEFT_SHARE:
+                over_s = min(needed_s, left_s * 2) - left_s * LEFT_SHARE
                 return outcome.Refused(
                     _Reason.DEADLINE_UNREACHABLE,
                     f"stages need {needed_s:.2f} s, {left_s:.2f} s are left",
-                    self._get_retry_ms(needed_s),
+                    int((over_s + RETRY_MIN_S) * 1000),
                 )
         return None
 
@@ -67,23 +71,7 @@
         reason = _Reason.NO_CAPACITY
         if self._failure is gateway.PieceFailure.LATE:
             reason = _Reason.DEADLINE_PASSED
-        needed_s = max(self._predict_s(), default=0.0)
-        return outcome.Refused(
-            reason, f"stage: {self._failure}", self._get_retry_ms(needed_s)
-        )
-
-    def _predict_s(self):
-        """Return how soon each chain of the stages could be done now."""
-        return [
-            self._pools.predict_s([stage.service, *self._get_followers(index)])
-            for index, stage in enumerate(self._admitted.route.stages)
-            if not stage.after and self._count_pieces(index)
-        ]
-
-    def _get_retry_ms(self, needed_s):
-        """Return when to come back: when what waits now is worked off."""
-        needed_s = min(max(needed_s, RETRY_MIN_S), RETRY_MAX_S)
-        return int(needed_s * 1000)
+        return outcome.Refused(reason, f"stage: {self._failure}")
 
     async def _run_stage(self, index):
         stage = self._admitted.route.stages[index]
