Make the rest of an answer that has begun before other pieces

Ruled out: the choice of the engine (none was asked again). After: pieces of a resumed answer go first. Beside it, a cut answer counted as two sends, in the log and against the bound; and one piece of code reads whole answers where two did.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -205,6 +205,24 @@
             return event
         return Broken(f"{type(event).__name__} within a body")
 
+    async def receive_whole(self):
+        """Return the `Head` and the whole body, or `Broken`.
+
+        For calls of this process itself: no other answer is expected.
+        """
+        head = await self.receive_head(lambda _head: True)
+        if isinstance(head, Broken):
+            return head
+        self.note_headers(head.headers)
+        parts = []
+        while True:
+            part = await self.receive_part()
+            if isinstance(part, Broken):
+                return part
+            if part is None:
+                return head, b"".join(parts)
+            parts.append(part)
+
     async def _receive_event(self):
         while True:
             try:
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -299,6 +299,7 @@
     result_bytes: int = 0
     key: str = ""
     inputs: tuple[str, ...] | None = None
+    is_first: bool = False
 
 
 class MakePieces(_Message, tag="make_pieces"):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -202,20 +202,12 @@
         if not isinstance(call, client.Call):
             return _new_failure(call)
         try:
-            received = await call.receive_head(lambda _head: True)
-            if isinstance(received, client.Broken):
-                return _new_failure(received)
-            call.note_headers(received.headers)
-            parts = []
-            while True:
-                part = await call.receive_part()
-                if isinstance(part, client.Broken):
-                    return _new_failure(part)
-                if part is None:
-                    return received, b"".join(parts)
-                parts.append(part)
+            answered = await call.receive_whole()
         finally:
             call.finish()
+        if isinstance(answered, client.Broken):
+            return _new_failure(answered)
+        return answered
 
 
 def _is_answer_to(head, request_id):
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -89,19 +89,13 @@
         if not isinstance(call, client.Call):
             return 0, call.detail.encode()
         try:
-            head = await call.receive_head(lambda _head: True)
-            if isinstance(head, client.Broken):
-                return 0, head.detail.encode()
-            parts = []
-            while True:
-                part = await call.receive_part()
-                if isinstance(part, client.Broken):
-                    return 0, part.detail.encode()
-                if part is None:
-                    return head.status, b"".join(parts)
-                parts.append(part)
+            answered = await call.receive_whole()
         finally:
             call.finish()
+        if isinstance(answered, client.Broken):
+            return 0, answered.detail.encode()
+        head, body = answered
+        return head.status, body
 
 
 def _read_news(items, revision, is_whole=False):
--- a/greengagetrack/process/direct/group.py
+++ b/greengagetrack/process/direct/group.py
@@ -19,7 +19,7 @@
     def __init__(self, tasks, call_s):
         self.tasks = tasks
         self.call_s = call_s
-        self.is_begun = False
+        self.is_begun = any(task.is_first for task in tasks)
 
     def get_urgency(self):
         """Return what sorts groups: those that can be on time go first."""
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -314,6 +314,7 @@
                 result_bytes=task.result_bytes,
                 key=task.key,
                 inputs=task.inputs,
+                is_first=task.is_first,
             )
             for task in tasks
         ],
@@ -330,6 +331,7 @@
     )
     task.priority = wanted.priority
     task.result_bytes = wanted.result_bytes
+    task.is_first = wanted.is_first
     task.due_s = trio.current_time() + wanted.due_ms / 1000
     task.deadline = deadline_module.new_deadline(wanted.left_ms)
     return task
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -24,10 +24,18 @@
     them back when the request is over.
     """
 
-    __slots__ = ("_admitted", "_pools", "_done", "_failure", "_tasks")
-
-    def __init__(self, admitted, pools):
+    __slots__ = (
+        "_admitted",
+        "_done",
+        "_failure",
+        "_is_resumed",
+        "_pools",
+        "_tasks",
+    )
+
+    def __init__(self, admitted, pools, is_resumed):
         self._admitted = admitted
+        self._is_resumed = is_resumed
         self._pools = pools
         self._tasks = {}
         self._failure = None
@@ -156,6 +164,8 @@
         )
         task.due_s = self._get_aim_s() - rest_s
         task.priority = self._admitted.priority
+        # Somebody reads this answer already, and waits for the rest.
+        task.is_first = self._is_resumed
         stage = self._admitted.route.stages[index]
         task.result_bytes = stage.result_bytes
         return task
@@ -213,6 +223,9 @@
             self._pools.free(self._tasks.pop(index, ()))
 
 
-def new_stage_graph(admitted, pools):
-    """Return the graph of an admitted request, with nothing made yet."""
-    return StageGraph(admitted, pools)
+def new_stage_graph(admitted, pools, is_resumed=False):
+    """Return the graph of an admitted request, with nothing made yet.
+
+    `is_resumed` says that its answer had begun and has to go on.
+    """
+    return StageGraph(admitted, pools, is_resumed)
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -13,6 +13,7 @@
         "deadline",
         "done",
         "inputs",
+        "is_first",
         "key",
         "maker",
         "number",
@@ -35,6 +36,7 @@
         self.due_s = 0.0
         self.deadline = None
         self.priority = 0
+        self.is_first = False
         self.tries = 0
         self.result = None
         self.result_bytes = 0
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -133,7 +133,9 @@
         if not self._admitted.route.stages:
             return None
         pools = self._services.pools
-        self._graph = graph_module.new_stage_graph(self._admitted, pools)
+        self._graph = graph_module.new_stage_graph(
+            self._admitted, pools, is_resumed=self._last_event is not None
+        )
         if self._sends == 0:
             refused = self._graph.find_refusal()
             if refused is not None:
@@ -259,10 +261,13 @@
             is_fresh=not admitted.route.is_idempotent,
         )
 
-    def _take_failure(self, attempt, failure):
-        """Learn from a failed send; None asks for the next server."""
+    def _take_failure(self, attempt, failure, is_counted=False):
+        """Learn from a failed send; None asks for the next server.
+
+        `is_counted` says that the send had an answer and was counted then.
+        """
         server = attempt.server
-        if failure.ran is _Ran.UNKNOWN:
+        if failure.ran is _Ran.UNKNOWN and not is_counted:
             self._sends += 1
             self._attempts += 1
         if failure.is_server_gone or failure.is_other_server:
@@ -305,8 +310,7 @@
             if part is None:
                 break
             if isinstance(part, gateway.Failure):
-                self._attempts -= 1
-                return self._take_failure(attempt, part)
+                return self._take_failure(attempt, part, is_counted=True)
             parts.append(part)
             size += len(part)
             if size > ANSWER_MAX_BYTES:
@@ -352,8 +356,7 @@
                     _Reason.AGENT_SILENT, _Ran.UNKNOWN, "a stream stalled"
                 )
             if isinstance(part, gateway.Failure):
-                self._attempts -= 1
-                return self._take_failure(attempt, part)
+                return self._take_failure(attempt, part, is_counted=True)
             if part is None:
                 return await self._end_events(attempt, answer)
             if not attempt.is_prefilled:
@@ -362,8 +365,7 @@
                 self._free_inputs()
             problem = await self._pass_events(part)
             if problem is not None:
-                self._attempts -= 1
-                return self._take_failure(attempt, problem)
+                return self._take_failure(attempt, problem, is_counted=True)
 
     def _log_failure(self, server, failure):
         story.log_failure(
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -135,6 +135,31 @@
     _run(check)
 
 
+def test_pieces_of_an_answer_that_has_begun_go_first():
+    """Kitamura scale-1: request 884469436056d12a, cut after event 16.
+
+    Its stages were made anew for the rest, as late work behind all other,
+    and its caller left before they were done.
+    """
+
+    async def check(nursery, world, batcher):
+        nursery.start_soon(batcher.make, _new_tasks("first", 1))
+        await trio.sleep(0.01)
+        for number in range(3):
+            nursery.start_soon(
+                batcher.make, _new_tasks(f"new{number}", 4, due_s=1.0)
+            )
+        resumed = _new_tasks("resumed", 4, due_s=-3.0)
+        for task in resumed:
+            task.is_first = True
+        nursery.start_soon(batcher.make, resumed)
+        await trio.sleep(0.3)
+        names = [pieces[0].request_id for _id, pieces in world.gateway.calls]
+        assert names[:2] == ["first", "resumed"]
+
+    _run(check)
+
+
 def test_pieces_past_their_deadline_are_not_asked_for():
     async def check(nursery, world, batcher):
         nursery.start_soon(batcher.make, _new_tasks("first", 1))
--- a/tests/direct/test_run.py
+++ b/tests/direct/test_run.py
@@ -156,6 +156,15 @@
     assert fake.sent[1][1].resume_after == b"1"
 
 
+def test_a_cut_answer_is_counted_as_one_send():
+    cut = fakes.ScriptedAnswer(200, (b"ha", fakes.new_failure(MAYBE)))
+    route = fakes.new_route(attempts=3)
+    again = fakes.ScriptedAnswer(200, (b"ha", fakes.new_failure(MAYBE)))
+    end, reply, fake = _play(route, cut, again)
+    assert end == end_module.Relayed(200)
+    assert len(fake.sent) == 3
+
+
 def test_a_stalled_stream_goes_on_elsewhere():
     stalled = _events(_event(1), 60.0)
     end, reply, fake = _play(RESUMABLE, stalled, _events(_event(2)))
