Give every request an answer before a stopped process ends

Ruled out: the rotation (out after two questions) and the engines (nothing had been sent yet). After: from 2.8 s on new requests are refused with 503 at once, and all that run are ended, by 503 or 504, 0.3 s before the process ends.

--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -16,6 +16,7 @@
 ROTATION_S = 2.6
 DRAIN_CHECK_S = 0.05
 EXIT_MARGIN_S = 0.4
+ANSWER_MARGIN_S = 0.3
 EXIT_OK = 0
 EXIT_CUT = 3
 
@@ -147,11 +148,12 @@
     """Leave without a cut; return whether all requests ended.
 
     Requests still come for as long as others need to see that this entry
-    is not ready; they are served, and their connections end with them.
+    is not ready; they are served, and their connections end with them. All
+    have an answer before the process ends.
     """
     started_s = trio.current_time()
     limit_s = started_s + grace_s - EXIT_MARGIN_S
-    entry.start_draining()
+    entry.start_draining(limit_s - ANSWER_MARGIN_S)
     callers.is_draining = True
     with trio.move_on_at(limit_s):
         await trio.sleep(ROTATION_S)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -1,6 +1,7 @@
 """The entry that calls backend servers itself: admission and its parts."""
 
 import logging
+import math
 
 import msgspec
 import trio
@@ -23,6 +24,8 @@
 FRESHNESS_MARGIN_S = 1.0
 RETRY_AFTER_START_MS = 300
 RETRY_AFTER_STALE_MS = 500
+RETRY_AFTER_DRAINING_MS = 50
+TAKE_WHILE_DRAINING_S = 2.8
 HOUSEKEEPING_S = 0.5
 
 _Reason = outcome.Reason
@@ -47,8 +50,11 @@
     """Everything that the requests of one entry share."""
 
     __slots__ = (
-        "_pools",
+        "_drain_end_s",
         "_pool",
+        "_pools",
+        "_refuse_from_s",
+        "_runs",
         "_services",
         "directory",
         "is_draining",
@@ -64,6 +70,9 @@
     ):
         self.settings = settings
         self.is_draining = False
+        self._drain_end_s = math.inf
+        self._refuse_from_s = math.inf
+        self._runs = set()
         self._pool = pool
         self.metrics = metrics_module.new_direct_metrics(settings.name)
         self.lease = freshness.new_freshness_lease(
@@ -138,14 +147,26 @@
         """Return whether this entry still works for its peers."""
         return self._pools.is_busy()
 
-    def start_draining(self):
-        """Be not ready from now on; requests that come are served."""
+    def start_draining(self, end_s):
+        """Be not ready from now on, and end all requests by `end_s`.
+
+        Requests that come in the next seconds are served; later ones are
+        refused, since they might not end in time.
+        """
         self.is_draining = True
+        self._drain_end_s = end_s
+        self._refuse_from_s = trio.current_time() + TAKE_WHILE_DRAINING_S
+        for run in self._runs:
+            run.hurry(end_s)
         self.peers.leave()
         _log.info("draining", extra={"decision": "drain"})
 
     def admit(self, request):
         """Return `Admitted` or `Refused`."""
+        if trio.current_time() >= self._refuse_from_s:
+            return outcome.Refused(
+                _Reason.DRAINING, retry_after_ms=RETRY_AFTER_DRAINING_MS
+            )
         catalog = self.keeper.get_catalog()
         if catalog is None:
             return outcome.Refused(
@@ -194,7 +215,13 @@
             self._note_refusal(request, admitted)
             return admitted
         run = run_module.new_direct_run(self._services, admitted, reply)
-        return await run.run()
+        if self.is_draining:
+            run.hurry(self._drain_end_s)
+        self._runs.add(run)
+        try:
+            return await run.run()
+        finally:
+            self._runs.discard(run)
 
     def _note_refusal(self, request, refused):
         self.metrics.note_refusal(refused.reason)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -55,6 +55,7 @@
         "_last_failure",
         "_refusal",
         "_reply",
+        "_scope",
         "_sends",
         "_service",
         "_services",
@@ -66,6 +67,7 @@
         self._services = services
         self._admitted = admitted
         self._reply = reply
+        self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
         self._graph = None
         self._inputs = None
         self._input_bytes = {}
@@ -84,7 +86,7 @@
         """Return `Relayed`, `Refused`, `Unknown` or `Cut`."""
         end = None
         try:
-            with trio.move_on_at(self._admitted.deadline.at_s):
+            with self._scope:
                 end = await self._run_all()
             if end is None:
                 end = self._end_late()
@@ -99,6 +101,12 @@
             self._graph.free()
         self._inputs = None
 
+    def hurry(self, end_s):
+        """End by `end_s`: the process leaves, and its caller needs an end."""
+        deadline = self._admitted.deadline
+        deadline.at_s = min(deadline.at_s, end_s)
+        self._scope.deadline = deadline.at_s
+
     def _end_late(self):
         if self._reply.is_started:
             return end_module.Cut(_Reason.DEADLINE_PASSED)
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -197,6 +197,33 @@
     _with_nodes(tmp_path, check)
 
 
+def test_a_request_that_comes_late_in_a_stop_is_refused_not_cut(tmp_path):
+    """Federation, hunt-4f78-39, LOST 3: taken 7 s after the stop, and cut."""
+
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        for number in (1, 2):
+            site.engine_by_id[f"desk-{number}"].is_silent = True
+        answers = {}
+
+        async def ask(name):
+            answers[name] = await consumer.ask("/order/1", name)
+
+        async with trio.open_nursery() as inner:
+            nodes[0].stop.ask()
+            await trio.sleep(1.9)
+            # Its engine is silent past the end of the grace.
+            inner.start_soon(ask, b"early")
+            await trio.sleep(1.0)
+            inner.start_soon(ask, b"late")
+        assert answers[b"late"][0] == 503
+        assert site.count_runs(b"late") == 0
+        assert answers[b"early"][0] == 504
+        assert site.count_runs(b"early") == 1
+
+    _with_nodes(tmp_path, check)
+
+
 def test_a_silent_engine_never_doubles_an_order(tmp_path):
     async def check(site, nodes, nursery):
         consumer = site_module.Consumer(nursery, nodes[0].address)
