One rule for the time of a call; forget old sends; drop what nothing reads

A shared budget forgot old first sends only when a repeat was asked for, so a service without repeats grew without bound: it forgets at each send now, with a test; the allowance is the same. Fields and a look-up that nothing reads are gone. Checks of entries and of the node file stay as they were.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -74,8 +74,7 @@
         batching = self._get_batching()
         if batching is None:
             return 0.0
-        work_ms = batching.piece_ms * batching.batch_max * USUAL_FILL
-        return (batching.call_ms + work_ms) / 1000
+        return batching.get_call_s(batching.batch_max * USUAL_FILL)
 
     def count_waiting(self):
         """Return the pieces that wait for a call."""
@@ -103,11 +102,10 @@
     def _get_pace(self, lanes, batching):
         """Return how the queue goes on from this moment."""
         now = trio.current_time()
-        work_ms = batching.piece_ms * batching.batch_max
         return group_module.Pace(
             free_s=min(max(lane.busy_until_s - now, 0.0) for lane in lanes),
             each_round=max(sum(lane.batch_usual for lane in lanes), 1.0),
-            round_s=(batching.call_ms + work_ms) / 1000,
+            round_s=batching.get_call_s(batching.batch_max),
         )
 
     def _get_batching(self):
@@ -188,7 +186,7 @@
             return
         lane.note_batch(len(batch), batching.batch_max, bool(self._queue))
         lane.calls += 1
-        work_s = (batching.call_ms + batching.piece_ms * len(batch)) / 1000
+        work_s = batching.get_call_s(len(batch))
         lane.busy_until_s = trio.current_time() + work_s
         self._nursery.start_soon(self._run_call, lane, batch, work_s)
 
--- a/greengagetrack/process/direct/budget.py
+++ b/greengagetrack/process/direct/budget.py
@@ -25,6 +25,8 @@
 
     def note_first(self):
         """Count a request's first send."""
+        # Here too: a service that never repeats must not fill the memory.
+        self._forget_old()
         self._firsts.append(trio.current_time())
 
     def take(self):
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -220,13 +220,6 @@
             if server.published.service == service and server.is_usable()
         ]
 
-    def get_by_address(self, address):
-        """Return the server at an address, or None."""
-        for server in self.server_by_id.values():
-            if server.published.address == address:
-                return server
-        return None
-
     def take_news(self, news):
         """Apply what the source says."""
         for published in news.servers:
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -110,8 +110,7 @@
         batching = self.get_batching(service)
         if batching is None:
             return 0.0
-        work_ms = batching.piece_ms * batching.batch_max * fill
-        return (batching.call_ms + work_ms) / 1000
+        return batching.get_call_s(batching.batch_max * fill)
 
     async def make(self, service, tasks, inputs, followers, end_s):
         """Make all pieces of one stage; each task has its result then.
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -24,7 +24,6 @@
         "result_bytes",
         "stage",
         "tries",
-        "waiting_since_s",
     )
 
     def __init__(self, request_id, stage, number, key, inputs):
@@ -42,7 +41,6 @@
         self.result_bytes = 0
         self.maker = None
         self.pool = None
-        self.waiting_since_s = trio.current_time()
         self.done = trio.Event()
 
     def is_settled(self):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -53,7 +53,6 @@
         "_is_run_possible",
         "_last_event",
         "_last_failure",
-        "_refusal",
         "_reply",
         "_scope",
         "_sends",
@@ -78,7 +77,6 @@
         self._is_run_possible = False
         self._last_event = None
         self._last_failure = None
-        self._refusal = None
         self._splitter = None
         self._started_s = trio.current_time()
 
--- a/greengagetrack/version/catalog.py
+++ b/greengagetrack/version/catalog.py
@@ -86,6 +86,10 @@
     room_bytes: float = 0.0
     keep_s: float = 0.0
 
+    def get_call_s(self, pieces):
+        """Return how long a call of so many pieces takes, in seconds."""
+        return (self.call_ms + self.piece_ms * pieces) / 1000
+
 
 class Generation(msgspec.Struct, frozen=True):
     """What one model engine of a service can hold."""
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -290,3 +290,14 @@
             assert used <= ratio * seen + slack
 
     fakes.run_paused(check)
+
+
+def test_a_service_that_never_repeats_does_not_fill_the_memory():
+    async def check(_nursery):
+        budget = budget_module.new_shared_budgets(0.2, 8.0, 10.0).get("svc")
+        for _request in range(200):
+            await trio.sleep(1.0)
+            budget.note_first()
+        assert len(budget._firsts) <= 11
+
+    fakes.run_paused(check)
