Never tell a repeat of an order 'not run' before its agent has spoken

Cause: a request of several stages that names its order (ticket or key) was refused with 'not run' if a stage before the order's own came too late or had no capacity, though an earlier attempt of the same order may have run; only the agent of the order knows. Refusals of admission were doubted for that reason, those of earlier stages were not.

Two more of the kind, found on the way: a stage after the order that was refused let the order count as not run; and an attempt whose link came up between two looks at it counted as never sent.

Ruled out: withdrawals (tombstones hold against late copies), restarted agents (their incarnation is checked), records that share an order.

Each has a test that fails without the change (tests/unit/test_pipeline.py).

--- a/greengagetrack/request/attempt.py
+++ b/greengagetrack/request/attempt.py
@@ -107,11 +107,14 @@
     async def _ask(self, message, wait_ms):
         timeout_s = wait_ms / 1000 + REPLY_GRACE_S
         timeout_s = min(timeout_s, self._deadline.get_left_s() + 0.05)
-        if self._link.is_up():
-            # Set before the question leaves: a cancellation in between
-            # must find it.
-            self.has_left = True
+        had_left = self.has_left
+        # Set before the question leaves: a cancellation in between must
+        # find it. Only the link's own word takes it back, since a link
+        # can come up at any moment.
+        self.has_left = True
         reply = await self._link.ask(message, timeout_s)
+        if isinstance(reply, base.NotSent):
+            self.has_left = had_left
         return reply
 
     def _is_lost_for_good(self, since_s):
--- a/greengagetrack/request/pipeline.py
+++ b/greengagetrack/request/pipeline.py
@@ -80,26 +80,40 @@
 
     async def _run_stages(self):
         previous = b"null"
-        has_run = False
-        for stage in self._admitted.stages:
+        for index, stage in enumerate(self._admitted.stages):
             end = await self._run_stage(stage, previous)
             if not isinstance(end, stage_module.StageResult):
-                return self._settle(end, has_run)
-            has_run = True
+                return self._settle(end, index)
             previous = self._get_result(stage, end)
         return outcome.Whole(previous)
 
-    def _settle(self, end, has_run):
-        """Return what may be said of the whole request.
+    def _settle(self, end, index):
+        """Return what may be said of the request that ended at a stage."""
+        if isinstance(end, outcome.Refused) and self._may_have_run(index):
+            return outcome.Unknown(end.reason, end.detail, end.retry_after_ms)
+        return end
+
+    def _may_have_run(self, index):
+        """Return whether anything that counts may have run.
 
         What counts is the stage that must not be repeated. A pipeline
         without one has run once any of its stages has.
         """
         stages = self._admitted.stages
-        is_order = any(not each.stage.repeatable for each in stages)
-        if has_run and not is_order and isinstance(end, outcome.Refused):
-            return outcome.Unknown(end.reason, end.detail, end.retry_after_ms)
-        return end
+        orders = [
+            number
+            for number, each in enumerate(stages)
+            if not each.stage.repeatable
+        ]
+        if not orders:
+            return index > 0
+        if index > orders[0]:
+            return True
+        # Only the order's own agent knows whether an earlier attempt of
+        # the same order has run. A stage before it can't tell.
+        request = self._admitted.request
+        is_named = bool(request.ticket or request.idempotency_key)
+        return is_named and index < orders[0]
 
     def _get_result(self, stage, end):
         if not stage.stage.max_tokens:
