Let the faults of a run with processes follow from its seed alone

Faults and requests drew from one generator, in the order in which tasks came to run, so a seed gave other faults in each run. Now the plan of the faults (kind, time, place, length) is drawn before the run, and each request draws for itself. A run with a count that is not zero keeps its logs, and untrue refusals are traced like doubled orders. The pause of a fault is no longer 2 s always but 1 to 4 s; nothing is checked less.

--- a/bench/command.py
+++ b/bench/command.py
@@ -1,7 +1,9 @@
 """greengagebench: stand-ins, load, faults and reports on one machine."""
 
 import os
+import shutil
 import sys
+import tempfile
 
 import defopt
 import msgspec
@@ -129,14 +131,16 @@
     :param deployment: kitamura or federation.
     :param seed: The seed of arrivals and faults.
     :param duration: How long requests come, in seconds.
-    :param logs: The folder for the daemons' logs.
+    :param logs: The folder for the daemons' logs; without one they are
+        kept only if a count is wrong.
     """
     _check_choice("the run", name, ("smoke", "orders"))
     _check_choice("--system", system, ("greengagetrack", "naive"))
     known = deployment_module.DEPLOYMENT_BY_NAME
     _check_choice("--deployment", deployment, known)
+    folder = logs or tempfile.mkdtemp(prefix="greengagebench-run-")
     result = processes.run_processes(
-        name, system, deployment, seed, duration, logs or None
+        name, system, deployment, seed, duration, folder
     )
     _print_json(result)
     wrong = (
@@ -146,6 +150,10 @@
         + result.untrue_refusals
         + result.cut_streams
     )
+    if wrong:
+        print(f"The logs are kept in '{folder}'.", file=sys.stderr)
+    elif not logs:
+        shutil.rmtree(folder)
     sys.exit(EXIT_WRONG if wrong else 0)
 
 
--- a/bench/counts.py
+++ b/bench/counts.py
@@ -41,20 +41,39 @@
     for marker, same in executions_by_marker.items():
         if len(same) < 2:
             continue
-        runs = [
-            f"{each.server} at {each.started_s:.2f} ({each.call_id})"
-            for each in same
-        ]
-        told = [
-            f"{each.outcome} {each.reason} from {each.sent_s:.2f} to "
-            f"{each.sent_s + each.latency_s:.2f} by {each.identity}"
-            for each in answers
-            if each.marker == marker
-        ]
-        lines.append(f"{marker}: ran {'; '.join(runs)}; told {told}")
+        lines.append(_trace(marker, same, answers))
     return lines
 
 
+def trace_untrue(answers, executions, order_stages):
+    """Return a line for each request that was told an untrue "not run"."""
+    lines = []
+    for marker in {answer.marker for answer in answers}:
+        own = [answer for answer in answers if answer.marker == marker]
+        same = [each for each in executions if each.marker == marker]
+        if any(
+            answer.ran == "no" and _is_untrue(answer, own, same, order_stages)
+            for answer in own
+        ):
+            lines.append(_trace(marker, same, own))
+    return lines
+
+
+def _trace(marker, executions, answers):
+    runs = [
+        f"{each.server} {each.stage} at {each.started_s:.2f} ({each.call_id})"
+        for each in executions
+    ]
+    told = [
+        f"{each.outcome} {each.reason} from {each.sent_s:.2f} to "
+        f"{each.sent_s + each.latency_s:.2f} by {each.identity} "
+        f"({each.request_id})"
+        for each in answers
+        if each.marker == marker
+    ]
+    return f"{marker}: ran {'; '.join(runs)}; told {told}"
+
+
 def count(answers, executions, order_stages):
     """Return the `Counts` of answers against executions.
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -24,11 +24,19 @@
 REPEAT_PAUSE_S = 0.5
 RATE_SHARE = 0.15
 FAULT_GAP_S = 2.0
-FAULT_HOLD_S = 2.0
 TICKET_SHARE = 0.6
 KEY_SHARE = 0.3
 
 
+class FaultPlan(msgspec.Struct, frozen=True):
+    """One fault of a run: which, when, where and for how long."""
+
+    kind: str
+    at_s: float
+    number: int
+    hold_s: float
+
+
 class ProcessResult(msgspec.Struct):
     """The one JSON line of a run with processes."""
 
@@ -50,6 +58,24 @@
     faults: list[str]
     reasons: dict[str, int]
     doubles: list[str]
+    untrue: list[str]
+
+
+def get_fault_plans(kinds, seed, duration_s):
+    """Return the faults of a run; they follow from the seed alone."""
+    generator = random.Random(f"faults-{seed}")
+    plans = []
+    at_s = FAULT_GAP_S
+    while at_s + FAULT_GAP_S < duration_s:
+        plan = FaultPlan(
+            kind=generator.choice(kinds),
+            at_s=at_s,
+            number=generator.randrange(1000),
+            hold_s=generator.uniform(1.0, 4.0),
+        )
+        plans.append(plan)
+        at_s += plan.hold_s + FAULT_GAP_S
+    return plans
 
 
 class Run:
@@ -61,7 +87,6 @@
         self._name = name
         self._seed = seed
         self._duration_s = duration_s
-        self._random = random.Random(f"{name}-{seed}")
         self._caller = caller_module.new_caller()
         self._answers = []
         self._faults = []
@@ -116,56 +141,63 @@
             self._duration_s,
             self._seed,
         )
-        plans = [p for p in plans if self._random.random() < RATE_SHARE]
+        generator = random.Random(f"{self._name}-{self._seed}")
+        plans = [plan for plan in plans if generator.random() < RATE_SHARE]
         started_s = trio.current_time()
         for plan in plans:
+            # Each request draws for itself, so that what one meets does
+            # not change what the others do.
+            own = random.Random(generator.random())
             await trio.sleep_until(started_s + plan.at_s)
-            nursery.start_soon(self._send, plan)
+            nursery.start_soon(self._send, plan, own)
 
-    async def _send(self, plan):
+    async def _send(self, plan, generator):
         marker = caller_module.new_marker()
         if self._system == "naive":
             await self._send_naive(plan, marker)
             return
         if not plan.is_order:
-            self._answers.append(await self._send_once(plan, marker))
+            answer = await self._send_once(plan, marker, generator)
+            self._answers.append(answer)
             return
-        draw = self._random.random()
+        draw = generator.random()
         ticket, key = "", ""
         if draw < TICKET_SHARE:
-            ticket = await self._get_ticket(plan)
+            ticket = await self._get_ticket(plan, generator)
         elif draw < TICKET_SHARE + KEY_SHARE:
             key = marker
         for _repeat in range(REPEATS if ticket or key else 1):
-            answer = await self._send_once(plan, marker, ticket, key)
+            answer = await self._send_once(
+                plan, marker, generator, ticket, key
+            )
             self._answers.append(answer)
             if answer.outcome == "whole":
                 # A caller that is not sure asks again, now and then.
-                if self._random.random() < 0.8 or not (ticket or key):
+                if generator.random() < 0.8 or not (ticket or key):
                     return
             await trio.sleep(REPEAT_PAUSE_S)
 
-    def _get_urls(self, region):
+    def _get_urls(self, region, generator):
         """Return the entries as a balancer would try them."""
         entries = [
             node
             for node in self._world.get_entries()
             if node.process.poll() is None and not node.is_leaving
         ]
-        self._random.shuffle(entries)
+        generator.shuffle(entries)
         entries.sort(key=lambda node: node.region != region)
         return [self._world.get_entry_url(node) for node in entries]
 
-    async def _get_ticket(self, plan):
-        for url in self._get_urls(plan.region):
+    async def _get_ticket(self, plan, generator):
+        for url in self._get_urls(plan.region, generator):
             ticket = await self._caller.get_ticket(url, plan)
             if ticket:
                 return ticket
         return ""
 
-    async def _send_once(self, plan, marker, ticket="", key=""):
+    async def _send_once(self, plan, marker, generator, ticket="", key=""):
         answer = None
-        for url in self._get_urls(plan.region):
+        for url in self._get_urls(plan.region, generator):
             answer = await self._caller.send(url, plan, marker, ticket, key)
             if answer.reason != "not_connected":
                 return answer
@@ -184,69 +216,68 @@
         self._answers.append(answer)
 
     async def _inject_faults(self):
-        """Let one fault after another happen, as the seed says."""
-        end_s = trio.current_time() + self._duration_s
-        kinds = [
-            self._kill_agent,
-            self._kill_backend,
-            self._pause_agent,
-            self._pause_entry,
-            self._drain_agent,
-            self._cut_regions,
-            self._kill_entry,
-        ]
+        """Let the faults of the seed happen at their times."""
+        started_s = trio.current_time()
+        faults = {
+            "kill_agent": self._kill_agent,
+            "kill_backend": self._kill_backend,
+            "pause_agent": self._pause_agent,
+            "pause_entry": self._pause_entry,
+            "drain_agent": self._drain_agent,
+            "cut_regions": self._cut_regions,
+            "kill_entry": self._kill_entry,
+        }
+        kinds = list(faults)
         if self._system == "naive":
-            kinds = [self._kill_backend, self._cut_regions]
-        while trio.current_time() + FAULT_GAP_S < end_s:
-            await trio.sleep(FAULT_GAP_S)
-            fault = self._random.choice(kinds)
-            self._faults.append(fault.__name__.removeprefix("_"))
-            await fault()
-
-    def _pick_agent(self):
-        orders = [
-            node
-            for node in self._world.get_agents()
-            if node.process.poll() is None
-        ]
-        return self._random.choice(orders)
+            kinds = ["kill_backend", "cut_regions"]
+        for plan in get_fault_plans(kinds, self._seed, self._duration_s):
+            await trio.sleep_until(started_s + plan.at_s)
+            self._faults.append(plan.kind)
+            await faults[plan.kind](plan)
+
+    def _pick_agent(self, plan):
+        agents = self._world.get_agents()
+        return agents[plan.number % len(agents)]
+
+    def _pick_entry(self, plan):
+        entries = self._world.get_entries()
+        return entries[plan.number % len(entries)]
 
-    async def _kill_agent(self):
-        node = self._pick_agent()
-        await self._kill_and_restart(node)
+    async def _kill_agent(self, plan):
+        await self._kill_and_restart(self._pick_agent(plan), plan)
 
-    async def _kill_entry(self):
-        node = self._random.choice(self._world.get_entries())
+    async def _kill_entry(self, plan):
+        node = self._pick_entry(plan)
         url = self._world.get_entry_url(node)
-        self._kills.append((url, trio.current_time()))
-        await self._kill_and_restart(node)
+        self._kills.append((url, trio.current_time(), plan.hold_s))
+        await self._kill_and_restart(node, plan)
 
-    async def _kill_and_restart(self, node):
+    async def _kill_and_restart(self, node, plan):
         self._world.signal_node(node, signal.SIGKILL)
-        await trio.sleep(FAULT_HOLD_S)
+        await trio.sleep(plan.hold_s)
         node.process.wait()
         await self._world.start_node(node)
 
-    async def _kill_backend(self):
+    async def _kill_backend(self, plan):
         servers = list(self._world.server_by_name.values())
-        server = self._random.choice(servers)
+        server = servers[plan.number % len(servers)]
         server.condition.is_dead = True
-        await trio.sleep(FAULT_HOLD_S)
+        await trio.sleep(plan.hold_s)
         server.condition.is_dead = False
 
-    async def _pause_agent(self):
-        await self._pause(self._pick_agent())
+    async def _pause_agent(self, plan):
+        await self._pause(self._pick_agent(plan), plan)
 
-    async def _pause_entry(self):
-        await self._pause(self._random.choice(self._world.get_entries()))
+    async def _pause_entry(self, plan):
+        await self._pause(self._pick_entry(plan), plan)
 
-    async def _pause(self, node):
+    async def _pause(self, node, plan):
         self._world.signal_node(node, signal.SIGSTOP)
-        await trio.sleep(self._random.uniform(1.0, 4.0))
+        await trio.sleep(plan.hold_s)
         self._world.signal_node(node, signal.SIGCONT)
 
-    async def _drain_agent(self):
-        node = self._pick_agent()
+    async def _drain_agent(self, plan):
+        node = self._pick_agent(plan)
         server = self._world.server_by_name[node.backend.name]
         started_s = trio.current_time()
         code = await self._world.stop_node(node)
@@ -254,11 +285,11 @@
         self._left_s.append(max(0.0, server.last_call_s - started_s))
         await self._world.start_node(node)
 
-    async def _cut_regions(self):
+    async def _cut_regions(self, plan):
         first, *others = self._world.deployment.regions
-        other = self._random.choice(others)
+        other = others[plan.number % len(others)]
         self._world.cut(first, other)
-        await trio.sleep(FAULT_HOLD_S)
+        await trio.sleep(plan.hold_s)
         self._world.heal()
 
     def _get_result(self):
@@ -289,6 +320,11 @@
                 self._world.records.executions,
                 self._world.deployment.orders,
             ),
+            untrue=counts_module.trace_untrue(
+                self._answers,
+                self._world.records.executions,
+                self._world.deployment.orders,
+            ),
             reasons=reasons,
             **{name: getattr(counts, name) for name in names.split()},
         )
@@ -304,8 +340,8 @@
             is_broken = answer.outcome == "lost" and any(
                 answer.url == url
                 and killed_s <= ended_s
-                and answer.sent_s <= killed_s + FAULT_HOLD_S
-                for url, killed_s in self._kills
+                and answer.sent_s <= killed_s + hold_s
+                for url, killed_s, hold_s in self._kills
             )
             if is_broken:
                 answer.outcome = "unknown"
