--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,12 +9,14 @@
 from bench import caller as caller_module
 from bench import counts as counts_module
 from bench import deployment as deployment_module
+from bench import site_demo
 from bench import world as world_module
 
 READY_TIMEOUT_S = 40.0
 READY_CHECK_S = 0.25
 WARM_S = 5.0
 KILL_AFTER_TOKENS = 40
+TOKENS_SHOWN = 8
 
 _log = logging.getLogger(__name__)
 
@@ -30,6 +32,8 @@
     doubled_orders: int
     untrue_refusals: int
     attainment: float
+    platform_requests: int = 0
+    platform_wrong: int = 0
 
 
 class Tour:
@@ -44,8 +48,10 @@
         self.answers = []
 
     def _show_tokens(self, tokens):
+        # The first words tell a reader enough.
+        shown = tokens[: max(TOKENS_SHOWN - self._seen, 0)]
+        self._console.print("".join(shown), end="", style="green")
         self._seen += len(tokens)
-        self._console.print("".join(tokens), end="", style="green")
         if self._kill is not None and self._seen >= KILL_AFTER_TOKENS:
             self._kill()
             self._kill = None
@@ -61,8 +67,9 @@
         )
         self.answers.append(answer)
         style = "bold" if answer.outcome == "whole" else "bold red"
+        words = f"... {self._seen} words\n" if self._seen else ""
         self._console.print(
-            f"\n{answer.outcome} {answer.reason} "
+            f"{words}{answer.outcome} {answer.reason} "
             f"in {answer.latency_s * 1000:.0f} ms",
             style=style,
         )
@@ -157,8 +164,13 @@
     ]
     stages = frozenset().union(*(world.deployment.orders for world in worlds))
     counts = counts_module.count(answers, executions, stages)
+    known = [each.name for each in msgspec.structs.fields(counts)]
     summary = Summary(
-        **{name: getattr(counts, name) for name in Summary.__struct_fields__}
+        **{
+            name: getattr(counts, name)
+            for name in Summary.__struct_fields__
+            if name in known
+        }
     )
     is_right = counts.get_faults() == 0 and counts.whole == counts.requests
     return summary, is_right
@@ -188,7 +200,9 @@
         await _tour_federation(tour, worlds[1])
         summary, is_right = summarise(tour.answers, worlds)
         nursery.cancel_scope.cancel()
-    return summary, is_right
+    requests, wrong = await site_demo.run_tour(console)
+    summary.platform_requests, summary.platform_wrong = requests, wrong
+    return summary, is_right and not wrong
 
 
 def new_console():
