Share the slack of repeats among all entries that may be there

Cause: each entry spent an eighth of the slack, whatever their number. The grown deployments have 24 entries and more, so all together could have used three times the slack. Each entry now counts the most entries that it ever heard of, a quarter more for those that are added, and 32 before it has heard of any. An entry that is cut off does not forget the others.

--- a/greengagetrack/process/direct/budget.py
+++ b/greengagetrack/process/direct/budget.py
@@ -12,13 +12,17 @@
 
 
 class SharedBudget:
-    """Repeats of one service within a sliding window, for this entry."""
+    """Repeats of one service within a sliding window, for this entry.
 
-    __slots__ = ("_firsts", "_repeats", "_ratio", "_slack", "_window_s")
+    `get_slack()` is this entry's part of the slack; it shrinks as more
+    entries become known.
+    """
 
-    def __init__(self, ratio, slack, window_s):
+    __slots__ = ("_firsts", "_get_slack", "_repeats", "_ratio", "_window_s")
+
+    def __init__(self, ratio, get_slack, window_s):
         self._ratio = ratio
-        self._slack = slack
+        self._get_slack = get_slack
         self._window_s = window_s
         self._firsts = collections.deque()
         self._repeats = collections.deque()
@@ -32,7 +36,7 @@
     def take(self):
         """Return whether one more repeat is allowed, and count it."""
         self._forget_old()
-        allowed = self._ratio * len(self._firsts) + self._slack
+        allowed = self._ratio * len(self._firsts) + self._get_slack()
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(trio.current_time())
@@ -48,23 +52,33 @@
 class SharedBudgets:
     """The budgets of all services."""
 
-    __slots__ = ("_budget_by_service", "_ratio", "_slack", "_window_s")
+    __slots__ = (
+        "_budget_by_service",
+        "_count_entries",
+        "_ratio",
+        "_slack",
+        "_window_s",
+    )
 
-    def __init__(self, ratio, slack, window_s):
+    def __init__(self, ratio, slack, window_s, count_entries):
         self._budget_by_service = {}
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
+        self._count_entries = count_entries
 
     def get(self, service):
         """Return the budget of a service."""
         if service not in self._budget_by_service:
             self._budget_by_service[service] = SharedBudget(
-                self._ratio, self._slack, self._window_s
+                self._ratio, self._get_slack, self._window_s
             )
         return self._budget_by_service[service]
 
+    def _get_slack(self):
+        return self._slack / max(self._count_entries(), ENTRIES_MIN)
+
 
-def new_shared_budgets(ratio, slack, window_s, entries_max=ENTRIES_MIN):
-    """Return budgets for one of at most `entries_max` entries."""
-    return SharedBudgets(ratio, slack / max(entries_max, 1), window_s)
+def new_shared_budgets(ratio, slack, window_s, count_entries):
+    """Return the budgets of one of `count_entries()` entries at most."""
+    return SharedBudgets(ratio, slack, window_s, count_entries)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -97,6 +97,7 @@
             settings.budget_ratio,
             settings.budget_slack,
             settings.budget_window_s,
+            lambda: self.peers.count_entries(),
         )
         self.peers = peers_module.new_peers(
             settings, links, self.lease, self.keeper, self.directory
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import trio
 
@@ -23,6 +24,9 @@
 WATCH_S = 0.1
 PEERS_MAX = 2000
 WAIT_MAX_S = 30.0
+# How many entries there may be: of those heard, and before any is heard.
+ENTRIES_X = 1.25
+ENTRIES_UNHEARD = 32
 
 _log = logging.getLogger(__name__)
 
@@ -67,6 +71,7 @@
         "_keeper",
         "_lease",
         "_links",
+        "_most_heard",
         "_own_address",
         "_peer_by_address",
         "_round",
@@ -84,6 +89,7 @@
         self._keeper = keeper
         self._directory = directory
         self._peer_by_address = {}
+        self._most_heard = 0
         self._round = 0
         self._hurry = trio.Event()
         self.pools = None
@@ -150,6 +156,11 @@
         peer.heard_s = trio.current_time()
         for address in digest.peers:
             self._learn(address)
+        # An entry that is cut off must not forget how many others there
+        # are, so the most that were ever heard of count.
+        self._most_heard = max(
+            self._most_heard, len(self._peer_by_address), len(digest.peers)
+        )
         self._directory.hear_loads(digest.name, digest.loads)
         for part_id, server_id in digest.parts:
             self._directory.hear_part(part_id, server_id)
@@ -170,6 +181,12 @@
                     await self._hurry.wait()
                     self._hurry = trio.Event()
 
+    def count_entries(self):
+        """Return the most entries that may be there, with this one."""
+        if not self._most_heard:
+            return ENTRIES_UNHEARD
+        return math.ceil((self._most_heard + 1) * ENTRIES_X)
+
     def leave(self):
         """Tell all peers at once that this entry takes no more work."""
         self.is_leaving = True
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -259,7 +259,7 @@
 @hypothesis.given(
     steps=strategies.lists(
         strategies.tuples(
-            strategies.integers(0, 7),
+            strategies.integers(0, 23),
             strategies.booleans(),
             strategies.floats(0.0, 2.0),
         ),
@@ -267,12 +267,14 @@
     )
 )
 def test_all_entries_together_stay_within_the_shared_budget(steps):
-    ratio, slack, window_s = 0.2, 16.0, 10.0
+    ratio, slack, window_s = 0.2, 48.0, 10.0
 
     async def check(_nursery):
         entries = [
-            budget_module.new_shared_budgets(ratio, slack, window_s, 8)
-            for _entry in range(8)
+            budget_module.new_shared_budgets(
+                ratio, slack, window_s, lambda: 24
+            )
+            for _entry in range(24)
         ]
         firsts, repeats = [], []
         for index, is_repeat, pause_s in steps:
@@ -294,7 +296,9 @@
 
 def test_a_service_that_never_repeats_does_not_fill_the_memory():
     async def check(_nursery):
-        budget = budget_module.new_shared_budgets(0.2, 8.0, 10.0).get("svc")
+        budget = budget_module.new_shared_budgets(
+            0.2, 8.0, 10.0, lambda: 8
+        ).get("svc")
         for _request in range(200):
             await trio.sleep(1.0)
             budget.note_first()
