Keep a caller that is gone while it is sent to from ending the entry

Cause: the handler of an exchange runs in a nursery, and trio wraps what is raised there in a group. The connection's own 'except' for a broken pipe never saw it, so a send that failed before the watcher had noticed the close ended the whole process. Ruled out: the client side (it catches at the send itself). Now it is caught inside the nursery, as a group. Test: test_a_caller_that_is_gone_while_sent_to_ends_only_its_connection, three kinds of error, each fails without the change.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -89,6 +89,14 @@
         return self._connection.protocol.send(response)
 
 
+# What sending to a caller raises that has left or reads nothing.
+_GONE = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
+
+
 class _Problem(Exception):
     """A request that can't be read; ends its connection.
 
@@ -133,11 +141,7 @@
                 self.protocol.start_next_cycle()
         except _Problem as problem:
             await self._refuse(problem.status)
-        except (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            trio.TooSlowError,
-        ):
+        except _GONE:
             # The caller left; whatever ran for it was cancelled.
             pass
 
@@ -163,7 +167,12 @@
     async def _run_handler(self, exchange):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
-            await self._server.handle(exchange)
+            try:
+                await self._server.handle(exchange)
+            except* _GONE:
+                # Caught inside the nursery, which would wrap it in a
+                # group. The connection ends with its unfinished answer.
+                pass
             nursery.cancel_scope.cancel()
 
     async def _watch_caller(self, scope):
--- a/tests/direct/test_http_server.py
+++ b/tests/direct/test_http_server.py
@@ -189,3 +189,27 @@
         assert await loopback.read_all(stream) == b""
 
     _run(check)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError],
+)
+def test_a_caller_that_is_gone_while_sent_to_ends_only_its_connection(error):
+    """Grown federation, fresh-6697: an entry ended with a broken pipe."""
+
+    async def answer(exchange):
+        if exchange.target == b"/gone":
+            raise error("broken pipe")
+        await exchange.answer(200, [], b"yes")
+
+    async def check(_seen, _server, address):
+        gone = await loopback.open_stream(address)
+        await gone.send_all(b"GET /gone HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert await loopback.read_all(gone) == b""
+        stream = await loopback.open_stream(address)
+        await stream.send_all(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        received = await loopback.read_until(stream, b"yes")
+        assert received.startswith(b"HTTP/1.1 200 ")
+
+    _run(check, answer)
