Soak entries under overlapping faults before the platform's stand-in

greengagebench soak: real entries as processes; store and engines behind wires on loopback that delay, reset, silence and cut; stops, kills, freezes, engines that leave or are replaced, keys taken away, also while nobody can read of it. Judged from consumers and engines only: MIXED, UNASKED, TWICE, REFUSED, REVOKED, DRAIN, LOST, RECOVER, STOP.

--- a/bench/command.py
+++ b/bench/command.py
@@ -20,6 +20,8 @@
 from bench import processes
 from bench import reference as reference_module
 from bench import report as report_module
+from bench.soak import broken
+from bench.soak import run as soak_run
 
 EXIT_WRONG = 1
 EXIT_USAGE = 2
@@ -157,6 +159,40 @@
     sys.exit(EXIT_WRONG if wrong else 0)
 
 
+def soak(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    duration: float = 25.0,
+    build: str = "",
+    logs: str = "",
+):
+    """Run entries before the platform's stand-in under faults by seed.
+
+    Prints one JSON line a seed. Exit codes: 0 all promises held; 1 one
+    was broken.
+
+    :param seed: The first seed of faults and requests.
+    :param seeds: How many seeds, one after the other.
+    :param duration: How long requests come, in seconds.
+    :param build: A build that is broken on purpose, to see it caught.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if a promise was broken.
+    """
+    _check_choice("--build", build, ("", *broken.BREAK_BY_NAME))
+    wrong = 0
+    for number in range(seed, seed + seeds):
+        folder = logs or tempfile.mkdtemp(prefix="greengagebench-soak-")
+        result = soak_run.run_soak(number, duration, folder, build)
+        _print_json(result)
+        wrong += bool(result.broken)
+        if result.broken:
+            print(f"The logs are kept in '{folder}'.", file=sys.stderr)
+        elif not logs:
+            shutil.rmtree(folder)
+    sys.exit(EXIT_WRONG if wrong else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -230,6 +266,7 @@
             "night": night,
             "compare": compare,
             "run": run,
+            "soak": soak,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
--- /dev/null
+++ b/bench/soak/site.py
@@ -0,0 +1,170 @@
+"""The site of a soak: stand-ins behind wires, entries as real processes."""
+
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+
+import trio
+
+from bench import ports as ports_module
+from bench.soak import wire as wire_module
+from bench.standins import site as site_module
+from greengagetrack.platform import names
+
+ENTRIES = 3
+REVOKE_MS = 3000
+WORK_S = 0.12
+EVENT_S = 0.04
+STOP_LIMIT_S = 5.0
+READY_CHECK_S = 0.25
+# Two questions in a row without a 200 take an entry out.
+MISSED_MAX = 2
+
+
+class EntryProcess:
+    """One entry that the soak started, stops, kills and freezes."""
+
+    def __init__(self, name, path, ports, logs, command):
+        self.name = name
+        self.caller, self.ready = (f"{site_module.HOST}:{p}" for p in ports)
+        self.is_busy = False
+        self.is_in_rotation = False
+        self.started_s = 0.0
+        self.process = None
+        self._path = path
+        self._log = os.path.join(logs, f"{name}.jsonl")
+        self._command = command
+
+    def start(self):
+        """Start the process."""
+        environment = dict(os.environ)
+        environment["GREENGAGETRACK_NODE_FILE"] = self._path
+        environment["GREENGAGETRACK_PEER_KEYS"] = "6b" * 16
+        with open(self._log, "ab") as log:
+            self.process = subprocess.Popen(
+                self._command,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.started_s = trio.current_time()
+
+    def signal(self, number):
+        """Send a signal to this process, if it still runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait(self):
+        """Wait until the process has ended; return its exit code."""
+        while self.process.poll() is None:
+            await trio.sleep(0.02)
+        return self.process.returncode
+
+
+class SoakSite(site_module.SiteStandIn):
+    """A site whose store and engines lie behind wires."""
+
+    def __init__(self, nursery, seed, logs, build):
+        super().__init__(nursery)
+        self._logs = logs
+        self._build = build
+        self._host = f"127.{random.Random(os.getpid()).randrange(1, 255)}"
+        self._numbers = itertools.count(1)
+        self.wire_by_engine = {}
+        self.store_wire = None
+        self.entries = []
+        self.keys = ["key-1"]
+        self.version = 1
+
+    async def start(self):
+        """Start the stand-ins, then the entries, and wait for them."""
+        await super().start()
+        self.store_wire = await wire_module.new_wire(
+            self._nursery, self.store_address
+        )
+        self.store_address = self.store_wire.address
+        sets = [ports_module.find_free_ports(3) for _entry in range(ENTRIES)]
+        seeds = [f"{site_module.HOST}:{ports[2]}" for ports in sets[:2]]
+        for index, ports in enumerate(sets):
+            entry = self._new_entry(index, ports, seeds)
+            entry.start()
+            self.entries.append(entry)
+            self._nursery.start_soon(self._watch, entry)
+        while not all(entry.is_in_rotation for entry in self.entries):
+            await trio.sleep(0.05)
+
+    def _new_entry(self, index, ports, seeds):
+        name = f"entry-{index}"
+        node_file = self.get_node_file(name, ports, seeds, REVOKE_MS)
+        # The metrics' port is the same on all machines.
+        node_file["ip"] = f"{self._host}.0.{index + 1}"
+        path = os.path.join(self._logs, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump(node_file, file)
+        command = [sys.executable, "-m"]
+        if self._build:
+            command += ["bench.soak.broken", self._build]
+        else:
+            command.append("greengagetrack.command.greengagetrackd")
+        return EntryProcess(name, path, ports[:2], self._logs, command)
+
+    async def _watch(self, entry):
+        """Ask whether an entry is ready, as a balancer does."""
+        missed = 0
+        while True:
+            status = await _ask_ready(self._nursery, entry.ready)
+            missed = 0 if status == 200 else missed + 1
+            if missed == 0 or missed >= MISSED_MAX:
+                entry.is_in_rotation = missed == 0
+            await trio.sleep(READY_CHECK_S)
+
+    async def add_engine(self, engine_id, service, is_stream=False):
+        """Start an engine whose published address is a wire to it."""
+        engine = site_module.EngineStandIn(
+            engine_id, service, "dc-a", is_stream
+        )
+        address = await site_module.start_http(self._nursery, engine.handle)
+        wire = await wire_module.new_wire(self._nursery, address)
+        engine.address = wire.address
+        # Long enough to have something in progress at any moment.
+        engine.work_s, engine.event_s = WORK_S, EVENT_S
+        self.wire_by_engine[engine_id] = wire
+        self.engine_by_id[engine_id] = engine
+        self.publish(engine)
+
+    async def replace_engine(self, engine):
+        """Start an engine of the same kind under a new id."""
+        new_id = f"{engine.service}-new-{next(self._numbers)}"
+        await self.add_engine(new_id, engine.service, engine.is_stream)
+
+    def change_key(self):
+        """Publish a configuration with a new key only; return it."""
+        self.version += 1
+        self.keys.append(f"key-{self.version}")
+        config = site_module.new_config(self.version, self.keys[-1:])
+        self.store.put(names.CONFIG_KEY, config)
+        return self.keys[-1]
+
+    async def stop(self):
+        """End the processes that this site started."""
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            entry.signal(signal.SIGKILL)
+        for entry in self.entries:
+            await entry.wait()
+
+
+async def _ask_ready(nursery, address):
+    pool = site_module.client.new_pool(nursery)
+    status = 0
+    with trio.move_on_after(READY_CHECK_S):
+        answer = await site_module.ask(
+            pool, address, names.READY_PATH.decode(), b"ready", b"GET", ""
+        )
+        status = answer[0]
+    return status
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -22,6 +22,7 @@
 CALL_S = 0.02
 EVENT_S = 0.005
 EVENTS = 4
+NOT_SENT = -1
 JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -42,6 +43,7 @@
         self.revision = 100
         self.calls = 0
         self.is_down = False
+        self.is_past = False
         self._item_by_key = {}
         self._events = []
 
@@ -69,7 +71,10 @@
         path, _separator, query = exchange.target.decode().partition("?")
         values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         answer = {"current_rev": self.revision}
-        if path == names.RANGE_PATH:
+        if self.is_past and path == names.WATCH_PATH:
+            # It tells of a time before anything that was told last.
+            answer = {"current_rev": int(values["after"]) - 1, "events": []}
+        elif path == names.RANGE_PATH:
             answer["items"] = list(self._item_by_key.values())
         else:
             after = int(values["after"])
@@ -89,10 +94,13 @@
         self.is_stream = is_stream
         self.address = ""
         self.runs = collections.Counter()
+        self.run_log = []
         self.inputs_by_request = {}
         self.calls = []
         self.freed = set()
         self.is_silent = False
+        self.work_s = PLAIN_S
+        self.event_s = EVENT_S
 
     def get_entry(self, state=names.READY):
         """Return what the engine writes about itself."""
@@ -138,6 +146,7 @@
         headers = exchange.headers
         request_id = fields.get_value(headers, names.REQUEST_ID.lower())
         self.runs[request_id] += 1
+        self.run_log.append((request_id, trio.current_time(), exchange.target))
         self.inputs_by_request[request_id] = fields.get_value(
             headers, names.INPUTS.lower(), b""
         )
@@ -148,7 +157,7 @@
             (names.SEAL, f"seal of {self.engine_id}".encode()),
         ]
         if not self.is_stream:
-            await trio.sleep(PLAIN_S)
+            await trio.sleep(self.work_s)
             body = exchange.method + b" " + exchange.target
             await exchange.answer(200, own, body)
             return
@@ -156,8 +165,9 @@
         own.append((b"Content-Type", names.EVENT_STREAM))
         await exchange.start(200, own)
         for number in range(int(after) + 1, EVENTS + 1):
-            await trio.sleep(EVENT_S)
-            await exchange.send(b"id: %d\ndata: word\n\n" % number)
+            await trio.sleep(self.event_s)
+            event = b"id: %d\ndata: %s\n\n" % (number, request_id)
+            await exchange.send(event)
         await exchange.finish()
 
 
@@ -267,33 +277,47 @@
 
     async def ask(self, path, request_id, method=b"POST", key="key-1"):
         """Return the status, the header fields and the body."""
-        headers = [
-            (b"Host", b"site.example"),
-            (names.REQUEST_ID, request_id),
-            (names.DEADLINE_MS, b"2500"),
-            (names.PIECES, b"2,3"),
-            (names.PIECE_KEY, b"key"),
-            (b"Content-Length", b"4"),
-        ]
-        if key:
-            headers.append((names.API_KEY, key.encode()))
         pool = client.new_pool(self._nursery)
-        head = client.RequestHead(method, path.encode(), headers)
-        call = await pool.open_call(self._address, head, b"body")
-        if not isinstance(call, client.Call):
-            return 0, [], call.detail.encode()
         try:
-            answer = await call.receive_head(lambda _head: True)
-            if isinstance(answer, client.Broken):
-                return 0, [], answer.detail.encode()
-            body = b""
-            while True:
-                part = await call.receive_part()
-                if isinstance(part, client.Broken):
-                    return 0, [], part.detail.encode()
-                if part is None:
-                    return answer.status, answer.headers, body
-                body += part
+            return await ask(
+                pool, self._address, path, request_id, method, key
+            )
         finally:
-            call.finish()
             pool.drop_address(self._address)
+
+
+async def ask(pool, address, path, request_id, method=b"POST", key="key-1"):
+    """Send a request over a connection of `pool`.
+
+    Returns the status, the header fields and the body. The status is
+    `NOT_SENT` where nothing left, and 0 where the answer broke off.
+    """
+    headers = [
+        (b"Host", b"site.example"),
+        (names.REQUEST_ID, request_id),
+        (names.DEADLINE_MS, b"2500"),
+        (names.PIECES, b"2,3"),
+        (names.PIECE_KEY, b"key"),
+        (b"Content-Length", b"4"),
+    ]
+    if key:
+        headers.append((names.API_KEY, key.encode()))
+    head = client.RequestHead(method, path.encode(), headers)
+    call = await pool.open_call(address, head, b"body")
+    if not isinstance(call, client.Call):
+        is_sent = isinstance(call, client.Broken)
+        return 0 if is_sent else NOT_SENT, [], call.detail.encode()
+    try:
+        answer = await call.receive_head(lambda _head: True)
+        if isinstance(answer, client.Broken):
+            return 0, [], answer.detail.encode()
+        body = b""
+        while True:
+            part = await call.receive_part()
+            if isinstance(part, client.Broken):
+                return 0, answer.headers, part.detail.encode()
+            if part is None:
+                return answer.status, answer.headers, body
+            body += part
+    finally:
+        call.finish()
