Let one entry of each data centre speak for it

Cause: every entry told every other one in the same region's or another's data centre what it knew, 1.2 to 5 times a second.

Now entries of a data centre hear each other; one of them, by rendezvous weighted with its processor, exchanges what all of them know (who lives, waits, loads, large prompt parts) with the other speakers, and tells its own. If it fails, everybody asks one entry after the other of a data centre that is not heard of. Links that stay silent are opened anew after three missed answers.

Ruled out: fewer digests without speakers (the far ones make up 20 of 23).

--- a/greengagetrack/connection/base.py
+++ b/greengagetrack/connection/base.py
@@ -67,6 +67,12 @@
             self._link_by_address[address] = link
         return self._link_by_address[address]
 
+    def drop(self, address):
+        """Close the link to an address; the next one is a new one."""
+        link = self._link_by_address.pop(address, None)
+        if link is not None:
+            link.close()
+
     def keep_only(self, addresses):
         """Close the links to all other addresses."""
         for address in set(self._link_by_address) - set(addresses):
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -249,20 +249,50 @@
 
 
 class PoolWait(_Message):
-    """How long a piece would wait in a pool that the sender gathers."""
+    """How long a piece would wait in a pool of some data centre."""
 
     service: str
-    data_centre: str
     wait_ms: int
 
 
+class Member(_Message):
+    """One entry of a data centre, as another one heard it.
+
+    `age_ms` is how long ago it was heard; `weight` its share of the work
+    that one entry does for all.
+    """
+
+    name: str
+    address: str
+    age_ms: int = 0
+    catalog_version: int = 0
+    is_leaving: bool = False
+    weight: float = 1.0
+
+
+class CentreDigest(_Message):
+    """What a data centre's entries tell together, `age_ms` ago.
+
+    `loads` has the requests and the prompt tokens that all of them have
+    outstanding at each server.
+    """
+
+    data_centre: str
+    age_ms: int
+    members: list[Member] = []
+    waits: list[PoolWait] = []
+    loads: list[tuple[str, int, int]] = []
+
+
 class EntryDigest(_Message, tag="entry_digest"):
     """What one entry that calls servers itself tells another.
 
     `freshness_age_s` is the age of its last confirmation that its catalog
     is the newest, negative without one. `parts` names large prompt parts,
-    each with the id of the server that it was just sent to; `loads` has
-    the requests and prompt tokens that the sender has outstanding.
+    each with the id of the server that it was just sent to, `far_parts`
+    those of other data centres; `waits` and `loads` are the sender's own,
+    and left out where `centres` has them. `peers` has the addresses of
+    all entries, for one that knows fewer than `peers_known`.
     """
 
     name: str
@@ -271,10 +301,14 @@
     catalog_version: int = 0
     freshness_age_s: float = -1.0
     is_leaving: bool = False
+    weight: float = 1.0
+    peers_known: int = 0
     peers: list[str] = []
     waits: list[PoolWait] = []
     parts: list[tuple[str, str]] = []
+    far_parts: list[tuple[str, str]] = []
     loads: list[tuple[str, int, int]] = []
+    centres: list[CentreDigest] = []
 
 
 class EntryHeard(_Message, tag="entry_heard"):
--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -32,6 +32,10 @@
             budget_ratio=node.bounds.budget_ratio,
             budget_slack=node.bounds.budget_slack,
             budget_window_s=node.bounds.budget_window_s,
+            change_bound_s=(
+                min(node.bounds.drain_ms, node.bounds.config_apply_ms) / 1000
+            ),
+            cores=node.limits.cpu_share * node.limits.cores,
         )
 
     def get_caller_address(self):
--- a/greengagetrack/platform/settings.py
+++ b/greengagetrack/platform/settings.py
@@ -16,6 +16,7 @@
 
     revoke_ms: float = 5000
     drain_ms: float = 2500
+    config_apply_ms: float = 2500
     grace_s: float = 8
     budget_ratio: float = 0.2
     budget_window_s: float = 10
@@ -31,6 +32,8 @@
 class MachineLimits(msgspec.Struct):
     """What the machine gives to a process."""
 
+    cpu_share: float = 1.0
+    cores: float = 1.0
     memory_mb: float = 256
     max_fds: int = 4096
 
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -5,8 +5,10 @@
 """
 
 import collections
+import enum
 import logging
 
+import msgspec
 import trio
 
 SUSPECT_S = 1.0
@@ -16,16 +18,34 @@
 EJECT_S = 2.5
 LATENCY_WEIGHT = 0.2
 LAPSE_GRACE_S = 2.3
-HEARD_LOAD_S = 2.0
+HEARD_LOAD_S = 2.6
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 6.0
 PARTS_MAX = 2000
 TOLD_PARTS_MAX = 256
 TOLD_TOKENS_MIN = 500
+TOLD_AGAIN_S = 2.0
 
 _log = logging.getLogger(__name__)
 
 
+class Source(enum.Enum):
+    """Where the news of a part comes from."""
+
+    OWN = enum.auto()
+    NEAR = enum.auto()
+    FAR = enum.auto()
+
+
+class ToldPart(msgspec.Struct, frozen=True):
+    """A large prompt part that peers are told of, and who told it."""
+
+    number: int
+    part_id: str
+    server_id: str
+    source: Source
+
+
 class KnownServer:
     """One server: its published entry and what this entry saw of it."""
 
@@ -71,10 +91,9 @@
         """Return whether others go first for the moment."""
         return trio.current_time() < self.suspect_until_s
 
-    def hear_load(self, peer, running, prefill_tokens):
-        """Note what a peer has outstanding here."""
-        now = trio.current_time()
-        self.heard_loads[peer] = (now, running, prefill_tokens)
+    def hear_load(self, source, running, prefill_tokens, heard_s):
+        """Note what a peer or a data centre had outstanding here."""
+        self.heard_loads[source] = (heard_s, running, prefill_tokens)
 
     def count_running(self):
         """Return the requests that all entries have outstanding here."""
@@ -161,6 +180,7 @@
     __slots__ = (
         "_forget",
         "_lapse_until_s",
+        "_servers_by_service",
         "changed",
         "server_by_id",
         "told_parts",
@@ -171,6 +191,7 @@
         self.server_by_id = {}
         self.changed = trio.Event()
         self._lapse_until_s = 0.0
+        self._servers_by_service = {}
         self.told_parts = collections.deque(maxlen=TOLD_PARTS_MAX)
 
     def note_source_regained(self):
@@ -179,47 +200,98 @@
 
     def note_parts(self, server, parts):
         """Note what a server holds; the large parts are told to peers."""
+        recent_s = trio.current_time() - TOLD_AGAIN_S
         # The last part belongs to the request alone.
         for part_id, tokens in parts[:-1]:
-            if tokens >= TOLD_TOKENS_MIN:
-                number = self.told_parts[-1][0] + 1 if self.told_parts else 1
-                self.told_parts.append((number, part_id, server.server_id))
+            is_recent = server.part_times.get(part_id, -1.0) > recent_s
+            if tokens >= TOLD_TOKENS_MIN and not is_recent:
+                self._tell_part(part_id, server.server_id, Source.OWN)
         server.note_parts(parts)
 
-    def get_told_parts(self, after):
-        """Return the parts noted after the one with the number `after`."""
-        return [told for told in self.told_parts if told[0] > after]
+    def _tell_part(self, part_id, server_id, source):
+        number = self.get_told_number() + 1
+        self.told_parts.append(ToldPart(number, part_id, server_id, source))
+
+    def get_told_number(self):
+        """Return the number of the last part that was noted for peers."""
+        return self.told_parts[-1].number if self.told_parts else 0
+
+    def get_told_parts(self, after, is_near):
+        """Return the parts noted after the one with the number `after`.
+
+        The first list has those of this data centre, the second those of
+        others, which only near peers are told.
+        """
+        own, far = [], []
+        for told in self.told_parts:
+            pair = (told.part_id, told.server_id)
+            if told.number <= after:
+                continue
+            if told.source is Source.OWN:
+                own.append(pair)
+            elif told.source is Source.NEAR and not is_near:
+                own.append(pair)
+            elif told.source is Source.FAR and is_near:
+                far.append(pair)
+        return own, far
 
     def get_loads(self):
-        """Return what this entry has outstanding, for its peers."""
+        """Return what this entry has outstanding, for its near peers."""
         return [
             (server.server_id, server.outstanding, server.prefill_tokens)
             for server in self.server_by_id.values()
             if server.outstanding
         ]
 
-    def hear_loads(self, peer, loads):
-        """Take what a peer has outstanding at all servers."""
+    def get_shared_loads(self, near):
+        """Return what this entry and its near peers have outstanding."""
+        since_s = trio.current_time() - HEARD_LOAD_S
+        loads = []
+        for server in self.server_by_id.values():
+            running, tokens = server.outstanding, server.prefill_tokens
+            for name in near:
+                heard = server.heard_loads.get(name)
+                if heard is not None and heard[0] > since_s:
+                    running += heard[1]
+                    tokens += heard[2]
+            if running:
+                loads.append((server.server_id, running, tokens))
+        return loads
+
+    def hear_loads(self, source, loads, heard_s):
+        """Take what a peer or a data centre had outstanding everywhere."""
         load_by_id = {server_id: load for server_id, *load in loads}
         for server in self.server_by_id.values():
             running, tokens = load_by_id.get(server.server_id, (0, 0))
-            if running or peer in server.heard_loads:
-                server.hear_load(peer, running, tokens)
+            if running or source in server.heard_loads:
+                server.hear_load(source, running, tokens, heard_s)
 
-    def hear_part(self, part_id, server_id):
+    def hear_part(self, part_id, server_id, is_near, is_told_on):
         """Note what a peer says that a server holds."""
         server = self.server_by_id.get(server_id)
-        if server is not None:
-            server.note_part(part_id)
+        if server is None:
+            return
+        server.note_part(part_id)
+        if is_told_on:
+            source = Source.NEAR if is_near else Source.FAR
+            self._tell_part(part_id, server_id, source)
 
     def get_servers(self, service):
         """Return the servers of a service that may get new work."""
         return [
             server
-            for server in self.server_by_id.values()
-            if server.published.service == service and server.is_usable()
+            for server in self._servers_by_service.get(service, ())
+            if server.is_usable()
         ]
 
+    def _index(self):
+        """Group the servers by service, for the choices of requests."""
+        servers_by_service = {}
+        for server in self.server_by_id.values():
+            service = server.published.service
+            servers_by_service.setdefault(service, []).append(server)
+        self._servers_by_service = servers_by_service
+
     def take_news(self, news):
         """Apply what the source says."""
         for published in news.servers:
@@ -231,6 +303,7 @@
             for server_id in set(self.server_by_id) - named:
                 self._take_removal(server_id)
         self._remove_gone()
+        self._index()
         event, self.changed = self.changed, trio.Event()
         event.set()
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -33,7 +33,11 @@
 
 
 class DirectSettings(msgspec.Struct, frozen=True):
-    """What the entry must be told of itself and of its bounds."""
+    """What the entry must be told of itself and of its bounds.
+
+    Changes must be in force within `change_bound_s`; `cores` is the
+    processor time that the entry has, in cores.
+    """
 
     name: str
     data_centre: str
@@ -44,6 +48,8 @@
     budget_ratio: float
     budget_slack: float
     budget_window_s: float
+    change_bound_s: float = 2.5
+    cores: float = 1.0
 
 
 class DirectEntry:
@@ -82,7 +88,11 @@
             lambda known: gateway.forget_server(known.published)
         )
         self.keeper = keeper_module.new_catalog_keeper(
-            source, self.directory, self.lease, generator
+            source,
+            self.directory,
+            self.lease,
+            settings.change_bound_s,
+            generator,
         )
         get_catalog = self.keeper.get_catalog
         chooser = chooser_module.new_chooser(
@@ -97,7 +107,7 @@
             settings.budget_ratio,
             settings.budget_slack,
             settings.budget_window_s,
-            lambda: self.peers.count_entries(),
+            lambda: self.peers.members.count_entries(),
         )
         self.peers = peers_module.new_peers(
             settings, links, self.lease, self.keeper, self.directory
@@ -108,7 +118,7 @@
         self._pools = pools_module.new_pools(
             settings.data_centre, batcher_parts, self.peers
         )
-        self.peers.pools = self._pools
+        self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
             chooser,
             self.directory,
--- a/greengagetrack/process/direct/keeper.py
+++ b/greengagetrack/process/direct/keeper.py
@@ -10,7 +10,8 @@
 
 from greengagetrack.connection import source as source_module
 
-PERIOD_S = 1.1
+# The part of the time, in which changes must be in force, between questions.
+PERIOD_SHARE = 0.44
 RETRY_S = 0.25
 
 _log = logging.getLogger(__name__)
@@ -22,6 +23,7 @@
     __slots__ = (
         "_directory",
         "_is_reached",
+        "_period_s",
         "_random",
         "_source",
         "accepted",
@@ -30,8 +32,9 @@
         "revision",
     )
 
-    def __init__(self, source, directory, lease, generator):
+    def __init__(self, source, directory, lease, change_bound_s, generator):
         self._source = source
+        self._period_s = change_bound_s * PERIOD_SHARE
         self._directory = directory
         self._random = generator
         self._is_reached = None
@@ -52,7 +55,8 @@
         """Follow the source until cancelled."""
         while True:
             if await self._ask_once():
-                await trio.sleep(PERIOD_S * self._random.uniform(0.85, 1.0))
+                pause_s = self._period_s * self._random.uniform(0.85, 1.0)
+                await trio.sleep(pause_s)
             else:
                 await trio.sleep(RETRY_S * self._random.uniform(0.8, 1.2))
 
@@ -130,6 +134,9 @@
         )
 
 
-def new_catalog_keeper(source, directory, lease, generator):
-    """Return a keeper that has read nothing yet."""
-    return CatalogKeeper(source, directory, lease, generator)
+def new_catalog_keeper(source, directory, lease, change_bound_s, generator):
+    """Return a keeper that has read nothing yet.
+
+    `change_bound_s` is how soon an accepted change must be in force.
+    """
+    return CatalogKeeper(source, directory, lease, change_bound_s, generator)
--- /dev/null
+++ b/greengagetrack/process/direct/members.py
@@ -0,0 +1,243 @@
+"""Who the other entries are, and which of them live.
+
+Entries of one data centre hear each other. One of them speaks for it:
+it hears the speakers of the other data centres and tells its own what
+they said. So what an entry sends does not grow with the fleet.
+"""
+
+import logging
+import math
+
+import trio
+
+from greengagetrack.connection import messages
+from greengagetrack.process.direct import rendezvous
+
+SILENCE_S = 1.3
+FAR_SILENCE_S = 3.2
+FORGET_S = 30.0
+PEERS_MAX = 2000
+SPEAKER_KEY = "speaker"
+# How many entries there may be: of those heard, and before any is heard.
+ENTRIES_X = 1.25
+ENTRIES_UNHEARD = 32
+
+_log = logging.getLogger(__name__)
+
+
+class Peer:
+    """One other entry, as far as it has been heard or heard of.
+
+    `heard_s` is when it was last known to live, `asked_s` when the last
+    exchange with it ended, `used_s` when it last worked for this entry.
+    """
+
+    __slots__ = (
+        "address",
+        "asked_s",
+        "catalog_version",
+        "data_centre",
+        "heard_s",
+        "is_leaving",
+        "missed",
+        "name",
+        "peers_known",
+        "told_centres_s",
+        "told_number",
+        "used_s",
+        "weight",
+    )
+
+    def __init__(self, address):
+        self.address = address
+        self.name = ""
+        self.data_centre = ""
+        self.heard_s = None
+        self.asked_s = -math.inf
+        self.used_s = -math.inf
+        self.missed = 0
+        self.is_leaving = False
+        self.catalog_version = 0
+        self.weight = 1.0
+        self.peers_known = 0
+        self.told_centres_s = -math.inf
+        self.told_number = 0
+
+    def is_alive(self, is_near):
+        """Return whether the peer was heard of lately and stays."""
+        if self.heard_s is None or self.is_leaving:
+            return False
+        limit_s = SILENCE_S if is_near else FAR_SILENCE_S
+        return trio.current_time() - self.heard_s < limit_s
+
+
+class Members:
+    """All entries that this one knows of."""
+
+    __slots__ = (
+        "_most_known",
+        "_own_address",
+        "data_centre",
+        "is_leaving",
+        "name",
+        "peer_by_address",
+        "seeds",
+        "weight",
+    )
+
+    def __init__(self, name, address, data_centre, weight, seeds):
+        self.name = name
+        self.data_centre = data_centre
+        self.weight = weight
+        self.is_leaving = False
+        self.peer_by_address = {}
+        self.seeds = set(seeds)
+        self._own_address = address
+        self._most_known = 0
+        for seed in seeds:
+            self.learn(seed)
+
+    def learn(self, address):
+        """Return the peer at an address, known from now on, or None."""
+        if address == self._own_address:
+            return None
+        peer = self.peer_by_address.get(address)
+        if peer is None and len(self.peer_by_address) < PEERS_MAX:
+            peer = Peer(address)
+            self.peer_by_address[address] = peer
+        return peer
+
+    def note(self, member, data_centre, heard_s):
+        """Note what was heard of an entry; return its peer or None."""
+        peer = self.learn(member.address)
+        if peer is None:
+            return None
+        if peer.heard_s is not None and heard_s < peer.heard_s:
+            return peer
+        if peer.heard_s is None:
+            _log.info(
+                "peer found",
+                extra={"decision": "peer", "peer": member.name},
+            )
+        peer.name = member.name
+        peer.data_centre = data_centre
+        peer.is_leaving = member.is_leaving
+        peer.catalog_version = member.catalog_version
+        peer.weight = member.weight
+        peer.heard_s = heard_s
+        self._most_known = max(self._most_known, len(self.peer_by_address))
+        return peer
+
+    def count_entries(self):
+        """Return the most entries that may be there, with this one.
+
+        An entry that is cut off must not forget how many others there
+        are, so the most that were ever known count.
+        """
+        if not self._most_known:
+            return ENTRIES_UNHEARD
+        return math.ceil((self._most_known + 1) * ENTRIES_X)
+
+    def is_near(self, peer):
+        """Return whether a peer is in the own data centre."""
+        return peer.data_centre == self.data_centre
+
+    def get_peers_of(self, data_centre):
+        """Return the peers of a data centre that live."""
+        is_own = data_centre == self.data_centre
+        return [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.data_centre == data_centre and peer.is_alive(is_own)
+        ]
+
+    def get_gatherers(self, data_centre):
+        """Return the peers that may gather for a data centre.
+
+        The second value says whether this entry is one of them. Where a
+        data centre has no living entry, all entries may.
+        """
+        is_own = data_centre == self.data_centre
+        near = [
+            peer
+            for peer in self.get_peers_of(data_centre)
+            if peer.catalog_version
+        ]
+        if near or is_own:
+            return near, is_own and not self.is_leaving
+        peers = [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.is_alive(self.is_near(peer)) and peer.catalog_version
+        ]
+        return peers, not self.is_leaving
+
+    def is_speaker(self):
+        """Return whether this entry speaks for its data centre."""
+        if self.is_leaving:
+            return False
+        return self._get_first(self.data_centre) == self.name
+
+    def get_speaker(self, data_centre):
+        """Return the peer that speaks for another data centre, or None."""
+        name = self._get_first(data_centre)
+        for peer in self.get_peers_of(data_centre):
+            if peer.name == name:
+                return peer
+        return None
+
+    def _get_first(self, data_centre):
+        weight_by_name = {
+            peer.name: peer.weight for peer in self.get_peers_of(data_centre)
+        }
+        if data_centre == self.data_centre and not self.is_leaving:
+            weight_by_name[self.name] = self.weight
+        return rendezvous.get_first(SPEAKER_KEY, weight_by_name)
+
+    def get_own_members(self, catalog_version):
+        """Return the entries of the own data centre, with this one."""
+        now = trio.current_time()
+        own = messages.Member(
+            name=self.name,
+            address=self._own_address,
+            catalog_version=catalog_version,
+            is_leaving=self.is_leaving,
+            weight=self.weight,
+        )
+        return [own] + [
+            messages.Member(
+                name=peer.name,
+                address=peer.address,
+                age_ms=int((now - peer.heard_s) * 1000),
+                catalog_version=peer.catalog_version,
+                is_leaving=peer.is_leaving,
+                weight=peer.weight,
+            )
+            for peer in self.peer_by_address.values()
+            if self.is_near(peer)
+            and peer.heard_s is not None
+            and now - peer.heard_s < SILENCE_S
+        ]
+
+    def get_addresses(self):
+        """Return the addresses of all entries that were heard of."""
+        return [
+            peer.address
+            for peer in self.peer_by_address.values()
+            if peer.heard_s is not None
+        ]
+
+    def forget_silent(self):
+        """Forget who has not been heard of for long, but for seeds."""
+        now = trio.current_time()
+        for peer in list(self.peer_by_address.values()):
+            if peer.heard_s is None or now - peer.heard_s <= FORGET_S:
+                continue
+            del self.peer_by_address[peer.address]
+            if peer.address in self.seeds:
+                self.learn(peer.address)
+
+
+def new_members(name, address, data_centre, weight, seeds):
+    """Return the members as an entry knows them that just starts."""
+    return Members(name, address, data_centre, weight, seeds)
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -1,4 +1,4 @@
-"""The other entries: who lives, and who gathers which pieces.
+"""What this entry asks of the others, and does for them.
 
 Entries find one another through the seeds and then by what peers tell.
 A peer that is lost costs nothing but its help: whatever it was asked is
@@ -12,128 +12,69 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import messages
+from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import members as members_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import piece as piece_module
 
 NEAR_PERIOD_S = 0.4
 FAR_ROUNDS = 2
+SEED_ROUNDS = 10
+# An exchange tells both sides, so who was just asked need not ask.
+PERIOD_SHARE = 0.45
+CENTRE_STALE_S = 2.4
+USED_S = 3.0
+LEASE_AGING_S = 2.4
 ASK_TIMEOUT_S = 0.6
-SILENCE_S = 1.3
-FAR_SILENCE_S = 2.6
-FORGET_S = 30.0
+MISSED_MAX = 3
 WATCH_S = 0.1
-PEERS_MAX = 2000
-WAIT_MAX_S = 30.0
-# How many entries there may be: of those heard, and before any is heard.
-ENTRIES_X = 1.25
-ENTRIES_UNHEARD = 32
 
 _log = logging.getLogger(__name__)
 
 
-class Peer:
-    """One other entry, as far as it has been heard."""
-
-    __slots__ = (
-        "address",
-        "catalog_version",
-        "data_centre",
-        "heard_s",
-        "is_leaving",
-        "name",
-        "told_number",
-    )
-
-    def __init__(self, address):
-        self.address = address
-        self.name = ""
-        self.data_centre = ""
-        self.heard_s = None
-        self.is_leaving = False
-        self.catalog_version = 0
-        self.told_number = 0
-
-    def is_alive(self, is_near):
-        """Return whether the peer was heard lately and stays."""
-        if self.heard_s is None or self.is_leaving:
-            return False
-        limit_s = SILENCE_S if is_near else FAR_SILENCE_S
-        return trio.current_time() - self.heard_s < limit_s
-
-
 class Peers:
-    """The entries that this one knows of, and what it asks of them."""
+    """Exchanges digests with other entries, and makes pieces for them."""
 
     __slots__ = (
-        "_data_centre",
+        "_digests",
         "_directory",
         "_hurry",
         "_keeper",
         "_lease",
         "_links",
-        "_most_heard",
-        "_own_address",
-        "_peer_by_address",
         "_round",
-        "name",
+        "members",
         "pools",
-        "is_leaving",
     )
 
     def __init__(self, settings, links, lease, keeper, directory):
-        self.name = settings.name
-        self._data_centre = settings.data_centre
-        self._own_address = settings.peer_address
+        self.members = members_module.new_members(
+            settings.name,
+            settings.peer_address,
+            settings.data_centre,
+            settings.cores,
+            settings.seeds,
+        )
+        self._digests = digests_module.new_digests(
+            self.members, settings.peer_address, lease, keeper, directory
+        )
         self._links = links
         self._lease = lease
         self._keeper = keeper
         self._directory = directory
-        self._peer_by_address = {}
-        self._most_heard = 0
         self._round = 0
         self._hurry = trio.Event()
         self.pools = None
-        self.is_leaving = False
-        for address in settings.seeds:
-            self._learn(address)
-
-    def _learn(self, address):
-        """Return the peer at an address, known from now on."""
-        if address == self._own_address:
-            return None
-        peer = self._peer_by_address.get(address)
-        if peer is None and len(self._peer_by_address) < PEERS_MAX:
-            peer = Peer(address)
-            self._peer_by_address[address] = peer
-        return peer
-
-    def _new_digest(self, parts=()):
-        age_s = self._lease.get_age_s()
-        return messages.EntryDigest(
-            name=self.name,
-            address=self._own_address,
-            data_centre=self._data_centre,
-            catalog_version=self._keeper.get_version(),
-            freshness_age_s=-1.0 if age_s is None else age_s,
-            is_leaving=self.is_leaving,
-            peers=[
-                peer.address
-                for peer in self._peer_by_address.values()
-                if peer.heard_s is not None
-            ],
-            waits=[
-                messages.PoolWait(service, centre, _to_ms(wait_s))
-                for service, centre, wait_s in self.pools.get_told_waits()
-            ],
-            parts=[(part_id, server_id) for _n, part_id, server_id in parts],
-            loads=self._directory.get_loads(),
-        )
+
+    def set_pools(self, pools):
+        """Set the pools that the digests tell of."""
+        self.pools = pools
+        self._digests.pools = pools
 
     async def handle(self, message):
         """Return the reply to one message of a peer."""
         if isinstance(message, messages.EntryDigest):
-            self._hear(message)
-            return messages.EntryHeard(self._new_digest())
+            return self._hear(message)
         if isinstance(message, messages.MakePieces):
             return await self._make_for_peer(message)
         if isinstance(message, messages.FreeResults):
@@ -141,73 +82,84 @@
         return messages.Rejected("an entry does not answer this message")
 
     def _hear(self, digest):
-        peer = self._learn(digest.address)
+        peer = self._digests.take(digest)
         if peer is None:
-            return
-        if peer.heard_s is None:
-            _log.info(
-                "peer found",
-                extra={"decision": "peer", "peer": digest.name},
-            )
-        peer.name = digest.name
-        peer.data_centre = digest.data_centre
-        peer.is_leaving = digest.is_leaving
-        peer.catalog_version = digest.catalog_version
-        peer.heard_s = trio.current_time()
-        for address in digest.peers:
-            self._learn(address)
-        # An entry that is cut off must not forget how many others there
-        # are, so the most that were ever heard of count.
-        self._most_heard = max(
-            self._most_heard, len(self._peer_by_address), len(digest.peers)
-        )
-        self._directory.hear_loads(digest.name, digest.loads)
-        for part_id, server_id in digest.parts:
-            self._directory.hear_part(part_id, server_id)
-        for wait in digest.waits:
-            pool = self.pools.get_pool(wait.service, wait.data_centre)
-            pool.hear_wait(wait.wait_ms / 1000)
+            return messages.Rejected("an entry does not ask itself")
+        # The answer must tell a peer that was not known before all peers.
+        reply = messages.EntryHeard(self._digests.write(peer))
+        peer.asked_s = trio.current_time()
+        return reply
 
     async def keep(self):
         """Tell the others of this entry until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                for peer in list(self._peer_by_address.values()):
+                for peer in list(self.members.peer_by_address.values()):
                     if self._is_due(peer):
                         nursery.start_soon(self._tell, peer)
-                self._forget_silent()
+                self.members.forget_silent()
+                self._links.keep_only(self.members.peer_by_address)
                 self._round += 1
                 with trio.move_on_after(NEAR_PERIOD_S):
                     await self._hurry.wait()
                     self._hurry = trio.Event()
 
-    def count_entries(self):
-        """Return the most entries that may be there, with this one."""
-        if not self._most_heard:
-            return ENTRIES_UNHEARD
-        return math.ceil((self._most_heard + 1) * ENTRIES_X)
-
     def leave(self):
-        """Tell all peers at once that this entry takes no more work."""
-        self.is_leaving = True
-        self._round = 0
+        """Tell all near peers at once that this entry takes no more work."""
+        self.members.is_leaving = True
+        for peer in self.members.peer_by_address.values():
+            peer.asked_s = -math.inf
         self._hurry.set()
 
     def _is_due(self, peer):
-        if peer.data_centre == self._data_centre:
-            return True
-        return self._round % FAR_ROUNDS == 0
+        """Return whether a peer is to be asked in this round."""
+        now = trio.current_time()
+        since_s = now - peer.asked_s
+        if peer.heard_s is None:
+            return self._round % FAR_ROUNDS == 0
+        if self.members.is_near(peer):
+            is_aging = (self._lease.get_age_s() or 0.0) > LEASE_AGING_S
+            return is_aging or since_s > NEAR_PERIOD_S * PERIOD_SHARE
+        if since_s < NEAR_PERIOD_S * FAR_ROUNDS * PERIOD_SHARE:
+            return False
+        if peer.address in self.members.seeds:
+            # What a seed knows brings together who never met.
+            if self._round % SEED_ROUNDS == 0:
+                return True
+        return now - peer.used_s < USED_S or self._is_far_due(peer, now)
+
+    def _is_far_due(self, peer, now):
+        """Return whether a peer is asked for its whole data centre."""
+        heard_s = self._digests.get_heard_s(peer.data_centre)
+        if heard_s is None or now - heard_s > CENTRE_STALE_S:
+            # The speakers fail: ask one entry after the other oneself.
+            return self._is_turn_of(peer)
+        if not self.members.is_speaker():
+            return False
+        return self.members.get_speaker(peer.data_centre) is peer
+
+    def _is_turn_of(self, peer):
+        if self._round % FAR_ROUNDS:
+            return False
+        same = sorted(
+            other.address
+            for other in self.members.peer_by_address.values()
+            if other.data_centre == peer.data_centre
+        )
+        turn = self._round // FAR_ROUNDS % len(same)
+        return same[turn] == peer.address
 
     async def _tell(self, peer):
         sent_s = self._lease.now_s()
         link = self._links.get_link(peer.address)
-        parts = self._directory.get_told_parts(peer.told_number)
-        reply = await link.ask(self._new_digest(parts), ASK_TIMEOUT_S)
+        reply = await link.ask(self._digests.write(peer), ASK_TIMEOUT_S)
         if not isinstance(reply, messages.EntryHeard):
+            self._note_missed(peer)
             return
-        if parts:
-            peer.told_number = parts[-1][0]
-        self._hear(reply.digest)
+        peer.missed = 0
+        peer.asked_s = trio.current_time()
+        self._digests.take(reply.digest)
+        self._open_links()
         age_s = reply.digest.freshness_age_s
         is_known = reply.digest.catalog_version <= self._keeper.get_version()
         if age_s >= 0 and is_known and self._keeper.get_version():
@@ -215,32 +167,22 @@
             # the moment that it confirms is no later than this.
             self._lease.confirm(sent_s - age_s)
 
-    def _forget_silent(self):
-        now = trio.current_time()
-        for peer in list(self._peer_by_address.values()):
-            if peer.heard_s is not None and now - peer.heard_s > FORGET_S:
-                del self._peer_by_address[peer.address]
-
-    def get_living(self, data_centre):
-        """Return the peers that may gather for a data centre.
-
-        The second value says whether this entry is one of them. Where a
-        data centre has no living entry, all entries may.
-        """
-        is_own = data_centre == self._data_centre
-        peers = [
-            peer
-            for peer in self._peer_by_address.values()
-            if peer.is_alive(is_own) and peer.catalog_version
-        ]
-        near = [peer for peer in peers if peer.data_centre == data_centre]
-        if near or is_own:
-            return near, is_own and not self.is_leaving
-        return peers, not self.is_leaving
+    def _note_missed(self, peer):
+        """Open a new link to one that stays silent while it is up."""
+        peer.missed += 1
+        if peer.missed >= MISSED_MAX:
+            peer.missed = 0
+            self._links.drop(peer.address)
+
+    def _open_links(self):
+        # Opened before the first pieces are sent over them.
+        for peer in self.members.peer_by_address.values():
+            self._links.get_link(peer.address)
 
     async def make_at(self, peer, pool, tasks):
         """Have a peer make pieces; return whether all are settled."""
         reply = None
+        peer.used_s = trio.current_time()
         async with trio.open_nursery() as nursery:
 
             async def ask():
@@ -268,7 +210,7 @@
             )
             return False
         self._settle(tasks, reply)
-        pool.hear_wait(reply.wait_ms / 1000)
+        pool.hear_wait(reply.wait_ms / 1000, trio.current_time())
         return True
 
     async def free_at(self, peer, pool, server_id, handles):
@@ -280,7 +222,7 @@
         await link.ask(message, ASK_TIMEOUT_S)
 
     def _is_reachable(self, peer):
-        is_near = peer.data_centre == self._data_centre
+        is_near = self.members.is_near(peer)
         if not peer.is_alive(is_near) and not peer.is_leaving:
             return False
         return self._links.get_link(peer.address).is_up()
@@ -302,17 +244,13 @@
         await pool.batcher.make(tasks)
         return messages.PiecesMade(
             [_new_made(task) for task in tasks],
-            _to_ms(pool.batcher.get_wait_s()),
+            digests_module.to_ms(pool.batcher.get_wait_s()),
         )
 
     def _free_for_peer(self, message):
         pool = self.pools.get_pool(message.service, message.data_centre)
         pool.batcher.free(message.server_id, message.handles)
-        return messages.EntryHeard(self._new_digest())
-
-
-def _to_ms(wait_s):
-    return int(min(wait_s, WAIT_MAX_S) * 1000)
+        return messages.PiecesMade([])
 
 
 def _new_message(pool, tasks):
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -5,7 +5,6 @@
 wanted unless another pool is done so much sooner that crossing pays.
 """
 
-import hashlib
 import logging
 import math
 
@@ -13,6 +12,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.process.direct import batcher as batcher_module
+from greengagetrack.process.direct import rendezvous
 
 WAKE_S = 0.1
 POOLS_MAX = 3
@@ -31,6 +31,8 @@
 WAIT_UNKNOWN_S = 0.15
 USUAL_WAIT_MAX_S = 2.0
 WAIT_MIN_S = 0.05
+TOLD_WAIT_S = 2.0
+GATHERER_S = 0.05
 CALL_FILL = 0.7
 
 _log = logging.getLogger(__name__)
@@ -42,6 +44,8 @@
     __slots__ = (
         "batcher",
         "data_centre",
+        "gatherer",
+        "gatherer_until_s",
         "heard_s",
         "sent",
         "service",
@@ -55,12 +59,21 @@
         self.told_wait_s = WAIT_UNKNOWN_S
         self.heard_s = -math.inf
         self.sent = []
+        self.gatherer = None
+        self.gatherer_until_s = -math.inf
 
-    def hear_wait(self, wait_s):
-        """Note what the pool's gatherer says of its queue."""
+    def hear_wait(self, wait_s, heard_s):
+        """Note what the pool's gatherer said of its queue at `heard_s`."""
+        if heard_s < self.heard_s:
+            return
         self.told_wait_s = wait_s
-        self.heard_s = trio.current_time()
-        self.sent = []
+        self.heard_s = heard_s
+        self.sent = [each for each in self.sent if each[0] > heard_s]
+
+    def get_told_wait_s(self):
+        """Return what is left of the wait that was told."""
+        passed_s = trio.current_time() - self.heard_s
+        return max(self.told_wait_s - passed_s, 0.0)
 
     def count_sent(self):
         """Return the pieces sent since the gatherer was last heard."""
@@ -208,24 +221,29 @@
             return math.inf
         each_s = self.get_call_s(pool.service, 1.0) / batching.batch_max
         ahead_s = pool.count_sent() * each_s / servers
-        passed_s = trio.current_time() - pool.heard_s
-        return max(pool.told_wait_s - passed_s, WAIT_MIN_S) + ahead_s
+        return max(pool.get_told_wait_s(), WAIT_MIN_S) + ahead_s
 
     def get_gatherer(self, pool):
         """Return the peer that gathers for a pool; None: this entry.
 
-        Entries of the pool's data centre go first.
+        Entries of the pool's data centre go first. The answer counts for
+        a moment: a request asks many times, and who lives changes slowly.
         """
-        peers, is_own = self._peers.get_living(pool.data_centre)
-        candidates = {peer.name: peer for peer in peers}
-        if is_own or not candidates:
-            candidates[self._peers.name] = None
-
-        def get_score(name):
-            text = f"{pool.service}|{name}".encode()
-            return hashlib.blake2b(text, digest_size=8).digest()
-
-        return candidates[max(candidates, key=get_score)]
+        now = trio.current_time()
+        if now >= pool.gatherer_until_s:
+            pool.gatherer = self._find_gatherer(pool)
+            pool.gatherer_until_s = now + GATHERER_S
+        return pool.gatherer
+
+    def _find_gatherer(self, pool):
+        peers, is_own = self._peers.members.get_gatherers(pool.data_centre)
+        members = self._peers.members
+        peer_by_name = {peer.name: peer for peer in peers}
+        weight_by_name = {peer.name: peer.weight for peer in peers}
+        if is_own or not peers:
+            weight_by_name[members.name] = members.weight
+        first = rendezvous.get_first(pool.service, weight_by_name)
+        return peer_by_name.get(first)
 
     def free(self, tasks):
         """Give back the results of pieces that are not needed any more."""
@@ -270,15 +288,26 @@
         times = [self._get_finish_s(services, centre) for centre in centres]
         return min(times, default=math.inf)
 
-    def get_told_waits(self):
+    def get_gathered_waits(self):
         """Return the waits of the pools that this entry gathers."""
         return [
-            (pool.service, pool.data_centre, pool.batcher.get_wait_s())
+            (pool.service, pool.batcher.get_wait_s())
             for pool in self._pool_by_key.values()
             if pool.data_centre == self._data_centre
             and self.get_gatherer(pool) is None
         ]
 
+    def get_own_centre_waits(self):
+        """Return the waits of all pools of this data centre."""
+        since_s = trio.current_time() - TOLD_WAIT_S
+        return self.get_gathered_waits() + [
+            (pool.service, pool.get_told_wait_s())
+            for pool in self._pool_by_key.values()
+            if pool.data_centre == self._data_centre
+            and self.get_gatherer(pool) is not None
+            and pool.heard_s > since_s
+        ]
+
     async def keep(self):
         """Wake the queues now and then, and when servers change."""
         while True:
--- /dev/null
+++ b/greengagetrack/process/direct/rendezvous.py
@@ -0,0 +1,29 @@
+"""Agreement without messages: who does a piece of work for all.
+
+Every entry computes the same answer from the same names. A larger weight
+wins more often, in proportion.
+"""
+
+import hashlib
+import math
+
+SCORE_BITS = 64
+
+
+def get_first(key, weight_by_name):
+    """Return the name that is first for `key`, or None without names."""
+    if not weight_by_name:
+        return None
+    return min(
+        weight_by_name,
+        key=lambda name: _get_time(key, name, weight_by_name[name]),
+    )
+
+
+def _get_time(key, name, weight):
+    """Return when `name` would arrive in a race of exponential times."""
+    text = f"{key}|{name}".encode()
+    digest = hashlib.blake2b(text, digest_size=SCORE_BITS // 8).digest()
+    # Half a step keeps the logarithm away from zero.
+    share = (int.from_bytes(digest) + 0.5) / 2**SCORE_BITS
+    return -math.log(share) / max(weight, 1e-6)
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -107,8 +107,9 @@
 
     async def _make_pieces(self, index, stage):
         inputs = self._get_handles(stage.after) if stage.after else None
+        rest_s = self._get_rest_s(index)
         tasks = [
-            self._new_task(index, number, inputs)
+            self._new_task(index, number, inputs, rest_s)
             for number in range(self._count_pieces(index))
         ]
         self._tasks[index] = tasks
@@ -152,13 +153,12 @@
         tasks = self._tasks.get(index, ())
         return bool(tasks) and all(task.done.is_set() for task in tasks)
 
-    def _new_task(self, index, number, inputs):
+    def _new_task(self, index, number, inputs, rest_s):
         request = self._admitted.request
         task = piece.PieceTask(
             request.log_id, index, number, request.piece_key, inputs
         )
         # A piece is of no use later than this.
-        rest_s = self._get_rest_s(index)
         task.deadline = deadline_module.Deadline(
             self._admitted.deadline.at_s - rest_s
         )
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -11,6 +11,7 @@
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import pools as pools_module
 from greengagetrack.request import deadline as deadline_module
@@ -144,10 +145,10 @@
 class FakePeers:
     """No other entry lives."""
 
-    name = "me"
-
-    def get_living(self, _data_centre):
-        return [], True
+    def __init__(self):
+        self.members = members_module.new_members(
+            "me", "127.0.0.1:1", "dc-a", 1.0, ()
+        )
 
 
 class FakeReply(reply_module.Reply):
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -97,6 +97,7 @@
                 fakes.FakeSource(),
                 directory_module.new_directory(lambda known: None),
                 freshness.new_freshness_lease(BOUND_S, lambda: 1.0),
+                2.5,
                 random.Random(1),
             )
 
@@ -167,6 +168,7 @@
             ),
             directory_module.new_directory(lambda known: None),
             lease,
+            2.5,
             random.Random(1),
         )
         await keeper._ask_once()
@@ -245,6 +247,7 @@
             source,
             directory,
             freshness.new_freshness_lease(BOUND_S, lambda: 1.0),
+            2.5,
             random.Random(1),
         )
         for _answer in range(3):
