Give up pieces whose inputs will be gone before their call

Cause: results are kept for 4 s. Ruled out: results freed too early (none fail while waits are short), lost makers (the failures spread over all servers alike). Test: test_a_piece_is_not_asked_for_once_its_inputs_are_gone.

--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -1,5 +1,7 @@
 """The stages of one request: each starts when all it needs is there."""
 
+import math
+
 import trio
 
 from greengagetrack.connection import gateway
@@ -13,6 +15,7 @@
 CALL_FILL = 0.7
 LEFT_SHARE = 0.85
 RETRY_MIN_S = 0.2
+KEEP_MARGIN_S = 0.2
 
 _Reason = outcome.Reason
 
@@ -158,9 +161,11 @@
         task = piece.PieceTask(
             request.log_id, index, number, request.piece_key, inputs
         )
-        # A piece is of no use later than this.
+        # A piece is of no use later than this, nor when its inputs are
+        # gone: such pieces would take the places of others in a call.
+        at_s = self._admitted.deadline.at_s - rest_s
         task.deadline = deadline_module.Deadline(
-            self._admitted.deadline.at_s - rest_s
+            min(at_s, self._get_inputs_end_s(index))
         )
         task.due_s = self._get_aim_s() - rest_s
         task.priority = self._admitted.priority
@@ -170,6 +175,19 @@
         task.result_bytes = stage.result_bytes
         return task
 
+    def _get_inputs_end_s(self, index):
+        """Return until when the makers keep the inputs of a stage."""
+        stages = self._admitted.route.stages
+        end_s = math.inf
+        for before in stages[index].after:
+            batching = self._pools.get_batching(stages[before].service)
+            if batching is None or not batching.keep_s:
+                continue
+            for task in self._tasks.get(before, ()):
+                kept_s = task.made_s + batching.keep_s - KEEP_MARGIN_S
+                end_s = min(end_s, kept_s)
+        return end_s
+
     def _get_aim_s(self):
         """Return when the answer should begin, with some time to spare.
 
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -15,6 +15,7 @@
         "inputs",
         "is_first",
         "key",
+        "made_s",
         "maker",
         "number",
         "pool",
@@ -39,6 +40,7 @@
         self.tries = 0
         self.result = None
         self.result_bytes = 0
+        self.made_s = None
         self.maker = None
         self.pool = None
         self.done = trio.Event()
@@ -53,6 +55,7 @@
             return
         self.result = result
         self.maker = maker
+        self.made_s = trio.current_time()
         self.done.set()
 
     def reopen(self):
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -4,7 +4,9 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import piece as piece_module
+from greengagetrack.version import catalog
 from tests.direct import fakes
 
 POOL = fakes.new_server("p1", "pool")
@@ -222,3 +224,25 @@
         assert urgent[0].maker.server_id == "p2"
 
     _run(check, servers=(POOL, FAR_POOL))
+
+
+def test_a_piece_is_not_asked_for_once_its_inputs_are_gone():
+    """Grown federation, scale-1: a tenth of the pieces of full calls."""
+    route = fakes.new_route(
+        stages=(
+            catalog.Stage("pool", result_bytes=10),
+            catalog.Stage("pool", after=(0,), result_bytes=10),
+        ),
+        timeout_ms=60_000.0,
+    )
+
+    async def check(nursery, world, _batcher):
+        admitted = world.admit(route, left_s=30.0, piece_counts=(1, 2))
+        graph = graph_module.new_stage_graph(admitted, world.pools)
+        assert len(await graph.run()) == 2
+        first, second = (pieces for _server, pieces in world.gateway.calls)
+        assert first[0].left_ms > 20_000
+        kept_ms = fakes.BATCHING.keep_s * 1000
+        assert all(piece.left_ms < kept_ms for piece in second)
+
+    _run(check)
