Write down lost peers, speakers and silent links; drop what nothing uses

Beliefs about other entries changed without a line: a peer that is lost or regained, who speaks for a data centre, a link that stays silent. Lanes of servers that are gone piled up in the batcher (test: test_lanes_of_servers_that_are_gone_do_not_pile_up). The chooser held a gateway that it never used, and tests called a private name of the server.

--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -31,7 +31,7 @@
     server = server_module.new_server("", handle, catalog.CallerLimits)
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     nursery.start_soon(
-        trio.serve_listeners, server._serve_connection, listeners
+        trio.serve_listeners, server.serve_connection, listeners
     )
     return f"{HOST}:{listeners[0].socket.getsockname()[1]}"
 
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -331,10 +331,11 @@
             int(port), host=host, backlog=BACKLOG
         )
         await trio.serve_listeners(
-            self._serve_connection, listeners, task_status=task_status
+            self.serve_connection, listeners, task_status=task_status
         )
 
-    async def _serve_connection(self, stream):
+    async def serve_connection(self, stream):
+        """Serve the requests of one connection until it ends."""
         try:
             await _CallerConnection(self, stream).serve()
         finally:
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -178,6 +178,13 @@
             self._lane_by_id[server.server_id] = lane
         return lane
 
+    def _drop_gone_lanes(self):
+        """Forget the lanes of servers that are gone and owe nothing."""
+        server_by_id = self._directory.server_by_id
+        for server_id, lane in list(self._lane_by_id.items()):
+            if server_id not in server_by_id and not lane.calls:
+                del self._lane_by_id[server_id]
+
     def _send(self, lane, batching):
         """Start one call with the most urgent pieces that have room."""
         # No await: a piece must be in one call only.
@@ -341,6 +348,7 @@
 
     def wake(self):
         """Look at the queue again: something may have changed."""
+        self._drop_gone_lanes()
         if self._queue:
             self._dispatch()
 
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -47,7 +47,6 @@
     __slots__ = (
         "_data_centre",
         "_directory",
-        "_gateway",
         "_get_catalog",
         "_random",
         "_region_by_data_centre",
@@ -56,14 +55,12 @@
     def __init__(
         self,
         directory,
-        gateway,
         get_catalog,
         data_centre,
         region_by_data_centre,
         generator,
     ):
         self._directory = directory
-        self._gateway = gateway
         self._get_catalog = get_catalog
         self._data_centre = data_centre
         self._region_by_data_centre = region_by_data_centre
@@ -186,7 +183,6 @@
 
 def new_chooser(
     directory,
-    gateway,
     get_catalog,
     data_centre,
     region_by_data_centre,
@@ -195,7 +191,6 @@
     """Return the chooser of the entry in `data_centre`."""
     return Chooser(
         directory,
-        gateway,
         get_catalog,
         data_centre,
         region_by_data_centre,
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -97,7 +97,6 @@
         get_catalog = self.keeper.get_catalog
         chooser = chooser_module.new_chooser(
             self.directory,
-            gateway,
             get_catalog,
             settings.data_centre,
             settings.region_by_data_centre,
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -39,6 +39,7 @@
         "data_centre",
         "heard_s",
         "is_leaving",
+        "is_told_lost",
         "missed",
         "name",
         "peers_known",
@@ -57,6 +58,7 @@
         self.used_s = -math.inf
         self.missed = 0
         self.is_leaving = False
+        self.is_told_lost = False
         self.catalog_version = 0
         self.weight = 1.0
         self.peers_known = 0
@@ -79,6 +81,7 @@
         "_own_address",
         "data_centre",
         "is_leaving",
+        "is_speaking",
         "name",
         "peer_by_address",
         "seeds",
@@ -90,6 +93,7 @@
         self.data_centre = data_centre
         self.weight = weight
         self.is_leaving = False
+        self.is_speaking = False
         self.peer_by_address = {}
         self.seeds = set(seeds)
         self._own_address = address
@@ -227,6 +231,27 @@
             if peer.heard_s is not None
         ]
 
+    def log_changes(self):
+        """Write down who was lost or came back, and who speaks."""
+        for peer in self.peer_by_address.values():
+            if peer.heard_s is None:
+                continue
+            is_lost = not peer.is_alive(self.is_near(peer))
+            if is_lost != peer.is_told_lost:
+                peer.is_told_lost = is_lost
+                _log_peer("peer lost" if is_lost else "peer regained", peer)
+        is_speaking = self.is_speaker()
+        if is_speaking != self.is_speaking:
+            self.is_speaking = is_speaking
+            _log.info(
+                "speaks for its data centre" if is_speaking else "speaks not",
+                extra={
+                    "decision": "speaker",
+                    "data_centre": self.data_centre,
+                    "near": len(self.get_peers_of(self.data_centre)),
+                },
+            )
+
     def forget_silent(self):
         """Forget who has not been heard of for long, but for seeds."""
         now = trio.current_time()
@@ -238,6 +263,19 @@
                 self.learn(peer.address)
 
 
+def _log_peer(message, peer):
+    _log.info(
+        message,
+        extra={
+            "decision": "peer",
+            "peer": peer.name,
+            "data_centre": peer.data_centre,
+            "heard_age_s": round(trio.current_time() - peer.heard_s, 2),
+            "leaving": peer.is_leaving,
+        },
+    )
+
+
 def new_members(name, address, data_centre, weight, seeds):
     """Return the members as an entry knows them that just starts."""
     return Members(name, address, data_centre, weight, seeds)
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -97,6 +97,7 @@
                 for peer in list(self.members.peer_by_address.values()):
                     if self._is_due(peer):
                         nursery.start_soon(self._tell, peer)
+                self.members.log_changes()
                 self.members.forget_silent()
                 self._links.keep_only(self.members.peer_by_address)
                 self._round += 1
@@ -171,6 +172,14 @@
         """Open a new link to one that stays silent while it is up."""
         peer.missed += 1
         if peer.missed >= MISSED_MAX:
+            _log.info(
+                "peer silent",
+                extra={
+                    "decision": "open a new link",
+                    "peer": peer.name or peer.address,
+                    "missed": peer.missed,
+                },
+            )
             peer.missed = 0
             self._links.drop(peer.address)
 
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -212,7 +212,6 @@
         )
         self.chooser = chooser_module.new_chooser(
             self.directory,
-            gateway_fake,
             lambda: self.catalog,
             "dc-a",
             REGIONS,
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -3,6 +3,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection import source as source_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import piece as piece_module
@@ -246,3 +247,16 @@
         assert all(piece.left_ms < kept_ms for piece in second)
 
     _run(check)
+
+
+def test_lanes_of_servers_that_are_gone_do_not_pile_up():
+    async def check(_nursery, world, batcher):
+        await batcher.make(_new_tasks("a", 1))
+        assert list(batcher._lane_by_id) == ["p1"]
+        world.directory.take_news(
+            source_module.News(2, servers=(), is_whole=True)
+        )
+        batcher.wake()
+        assert not batcher._lane_by_id
+
+    _run(check)
--- a/tests/direct/test_http_server.py
+++ b/tests/direct/test_http_server.py
@@ -41,7 +41,7 @@
             seen = _Seen(answer)
             server = server_module.new_server("", seen.handle, lambda: LIMITS)
             address = await loopback.start_raw_server(
-                nursery, server._serve_connection
+                nursery, server.serve_connection
             )
             await check(seen, server, address)
             nursery.cancel_scope.cancel()
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -189,7 +189,7 @@
         async with trio.open_nursery() as nursery:
             server = server_module.new_server("", handle, catalog.CallerLimits)
             address = await loopback.start_raw_server(
-                nursery, server._serve_connection
+                nursery, server.serve_connection
             )
             pool = client.new_pool(nursery)
             await check(store.new_store_source(address, pool), targets)
@@ -340,7 +340,7 @@
         async with trio.open_nursery() as nursery:
             server = server_module.new_server("", handle, catalog.CallerLimits)
             address = await loopback.start_raw_server(
-                nursery, server._serve_connection
+                nursery, server.serve_connection
             )
             calls = engines.new_engine_gateway(client.new_pool(nursery))
             answer = await calls.open_answer(
