End a soak's entries when the soak itself is ended

A soak that was ended by SIGTERM left its three entries running; now it ends as by Ctrl-C. Seen when a stream of soaks was stopped by hand; checked by ending one after 6 s: none left.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -241,9 +241,17 @@
             self._site.store.is_down = False
 
 
+async def _end_on_sigterm():
+    """End as by Ctrl-C, so that no entry is left behind."""
+    with trio.open_signal_receiver(signal.SIGTERM) as received:
+        async for _signal in received:
+            raise KeyboardInterrupt
+
+
 async def _run(seed, duration_s, logs, build):
     os.makedirs(logs, exist_ok=True)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_sigterm)
         site = site_module.SoakSite(nursery, seed, logs, build)
         try:
             result = await Soak(site, seed, duration_s).run(build)
