Tell the inputs of pieces once to the entry that gathers them

Cause: a wish for 16 to 40 pieces of a stage repeated all that they have in common, the handles of six inputs too, for each: 3 to 8 KB where 300 B say the same. Test: test_pieces_that_a_peer_makes_are_the_ones_that_were_wanted (size, and that nothing is lost).

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -317,16 +317,19 @@
     digest: EntryDigest
 
 
-class WantedPiece(_Message):
-    """One piece of a stage that another entry gathers.
+class MakePieces(_Message, tag="make_pieces"):
+    """Ask the entry that gathers a service's pieces to have some made.
 
-    `due_ms` is the time left until it should be made, `left_ms` until
-    nobody wants it any more.
+    All are pieces of one stage of one request, which have all but their
+    numbers in common. `due_ms` is the time left until they should be
+    made, `left_ms` until nobody wants them any more.
     """
 
+    service: str
+    data_centre: str
     request_id: str
     stage: int
-    number: int
+    numbers: list[int]
     due_ms: int
     left_ms: int
     priority: int = 0
@@ -336,14 +339,6 @@
     is_first: bool = False
 
 
-class MakePieces(_Message, tag="make_pieces"):
-    """Ask the entry that gathers a service's pieces to have some made."""
-
-    service: str
-    data_centre: str
-    pieces: list[WantedPiece]
-
-
 class FreeResults(_Message, tag="free_results"):
     """Tell the entry that gathers for a pool what is not needed any more."""
 
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -248,7 +248,7 @@
                 task.settle(gateway_module.PieceFailure.ERROR)
 
     async def _make_for_peer(self, message):
-        tasks = [_new_task(wanted) for wanted in message.pieces]
+        tasks = _new_tasks(message)
         pool = self.pools.get_pool(message.service, message.data_centre)
         await pool.batcher.make(tasks)
         return messages.PiecesMade(
@@ -263,42 +263,44 @@
 
 
 def _new_message(pool, tasks):
-    now = trio.current_time()
+    """Return the wish for pieces of one stage of one request."""
+    first = tasks[0]
     return messages.MakePieces(
         pool.service,
         pool.data_centre,
-        [
-            messages.WantedPiece(
-                request_id=task.request_id,
-                stage=task.stage,
-                number=task.number,
-                due_ms=int((task.due_s - now) * 1000),
-                left_ms=task.deadline.get_left_ms(),
-                priority=task.priority,
-                result_bytes=task.result_bytes,
-                key=task.key,
-                inputs=task.inputs,
-                is_first=task.is_first,
-            )
-            for task in tasks
-        ],
+        request_id=first.request_id,
+        stage=first.stage,
+        numbers=[task.number for task in tasks],
+        due_ms=int((first.due_s - trio.current_time()) * 1000),
+        left_ms=first.deadline.get_left_ms(),
+        priority=first.priority,
+        result_bytes=first.result_bytes,
+        key=first.key,
+        inputs=first.inputs,
+        is_first=first.is_first,
     )
 
 
-def _new_task(wanted):
-    task = piece_module.PieceTask(
-        wanted.request_id,
-        wanted.stage,
-        wanted.number,
-        wanted.key,
-        wanted.inputs,
-    )
-    task.priority = wanted.priority
-    task.result_bytes = wanted.result_bytes
-    task.is_first = wanted.is_first
-    task.due_s = trio.current_time() + wanted.due_ms / 1000
-    task.deadline = deadline_module.new_deadline(wanted.left_ms)
-    return task
+def _new_tasks(message):
+    """Return the tasks for the pieces that a peer wants."""
+    due_s = trio.current_time() + message.due_ms / 1000
+    deadline = deadline_module.new_deadline(message.left_ms)
+    tasks = []
+    for number in message.numbers:
+        task = piece_module.PieceTask(
+            message.request_id,
+            message.stage,
+            number,
+            message.key,
+            message.inputs,
+        )
+        task.due_s = due_s
+        task.deadline = deadline
+        task.priority = message.priority
+        task.result_bytes = message.result_bytes
+        task.is_first = message.is_first
+        tasks.append(task)
+    return tasks
 
 
 def _new_made(task):
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -13,6 +13,8 @@
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import rendezvous
+from greengagetrack.request import deadline as deadline_module
+from greengagetrack.request.direct import piece as piece_module
 from tests.direct import fakes
 
 DATA_CENTRES = ("a", "b", "c", "d", "e", "f")
@@ -326,3 +328,28 @@
         assert len(msgspec.msgpack.encode(digest)) < 500
 
     run_fleet(check)
+
+
+def test_pieces_that_a_peer_makes_are_the_ones_that_were_wanted():
+    """Their inputs are told once: they were told again for each piece."""
+
+    async def check(_nursery):
+        inputs = tuple(f"10.2.0.7:8630/handle-{n:08d}" for n in range(6))
+        wanted = []
+        for number in range(40):
+            task = piece_module.PieceTask("request", 2, number, "key", inputs)
+            task.due_s = trio.current_time() + 1.5
+            task.deadline = deadline_module.new_deadline(4000)
+            task.priority, task.result_bytes = 1, 6000
+            wanted.append(task)
+        pool = FakePool("s", "a")
+        sent = messages.encode(peers_module._new_message(pool, wanted))
+        assert len(sent) < 40 * 20
+        tasks = peers_module._new_tasks(messages.decode_request(sent))
+        for task, other in zip(wanted, tasks, strict=True):
+            assert task.to_piece() == other.to_piece()
+            assert abs(task.due_s - other.due_s) < 0.01
+            assert task.priority == other.priority
+            assert task.result_bytes == other.result_bytes
+
+    fakes.run_paused(check)
