--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 STAMP := $(VENV)/.installed
+DEMO_STAMP := $(VENV)/.installed-demo
 
 .PHONY: demo test lint format clean
 
@@ -12,8 +13,14 @@
 	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $(STAMP)
 
-demo: $(STAMP)
-	$(VENV)/bin/greengagebench demo
+# The demo needs neither linters nor test tools nor plots.
+$(DEMO_STAMP): requirements-demo.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements-demo.txt
+	touch $(DEMO_STAMP)
+
+demo: $(DEMO_STAMP)
+	$(VENV)/bin/python -m bench.command demo
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/bench/command.py
+++ b/bench/command.py
@@ -18,8 +18,6 @@
 from bench import faults
 from bench import fleet as fleet_module
 from bench import processes
-from bench import reference as reference_module
-from bench import report as report_module
 from bench.soak import broken
 from bench.soak import run as soak_run
 
@@ -80,6 +78,9 @@
         system, deployment, fault, seed, duration
     )
     if report:
+        # Plots take packages that nothing else here needs.
+        from bench import report as report_module
+
         path = report_module.write_report(result, report)
         print(f"report: {path}", file=sys.stderr)
     result.answers = []
@@ -233,6 +234,9 @@
 
 def reference():
     """Write the reference pages below docs/ref from the code."""
+    # The pages list the steps of scenarios, which are pytest's.
+    from bench import reference as reference_module
+
     for path in reference_module.write_pages():
         print(path)
 
