Excuse a stream of the soak that is cut when its time is over

Trace from the entries' logs: all three wrote nothing from 10.92 s on, for 0.9 to 2.6 s, and again at 25.61 s for 1.9 s; the engine, which lives in the soak's process, told no event; the stream ended 'cut, deadline_passed' after 3.7 s of its 2.5. So the machine stood still, and the answer was over. The users' rule leaves out what reaches its deadline. Only a stream that began is excused, at its deadline and later; anything else without an answer still counts (test: test_only_a_stream_may_be_cut_when_its_time_is_over).

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -10,6 +10,8 @@
 DRAIN_S = 2.5
 LOST_SLACK_S = 0.2
 SETTLE_S = 4.0
+# What consumers give their requests.
+DEADLINE_S = 2.5
 SERVED_MIN = 0.9
 ENGINE_HARMS = (
     "reset engine",
@@ -136,6 +138,10 @@
         is_late = asked.ended_s - asked.sent_s > LOST_SLACK_S
         if asked.status != 0 or not (own or is_late):
             return
+        is_over = asked.ended_s - asked.sent_s >= DEADLINE_S
+        if asked.kind == "draft" and is_over:
+            # A stream that began can only be cut when its time is over.
+            return
         time = (asked.sent_s, asked.ended_s)
         if self._is_harmed(ENGINE_HARMS, *time, margin_s=1.0):
             return
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -72,6 +72,17 @@
     assert judge([order], new_engine(*[order] * runs)) == [rule]
 
 
+def test_only_a_stream_may_be_cut_when_its_time_is_over():
+    """Seed 80 beside the bench: entry and engine had not run for 3.5 s."""
+    late = {"status": 0, "ended_s": 12.6}
+    draft = new_asked(b"r", kind="draft", **late)
+    assert judge([draft], new_engine(draft)) == []
+    soon = new_asked(b"r", kind="draft", status=0, ended_s=12.4)
+    assert judge([soon], new_engine(soon)) == ["LOST"]
+    order = new_asked(b"r", **late)
+    assert judge([order], new_engine(order)) == ["LOST"]
+
+
 def test_late_keys_and_leaving_engines_are_seen():
     order = new_asked(b"r")
     revoked = {"revoked_s_by_key": {"key-1": 6.9}}
