Choose once a round who is asked for a data centre, and tidy what is told

Each peer asked anew, in each round, whether this entry speaks and who speaks for the peer's data centre: work that grew with the square of the entries. It is chosen once a round now. The chooser's home of a prefix computed the rendezvous that its module computes: one score serves both. A digest without parts no longer asks who speaks; what is heard of the own data centre is read in one place. Constants that nothing read are gone (an entry waits after no failed accept, and no bound on one event of a stream was ever kept).

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -190,7 +190,8 @@
         self.is_whole = False
         self._protocol = h11.Connection(h11.CLIENT)
         self._write(b"")
-        self._protocol.receive_data(rest) if rest else None
+        if rest:
+            self._protocol.receive_data(rest)
         return None
 
     async def receive_part(self):
--- a/greengagetrack/connection/http/events.py
+++ b/greengagetrack/connection/http/events.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-EVENT_MAX_BYTES = 1048576
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE = re.compile(rb"\r\n|\n|\r")
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -18,7 +18,6 @@
 AHEAD_MAX_BYTES = 262144
 LINGER_S = 0.5
 IDLE_SLACK_S = 1.0
-ACCEPT_PAUSE_S = 0.05
 SEND_TIMEOUT_S = 10.0
 
 _log = logging.getLogger(__name__)
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -5,12 +5,11 @@
 data centres or regions costs, and what a held prompt prefix saves.
 """
 
-import hashlib
-
 import msgspec
 import trio
 
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import rendezvous
 
 PREFILL_TOKENS_PER_MS = 100.0
 STEP_MS_PER_RUNNING = 2.0
@@ -173,12 +172,10 @@
     if len(parts) < 2:
         return None
     part = parts[-2][0]
-
-    def get_score(server):
-        text = f"{part}|{server.server_id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return max(servers, key=get_score)
+    return max(
+        servers,
+        key=lambda server: rendezvous.get_score(part, server.server_id),
+    )
 
 
 def new_chooser(
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -123,7 +123,7 @@
     def _take_parts(self, peer, digest):
         is_near = self._members.is_near(peer)
         # Only the speaker tells on what it heard.
-        is_told_on = self._members.is_speaker()
+        is_told_on = bool(digest.parts) and self._members.is_speaker()
         for part_id, server_id in digest.parts:
             self._directory.hear_part(part_id, server_id, is_near, is_told_on)
         for part_id, server_id in digest.far_parts:
@@ -136,16 +136,15 @@
 
     def _take_centre(self, centre, heard_s):
         name = centre.data_centre
-        for member in centre.members:
+        if name == self._members.data_centre:
             # Of its own data centre an entry believes only what it hears.
-            if name == self._members.data_centre:
+            for member in centre.members:
                 self._members.learn(member.address)
-            else:
-                seen_s = heard_s - member.age_ms / 1000
-                self._members.note(member, name, seen_s)
-        known_s = self.get_heard_s(name)
-        if name == self._members.data_centre:
             return
+        for member in centre.members:
+            seen_s = heard_s - member.age_ms / 1000
+            self._members.note(member, name, seen_s)
+        known_s = self.get_heard_s(name)
         if known_s is not None and heard_s <= known_s:
             return
         self._centre_by_name[name] = HeardCentre(centre, heard_s)
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -155,6 +155,19 @@
             if peer.data_centre == data_centre and peer.is_alive(is_own)
         ]
 
+    def get_addresses_by_far_centre(self):
+        """Return the addresses in each other data centre, sorted."""
+        addresses_by_centre = {}
+        for peer in self.peer_by_address.values():
+            if peer.heard_s is not None and not self.is_near(peer):
+                addresses = addresses_by_centre.setdefault(
+                    peer.data_centre, []
+                )
+                addresses.append(peer.address)
+        for addresses in addresses_by_centre.values():
+            addresses.sort()
+        return addresses_by_centre
+
     def get_gatherers(self, data_centre):
         """Return the peers that may gather for a data centre.
 
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -94,8 +94,9 @@
         """Tell the others of this entry until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                chosen = self._choose_far()
                 for peer in list(self.members.peer_by_address.values()):
-                    if self._is_due(peer):
+                    if self._is_due(peer, chosen):
                         nursery.start_soon(self._tell, peer)
                 self.members.log_changes()
                 self.members.forget_silent()
@@ -112,8 +113,11 @@
             peer.asked_s = -math.inf
         self._hurry.set()
 
-    def _is_due(self, peer):
-        """Return whether a peer is to be asked in this round."""
+    def _is_due(self, peer, chosen):
+        """Return whether a peer is to be asked in this round.
+
+        `chosen` are those that are asked for their whole data centres.
+        """
         now = trio.current_time()
         since_s = now - peer.asked_s
         if peer.heard_s is None:
@@ -127,28 +131,26 @@
             # What a seed knows brings together who never met.
             if self._round % SEED_ROUNDS == 0:
                 return True
-        return now - peer.used_s < USED_S or self._is_far_due(peer, now)
-
-    def _is_far_due(self, peer, now):
-        """Return whether a peer is asked for its whole data centre."""
-        heard_s = self._digests.get_heard_s(peer.data_centre)
-        if heard_s is None or now - heard_s > CENTRE_STALE_S:
-            # The speakers fail: ask one entry after the other oneself.
-            return self._is_turn_of(peer)
-        if not self.members.is_speaker():
-            return False
-        return self.members.get_speaker(peer.data_centre) is peer
+        return now - peer.used_s < USED_S or peer.address in chosen
 
-    def _is_turn_of(self, peer):
-        if self._round % FAR_ROUNDS:
-            return False
-        same = sorted(
-            other.address
-            for other in self.members.peer_by_address.values()
-            if other.data_centre == peer.data_centre
-        )
-        turn = self._round // FAR_ROUNDS % len(same)
-        return same[turn] == peer.address
+    def _choose_far(self):
+        """Return who is asked in this round for a whole data centre."""
+        now = trio.current_time()
+        is_speaker = self.members.is_speaker()
+        turn, rest = divmod(self._round, FAR_ROUNDS)
+        chosen = set()
+        centres = self.members.get_addresses_by_far_centre()
+        for centre, addresses in centres.items():
+            heard_s = self._digests.get_heard_s(centre)
+            if heard_s is None or now - heard_s > CENTRE_STALE_S:
+                # The speakers fail: ask one entry after the other oneself.
+                if rest == 0:
+                    chosen.add(addresses[turn % len(addresses)])
+            elif is_speaker:
+                speaker = self.members.get_speaker(centre)
+                if speaker is not None:
+                    chosen.add(speaker.address)
+        return chosen
 
     async def _tell(self, peer):
         sent_s = self._lease.now_s()
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -5,7 +5,6 @@
 wanted unless another pool is done so much sooner that crossing pays.
 """
 
-import logging
 import math
 
 import trio
@@ -35,8 +34,6 @@
 GATHERER_S = 0.05
 CALL_FILL = 0.7
 
-_log = logging.getLogger(__name__)
-
 
 class Pool:
     """One pool as this entry sees it."""
--- a/greengagetrack/process/direct/rendezvous.py
+++ b/greengagetrack/process/direct/rendezvous.py
@@ -10,6 +10,14 @@
 SCORE_BITS = 64
 
 
+def get_score(key, name):
+    """Return a number below 1 that all entries compute alike."""
+    text = f"{key}|{name}".encode()
+    digest = hashlib.blake2b(text, digest_size=SCORE_BITS // 8).digest()
+    # Half a step keeps its logarithm away from zero.
+    return (int.from_bytes(digest) + 0.5) / 2**SCORE_BITS
+
+
 def get_first(key, weight_by_name):
     """Return the name that is first for `key`, or None without names."""
     if not weight_by_name:
@@ -22,8 +30,4 @@
 
 def _get_time(key, name, weight):
     """Return when `name` would arrive in a race of exponential times."""
-    text = f"{key}|{name}".encode()
-    digest = hashlib.blake2b(text, digest_size=SCORE_BITS // 8).digest()
-    # Half a step keeps the logarithm away from zero.
-    share = (int.from_bytes(digest) + 0.5) / 2**SCORE_BITS
-    return -math.log(share) / max(weight, 1e-6)
+    return -math.log(get_score(key, name)) / max(weight, 1e-6)
