Say once when a call means unreachable, and when a refusal is doubted

Two places told a server that can't be reached from one that failed, the batcher with a None for silence: Failure.is_unreachable and KnownServer.note_failed_call are that rule now. The test of pipelines uses the real request instead of a stand-in of it. No behaviour is meant to change.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -57,6 +57,11 @@
     is_server_gone: bool = False
     is_other_server: bool = False
 
+    def is_unreachable(self):
+        """Return whether the server may not be there at all."""
+        is_silent = self.reason is outcome.Reason.AGENT_SILENT
+        return self.is_server_gone or self.is_other_server or is_silent
+
 
 class Answer(abc.ABC):
     """The answer of a backend server, as far as it has come."""
--- a/greengagetrack/process/admission.py
+++ b/greengagetrack/process/admission.py
@@ -27,6 +27,10 @@
     idempotency_key: str = ""
     ticket: str = ""
 
+    def is_named(self):
+        """Return whether this may repeat an order that was sent before."""
+        return bool(self.ticket or self.idempotency_key)
+
 
 class Admitted(msgspec.Struct):
     """A request that may run, with all that it needs for that."""
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -233,7 +233,11 @@
         server = lane.server
         started_s = trio.current_time()
         server.outstanding += 1
-        made = None
+        made = gateway_module.Failure(
+            outcome.Reason.AGENT_SILENT,
+            outcome.Ran.UNKNOWN,
+            "no answer in time",
+        )
         try:
             with trio.move_on_after(work_s * CALL_TIMEOUT_X + CALL_SLACK_S):
                 made = await self._gateway.run_pieces(
@@ -247,7 +251,7 @@
         self._note_call(server, batch, made, spent_ms, work_s)
         if not isinstance(made, list):
             failure = gateway_module.PieceFailure.ERROR
-            if made is not None and made.ran is outcome.Ran.NO:
+            if made.ran is outcome.Ran.NO:
                 failure = gateway_module.PieceFailure.NOT_TAKEN
             made = [failure] * len(batch)
         for task, result in zip(batch, made, strict=True):
@@ -262,13 +266,8 @@
             failed = sum(
                 isinstance(each, gateway_module.PieceFailure) for each in made
             )
-        elif made is None or made.is_server_gone or made.is_other_server:
-            server.note_unreachable()
         else:
-            server.note_failure()
-        detail = "made"
-        if not is_made:
-            detail = made.detail if made else "no answer in time"
+            server.note_failed_call(made)
         _log.info(
             "pieces made" if is_made else "pieces failed",
             extra={
@@ -282,7 +281,7 @@
                 "spent_ms": round(spent_ms, 1),
                 "work_ms": round(work_s * 1000, 1),
                 "waiting": self.count_waiting(),
-                "outcome": detail,
+                "outcome": "made" if is_made else made.detail,
             },
         )
 
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -134,6 +134,13 @@
             # The next answers decide whether it stays away longer.
             self.failure_share = EJECT_SHARE * 0.7
 
+    def note_failed_call(self, failure):
+        """Learn from a call that gave no usable answer."""
+        if failure.is_unreachable():
+            self.note_unreachable()
+        else:
+            self.note_failure()
+
     def note_unreachable(self):
         """Learn that it can't be reached."""
         self.suspicions += 1
--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -250,11 +250,7 @@
 
     def _doubt_repeat(self, request, refused):
         """Return `Unknown` where an earlier attempt may have run."""
-        if request.ticket or request.idempotency_key:
-            return outcome.Unknown(
-                refused.reason, refused.detail, refused.retry_after_ms
-            )
-        return refused
+        return outcome.doubt(refused) if request.is_named() else refused
 
     def _log_refusal(self, request, refused):
         self.metrics.note_request(request, refused, 0.0)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -115,7 +115,7 @@
         if self._reply.is_started and not isinstance(end, end_module.Relayed):
             return end_module.Cut(end.reason, end.detail)
         if isinstance(end, outcome.Refused) and self._is_run_possible:
-            return outcome.Unknown(end.reason, end.detail)
+            return outcome.doubt(end)
         return end
 
     async def _run_all(self):
@@ -276,12 +276,7 @@
         if failure.ran is _Ran.UNKNOWN and not is_counted:
             self._sends += 1
             self._attempts += 1
-        if failure.is_server_gone or failure.is_other_server:
-            server.note_unreachable()
-        elif failure.reason is _Reason.AGENT_SILENT:
-            server.note_unreachable()
-        else:
-            server.note_failure()
+        server.note_failed_call(failure)
         self._last_failure = failure
         self._log_failure(server, failure)
         return None
--- a/greengagetrack/request/outcome.py
+++ b/greengagetrack/request/outcome.py
@@ -84,6 +84,11 @@
     retry_after_ms: int = 1000
 
 
+def doubt(refused):
+    """Return the `Unknown` of a refusal that does not prove enough."""
+    return Unknown(refused.reason, refused.detail, refused.retry_after_ms)
+
+
 def get_ran(outcome):
     """Return what a caller may be told about whether `outcome` ran."""
     if isinstance(outcome, Refused):
--- a/greengagetrack/request/pipeline.py
+++ b/greengagetrack/request/pipeline.py
@@ -90,7 +90,7 @@
     def _settle(self, end, index):
         """Return what may be said of the request that ended at a stage."""
         if isinstance(end, outcome.Refused) and self._may_have_run(index):
-            return outcome.Unknown(end.reason, end.detail, end.retry_after_ms)
+            return outcome.doubt(end)
         return end
 
     def _may_have_run(self, index):
@@ -111,8 +111,7 @@
             return True
         # Only the order's own agent knows whether an earlier attempt of
         # the same order has run. A stage before it can't tell.
-        request = self._admitted.request
-        is_named = bool(request.ticket or request.idempotency_key)
+        is_named = self._admitted.request.is_named()
         return is_named and index < orders[0]
 
     def _get_result(self, stage, end):
@@ -163,7 +162,7 @@
 
     def _pin_order(self, task, request):
         """Return the task bound to the agent of its order."""
-        if not request.ticket and not request.idempotency_key:
+        if not request.is_named():
             return task
         task.order = messages.OrderClaim(
             organisation=request.organisation,
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -7,6 +7,7 @@
 
 from greengagetrack.connection import base
 from greengagetrack.connection import messages
+from greengagetrack.process import admission
 from greengagetrack.process import routing
 from greengagetrack.request import attempt
 from greengagetrack.request import deadline
@@ -39,13 +40,14 @@
 
 def run_pipeline(monkeypatch, stages, ends, ticket="", key=""):
     """Return how a request ends whose stages end in these ways."""
-    request = types.SimpleNamespace(
+    request = admission.Request(
+        request_id="r",
         pipeline="order",
         organisation="o",
+        kind="",
         body=b"{}",
-        request_id="r",
-        ticket=ticket,
         idempotency_key=key,
+        ticket=ticket,
     )
     admitted = types.SimpleNamespace(
         request=request,
