Share labels, the run of a daemon, harms of wires and the keeping of logs

Both metrics bounded their labels, both programs ran until a signal, a soak's engines and store were harmed by two lists of the same ifs, and two commands kept or dropped logs alike. One piece of each serves both.

--- a/bench/command.py
+++ b/bench/command.py
@@ -36,6 +36,14 @@
         sys.exit(EXIT_USAGE)
 
 
+def _settle_logs(folder, is_wanted, is_wrong):
+    """Keep the logs of a run that is wrong, and those asked for."""
+    if is_wrong:
+        print(f"The logs are kept in '{folder}'.", file=sys.stderr)
+    elif not is_wanted:
+        shutil.rmtree(folder)
+
+
 def demo(*, logs: str = ""):
     """Run both deployments in one process and show requests end to end.
 
@@ -153,10 +161,7 @@
         + result.untrue_refusals
         + result.cut_streams
     )
-    if wrong:
-        print(f"The logs are kept in '{folder}'.", file=sys.stderr)
-    elif not logs:
-        shutil.rmtree(folder)
+    _settle_logs(folder, logs, wrong)
     sys.exit(EXIT_WRONG if wrong else 0)
 
 
@@ -187,10 +192,7 @@
         result = soak_run.run_soak(number, duration, folder, build)
         _print_json(result)
         wrong += bool(result.broken)
-        if result.broken:
-            print(f"The logs are kept in '{folder}'.", file=sys.stderr)
-        elif not logs:
-            shutil.rmtree(folder)
+        _settle_logs(folder, logs, result.broken)
     sys.exit(EXIT_WRONG if wrong else 0)
 
 
--- a/bench/site_demo.py
+++ b/bench/site_demo.py
@@ -26,11 +26,11 @@
 )
 
 
-async def start_entry(nursery, site, name, folder, seeds=()):
-    """Start an entry before a site; return it with its address."""
+async def start_entry(nursery, site, folder):
+    """Start an entry before a site; return where callers connect."""
     ports = ports_module.find_free_ports(4)
-    path = os.path.join(folder, f"{name}.json")
-    node_file = site.get_node_file(name, ports[:3], list(seeds))
+    path = os.path.join(folder, "entry-1.json")
+    node_file = site.get_node_file("entry-1", ports[:3], [])
     with open(path, "wb") as file:
         file.write(msgspec.json.encode(node_file))
     adapter = adapter_module.new_adapter(path, ports[3])
@@ -39,7 +39,7 @@
     with trio.fail_after(READY_TIMEOUT_S):
         while not entry.is_ready():
             await trio.sleep(READY_CHECK_S)
-    return entry, adapter.get_caller_address()
+    return adapter.get_caller_address()
 
 
 async def run_tour(console):
@@ -49,9 +49,7 @@
         async with trio.open_nursery() as nursery:
             site = site_module.SiteStandIn(nursery)
             await site.start()
-            _entry, address = await start_entry(
-                nursery, site, "entry-1", folder
-            )
+            address = await start_entry(nursery, site, folder)
             consumer = site_module.Consumer(nursery, address)
             for number, (title, path, method) in enumerate(REQUESTS):
                 console.rule(f"users' platform: {title}")
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,7 +20,7 @@
     "kill all entries",
     "reset engine",
     "slow engine",
-    "silence engine",
+    "silent engine",
     "cut engine",
     "leave engine",
     "restart engine",
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -16,7 +16,7 @@
 ENGINE_HARMS = (
     "reset engine",
     "slow engine",
-    "silence engine",
+    "silent engine",
     "cut engine",
 )
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -21,7 +21,6 @@
 NEW_KEY_AFTER_S = 2.6
 STAY_SHARE = 0.5
 KEEP_SHARE = 0.6
-SLOW_S = 0.6
 COOL_S = 3.5
 REST_S = 3.0
 TARGETS = {
@@ -191,14 +190,7 @@
         if word in ("leave", "restart"):
             await self._replace(word, engine, fault.hold_s)
             return
-        if word == "reset":
-            wire.reset()
-        elif word == "slow":
-            wire.delay_s = SLOW_S
-        elif word == "silence":
-            wire.is_silent = True
-        else:
-            wire.is_cut = True
+        wire.harm(word)
         await trio.sleep(fault.hold_s)
         wire.heal()
 
@@ -214,16 +206,12 @@
 
     async def _harm_store(self, place, hold_s):
         store, wire = self._site.store, self._site.store_wire
-        if place == "reset":
-            wire.reset()
-        elif place == "down":
+        if place == "down":
             store.is_down = True
-        elif place == "silent":
-            wire.is_silent = True
-        elif place == "slow":
-            wire.delay_s = SLOW_S
-        else:
+        elif place == "from the past":
             store.is_past = True
+        else:
+            wire.harm(place)
         await trio.sleep(hold_s)
         store.is_down = store.is_past = False
         wire.heal()
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -2,8 +2,8 @@
 
 import trio
 
-CHUNK_BYTES = 65536
 HOST = "127.0.0.1"
+SLOW_S = 0.6
 
 
 class Wire:
@@ -29,6 +29,17 @@
         self.address = f"{HOST}:{port}"
         nursery.start_soon(trio.serve_listeners, self._carry, listeners)
 
+    def harm(self, how):
+        """Harm it: `reset`, `slow`, `silent` or `cut`."""
+        if how == "reset":
+            self.reset()
+        elif how == "slow":
+            self.delay_s = SLOW_S
+        elif how == "silent":
+            self.is_silent = True
+        else:
+            self.is_cut = True
+
     def reset(self):
         """End all connections at once."""
         for scope in list(self._scopes):
--- a/greengagetrack/command/node.py
+++ b/greengagetrack/command/node.py
@@ -17,15 +17,6 @@
 COLLECT_THRESHOLD = 20000
 
 
-async def _run(adapter, peer_keys):
-    stop = stop_module.Stop()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop.follow_signals)
-        code = await daemon.run(adapter, peer_keys, stop)
-        nursery.cancel_scope.cancel()
-    return code
-
-
 def run_node(path):
     """Run the entry that the node file at `path` describes."""
     try:
@@ -37,4 +28,7 @@
     logs.set_up_bounded(adapter.get_settings().name, "INFO")
     gc.freeze()
     gc.set_threshold(COLLECT_THRESHOLD)
-    return trio.run(_run, adapter, peer_keys)
+    return trio.run(
+        stop_module.run_until_stopped,
+        lambda stop: daemon.run(adapter, peer_keys, stop),
+    )
--- a/greengagetrack/command/standalone.py
+++ b/greengagetrack/command/standalone.py
@@ -58,19 +58,14 @@
     return settings
 
 
-async def _run(settings, decisions):
-    stop = stop_module.Stop()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop.follow_signals)
-        code = await daemon.run(settings, stop, decisions)
-        nursery.cancel_scope.cancel()
-    return code
-
-
 def run_daemon(**flags):
     settings = read_or_exit(flags, os.environ)
     decisions = logs.set_up(settings.name, settings.log_level)
-    sys.exit(trio.run(_run, settings, decisions))
+    code = trio.run(
+        stop_module.run_until_stopped,
+        lambda stop: daemon.run(settings, stop, decisions),
+    )
+    sys.exit(code)
 
 
 run_daemon.__doc__ = _SUMMARY
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -2,21 +2,21 @@
 
 import aioprometheus
 
+from greengagetrack.process import metrics as metrics_module
 from greengagetrack.request.direct import end as end_module
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 ROUTES_MAX = 64
-OTHER = "other"
 
 
 class DirectMetrics:
     """The metrics of one entry, in a registry of their own."""
 
-    __slots__ = ("_choices", "_ends", "_labels", "_latency", "registry")
+    __slots__ = ("_choices", "_ends", "_latency", "_routes", "registry")
 
     def __init__(self, process):
         labels = {"process": process}
-        self._labels = set()
+        self._routes = metrics_module.BoundedLabels(ROUTES_MAX)
         self.registry = aioprometheus.Registry()
         self._ends = aioprometheus.Counter(
             "greengagetrack_requests_total",
@@ -38,21 +38,13 @@
             registry=self.registry,
         )
 
-    def _get_label(self, name):
-        """Return the label of a route; the first ones have their own."""
-        if name not in self._labels:
-            if len(self._labels) >= ROUTES_MAX:
-                return OTHER
-            self._labels.add(name)
-        return name
-
     def note_choice(self, service):
         """Count one choice of a server."""
         self._choices.inc({"service": service})
 
     def note_end(self, route, end, spent_ms):
         """Count the end of an admitted request."""
-        label = self._get_label(route.name)
+        label = self._routes.get(route.name)
         name = end_module.get_outcome_name(end)
         reason = str(getattr(end, "reason", ""))
         self._ends.inc({"route": label, "outcome": name, "reason": reason})
--- a/greengagetrack/process/metrics.py
+++ b/greengagetrack/process/metrics.py
@@ -9,6 +9,27 @@
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 
 
+class BoundedLabels:
+    """The names that have a label of their own: the first ones.
+
+    A label for each of tens of thousands would fill the memory.
+    """
+
+    __slots__ = ("_most", "_names")
+
+    def __init__(self, most):
+        self._most = most
+        self._names = set()
+
+    def get(self, name):
+        """Return the label of a name."""
+        if name not in self._names:
+            if len(self._names) >= self._most:
+                return OTHER
+            self._names.add(name)
+        return name
+
+
 class Metrics:
     """The metrics of one process, in a registry of their own."""
 
@@ -25,7 +46,7 @@
     def __init__(self, process):
         labels = {"process": process}
         self.registry = aioprometheus.Registry()
-        self._organisations = set()
+        self._organisations = BoundedLabels(ORGANISATIONS_MAX)
         self._requests = aioprometheus.Counter(
             "greengagetrack_requests_total",
             "Requests by pipeline, outcome and reason.",
@@ -89,22 +110,10 @@
         """Count the backend server time of a stage."""
         labels = {
             "stage": "/".join(task.stage.key),
-            "organisation": self._get_label(task.organisation),
+            "organisation": self._organisations.get(task.organisation),
         }
         self._engine_seconds.add(labels, engine_ms / 1000)
 
-    def _get_label(self, organisation):
-        """Return the label of an organisation; the first ones have one.
-
-        A label for each of tens of thousands would fill the memory.
-        """
-        if organisation in self._organisations:
-            return organisation
-        if len(self._organisations) >= ORGANISATIONS_MAX:
-            return OTHER
-        self._organisations.add(organisation)
-        return organisation
-
     def render(self, accept):
         """Return `(body, headers)` in a format that is accepted."""
         return aioprometheus.render(self.registry, accept)
--- a/greengagetrack/process/stop.py
+++ b/greengagetrack/process/stop.py
@@ -26,3 +26,13 @@
         with trio.open_signal_receiver(*signals) as received:
             async for _signal in received:
                 self.ask()
+
+
+async def run_until_stopped(run):
+    """Return what `await run(stop)` returns; signals ask it to stop."""
+    stop = Stop()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop.follow_signals)
+        code = await run(stop)
+        nursery.cancel_scope.cancel()
+    return code
