Free the inputs of a request once its server has fetched them

A server fetches inputs before it reads the prompt, so they are freed after a time that is learned: it shrinks with each first event and doubles when a server rejects a request for want of its inputs.

The account gave memory back before the request to free it was sent, so the next call overtook it. It is given back once the server has confirmed.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -121,7 +121,7 @@
 
     @abc.abstractmethod
     async def free_results(self, address, handles):
-        """Free results on the server at `address`."""
+        """Free results at `address`; return whether the server confirms."""
 
     @abc.abstractmethod
     def drop_connections(self, server):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -167,11 +167,13 @@
         return _decode_made_items(response, len(pieces))
 
     async def free_results(self, address, handles):
-        """Free results on the server at `address`."""
+        """Free results at `address`; return whether the server confirms."""
+        response = None
         with trio.move_on_after(FREE_TIMEOUT_S):
-            await self._exchange(
+            response = await self._exchange(
                 address, names.STAGE_FREE_PATH, _Handles(handles), []
             )
+        return isinstance(response, tuple) and response[0].status == 200
 
     async def _post(self, server, path, body):
         instance_header = (names.EXPECT_INSTANCE, server.server_id.encode())
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -352,21 +352,25 @@
         if server is None:
             return
         usage = self._get_usage(server)
-        for handle in handles:
-            usage.release(handle)
         is_flush_due = not usage.pending_frees
         usage.pending_frees += handles
         if is_flush_due:
             self._nursery.start_soon(self._flush_frees, usage)
-        self.wake()
 
     async def _flush_frees(self, usage):
         # After a short delay one call frees the results of many requests.
         await trio.sleep(FREE_DELAY_S)
         handles, usage.pending_frees = usage.pending_frees, []
-        await self._gateway.free_results(
+        is_freed = await self._gateway.free_results(
             usage.server.published.address, handles
         )
+        # Not before the server has freed them: a call that overtakes the
+        # request would find its memory still in use. Results that could
+        # not be freed stay in the account until the server expires them.
+        if is_freed:
+            for handle in handles:
+                usage.release(handle)
+            self.wake()
 
     def wake(self):
         """Dispatch again after a possible change of servers or memory."""
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -11,6 +11,7 @@
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
@@ -129,6 +130,7 @@
         self._services = run_module.RunServices(
             chooser,
             self.directory,
+            fetch_time.FetchTimes(),
             gateway,
             self._pools,
             budgets,
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -268,6 +268,10 @@
                     self._peers.request_free, peer, pool, server_id, handles
                 )
 
+    def start_task(self, function, *arguments):
+        """Start a task that may outlive the request that it is for."""
+        self._dependencies.nursery.start_soon(function, *arguments)
+
     def is_busy(self):
         """Return whether a batcher here has pieces waiting or in calls."""
         return any(
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -31,9 +31,11 @@
         "_admitted",
         "_done",
         "_failure",
+        "_free_scope",
         "_is_resumed",
         "_pools",
         "_tasks",
+        "is_freed",
     )
 
     def __init__(self, admitted, pools, is_resumed):
@@ -42,7 +44,9 @@
         self._pools = pools
         self._tasks = {}
         self._failure = None
+        self._free_scope = trio.CancelScope()
         self._done = {}
+        self.is_freed = False
 
     def _count_pieces(self, index):
         counts = self._admitted.request.piece_counts
@@ -78,7 +82,7 @@
                     nursery.start_soon(self._run_stage, index)
             if self._failure is None:
                 return self.get_inputs()
-            self.free()
+            self._free_stages(list(self._tasks))
             if self._failure is not gateway.PieceFailure.INPUT_GONE:
                 break
         reason = _Reason.NO_CAPACITY
@@ -246,8 +250,23 @@
 
     def free(self):
         """Free all results on the servers that hold them."""
+        self.is_freed = True
         self._free_stages(list(self._tasks))
 
+    def free_after(self, hold_s):
+        """Free all results in `hold_s`, unless `keep()` is called before."""
+        self._free_scope = trio.CancelScope()
+        self._pools.start_task(self._free_after, hold_s, self._free_scope)
+
+    async def _free_after(self, hold_s, scope):
+        with scope:
+            await trio.sleep(hold_s)
+            self.free()
+
+    def keep(self):
+        """Keep the results that are not freed yet, for another attempt."""
+        self._free_scope.cancel()
+
     def _free_stages(self, indexes):
         for index in indexes:
             self._pools.free_results(self._tasks.pop(index, ()))
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -34,6 +34,7 @@
 
     chooser: object
     directory: object
+    fetch_times: object
     gateway: object
     pools: object
     budgets: object
@@ -128,6 +129,8 @@
         self._services.budgets.get(self._service).count_first_attempt()
         while True:
             outcome = None
+            if self._graph is not None and self._graph.is_freed:
+                self._inputs = None
             if self._inputs is None:
                 outcome = await self._run_stages()
             if outcome is None:
@@ -209,12 +212,17 @@
             server, self._admitted.request.parts
         )
         attempt = attempt_module.new_attempt(server, choice)
+        if self._inputs:
+            self._graph.free_after(self._get_fetch_time().hold_s)
         try:
             return await self._send(attempt)
         finally:
             attempt.record_prefill_done()
             server.outstanding -= 1
 
+    def _get_fetch_time(self):
+        return self._services.fetch_times.get(self._service)
+
     async def _send(self, attempt):
         server = attempt.server
         answer = None
@@ -280,6 +288,8 @@
         server had begun to answer.
         """
         server = attempt.server
+        if self._graph is not None:
+            self._graph.keep()
         if failure.ran is _Ran.UNKNOWN and not is_counted:
             self._sends += 1
             self._attempts += 1
@@ -302,6 +312,8 @@
             while isinstance(await answer.receive_part(), bytes):
                 pass
         if answer.is_input_gone:
+            if self._graph is not None and self._graph.is_freed:
+                self._get_fetch_time().record_missing()
             self._free_inputs()
         failure = gateway.Failure(
             _Reason.BACKEND_REFUSED,
@@ -371,6 +383,8 @@
                 # The server no longer needs the inputs once it has sent its
                 # first event.
                 attempt.record_first_event()
+                if self._graph is not None and self._graph.is_freed:
+                    self._get_fetch_time().record_fetched()
                 self._free_inputs()
             problem = await self._forward_events(part)
             if problem is not None:
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -11,6 +11,7 @@
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import fetch_time as fetch_time_module
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import pools as pools_module
@@ -112,7 +113,8 @@
 class FakeGateway(gateway.Gateway):
     """Returns scripted answers and records the calls it receives.
 
-    `call_handler`, if set, returns the results of `run_pieces`.
+    `call_handler`, if set, returns the results of `run_pieces`. A free
+    request takes `free_s` and is confirmed unless `is_free_lost` is set.
     """
 
     def __init__(self, script=()):
@@ -121,6 +123,8 @@
         self.calls = []
         self.freed = []
         self.call_handler = None
+        self.free_s = 0.0
+        self.is_free_lost = False
 
     async def open_answer(self, server, request):
         self.sent.append((server.server_id, request))
@@ -143,7 +147,11 @@
         ]
 
     async def free_results(self, address, handles):
+        await trio.sleep(self.free_s)
+        if self.is_free_lost:
+            return False
         self.freed += handles
+        return True
 
     def drop_connections(self, server):
         return None
@@ -235,6 +243,7 @@
         self.services = run_module.RunServices(
             self.chooser,
             self.directory,
+            fetch_time_module.FetchTimes(),
             fake_gateway,
             self.pools,
             self.budgets,
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -88,6 +88,41 @@
     _run(check)
 
 
+def test_a_call_waits_until_the_server_confirms_freed_memory():
+    async def check(nursery, fake_entry, batcher):
+        fake_entry.gateway.free_s = 0.5
+        large = _new_tasks("large", 3, size=300)
+        await batcher.make_pieces(large)
+        waiting = _new_tasks("next", 1, size=300)
+        nursery.start_soon(batcher.make_pieces, waiting)
+        batcher.free_results("p1", [large[0].result])
+        await trio.sleep(0.4)
+        assert len(fake_entry.gateway.calls) == 1
+        await trio.sleep(0.4)
+        assert waiting[0].is_completed()
+
+    _run(check)
+
+
+def test_results_that_could_not_be_freed_use_memory_until_they_expire():
+    async def check(nursery, fake_entry, batcher):
+        fake_entry.gateway.is_free_lost = True
+        large = _new_tasks("large", 3, size=300)
+        await batcher.make_pieces(large)
+        waiting = _new_tasks("next", 1, size=300, left_s=20.0)
+        nursery.start_soon(batcher.make_pieces, waiting)
+        batcher.free_results("p1", [large[0].result])
+        await trio.sleep(1.0)
+        batcher.wake()
+        assert len(fake_entry.gateway.calls) == 1
+        await trio.sleep(5.0)
+        batcher.wake()
+        await trio.sleep(0.5)
+        assert waiting[0].is_completed()
+
+    _run(check)
+
+
 def test_small_results_overtake_large_ones_that_wait_for_memory():
     async def check(nursery, fake_entry, batcher):
         await batcher.make_pieces(_new_tasks("held", 3, size=300))
