Fill calls with parts of groups when much waits; leave a centre that lacks a service

With more than one and a half calls waiting, a group is split and its rest goes first into the next call. Second cause: the middle stage of one data centre made nothing for 30 s after its only server of the last stage had left, since a chain was only placed where all its services are.

Left: requests of low priority are served as often as urgent ones.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -21,6 +21,7 @@
 TYPICAL_FILL_RATIO = 0.7
 FREE_DELAY_S = 0.01
 KEEP_MARGIN_S = 0.2
+SPLIT_QUEUE_CALLS = 1.5
 FAILURE_SHARE_MAX = 0.3
 
 _log = logging.getLogger(__name__)
@@ -213,6 +214,9 @@
     def _pop_batch(self, usage, batching):
         """Remove the pieces of the next call from the queue; return them."""
         usage.release_expired()
+        may_split_any = (
+            self.count_waiting() > batching.batch_max * SPLIT_QUEUE_CALLS
+        )
         batch = []
         for group in self._queue:
             free_places = batching.batch_max - len(batch)
@@ -225,7 +229,9 @@
             # sent, or starts the batch. Small results may overtake large
             # ones that wait for memory.
             may_split = (
-                group.is_started or len(group.tasks) > batching.batch_max
+                may_split_any
+                or group.is_started
+                or len(group.tasks) > batching.batch_max
             )
             fits_whole = fitting_count == len(group.tasks)
             if not fitting_count or not (fits_whole or may_split or not batch):
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -195,7 +195,12 @@
         for service in services:
             pool = self.get_pool(service, centre)
             # A later stage sees the queue after the time of earlier stages.
-            wait_s = max(self._get_wait_s(pool) - finish_s, WAIT_MIN_S)
+            pool_wait_s = self._get_wait_s(pool)
+            if pool_wait_s == math.inf:
+                # The data centre has no server: another one takes the stage.
+                pool_wait_s = self._get_shortest_wait_s(service)
+                finish_s += REMOTE_DELAY_S
+            wait_s = max(pool_wait_s - finish_s, WAIT_MIN_S)
             finish_s += wait_s + self.get_call_s(service, CALL_FILL_RATIO)
         return finish_s
 
@@ -280,6 +285,10 @@
 
     def get_shortest_wait_s(self, service):
         """Return the shortest wait among the pools of a service, capped."""
+        wait_s = self._get_shortest_wait_s(service)
+        return min(0.0 if wait_s == math.inf else wait_s, SHORTEST_WAIT_MAX_S)
+
+    def _get_shortest_wait_s(self, service):
         centres = {
             server.published.data_centre
             for server in self._directory.get_servers(service)
@@ -288,7 +297,7 @@
             self._get_wait_s(self.get_pool(service, centre))
             for centre in centres
         ]
-        return min(min(waits, default=0.0), SHORTEST_WAIT_MAX_S)
+        return min(waits, default=math.inf)
 
     def predict_duration_s(self, services):
         """Return the shortest time that services in sequence may take."""
