Order, forecast and admit by priority and target; learn the first event

The time kept for the model engine was fixed at 0.15 s; a prompt of 20,000 tokens takes 0.5 s.

Now, in modules of process/direct/decisions with neither input nor output: a level of priority counts as two calls of time; an owner reports its waits by priority, longer for the work that keeps arriving before them, and that of late work; a request is refused at once where it can neither be in time nor be late without waiting in vain, with a time to return that leaves it the time that it takes; the first event is learned for each service from prompt tokens and those ahead, where 100 tokens a ms was written down; a server with all places taken counts the wait for one. The slowness of a server settled at the square root of the true ratio: mended.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -263,10 +263,16 @@
 
 
 class PoolWait(_Message):
-    """The time that a piece would wait in a pool of a data centre."""
+    """The time that a piece would wait in a pool of a data centre.
+
+    `wait_ms` holds before all known priorities, `by_priority` has those of
+    work that can be in time, and `late_ms` that of work that can't.
+    """
 
     service: str
     wait_ms: int
+    by_priority: list[tuple[int, int]] = []
+    late_ms: int = 0
 
 
 class Member(_Message):
@@ -376,6 +382,7 @@
 
     pieces: list[PieceResult]
     wait_ms: int = 0
+    wait: PoolWait | None = None
 
 
 class Rejected(_Message, tag="rejected"):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -6,11 +6,12 @@
 """
 
 import logging
-import math
 
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.process.direct.decisions import forecast
+from greengagetrack.process.direct.decisions import queue_order
 from greengagetrack.process.direct import group as group_module
 from greengagetrack.process.direct import server_usage as server_usage_module
 from greengagetrack.request import outcome
@@ -21,7 +22,6 @@
 TYPICAL_FILL_RATIO = 0.7
 FREE_DELAY_S = 0.01
 KEEP_MARGIN_S = 0.2
-SPLIT_QUEUE_CALLS = 1.5
 FAILURE_SHARE_MAX = 0.3
 
 _log = logging.getLogger(__name__)
@@ -38,6 +38,7 @@
         "_get_catalog",
         "_nursery",
         "_queue",
+        "_rates",
         "_usage_by_id",
         "service",
     )
@@ -51,6 +52,7 @@
         self._get_catalog = dependencies.get_catalog
         self._nursery = dependencies.nursery
         self._queue = []
+        self._rates = forecast.ArrivalRates()
         self._usage_by_id = {}
 
     async def make_pieces(self, tasks):
@@ -58,10 +60,8 @@
         budget = self._budgets.get(self.service)
         for _task in tasks:
             budget.count_first_attempt()
-        group = group_module.PieceGroup(
-            list(tasks), self._get_typical_call_s()
-        )
-        self._queue.append(group)
+        self._rates.count(tasks[0].priority, len(tasks), trio.current_time())
+        self._queue.append(group_module.PieceGroup(list(tasks)))
         self._dispatch()
         try:
             for task in tasks:
@@ -89,24 +89,31 @@
         )
         return bool(self._queue) or calls > 0
 
-    def get_wait_s(self):
-        """Return how long a piece added now would wait for its call.
-
-        Groups that are already late go last and do not delay it.
-        """
+    def get_waits(self):
+        """Return how long pieces added now would wait for their call."""
         batching = self._get_batching()
         usages = self._get_usages() if batching else []
         if not usages:
-            return math.inf
-        ahead = sum(
-            len(group.tasks) for group in self._queue if not group.is_late()
+            return forecast.NO_SERVER_WAITS
+        now = trio.current_time()
+        call_s = self._get_typical_call_s()
+        on_time_by_priority = {}
+        for group in self._queue:
+            if not queue_order.is_late(group.tasks[0].due_s, call_s, now):
+                count = on_time_by_priority.get(group.priority, 0)
+                on_time_by_priority[group.priority] = count + len(group.tasks)
+        return forecast.get_pool_waits(
+            self._get_forecast(usages, batching),
+            on_time_by_priority,
+            self.count_waiting(),
+            self._rates,
+            now,
         )
-        return self._get_forecast(usages, batching).get_wait_s(ahead)
 
     def _get_forecast(self, usages, batching):
         """Return the forecast of the queue from now on."""
         now = trio.current_time()
-        return group_module.QueueForecast(
+        return forecast.QueueForecast(
             next_free_s=min(
                 max(usage.busy_until_s - now, 0.0) for usage in usages
             ),
@@ -136,7 +143,11 @@
         if not free_usages:
             return
         # The order matters only when a call starts.
-        self._queue.sort(key=group_module.PieceGroup.get_sort_key)
+        call_s = self._get_typical_call_s()
+        now = trio.current_time()
+        self._queue.sort(
+            key=lambda group: queue_order.get_rank(group, call_s, now)
+        )
         self._fail_unreachable_deadlines(usages, batching)
         for usage in free_usages:
             if self._queue:
@@ -151,15 +162,20 @@
     def _fail_unreachable_deadlines(self, usages, batching):
         """Fail groups whose work could not start before their deadline."""
         now = trio.current_time()
-        forecast = self._get_forecast(usages, batching)
+        call_s = self._get_typical_call_s()
+        queue_forecast = self._get_forecast(usages, batching)
+        all_arrivals = self._rates.get_rate_before(forecast.LATE, now)
         ahead = 0
         for group in self._queue:
-            start_s = (
-                now + forecast.get_wait_s(ahead) + batching.call_ms / 1000
+            task = group.tasks[0]
+            is_late = queue_order.is_late(task.due_s, call_s, now)
+            wait_s = queue_forecast.get_wait_s(
+                ahead, all_arrivals if is_late else 0.0
             )
-            if start_s > group.tasks[0].deadline.at_s:
-                for task in group.tasks:
-                    task.complete(gateway_module.PieceFailure.LATE)
+            start_s = now + wait_s + batching.call_ms / 1000
+            if start_s > task.deadline.at_s:
+                for waiting_task in group.tasks:
+                    waiting_task.complete(gateway_module.PieceFailure.LATE)
             else:
                 ahead += len(group.tasks)
         self._drop_completed()
@@ -214,8 +230,8 @@
     def _pop_batch(self, usage, batching):
         """Remove the pieces of the next call from the queue; return them."""
         usage.release_expired()
-        may_split_any = (
-            self.count_waiting() > batching.batch_max * SPLIT_QUEUE_CALLS
+        may_split_any = queue_order.may_split_groups(
+            self.count_waiting(), batching.batch_max
         )
         batch = []
         for group in self._queue:
@@ -344,7 +360,7 @@
         if is_exhausted or not budget.try_acquire():
             task.complete(failure)
         else:
-            group = group_module.PieceGroup([task], self._get_typical_call_s())
+            group = group_module.PieceGroup([task])
             group.is_started = True
             self._queue.append(group)
 
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -9,11 +9,14 @@
 import trio
 
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import linear_estimate
 from greengagetrack.process.direct import rendezvous
 
-PREFILL_TOKENS_PER_MS = 100.0
+# Before the first events of a service are seen.
+EXPECTED_FIRST_EVENT_MS = 40.0
+EXPECTED_PREFILL_MS_PER_TOKEN = 0.01
+TYPICAL_PROMPT_TOKENS = 10_000
 STEP_MS_PER_RUNNING_REQUEST = 2.0
-FIRST_TOKEN_MS = 40.0
 REQUEST_MS_DEFAULT = 25.0
 REGION_RTT_MS = 24.0
 DATA_CENTRE_RTT_MS = 1.0
@@ -24,6 +27,7 @@
 SUSPECT_PENALTY_MS = 5000.0
 FAILURE_PENALTY_MS = 400.0
 PREFERRED_BONUS_MS = 10.0
+PREFILL_MS_PER_TOKEN_MIN = 0.001
 KB = 1000
 MB = 1_000_000
 # An entry uses at most 1/CONNECTIONS_DIVISOR of a server's connections.
@@ -39,6 +43,7 @@
     wait_ms: float
     new_tokens: int
     candidates: int
+    tokens_ahead: int = 0
 
 
 class Chooser:
@@ -47,6 +52,7 @@
     __slots__ = (
         "_data_centre",
         "_directory",
+        "_first_event_by_service",
         "_get_catalog",
         "_random",
         "_region_by_data_centre",
@@ -61,6 +67,7 @@
         generator,
     ):
         self._directory = directory
+        self._first_event_by_service = {}
         self._get_catalog = get_catalog
         self._data_centre = data_centre
         self._region_by_data_centre = region_by_data_centre
@@ -102,8 +109,29 @@
             best.wait_ms,
             best.new_tokens,
             len(servers),
+            best.tokens_ahead,
         )
 
+    def get_first_event_estimate(self, service):
+        """Return the estimate of the time to the first event, in ms.
+
+        Its units are the prompt tokens to prefill, those ahead included.
+        """
+        if service not in self._first_event_by_service:
+            self._first_event_by_service[service] = (
+                linear_estimate.new_linear_estimate(
+                    EXPECTED_FIRST_EVENT_MS,
+                    EXPECTED_PREFILL_MS_PER_TOKEN,
+                    TYPICAL_PROMPT_TOKENS,
+                )
+            )
+        return self._first_event_by_service[service]
+
+    def predict_first_event_s(self, service, request):
+        """Return the time that the server of lowest cost will take."""
+        choice = self.choose_server(service, request)
+        return 0.0 if choice is None else choice.wait_ms / 1000
+
     def _count_recently_cached_tokens(self, servers, parts):
         """Return the longest prefix, in tokens, that a server just cached."""
         since_s = trio.current_time() - RECOMPUTE_WINDOW_S
@@ -126,7 +154,7 @@
     def _predict(self, server, request, input_bytes, preferred, recent_tokens):
         cached_tokens = server.count_cached_tokens(request.parts)
         new_tokens = max(request.prompt_tokens - cached_tokens, 0)
-        wait_ms = self._predict_wait_ms(server, request, new_tokens)
+        wait_ms, tokens_ahead = self._predict_wait(server, request, new_tokens)
         cost_ms = wait_ms + self._get_network_ms(server, request)
         cost_ms += self._get_input_ms(server, input_bytes)
         # Charge for computing tokens again that another server just cached.
@@ -137,19 +165,24 @@
             cost_ms += SUSPECT_PENALTY_MS
         if server is preferred:
             cost_ms -= PREFERRED_BONUS_MS
-        return Choice(server, cost_ms, wait_ms, new_tokens, 0)
+        return Choice(server, cost_ms, wait_ms, new_tokens, 0, tokens_ahead)
 
-    def _predict_wait_ms(self, server, request, new_tokens):
+    def _predict_wait(self, server, request, new_tokens):
+        """Return the wait in ms and the prompt tokens ahead."""
         running = server.count_running()
-        if request.prompt_tokens:
-            prefill = new_tokens + server.count_prefill_tokens(
-                PREFILL_TOKENS_PER_MS * 1000
-            )
-            wait_ms = prefill / PREFILL_TOKENS_PER_MS + FIRST_TOKEN_MS
-            wait_ms += running * STEP_MS_PER_RUNNING_REQUEST
-            return wait_ms * server.slowness
-        request_ms = server.latency_ms or REQUEST_MS_DEFAULT
-        return request_ms * (1 + running / server.published.slots)
+        slots = max(server.published.slots, 1)
+        if not request.prompt_tokens:
+            request_ms = server.latency_ms or REQUEST_MS_DEFAULT
+            return request_ms * (1 + running / slots), 0
+        estimate = self.get_first_event_estimate(server.published.service)
+        tokens_per_ms = 1 / max(estimate.per_unit, PREFILL_MS_PER_TOKEN_MIN)
+        tokens_ahead = server.count_prefill_tokens(tokens_per_ms * 1000)
+        wait_ms = estimate.predict(tokens_ahead + new_tokens)
+        wait_ms += running * STEP_MS_PER_RUNNING_REQUEST
+        # With all places taken, one has to end first.
+        excess = max(running - slots + 1, 0)
+        wait_ms += excess / slots * (server.latency_ms or 0.0)
+        return wait_ms * server.slowness, tokens_ahead
 
     def _get_network_ms(self, server, request):
         centre = server.published.data_centre
--- /dev/null
+++ b/greengagetrack/process/direct/decisions/forecast.py
@@ -0,0 +1,138 @@
+"""Forecasts of how long new work waits in the queue of a pool.
+
+Load pattern: a burst in which urgent work keeps arriving. What waits behind
+it waits for more than the queue of now, and what is late already may wait
+for as long as the burst lasts.
+"""
+
+import math
+
+import msgspec
+
+LOAD_MAX = 0.95
+RATE_WINDOW_S = 1.5
+WAIT_MIN_S = 0.05
+# Instead of a priority: work that can't be in time any more.
+LATE = math.inf
+
+
+class ArrivalRates:
+    """The pieces a second that arrive at a queue, by priority.
+
+    Each is an average that forgets with `RATE_WINDOW_S`.
+    """
+
+    __slots__ = ("_rate_by_priority",)
+
+    def __init__(self):
+        self._rate_by_priority = {}
+
+    def count(self, priority, pieces, now_s):
+        """Count pieces that arrive now."""
+        rate = self._get_rate(priority, now_s) + pieces / RATE_WINDOW_S
+        self._rate_by_priority[priority] = (rate, now_s)
+
+    def _get_rate(self, priority, now_s):
+        rate, at_s = self._rate_by_priority.get(priority, (0.0, now_s))
+        return rate * math.exp((at_s - now_s) / RATE_WINDOW_S)
+
+    def get_priorities(self):
+        """Return the priorities of all work so far, the first first."""
+        return sorted(self._rate_by_priority)
+
+    def get_rate_before(self, priority, now_s):
+        """Return the pieces a second that arrive with a better priority."""
+        return sum(
+            self._get_rate(other, now_s)
+            for other in self._rate_by_priority
+            if other < priority
+        )
+
+
+class QueueForecast(msgspec.Struct, frozen=True):
+    """When the next server is free, and how fast the queue drains.
+
+    A round is one full call at each server.
+    """
+
+    next_free_s: float
+    pieces_per_round: float
+    round_s: float
+
+    def get_wait_s(self, ahead, arrivals_per_s=0.0):
+        """Return the time until a call with `ahead` pieces before it.
+
+        `arrivals_per_s` pieces will arrive and go before it meanwhile.
+        """
+        pieces_per_s = self.pieces_per_round / self.round_s
+        load = min(arrivals_per_s / pieces_per_s, LOAD_MAX)
+        # Pieces that fit into the current round wait for no later one.
+        rounds = int(ahead / self.pieces_per_round)
+        return self.next_free_s + rounds * self.round_s / (1 - load)
+
+
+class PoolWaits(msgspec.Struct, frozen=True):
+    """The waits of a pool by priority, in seconds.
+
+    `base_s` holds for a priority before all known ones, `late_s` for work
+    that can't be in time any more::
+
+        waits = PoolWaits(0.1, ((0, 0.2), (2, 0.9)), 4.0)
+        assert waits.get(1) == 0.2
+    """
+
+    base_s: float
+    by_priority: tuple[tuple[int, float], ...] = ()
+    late_s: float = 0.0
+
+    def get(self, priority):
+        """Return the wait of a priority, or of late work with `LATE`."""
+        if priority == LATE:
+            return self.late_s
+        wait_s = self.base_s
+        for known, known_wait_s in self.by_priority:
+            if known <= priority:
+                wait_s = known_wait_s
+        return wait_s
+
+    def less(self, elapsed_s):
+        """Return the waits that are left after `elapsed_s`."""
+        return self._map(lambda wait_s: max(wait_s - elapsed_s, 0.0))
+
+    def more(self, added_s):
+        """Return the waits with `added_s` more work before them."""
+        return self._map(lambda wait_s: max(wait_s, WAIT_MIN_S) + added_s)
+
+    def _map(self, change):
+        return PoolWaits(
+            change(self.base_s),
+            tuple(
+                (priority, change(wait_s))
+                for priority, wait_s in self.by_priority
+            ),
+            change(self.late_s),
+        )
+
+
+NO_SERVER_WAITS = PoolWaits(math.inf, (), math.inf)
+
+
+def get_pool_waits(forecast, on_time_by_priority, waiting, rates, now_s):
+    """Return the `PoolWaits` of a queue.
+
+    `on_time_by_priority` are the waiting pieces that can still be in time,
+    `waiting` is the number of all waiting pieces.
+    """
+    ahead = 0
+    by_priority = []
+    priorities = {*rates.get_priorities(), *on_time_by_priority}
+    for priority in sorted(priorities):
+        ahead += on_time_by_priority.get(priority, 0)
+        arrivals = rates.get_rate_before(priority, now_s)
+        by_priority.append((priority, forecast.get_wait_s(ahead, arrivals)))
+    all_arrivals = rates.get_rate_before(LATE, now_s)
+    return PoolWaits(
+        forecast.next_free_s,
+        tuple(by_priority),
+        forecast.get_wait_s(waiting, all_arrivals),
+    )
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -9,6 +9,7 @@
 import trio
 
 from greengagetrack.connection import messages
+from greengagetrack.process.direct.decisions import forecast
 
 WAIT_MAX_S = 30.0
 FORWARD_AGE_MAX_S = 4.0
@@ -147,7 +148,7 @@
     def _apply_waits(self, data_centre, waits, reported_s):
         for wait in waits:
             pool = self.pools.get_pool(wait.service, data_centre)
-            pool.update_wait(wait.wait_ms / 1000, reported_s)
+            pool.update_waits(to_pool_waits(wait), reported_s)
 
     def _apply_centre(self, centre, created_s):
         name = centre.data_centre
@@ -170,15 +171,35 @@
         self._apply_waits(name, centre.waits, created_s)
 
 
-def to_ms(wait_s):
+def new_pool_wait(service, waits):
+    """Return the message about the `PoolWaits` of a service."""
+    return messages.PoolWait(
+        service,
+        _to_ms(waits.base_s),
+        [(priority, _to_ms(wait)) for priority, wait in waits.by_priority],
+        _to_ms(waits.late_s),
+    )
+
+
+def to_pool_waits(message):
+    """Return the `PoolWaits` that a message reports."""
+    return forecast.PoolWaits(
+        message.wait_ms / 1000,
+        tuple(
+            (priority, wait_ms / 1000)
+            for priority, wait_ms in message.by_priority
+        ),
+        max(message.late_ms, message.wait_ms) / 1000,
+    )
+
+
+def _to_ms(wait_s):
     """Convert a wait to whole milliseconds, at most `WAIT_MAX_S`."""
     return int(min(wait_s, WAIT_MAX_S) * 1000)
 
 
 def _new_pool_waits(waits):
-    return [
-        messages.PoolWait(service, to_ms(wait_s)) for service, wait_s in waits
-    ]
+    return [new_pool_wait(service, wait) for service, wait in waits]
 
 
 def new_digests(members, own_address, lease, catalog_watcher, directory):
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -124,7 +124,10 @@
             self.directory, gateway, budgets, get_catalog, nursery
         )
         self._pools = pools_module.new_pools(
-            settings.data_centre, batcher_dependencies, self.peers
+            settings.data_centre,
+            batcher_dependencies,
+            self.peers,
+            generator,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -234,7 +234,9 @@
             )
             return False
         self._apply_reply(tasks, reply)
-        pool.update_wait(reply.wait_ms / 1000, trio.current_time())
+        if reply.wait is not None:
+            waits = digests_module.to_pool_waits(reply.wait)
+            pool.update_waits(waits, trio.current_time())
         return True
 
     async def request_free(self, peer, pool, server_id, handles):
@@ -268,7 +270,9 @@
         await pool.batcher.make_pieces(tasks)
         return messages.MakePiecesReply(
             [_new_piece_result(task) for task in tasks],
-            digests_module.to_ms(pool.batcher.get_wait_s()),
+            wait=digests_module.new_pool_wait(
+                message.service, pool.batcher.get_waits()
+            ),
         )
 
     def _free_results(self, message):
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -11,6 +11,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.process.direct import batcher as batcher_module
+from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import rendezvous
 
 WAKE_INTERVAL_S = 0.1
@@ -44,7 +45,7 @@
         "last_report_s",
         "owner",
         "owner_valid_until_s",
-        "reported_wait_s",
+        "reported_waits",
         "sent_batches",
         "service",
     )
@@ -53,26 +54,26 @@
         self.service = service
         self.data_centre = data_centre
         self.batcher = batcher
-        self.reported_wait_s = WAIT_DEFAULT_S
+        self.reported_waits = forecast.PoolWaits(WAIT_DEFAULT_S)
         self.last_report_s = -math.inf
         self.sent_batches = []
         self.owner = None
         self.owner_valid_until_s = -math.inf
 
-    def update_wait(self, wait_s, reported_s):
-        """Store the queue wait that the owner reported, unless outdated."""
+    def update_waits(self, waits, reported_s):
+        """Store the waits that the owner reported, unless outdated."""
         if reported_s < self.last_report_s:
             return
-        self.reported_wait_s = wait_s
+        self.reported_waits = waits
         self.last_report_s = reported_s
         self.sent_batches = [
             batch for batch in self.sent_batches if batch[0] > reported_s
         ]
 
-    def get_remaining_wait_s(self):
-        """Return the reported wait less the time since the report."""
+    def get_remaining_waits(self):
+        """Return the reported waits less the time since the report."""
         elapsed_s = trio.current_time() - self.last_report_s
-        return max(self.reported_wait_s - elapsed_s, 0.0)
+        return self.reported_waits.less(elapsed_s)
 
     def count_sent_pieces(self):
         """Return the pieces recently sent that no report covers yet."""
@@ -93,15 +94,17 @@
         "_get_catalog",
         "_peers",
         "_pool_by_key",
+        "generator",
     )
 
-    def __init__(self, data_centre, dependencies, peers):
+    def __init__(self, data_centre, dependencies, peers, generator):
         self._data_centre = data_centre
         self._dependencies = dependencies
         self._directory = dependencies.directory
         self._get_catalog = dependencies.get_catalog
         self._peers = peers
         self._pool_by_key = {}
+        self.generator = generator
 
     def get_pool(self, service, data_centre):
         """Return the pool of a service in a data centre."""
@@ -177,10 +180,11 @@
             return None
 
         left_s = end_s - trio.current_time()
+        priority = tasks[0].priority
 
         def get_cost(centre):
             pool = self.get_pool(service, centre)
-            finish_s = self._get_finish_s(services, centre)
+            finish_s = self._get_finish_s(services, centre, priority)
             cost = self._get_transfer_cost(pool, tasks, inputs)
             if pool.data_centre != self._data_centre:
                 finish_s += REMOTE_DELAY_S
@@ -189,16 +193,16 @@
 
         return self.get_pool(service, min(sorted(centres), key=get_cost))
 
-    def _get_finish_s(self, services, centre):
+    def _get_finish_s(self, services, centre, priority):
         """Return the time that services in sequence will take."""
         finish_s = 0.0
         for service in services:
             pool = self.get_pool(service, centre)
             # A later stage sees the queue after the time of earlier stages.
-            pool_wait_s = self._get_wait_s(pool)
+            pool_wait_s = self._get_wait_s(pool, priority)
             if pool_wait_s == math.inf:
                 # The data centre has no server: another one takes the stage.
-                pool_wait_s = self._get_shortest_wait_s(service)
+                pool_wait_s = self._get_shortest_wait_s(service, priority)
                 finish_s += REMOTE_DELAY_S
             wait_s = max(pool_wait_s - finish_s, WAIT_MIN_S)
             finish_s += wait_s + self.get_call_s(service, CALL_FILL_RATIO)
@@ -219,19 +223,22 @@
             transferred_bytes += sum(task.result_bytes for task in tasks)
         return transferred_bytes / MB * TRANSFER_COST_PER_MB
 
-    def _get_wait_s(self, pool):
+    def _get_wait_s(self, pool, priority):
+        return self._get_waits(pool).get(priority)
+
+    def _get_waits(self, pool):
         if self.get_owner(pool) is None:
-            return pool.batcher.get_wait_s()
+            return pool.batcher.get_waits()
         batching = self.get_batching(pool.service)
         servers = sum(
             server.published.data_centre == pool.data_centre
             for server in self._directory.get_servers(pool.service)
         )
         if batching is None or not servers:
-            return math.inf
+            return forecast.NO_SERVER_WAITS
         piece_s = self.get_call_s(pool.service, 1.0) / batching.batch_max
         queued_s = pool.count_sent_pieces() * piece_s / servers
-        return max(pool.get_remaining_wait_s(), WAIT_MIN_S) + queued_s
+        return pool.get_remaining_waits().more(queued_s)
 
     def get_owner(self, pool):
         """Return the peer that owns a pool, or None if this entry does.
@@ -283,37 +290,42 @@
             pool.batcher.is_busy() for pool in self._pool_by_key.values()
         )
 
-    def get_shortest_wait_s(self, service):
+    def get_shortest_wait_s(self, service, priority):
         """Return the shortest wait among the pools of a service, capped."""
-        wait_s = self._get_shortest_wait_s(service)
+        wait_s = self._get_shortest_wait_s(service, priority)
         return min(0.0 if wait_s == math.inf else wait_s, SHORTEST_WAIT_MAX_S)
 
-    def _get_shortest_wait_s(self, service):
+    def _get_shortest_wait_s(self, service, priority):
         centres = {
             server.published.data_centre
             for server in self._directory.get_servers(service)
         }
         waits = [
-            self._get_wait_s(self.get_pool(service, centre))
+            self._get_wait_s(self.get_pool(service, centre), priority)
             for centre in centres
         ]
         return min(waits, default=math.inf)
 
-    def predict_duration_s(self, services):
-        """Return the shortest time that services in sequence may take."""
+    def predict_duration_s(self, services, priority):
+        """Return the shortest time that services in sequence may take.
+
+        With `forecast.LATE` as the priority, it is that of work that takes
+        what others leave.
+        """
         centres = {
             server.published.data_centre
             for server in self._directory.get_servers(services[0])
         }
         durations = [
-            self._get_finish_s(services, centre) for centre in centres
+            self._get_finish_s(services, centre, priority)
+            for centre in centres
         ]
         return min(durations, default=math.inf)
 
     def get_owned_pool_waits(self):
         """Return the waits of the local pools that this entry owns."""
         return [
-            (pool.service, pool.batcher.get_wait_s())
+            (pool.service, pool.batcher.get_waits())
             for pool in self._pool_by_key.values()
             if pool.data_centre == self._data_centre
             and self.get_owner(pool) is None
@@ -323,7 +335,7 @@
         """Return the waits of local pools, owned or recently reported."""
         since_s = trio.current_time() - REPORTED_WAIT_MAX_AGE_S
         return self.get_owned_pool_waits() + [
-            (pool.service, pool.get_remaining_wait_s())
+            (pool.service, pool.get_remaining_waits())
             for pool in self._pool_by_key.values()
             if pool.data_centre == self._data_centre
             and self.get_owner(pool) is not None
@@ -345,6 +357,6 @@
     return 1 / (1 + math.exp(exponent))
 
 
-def new_pools(data_centre, dependencies, peers):
+def new_pools(data_centre, dependencies, peers, generator):
     """Return the pools of an entry in `data_centre`."""
-    return Pools(data_centre, dependencies, peers)
+    return Pools(data_centre, dependencies, peers, generator)
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -12,6 +12,7 @@
         "_predicted_ms",
         "_prefill_tokens",
         "_started_s",
+        "_tokens_ahead",
         "is_prefilled",
         "server",
     )
@@ -19,7 +20,9 @@
     def __init__(self, server, choice):
         self.server = server
         self._prefill_tokens = choice.new_tokens
-        self._predicted_ms = choice.wait_ms
+        # Without the slowness that this attempt will update.
+        self._predicted_ms = choice.wait_ms / server.slowness
+        self._tokens_ahead = choice.tokens_ahead
         self._started_s = trio.current_time()
         self.is_prefilled = False
 
@@ -29,11 +32,17 @@
         self.server.prefill_tokens -= self._prefill_tokens
         self._prefill_tokens = 0
 
-    def record_first_event(self):
-        """Update the server's statistics with the time to the first event."""
+    def record_first_event(self, estimate):
+        """Update the statistics with the time to the first event.
+
+        `estimate` is that of the service; the server's slowness is what
+        its own time differs from it.
+        """
+        units = self._tokens_ahead + self._prefill_tokens
         self.record_prefill_done()
         spent_ms = (trio.current_time() - self._started_s) * 1000
         self.server.update_slowness(spent_ms, max(self._predicted_ms, 1.0))
+        estimate.record(units, spent_ms)
 
     def record_answer(self, status):
         """Update the server's statistics after a complete answer."""
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -5,16 +5,16 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.process.direct.decisions import admission
+from greengagetrack.process.direct.decisions import forecast
+from greengagetrack.process.direct.decisions import return_time
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import piece
 from greengagetrack.request import outcome
 
 RUNS_MAX = 2
-GENERATION_RESERVE_S = 0.15
 TARGET_MARGIN_FACTOR = 0.07
 CALL_FILL_RATIO = 0.7
-LEFT_TIME_FACTOR = 0.85
-RETRY_AFTER_MIN_S = 0.2
 KEEP_MARGIN_S = 0.2
 
 _Reason = outcome.Reason
@@ -32,14 +32,16 @@
         "_done",
         "_failure",
         "_free_scope",
+        "_generation_s",
         "_is_resumed",
         "_pools",
         "_tasks",
         "is_freed",
     )
 
-    def __init__(self, admitted, pools, is_resumed):
+    def __init__(self, admitted, pools, generation_s, is_resumed):
         self._admitted = admitted
+        self._generation_s = generation_s
         self._is_resumed = is_resumed
         self._pools = pools
         self._tasks = {}
@@ -52,24 +54,61 @@
         counts = self._admitted.request.piece_counts
         return counts[index] if index < len(counts) else 0
 
-    def check_deadline(self):
+    def check_admission(self):
         """Return `Refused` if the stages would take too long, else None."""
-        left_s = self._admitted.deadline.get_left_s() - GENERATION_RESERVE_S
-        for index, stage in enumerate(self._admitted.route.stages):
-            if stage.after or not self._count_pieces(index):
-                continue
-            services = [stage.service, *self._get_dependent_services(index)]
-            needed_s = self._pools.predict_duration_s(services)
-            if needed_s > left_s * LEFT_TIME_FACTOR:
-                overrun_s = (
-                    min(needed_s, left_s * 2) - left_s * LEFT_TIME_FACTOR
-                )
-                return outcome.Refused(
-                    _Reason.DEADLINE_UNREACHABLE,
-                    f"stages need {needed_s:.2f} s, {left_s:.2f} s are left",
-                    int((overrun_s + RETRY_AFTER_MIN_S) * 1000),
-                )
-        return None
+        admitted = self._admitted
+        chains = [
+            [stage.service, *self._get_dependent_services(index)]
+            for index, stage in enumerate(admitted.route.stages)
+            if not stage.after and self._count_pieces(index)
+        ]
+        if not chains:
+            return None
+        prospect = self._predict(chains)
+        if admission.decide(prospect) is not admission.Verdict.REFUSED:
+            return None
+        return self._refuse(
+            _Reason.DEADLINE_UNREACHABLE,
+            f"stages need {prospect.late_needed_s:.2f} s, "
+            f"{prospect.deadline_left_s:.2f} s are left",
+        )
+
+    def _predict(self, chains):
+        admitted = self._admitted
+        now = trio.current_time()
+        return admission.Prospect(
+            needed_s=self._predict_needed_s(chains, admitted.priority),
+            late_needed_s=self._predict_needed_s(chains, forecast.LATE),
+            target_left_s=admitted.target_time_s - now - self._generation_s,
+            deadline_left_s=admitted.deadline.get_left_s()
+            - self._generation_s,
+            target_s=admitted.route.target_ms / 1000,
+        )
+
+    def _predict_needed_s(self, chains, priority):
+        return max(
+            self._pools.predict_duration_s(services, priority)
+            for services in chains
+        )
+
+    def _refuse(self, reason, detail):
+        """Return a refusal with a time at which the request can be served."""
+        route = self._admitted.route
+        waits = [
+            self._pools.get_shortest_wait_s(stage.service, forecast.LATE)
+            for stage in route.stages
+        ]
+        service_s = self._generation_s + sum(
+            self._pools.get_call_s(stage.service, 1.0)
+            for stage in route.stages
+        )
+        return_s = return_time.get_return_s(
+            max(waits, default=0.0),
+            service_s,
+            self._admitted.deadline.get_left_s(),
+            self._pools.generator,
+        )
+        return outcome.Refused(reason, detail, int(return_s * 1000))
 
     async def run(self):
         """Run all stages; return the handles of their results or `Refused`."""
@@ -88,7 +127,7 @@
         reason = _Reason.NO_CAPACITY
         if self._failure is gateway.PieceFailure.LATE:
             reason = _Reason.DEADLINE_PASSED
-        return outcome.Refused(reason, f"stage: {self._failure}")
+        return self._refuse(reason, f"stage: {self._failure}")
 
     async def _run_stage(self, index):
         stage = self._admitted.route.stages[index]
@@ -133,7 +172,7 @@
             tasks,
             input_tasks,
             self._get_dependent_services(index),
-            self._get_target_s() - GENERATION_RESERVE_S,
+            self._get_target_s() - self._generation_s,
         )
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
@@ -211,11 +250,13 @@
 
     def _get_downstream_s(self, index):
         """Return the usual time of the steps after a stage."""
-        downstream_s = GENERATION_RESERVE_S
+        downstream_s = self._generation_s
         for dependent, stage in enumerate(self._admitted.route.stages):
             if index in stage.after:
                 call_s = self._pools.get_call_s(stage.service, CALL_FILL_RATIO)
-                call_s += self._pools.get_shortest_wait_s(stage.service)
+                call_s += self._pools.get_shortest_wait_s(
+                    stage.service, self._admitted.priority
+                )
                 downstream_s = max(
                     downstream_s, call_s + self._get_downstream_s(dependent)
                 )
@@ -272,9 +313,10 @@
             self._pools.free_results(self._tasks.pop(index, ()))
 
 
-def new_stage_graph(admitted, pools, is_resumed=False):
+def new_stage_graph(admitted, pools, generation_s, is_resumed=False):
     """Return the graph of an admitted request, with no stage run yet.
 
-    `is_resumed` says that its answer was started and has to be continued.
+    `generation_s` is the time that is kept for the server after the stages,
+    `is_resumed` says that an answer was started and has to be continued.
     """
-    return StageGraph(admitted, pools, is_resumed)
+    return StageGraph(admitted, pools, generation_s, is_resumed)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -145,12 +145,16 @@
         self._inputs = ()
         if not self._admitted.route.stages:
             return None
-        pools = self._services.pools
         self._graph = graph_module.new_stage_graph(
-            self._admitted, pools, is_resumed=self._last_event is not None
+            self._admitted,
+            self._services.pools,
+            self._services.chooser.predict_first_event_s(
+                self._service, self._admitted.request
+            ),
+            is_resumed=self._last_event is not None,
         )
         if self._sends == 0:
-            refused = self._graph.check_deadline()
+            refused = self._graph.check_admission()
             if refused is not None:
                 return refused
         inputs = await self._graph.run()
@@ -382,7 +386,11 @@
             if not attempt.is_prefilled:
                 # The server no longer needs the inputs once it has sent its
                 # first event.
-                attempt.record_first_event()
+                attempt.record_first_event(
+                    self._services.chooser.get_first_event_estimate(
+                        self._service
+                    )
+                )
                 if self._graph is not None and self._graph.is_freed:
                     self._get_fetch_time().record_fetched()
                 self._free_inputs()
