Follow the store's era, and what engines say of leaving and pauses

An era that rises has all listed again, revisions compare within an era only, and a listing that lacks the version in force confirms nothing. A server that is seen to leave stays left in its incarnation, also when an older copy of the store shows it ready, and one that was removed comes back only with a record that is published anew.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -105,9 +105,25 @@
     inputs: tuple[str, ...] | None = None
 
 
+class ServerObserver(abc.ABC):
+    """Is told what servers say of themselves in their answers."""
+
+    @abc.abstractmethod
+    def record_leaving(self, published):
+        """Record that a server says itself that it is leaving."""
+
+    @abc.abstractmethod
+    def record_pause(self, published, pause_s):
+        """Record that a server wants no requests for `pause_s`."""
+
+
 class Gateway(abc.ABC):
     """A client of backend servers; implementations add the protocol."""
 
+    @abc.abstractmethod
+    def set_observer(self, observer):
+        """Set the `ServerObserver` of all answers."""
+
     @abc.abstractmethod
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -265,13 +265,14 @@
 class PoolWait(_Message):
     """The time that a piece would wait in a pool of a data centre.
 
-    `wait_ms` holds before all known priorities, `by_priority` has those of
-    work that can be in time, and `late_ms` that of work that can't.
+    `wait_ms` holds before all known priorities, `late_ms` for work that
+    can't be in time. `by_priority` has, for work that can, each priority
+    with its wait in ms and the load of it and better ones in percent.
     """
 
     service: str
     wait_ms: int
-    by_priority: list[tuple[int, int]] = []
+    by_priority: list[tuple[int, int, int]] = []
     late_ms: int = 0
 
 
--- a/greengagetrack/connection/source.py
+++ b/greengagetrack/connection/source.py
@@ -23,7 +23,9 @@
 
     `catalog` is None if it is unchanged or unreadable. `removed` has the
     ids of servers that are removed or whose record can't be read. With
-    `is_complete`, servers that are not listed are removed.
+    `is_complete`, servers that are not listed are removed. `era` rises when
+    the source was restored from an older copy; revisions compare within
+    one era only.
     """
 
     revision: int
@@ -32,6 +34,7 @@
     removed: tuple[str, ...] = ()
     is_complete: bool = False
     problems: tuple[str, ...] = ()
+    era: int = 0
 
 
 class Source(abc.ABC):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -10,8 +10,11 @@
 from greengagetrack.request import outcome
 
 FREE_TIMEOUT_S = 1.0
-MISDIRECTED_STATUS = 421
+# A server that asks for a longer pause is asked again after this.
+PAUSE_MAX_S = 60.0
 INPUT_GONE_STATUS = 409
+MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 _Reason = outcome.Reason
 _Ran = outcome.Ran
@@ -110,10 +113,26 @@
 class EngineGateway(gateway.Gateway):
     """A gateway that calls engines over persistent connections."""
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_observer", "_pool")
 
     def __init__(self, pool):
         self._pool = pool
+        self._observer = None
+
+    def set_observer(self, observer):
+        """Set the `ServerObserver` of all answers."""
+        self._observer = observer
+
+    def _observe(self, server, head):
+        """Tell the observer what an answer says of its server."""
+        if self._observer is None or head.status == MISDIRECTED_STATUS:
+            return
+        if _get_text(head, names.SERVER_LEAVING) == "1":
+            self._observer.record_leaving(server)
+        if head.status == UNAVAILABLE_STATUS:
+            pause_s = _read_seconds(_get_text(head, names.RETRY_AFTER))
+            if pause_s is not None:
+                self._observer.record_pause(server, pause_s)
 
     def drop_connections(self, server):
         """Close the idle connections to a server that was removed."""
@@ -137,6 +156,7 @@
             if isinstance(response_head, client.ResponseFailure):
                 return _convert_failure(response_head)
             call.update_idle_limit(response_head.headers)
+            self._observe(server, response_head)
             answer = EngineAnswer(call, response_head)
             return answer
         finally:
@@ -183,6 +203,7 @@
         if isinstance(response, gateway.Failure):
             return response
         head, data = response
+        self._observe(server, head)
         if head.status == 200:
             return data
         return gateway.Failure(
@@ -217,6 +238,20 @@
         return response
 
 
+def _get_text(head, name):
+    value = fields.get_value(head.headers, name.lower(), b"")
+    return value.decode("latin-1").strip()
+
+
+def _read_seconds(text):
+    """Return a non-negative number of seconds, or None."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return min(seconds, PAUSE_MAX_S) if seconds >= 0 else None
+
+
 def _is_response_to(head, request_id):
     echoed = fields.get_value(head.headers, names.REQUEST_ID.lower())
     return echoed is None or echoed == request_id
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -14,6 +14,9 @@
 PIECE_KEY = b"X-Piece-Key"
 INPUTS = b"X-Inputs"
 API_KEY = b"Api-Key"
+SERVER_LEAVING = b"Server-Leaving"
+STORE_ERA = b"Store-Era"
+RETRY_AFTER = b"Retry-After"
 
 # Not forwarded from callers: fields that only this system may set, or
 # whose values it replaces.
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -7,6 +7,7 @@
 import trio
 
 from greengagetrack.connection.http import client
+from greengagetrack.connection.http import fields
 from greengagetrack.connection import source
 from greengagetrack.platform import document
 from greengagetrack.platform import names
@@ -33,6 +34,13 @@
     current_rev: int
 
 
+class _Dated(msgspec.Struct):
+    """The content of an answer and the era that it belongs to."""
+
+    era: int
+    content: _Page | _Changes
+
+
 class StoreSource(source.Source):
     """A source of the configuration and server entries in the store."""
 
@@ -45,68 +53,84 @@
     async def list_all(self):
         """Return a complete `Update`, or `Unreachable`."""
         items = []
-        revision = None
+        first = None
         query = {"path_prefix": ""}
         for _page in range(PAGES_MAX):
-            page = await self._get(names.RANGE_PATH, query, _Page)
-            if isinstance(page, source.Unreachable):
-                return page
-            # Pages are not a snapshot: a later call of `list_changes` with
-            # the first page's revision returns what changed meanwhile.
-            revision = revision or page.current_rev
+            answer = await self._get(names.RANGE_PATH, query, _Page)
+            if not isinstance(answer, _Dated):
+                return answer
+            first = first or answer
+            if answer.era != first.era:
+                return source.Unreachable("restored between two pages")
+            page = answer.content
             items += page.items
             if not page.has_more or not page.items:
-                return _read_update(items, revision, is_complete=True)
+                # Pages are not a snapshot: a later call of `list_changes`
+                # with the first page's revision returns what changed
+                # meanwhile.
+                return _read_update(
+                    items,
+                    first.content.current_rev,
+                    first.era,
+                    is_complete=True,
+                )
             query["after"] = page.items[-1].key
         return source.Unreachable("too many pages")
 
     async def list_changes(self, revision):
         """Return `Update`, `HistoryLost` or `Unreachable`."""
         query = {"path_prefix": "", "after": revision, "wait_ms": 0}
-        changes = await self._get(names.WATCH_PATH, query, _Changes)
-        if not isinstance(changes, _Changes):
-            return changes
-        return _read_update(changes.events, changes.current_rev)
+        answer = await self._get(names.WATCH_PATH, query, _Changes)
+        if not isinstance(answer, _Dated):
+            return answer
+        changes = answer.content
+        return _read_update(changes.events, changes.current_rev, answer.era)
 
     async def _get(self, path, query, response_type):
+        """Return the `_Dated` content, `HistoryLost` or `Unreachable`."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        status, body = 0, b"no answer in time"
+        status, body, era = 0, b"no answer in time", 0
         with trio.move_on_after(CALL_TIMEOUT_S):
-            status, body = await self._call(target.encode())
+            status, body, era = await self._call(target.encode())
         if status == 410:
             return source.HistoryLost()
         if status != 200:
             return source.Unreachable(f"{status} {body[:80]!r}")
         try:
-            return msgspec.json.decode(body, type=response_type)
+            return _Dated(era, msgspec.json.decode(body, type=response_type))
         except (msgspec.MsgspecError, UnicodeError) as error:
             return source.Unreachable(f"invalid response: {error}")
 
     async def _call(self, target):
-        """Return the status and the body; status 0 means no response."""
+        """Return status, body and era; status 0 means no response."""
         host = self._address.encode()
         request = client.RequestHead(b"GET", target, [(b"Host", host)])
         call = await self._pool.open_call(self._address, request, b"")
         if not isinstance(call, client.Call):
-            return 0, call.detail.encode()
+            return 0, call.detail.encode(), 0
         try:
             response = await call.receive_response()
         finally:
             call.finish()
         if isinstance(response, client.ResponseFailure):
-            return 0, response.detail.encode()
+            return 0, response.detail.encode(), 0
         head, body = response
-        return head.status, body
+        return head.status, body, _read_era(head.headers)
+
+
+def _read_era(headers):
+    text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
+    return int(text) if text.isdigit() else 0
 
 
-def _read_update(items, revision, is_complete=False):
+def _read_update(items, revision, era, is_complete=False):
     """Return an `Update` with the last item of each key in `items`."""
     item_by_key = {item.key: item for item in items}
     servers, removed, problems = [], [], []
     catalog = None
     for key, item in item_by_key.items():
         if key == names.CONFIG_KEY and not item.tombstone:
-            catalog = document.read_config(base64.b64decode(item.value))
+            catalog = _read_catalog(item.value)
             if isinstance(catalog, str):
                 problems.append(catalog)
                 catalog = None
@@ -128,9 +152,18 @@
         removed=tuple(removed),
         is_complete=is_complete,
         problems=tuple(problems),
+        era=era,
     )
 
 
+def _read_catalog(value):
+    try:
+        data = base64.b64decode(value)
+    except ValueError as error:
+        return f"{names.CONFIG_KEY}: {error}"
+    return document.read_config(data)
+
+
 def _read_server(server_id, value):
     try:
         data = base64.b64decode(value)
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -164,7 +164,7 @@
         now = trio.current_time()
         call_s = self._get_typical_call_s()
         queue_forecast = self._get_forecast(usages, batching)
-        all_arrivals = self._rates.get_rate_before(forecast.LATE, now)
+        all_arrivals = self._rates.get_total(now)
         ahead = 0
         for group in self._queue:
             task = group.tasks[0]
@@ -173,7 +173,7 @@
                 ahead, all_arrivals if is_late else 0.0
             )
             start_s = now + wait_s + batching.call_ms / 1000
-            if start_s > task.deadline.at_s:
+            if start_s > task.deadline.at_s and not group.is_started:
                 for waiting_task in group.tasks:
                     waiting_task.complete(gateway_module.PieceFailure.LATE)
             else:
@@ -304,13 +304,14 @@
 
     def _record_call(self, server, batch, results, spent_ms, work_s):
         is_made = isinstance(results, list)
-        failed = 0
+        failures = []
         if is_made:
             server.record_success(spent_ms)
-            failed = sum(
-                isinstance(result, gateway_module.PieceFailure)
+            failures = [
+                result
                 for result in results
-            )
+                if isinstance(result, gateway_module.PieceFailure)
+            ]
         else:
             server.record_failed_call(results)
         _log.info(
@@ -321,7 +322,8 @@
                 "server": server.server_id,
                 "data_centre": self._data_centre,
                 "pieces": len(batch),
-                "failed": failed,
+                "failed": len(failures),
+                "reasons": sorted(set(failures)),
                 "requests": sorted({task.request_id for task in batch}),
                 "spent_ms": round(spent_ms, 1),
                 "work_ms": round(work_s * 1000, 1),
@@ -353,16 +355,21 @@
         self._retry(task, result)
 
     def _retry(self, task, failure):
-        if failure is not gateway_module.PieceFailure.NOT_TAKEN:
-            task.tries += 1
-        budget = self._budgets.get(self.service)
-        is_exhausted = task.tries >= TRIES_MAX or task.deadline.is_past()
-        if is_exhausted or not budget.try_acquire():
-            task.complete(failure)
+        if failure is gateway_module.PieceFailure.NO_ROOM:
+            # Nothing was tried; it waits for memory in a later call.
+            may_retry = not task.deadline.is_past()
         else:
-            group = group_module.PieceGroup([task])
-            group.is_started = True
-            self._queue.append(group)
+            if failure is not gateway_module.PieceFailure.NOT_TAKEN:
+                task.tries += 1
+            is_exhausted = task.tries >= TRIES_MAX or task.deadline.is_past()
+            budget = self._budgets.get(self.service)
+            may_retry = not is_exhausted and budget.try_acquire()
+        if not may_retry:
+            task.complete(failure)
+            return
+        group = group_module.PieceGroup([task])
+        group.is_started = True
+        self._queue.append(group)
 
     def free_results(self, server_id, handles):
         """Release results that are no longer needed.
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -22,12 +22,14 @@
 
     __slots__ = (
         "_directory",
+        "_is_source_behind",
         "_is_source_reachable",
         "_poll_period_s",
         "_random",
         "_source",
         "catalog",
         "catalog_changed",
+        "era",
         "lease",
         "revision",
     )
@@ -37,10 +39,12 @@
         self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
         self._directory = directory
         self._random = generator
+        self._is_source_behind = False
         self._is_source_reachable = None
         self.lease = lease
         self.catalog = None
         self.revision = None
+        self.era = 0
         self.catalog_changed = trio.Event()
 
     def get_catalog(self):
@@ -74,8 +78,7 @@
         self._update_reachability(answer)
         if isinstance(answer, source_module.Unreachable):
             return False
-        self._apply_update(answer, sent_s)
-        return True
+        return self._apply_update(answer, sent_s)
 
     def _update_reachability(self, answer):
         is_reachable = not isinstance(answer, source_module.Unreachable)
@@ -95,7 +98,26 @@
         )
 
     def _apply_update(self, update, sent_s):
-        if self.revision is not None and update.revision < self.revision:
+        """Apply an update; return whether it is as new as what is known."""
+        is_restored = update.era > self.era
+        if is_restored and not update.is_complete:
+            # The changes after a revision of another era say nothing.
+            _log.warning(
+                "source restored",
+                extra={
+                    "decision": "list again",
+                    "era": update.era,
+                    "known_era": self.era,
+                },
+            )
+            self.revision = None
+            return False
+        is_older = update.era < self.era or (
+            not is_restored
+            and self.revision is not None
+            and update.revision < self.revision
+        )
+        if is_older:
             # An older state doesn't confirm that the catalog is the newest.
             _log.warning(
                 "outdated answer",
@@ -103,19 +125,29 @@
                     "decision": "ignore",
                     "revision": update.revision,
                     "known_revision": self.revision,
+                    "era": update.era,
+                    "known_era": self.era,
                 },
             )
-            return
+            return True
         for problem in update.problems:
             _log.warning(
                 "published record unreadable",
                 extra={"decision": "ignore", "detail": problem},
             )
-        self._directory.apply_update(update)
+        # At the start, everything that is listed is new.
+        is_restored = is_restored and self.catalog is not None
+        self._directory.apply_update(update, is_restored)
         self._apply_catalog(update.catalog)
         self.revision = update.revision
-        if self.catalog is not None:
+        self.era = update.era
+        listed = update.catalog
+        if listed is not None:
+            # A restored source may lack the version that is in force.
+            self._is_source_behind = listed.version < self.get_version()
+        if self.catalog is not None and not self._is_source_behind:
             self.lease.confirm(sent_s)
+        return True
 
     def _apply_catalog(self, catalog):
         if catalog is None or catalog.version <= self.get_version():
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -128,9 +128,21 @@
         return self._first_event_by_service[service]
 
     def predict_first_event_s(self, service, request):
-        """Return the time that the server of lowest cost will take."""
-        choice = self.choose_server(service, request)
-        return 0.0 if choice is None else choice.wait_ms / 1000
+        """Return the time to the first event at the likely server.
+
+        That is the one with most of the prompt cached.
+        """
+        servers = self._get_candidates(service, ())
+        if not servers:
+            return 0.0
+        server = max(
+            servers,
+            key=lambda server: server.count_cached_tokens(request.parts),
+        )
+        cached_tokens = server.count_cached_tokens(request.parts)
+        new_tokens = max(request.prompt_tokens - cached_tokens, 0)
+        wait_ms, _ahead = self._predict_wait(server, request, new_tokens)
+        return wait_ms / 1000
 
     def _count_recently_cached_tokens(self, servers, parts):
         """Return the longest prefix, in tokens, that a server just cached."""
--- a/greengagetrack/process/direct/decisions/forecast.py
+++ b/greengagetrack/process/direct/decisions/forecast.py
@@ -29,10 +29,11 @@
 
     def count(self, priority, pieces, now_s):
         """Count pieces that arrive now."""
-        rate = self._get_rate(priority, now_s) + pieces / RATE_WINDOW_S
+        rate = self.get_rate(priority, now_s) + pieces / RATE_WINDOW_S
         self._rate_by_priority[priority] = (rate, now_s)
 
-    def _get_rate(self, priority, now_s):
+    def get_rate(self, priority, now_s):
+        """Return the pieces a second that arrive with a priority."""
         rate, at_s = self._rate_by_priority.get(priority, (0.0, now_s))
         return rate * math.exp((at_s - now_s) / RATE_WINDOW_S)
 
@@ -40,12 +41,11 @@
         """Return the priorities of all work so far, the first first."""
         return sorted(self._rate_by_priority)
 
-    def get_rate_before(self, priority, now_s):
-        """Return the pieces a second that arrive with a better priority."""
+    def get_total(self, now_s):
+        """Return the pieces a second that arrive with any priority."""
         return sum(
-            self._get_rate(other, now_s)
-            for other in self._rate_by_priority
-            if other < priority
+            self.get_rate(priority, now_s)
+            for priority in self._rate_by_priority
         )
 
 
@@ -59,41 +59,61 @@
     pieces_per_round: float
     round_s: float
 
+    @property
+    def pieces_per_s(self):
+        """The pieces that full calls make in a second."""
+        return self.pieces_per_round / self.round_s
+
     def get_wait_s(self, ahead, arrivals_per_s=0.0):
         """Return the time until a call with `ahead` pieces before it.
 
         `arrivals_per_s` pieces will arrive and go before it meanwhile.
         """
-        pieces_per_s = self.pieces_per_round / self.round_s
-        load = min(arrivals_per_s / pieces_per_s, LOAD_MAX)
+        load = min(arrivals_per_s / self.pieces_per_s, LOAD_MAX)
         # Pieces that fit into the current round wait for no later one.
         rounds = int(ahead / self.pieces_per_round)
         return self.next_free_s + rounds * self.round_s / (1 - load)
 
 
+class PriorityWait(msgspec.Struct, frozen=True):
+    """The wait of one priority, in seconds.
+
+    `load` is the share of the capacity that is taken by work of this and
+    of better priorities as it arrives; above 1 the wait grows.
+    """
+
+    priority: int
+    wait_s: float
+    load: float = 0.0
+
+
 class PoolWaits(msgspec.Struct, frozen=True):
     """The waits of a pool by priority, in seconds.
 
     `base_s` holds for a priority before all known ones, `late_s` for work
     that can't be in time any more::
 
-        waits = PoolWaits(0.1, ((0, 0.2), (2, 0.9)), 4.0)
+        waits = PoolWaits(0.1, (PriorityWait(0, 0.2), PriorityWait(2, 0.9)))
         assert waits.get(1) == 0.2
     """
 
     base_s: float
-    by_priority: tuple[tuple[int, float], ...] = ()
+    by_priority: tuple[PriorityWait, ...] = ()
     late_s: float = 0.0
 
     def get(self, priority):
         """Return the wait of a priority, or of late work with `LATE`."""
+        return self.get_later(priority, 0.0)
+
+    def get_later(self, priority, elapsed_s):
+        """Return the wait that new work will see after `elapsed_s`."""
         if priority == LATE:
             return self.late_s
-        wait_s = self.base_s
-        for known, known_wait_s in self.by_priority:
-            if known <= priority:
-                wait_s = known_wait_s
-        return wait_s
+        wait_s, load = self.base_s, 0.0
+        for known in self.by_priority:
+            if known.priority <= priority:
+                wait_s, load = known.wait_s, known.load
+        return max(wait_s + (load - 1) * elapsed_s, 0.0)
 
     def less(self, elapsed_s):
         """Return the waits that are left after `elapsed_s`."""
@@ -107,8 +127,8 @@
         return PoolWaits(
             change(self.base_s),
             tuple(
-                (priority, change(wait_s))
-                for priority, wait_s in self.by_priority
+                PriorityWait(known.priority, change(known.wait_s), known.load)
+                for known in self.by_priority
             ),
             change(self.late_s),
         )
@@ -124,15 +144,17 @@
     `waiting` is the number of all waiting pieces.
     """
     ahead = 0
-    by_priority = []
-    priorities = {*rates.get_priorities(), *on_time_by_priority}
-    for priority in sorted(priorities):
+    arrivals = 0.0
+    waits = []
+    for priority in sorted({*rates.get_priorities(), *on_time_by_priority}):
         ahead += on_time_by_priority.get(priority, 0)
-        arrivals = rates.get_rate_before(priority, now_s)
-        by_priority.append((priority, forecast.get_wait_s(ahead, arrivals)))
-    all_arrivals = rates.get_rate_before(LATE, now_s)
+        # Of the same priority, later work goes after this.
+        wait_s = forecast.get_wait_s(ahead, arrivals)
+        arrivals += rates.get_rate(priority, now_s)
+        load = arrivals / forecast.pieces_per_s
+        waits.append(PriorityWait(priority, wait_s, load))
     return PoolWaits(
         forecast.next_free_s,
-        tuple(by_priority),
-        forecast.get_wait_s(waiting, all_arrivals),
+        tuple(waits),
+        forecast.get_wait_s(waiting, arrivals),
     )
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -12,6 +12,7 @@
 from greengagetrack.process.direct.decisions import forecast
 
 WAIT_MAX_S = 30.0
+LOAD_MAX_PERCENT = 1000
 FORWARD_AGE_MAX_S = 4.0
 
 
@@ -176,7 +177,14 @@
     return messages.PoolWait(
         service,
         _to_ms(waits.base_s),
-        [(priority, _to_ms(wait)) for priority, wait in waits.by_priority],
+        [
+            (
+                known.priority,
+                _to_ms(known.wait_s),
+                min(int(known.load * 100), LOAD_MAX_PERCENT),
+            )
+            for known in waits.by_priority
+        ],
         _to_ms(waits.late_s),
     )
 
@@ -186,8 +194,8 @@
     return forecast.PoolWaits(
         message.wait_ms / 1000,
         tuple(
-            (priority, wait_ms / 1000)
-            for priority, wait_ms in message.by_priority
+            forecast.PriorityWait(priority, wait_ms / 1000, percent / 100)
+            for priority, wait_ms, percent in message.by_priority
         ),
         max(message.late_ms, message.wait_ms) / 1000,
     )
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -12,6 +12,8 @@
 import msgspec
 import trio
 
+from greengagetrack.connection import gateway
+
 SUSPECT_STEP_S = 1.0
 SUSPECT_MAX_S = 4.0
 FAILURE_WEIGHT = 0.2
@@ -23,6 +25,7 @@
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 6.0
 CACHED_PARTS_MAX = 2000
+GONE_SERVERS_MAX = 2000
 ANNOUNCED_PARTS_MAX = 256
 ANNOUNCED_TOKENS_MIN = 500
 ANNOUNCE_INTERVAL_S = 2.0
@@ -57,8 +60,10 @@
     __slots__ = (
         "failure_share",
         "cached_part_times",
+        "is_seen_leaving",
         "latency_ms",
         "outstanding",
+        "paused_until_s",
         "prefill_tokens",
         "published",
         "removal_due_s",
@@ -76,6 +81,8 @@
         self.latency_ms = None
         self.slowness = 1.0
         self.suspect_until_s = 0.0
+        self.is_seen_leaving = False
+        self.paused_until_s = 0.0
         self.unreachable_count = 0
         self.removal_due_s = None
         self.cached_part_times = {}
@@ -88,12 +95,11 @@
 
     def is_usable(self):
         """Return whether the server may get new work."""
-        if self.published.is_leaving:
+        if self.published.is_leaving or self.is_seen_leaving:
             return False
-        return (
-            self.removal_due_s is None
-            or self.removal_due_s > trio.current_time()
-        )
+        now = trio.current_time()
+        is_there = self.removal_due_s is None or self.removal_due_s > now
+        return is_there and now >= self.paused_until_s
 
     def is_suspect(self):
         """Return whether other servers are preferred at present."""
@@ -195,10 +201,11 @@
         return cached_tokens
 
 
-class Directory:
+class Directory(gateway.ServerObserver):
     """All known servers, by id and by service."""
 
     __slots__ = (
+        "_gone_by_id",
         "_on_removed",
         "_removal_grace_until_s",
         "_servers_by_service",
@@ -209,6 +216,7 @@
 
     def __init__(self, on_removed):
         self._on_removed = on_removed
+        self._gone_by_id = {}
         self.server_by_id = {}
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
@@ -317,10 +325,16 @@
             servers_by_service.setdefault(service, []).append(server)
         self._servers_by_service = servers_by_service
 
-    def apply_update(self, update):
-        """Apply an update from the source."""
+    def apply_update(self, update, is_restored=False):
+        """Apply an update from the source.
+
+        `is_restored` says that the source came back from an older copy.
+        Servers that are gone by then may be in it; those that live publish
+        their records again.
+        """
         for published in update.servers:
-            self._apply_server(published)
+            if not self._is_gone(published, is_restored):
+                self._apply_server(published)
         for server_id in update.removed:
             self._apply_removal(server_id)
         if update.is_complete:
@@ -332,6 +346,13 @@
         event, self.changed = self.changed, trio.Event()
         event.set()
 
+    def _is_gone(self, published, is_restored):
+        """Return whether a record is of a server that has left before."""
+        gone = self._gone_by_id.get(published.server_id)
+        if gone is None or gone.incarnation != published.incarnation:
+            return False
+        return is_restored or gone.is_leaving
+
     def _apply_server(self, published):
         server = self.server_by_id.get(published.server_id)
         if (
@@ -343,6 +364,9 @@
             return
         if server.published.is_leaving != published.is_leaving:
             self._log_change("server state changed", published)
+        if server.published.is_leaving and not published.is_leaving:
+            # A server that leaves never comes back in the same incarnation.
+            published = msgspec.structs.replace(published, is_leaving=True)
         server.published = published
         server.removal_due_s = None
 
@@ -365,9 +389,39 @@
                 and server.removal_due_s <= now
             ):
                 del self.server_by_id[server_id]
+                self._record_gone(server)
                 self._on_removed(server)
                 self._log_change("server removed", server.published)
 
+    def _record_gone(self, server):
+        is_leaving = server.published.is_leaving or server.is_seen_leaving
+        self._gone_by_id.pop(server.server_id, None)
+        self._gone_by_id[server.server_id] = msgspec.structs.replace(
+            server.published, is_leaving=is_leaving
+        )
+        while len(self._gone_by_id) > GONE_SERVERS_MAX:
+            self._gone_by_id.pop(next(iter(self._gone_by_id)))
+
+    def record_leaving(self, published):
+        """Record that a server says itself that it is leaving."""
+        server = self._get_same(published)
+        if server is not None and not server.is_seen_leaving:
+            server.is_seen_leaving = True
+            self._log_change("server says it leaves", published)
+
+    def record_pause(self, published, pause_s):
+        """Record that a server wants no requests for `pause_s`."""
+        server = self._get_same(published)
+        if server is not None:
+            server.paused_until_s = trio.current_time() + pause_s
+
+    def _get_same(self, published):
+        server = self.server_by_id.get(published.server_id)
+        if server is None:
+            return None
+        is_same = server.published.incarnation == published.incarnation
+        return server if is_same else None
+
     def _log_change(self, message, published):
         _log.info(
             message,
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -96,6 +96,7 @@
         self.directory = directory_module.new_directory(
             lambda server: gateway.drop_connections(server.published)
         )
+        gateway.set_observer(self.directory)
         self.catalog_watcher = catalog_watcher.new_catalog_watcher(
             source,
             self.directory,
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -33,6 +33,7 @@
 WAIT_MIN_S = 0.05
 REPORTED_WAIT_MAX_AGE_S = 2.0
 OWNER_CACHE_S = 0.05
+WAITS_CACHE_S = 0.03
 CALL_FILL_RATIO = 0.7
 
 
@@ -48,6 +49,8 @@
         "reported_waits",
         "sent_batches",
         "service",
+        "waits",
+        "waits_valid_until_s",
     )
 
     def __init__(self, service, data_centre, batcher):
@@ -59,12 +62,15 @@
         self.sent_batches = []
         self.owner = None
         self.owner_valid_until_s = -math.inf
+        self.waits = forecast.NO_SERVER_WAITS
+        self.waits_valid_until_s = -math.inf
 
     def update_waits(self, waits, reported_s):
         """Store the waits that the owner reported, unless outdated."""
         if reported_s < self.last_report_s:
             return
         self.reported_waits = waits
+        self.waits_valid_until_s = -math.inf
         self.last_report_s = reported_s
         self.sent_batches = [
             batch for batch in self.sent_batches if batch[0] > reported_s
@@ -162,6 +168,7 @@
         peer = self.get_owner(pool)
         if peer is not None:
             pool.sent_batches.append((trio.current_time(), len(tasks)))
+            pool.waits_valid_until_s = -math.inf
             if await self._peers.request_pieces(peer, pool, tasks):
                 return
         await pool.batcher.make_pieces(tasks)
@@ -199,13 +206,14 @@
         for service in services:
             pool = self.get_pool(service, centre)
             # A later stage sees the queue after the time of earlier stages.
-            pool_wait_s = self._get_wait_s(pool, priority)
-            if pool_wait_s == math.inf:
+            wait_s = self._get_waits(pool).get_later(priority, finish_s)
+            if wait_s == math.inf:
                 # The data centre has no server: another one takes the stage.
-                pool_wait_s = self._get_shortest_wait_s(service, priority)
+                wait_s = self._get_shortest_wait_s(service, priority)
                 finish_s += REMOTE_DELAY_S
-            wait_s = max(pool_wait_s - finish_s, WAIT_MIN_S)
-            finish_s += wait_s + self.get_call_s(service, CALL_FILL_RATIO)
+            finish_s += max(wait_s, WAIT_MIN_S) + self.get_call_s(
+                service, CALL_FILL_RATIO
+            )
         return finish_s
 
     def _get_transfer_cost(self, pool, tasks, inputs):
@@ -227,6 +235,14 @@
         return self._get_waits(pool).get(priority)
 
     def _get_waits(self, pool):
+        """Return the `PoolWaits`, cached briefly: a request asks often."""
+        now = trio.current_time()
+        if now >= pool.waits_valid_until_s:
+            pool.waits = self._find_waits(pool)
+            pool.waits_valid_until_s = now + WAITS_CACHE_S
+        return pool.waits
+
+    def _find_waits(self, pool):
         if self.get_owner(pool) is None:
             return pool.batcher.get_waits()
         batching = self.get_batching(pool.service)
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -157,8 +157,17 @@
     async def _make_pieces(self, index, stage):
         inputs = self._get_handles(stage.after) if stage.after else None
         downstream_s = self._get_downstream_s(index)
+        target_s = self._get_target_s()
+        # Later than this, or once its inputs have expired, a piece is of no
+        # use and would only take the place of another one in a call.
+        last_s = min(
+            self._admitted.deadline.at_s - downstream_s,
+            self._get_inputs_expiry_s(index),
+        )
         tasks = [
-            self._new_task(index, number, inputs, downstream_s)
+            self._new_task(
+                index, number, inputs, target_s - downstream_s, last_s
+            )
             for number in range(self._count_pieces(index))
         ]
         self._tasks[index] = tasks
@@ -172,7 +181,7 @@
             tasks,
             input_tasks,
             self._get_dependent_services(index),
-            self._get_target_s() - self._generation_s,
+            target_s - self._generation_s,
         )
         for task in tasks:
             if isinstance(task.result, gateway.PieceFailure):
@@ -205,18 +214,13 @@
         tasks = self._tasks.get(index, ())
         return bool(tasks) and all(task.done.is_set() for task in tasks)
 
-    def _new_task(self, index, number, inputs, downstream_s):
+    def _new_task(self, index, number, inputs, due_s, last_s):
         request = self._admitted.request
         task = piece.PieceTask(
             request.log_id, index, number, request.piece_key, inputs
         )
-        # Later than this, or once its inputs have expired, a piece is of no
-        # use and would only take the place of another one in a call.
-        at_s = self._admitted.deadline.at_s - downstream_s
-        task.deadline = deadline_module.Deadline(
-            min(at_s, self._get_inputs_expiry_s(index))
-        )
-        task.due_s = self._get_target_s() - downstream_s
+        task.deadline = deadline_module.Deadline(last_s)
+        task.due_s = due_s
         task.priority = self._admitted.priority
         # The caller is already reading this answer and waits for the rest.
         task.is_resumed = self._is_resumed
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import msgspec
+
 from greengagetrack.request.direct import outcome as direct_outcome
 
 _log = logging.getLogger(__name__)
@@ -49,7 +51,19 @@
     )
 
 
-def log_outcome(admitted, sends, spent_ms, outcome):
+class RunTimes(msgspec.Struct, frozen=True):
+    """How long a run took, in seconds from its start.
+
+    `stages_s` is the time in its stages, `first_event_s` is None if it had
+    no event.
+    """
+
+    spent_s: float
+    stages_s: float
+    first_event_s: float | None
+
+
+def log_outcome(admitted, sends, times, outcome):
     """Log the outcome of a request."""
     is_whole = isinstance(outcome, direct_outcome.Relayed)
     level = logging.INFO if is_whole else logging.WARNING
@@ -64,7 +78,10 @@
             "reason": getattr(outcome, "reason", ""),
             "detail": getattr(outcome, "detail", ""),
             "status": getattr(outcome, "status", 0),
-            "spent_ms": round(spent_ms, 1),
+            "spent_ms": round(times.spent_s * 1000, 1),
+            "stages_ms": round(times.stages_s * 1000, 1),
+            "first_event_ms": round((times.first_event_s or 0) * 1000, 1),
+            "priority": admitted.priority,
             "sends": sends,
             "left_ms": admitted.deadline.get_left_ms(),
             "catalog_version": admitted.catalog_version,
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -48,6 +48,7 @@
         "_admitted",
         "_attempts",
         "_excluded",
+        "_first_event_s",
         "_graph",
         "_input_bytes",
         "_inputs",
@@ -60,6 +61,7 @@
         "_service",
         "_services",
         "_splitter",
+        "_stages_s",
         "_started_s",
     )
 
@@ -79,6 +81,8 @@
         self._last_event = None
         self._last_failure = None
         self._splitter = None
+        self._stages_s = 0.0
+        self._first_event_s = None
         self._started_s = trio.current_time()
 
     async def run(self):
@@ -157,7 +161,9 @@
             refused = self._graph.check_admission()
             if refused is not None:
                 return refused
+        started_s = trio.current_time()
         inputs = await self._graph.run()
+        self._stages_s += trio.current_time() - started_s
         if isinstance(inputs, outcome_module.Refused):
             return inputs
         self._inputs = inputs
@@ -383,6 +389,8 @@
                 return self._handle_failure(attempt, part, is_counted=True)
             if part is None:
                 return await self._finish_events(attempt, answer)
+            if self._first_event_s is None:
+                self._first_event_s = trio.current_time()
             if not attempt.is_prefilled:
                 # The server no longer needs the inputs once it has sent its
                 # first event.
@@ -404,11 +412,15 @@
         )
 
     def _record_outcome(self, outcome):
-        spent_ms = (trio.current_time() - self._started_s) * 1000
+        spent_s = trio.current_time() - self._started_s
         self._services.metrics.record_outcome(
-            self._admitted.route, outcome, spent_ms
+            self._admitted.route, outcome, spent_s * 1000
         )
-        request_log.log_outcome(self._admitted, self._sends, spent_ms, outcome)
+        first_event_s = None
+        if self._first_event_s is not None:
+            first_event_s = self._first_event_s - self._started_s
+        times = request_log.RunTimes(spent_s, self._stages_s, first_event_s)
+        request_log.log_outcome(self._admitted, self._sends, times, outcome)
 
     def _get_event_timeout_s(self):
         route = self._admitted.route
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -126,6 +126,9 @@
         self.free_s = 0.0
         self.is_free_lost = False
 
+    def set_observer(self, observer):
+        self.observer = observer
+
     async def open_answer(self, server, request):
         self.sent.append((server.server_id, request))
         answer = self.script.pop(0) if self.script else ScriptedAnswer()
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -142,6 +142,26 @@
     _run(check)
 
 
+def test_pieces_wait_for_memory_that_an_earlier_owner_uses():
+    """After a restart of an owner, 76 pieces found no room in 2 s."""
+    failure = gateway.PieceFailure.NO_ROOM
+
+    async def check(nursery, fake_entry, batcher):
+        tasks = _new_tasks("a", 4, size=200)
+        nursery.start_soon(batcher.make_pieces, tasks)
+        for _round in range(40):
+            await trio.sleep(0.1)
+            batcher.wake()
+        assert [task.result for task in tasks] == ["a0", "a1", "a2", "a3"]
+
+    def call_handler(_server, pieces):
+        if trio.current_time() < 1.5:
+            return [failure] * len(pieces)
+        return [f"a{piece.number}" for piece in pieces]
+
+    _run(check, call_handler=call_handler)
+
+
 def test_small_results_overtake_large_ones_that_wait_for_memory():
     async def check(nursery, fake_entry, batcher):
         await batcher.make_pieces(_new_tasks("held", 3, size=300))
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -22,7 +22,14 @@
 ENTRIES_PER_CENTRE = 4
 DELAY_S = 0.012
 BOUND_S = 4.0
-WAITS = forecast.PoolWaits(0.5, ((0, 0.625), (2, 1.25)), 4.0)
+WAITS = forecast.PoolWaits(
+    0.5,
+    (
+        forecast.PriorityWait(0, 0.625, 0.5),
+        forecast.PriorityWait(2, 1.25, 1.25),
+    ),
+    4.0,
+)
 
 
 class FakePool:
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -187,10 +187,10 @@
 
     async def handle(exchange):
         targets.append(exchange.target)
-        status, body = remaining.pop(0)
+        status, body, *headers = remaining.pop(0)
         if status is None:
             await trio.sleep_forever()
-        await exchange.answer(status, [], json.dumps(body).encode())
+        await exchange.answer(status, headers, json.dumps(body).encode())
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -236,6 +236,96 @@
     )
 
 
+def test_answers_of_the_store_carry_its_era():
+    async def check(source, targets):
+        assert (await source.list_all()).era == 3
+        assert (await source.list_changes(1)).era == 4
+        restored = await source.list_all()
+        assert isinstance(restored, source_module.Unreachable)
+
+    era = b"Store-Era"
+    page = {"items": [_new_item("servers/i-1", ENTRY)], "current_rev": 1}
+    more = {**page, "has_more": True}
+    _run_with_store(
+        [
+            (200, page, (era, b"3")),
+            (200, {"events": [], "current_rev": 1}, (era, b"4")),
+            (200, more, (era, b"4")),
+            (200, page, (era, b"5")),
+        ],
+        check,
+    )
+
+
+def test_a_configuration_that_is_no_base64_is_a_problem():
+    async def check(source, targets):
+        update = await source.list_all()
+        assert len(update.problems) == 1
+        assert update.catalog is None
+
+    item = {"key": "op/config", "revision": 1, "value": "a"}
+    _run_with_store([(200, {"items": [item], "current_rev": 1})], check)
+
+
+class Observer(gateway.ServerObserver):
+    """Records what servers say of themselves."""
+
+    def __init__(self):
+        self.leaving = []
+        self.pauses = []
+
+    def record_leaving(self, published):
+        self.leaving.append(published.server_id)
+
+    def record_pause(self, published, pause_s):
+        self.pauses.append((published.server_id, pause_s))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "leaving", "pauses"),
+    [
+        (200, [(b"Server-Leaving", b"1")], ["i-1"], []),
+        (503, [(b"Retry-After", b"2.5")], [], [("i-1", 2.5)]),
+        (503, [(b"Retry-After", b"soon")], [], []),
+        (503, [(b"Retry-After", b"-1")], [], []),
+        (200, [(b"Retry-After", b"2.5")], [], []),
+        # Another server's answer says nothing of the one that was asked.
+        (421, [(b"Server-Leaving", b"1")], [], []),
+    ],
+)
+def test_what_engines_say_of_themselves_is_observed(
+    status, headers, leaving, pauses
+):
+    async def handle(exchange):
+        await exchange.answer(status, headers, b"{}")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = server_module.new_server("", handle, catalog.CallerLimits)
+            address = await loopback.start_raw_server(
+                nursery, server.serve_connection
+            )
+            engine_gateway = engines.new_engine_gateway(
+                client.new_pool(nursery)
+            )
+            observer = Observer()
+            engine_gateway.set_observer(observer)
+            published = gateway.Server("i-1", "svc", address, "z")
+            host = [(b"Host", b"h")]
+            request = gateway.ServerRequest(
+                b"rid", b"GET", b"/", host, b"", 500
+            )
+            answer = await engine_gateway.open_answer(published, request)
+            answer.finish()
+            await engine_gateway.run_pieces(published, [])
+            nursery.cancel_scope.cancel()
+        # Both calls, the request and the one for pieces, are observed.
+        assert observer.leaving == leaving * 2
+        assert observer.pauses == pauses * 2
+
+    trio.run(main)
+
+
 def test_list_changes_returns_removals_and_problems():
     async def check(source, targets):
         update = await source.list_changes(10)
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -204,6 +204,151 @@
     fakes.run_with_mock_clock(check)
 
 
+def _run_directory(check):
+    async def main(_nursery):
+        directory = directory_module.new_directory(lambda server: None)
+        await check(directory)
+
+    fakes.run_with_mock_clock(main)
+
+
+def _list_servers(directory, *servers, is_restored=False):
+    update = source_module.Update(1, servers=servers, is_complete=True)
+    directory.apply_update(update, is_restored)
+
+
+def _get_ids(directory):
+    return sorted(server.server_id for server in directory.get_servers("svc"))
+
+
+def test_a_server_that_says_it_leaves_gets_no_new_work():
+    async def check(directory):
+        server = fakes.new_server("s1")
+        _list_servers(directory, server, fakes.new_server("s2"))
+        directory.record_leaving(server)
+        assert _get_ids(directory) == ["s2"]
+        # Its record may still say for a while that it is ready.
+        _list_servers(directory, server, fakes.new_server("s2"))
+        assert _get_ids(directory) == ["s2"]
+        restarted = fakes.new_server("s1", incarnation=2)
+        _list_servers(directory, restarted, fakes.new_server("s2"))
+        assert _get_ids(directory) == ["s1", "s2"]
+
+    _run_directory(check)
+
+
+def test_an_answer_of_another_incarnation_says_nothing_of_a_server():
+    async def check(directory):
+        _list_servers(directory, fakes.new_server("s1", incarnation=2))
+        directory.record_leaving(fakes.new_server("s1", incarnation=1))
+        directory.record_pause(fakes.new_server("s1", incarnation=1), 5.0)
+        assert _get_ids(directory) == ["s1"]
+
+    _run_directory(check)
+
+
+def test_a_server_that_asks_for_a_pause_gets_no_requests_until_its_end():
+    async def check(directory):
+        server = fakes.new_server("s1")
+        _list_servers(directory, server)
+        directory.record_pause(server, 3.0)
+        await trio.sleep(2.9)
+        assert _get_ids(directory) == []
+        await trio.sleep(0.2)
+        assert _get_ids(directory) == ["s1"]
+
+    _run_directory(check)
+
+
+def test_a_restored_source_brings_no_server_back_that_has_left():
+    async def check(directory):
+        left, removed = fakes.new_server("s1"), fakes.new_server("s2")
+        alive = fakes.new_server("s3")
+        _list_servers(directory, left, removed, alive)
+        leaving = fakes.new_server("s1", is_leaving=True)
+        _list_servers(directory, leaving, removed, alive)
+        _list_servers(directory, alive)
+        assert _get_ids(directory) == ["s3"]
+        _list_servers(directory, left, removed, alive, is_restored=True)
+        assert _get_ids(directory) == ["s3"]
+        # A record that is published again is that of a living server, but
+        # one that was leaving never comes back in the same incarnation.
+        _list_servers(directory, left, removed, alive)
+        assert _get_ids(directory) == ["s2", "s3"]
+
+    _run_directory(check)
+
+
+def test_a_leaving_record_is_not_taken_back_by_an_older_copy():
+    async def check(directory):
+        _list_servers(directory, fakes.new_server("s1", is_leaving=True))
+        _list_servers(directory, fakes.new_server("s1"), is_restored=True)
+        assert _get_ids(directory) == []
+
+    _run_directory(check)
+
+
+def _poll(*answers):
+    """Return the watcher and the source after polls of `answers`."""
+    results = []
+
+    async def main(_nursery):
+        directory = directory_module.new_directory(lambda server: None)
+        source = fakes.FakeSource(*answers)
+        watcher = catalog_watcher.new_catalog_watcher(
+            source,
+            directory,
+            freshness.new_freshness_lease(LEASE_S),
+            2.5,
+            random.Random(1),
+        )
+        for _answer in answers:
+            await watcher._poll_once()
+        results.extend((watcher, source))
+
+    fakes.run_with_mock_clock(main)
+    return results
+
+
+def _new_update(revision, version, era, is_complete=True):
+    return source_module.Update(
+        revision,
+        catalog=version and fakes.new_catalog(version),
+        era=era,
+        is_complete=is_complete,
+    )
+
+
+def test_an_era_that_rises_has_everything_listed_again():
+    watcher, source = _poll(
+        _new_update(90, 7, 1),
+        _new_update(40, None, 2, is_complete=False),
+        _new_update(40, 8, 2),
+    )
+    assert source.requests == ["all", 90, "all"]
+    assert (watcher.get_version(), watcher.revision) == (8, 40)
+    assert watcher.lease.is_fresh()
+
+
+def test_a_restored_source_without_the_version_in_force_confirms_nothing():
+    watcher, _source = _poll(_new_update(90, 7, 1), _new_update(40, 6, 2))
+    age_s = watcher.lease.get_age_s()
+    assert watcher.get_version() == 7
+    assert watcher._is_source_behind
+    watcher, _source = _poll(
+        _new_update(90, 7, 1),
+        _new_update(40, 6, 2),
+        _new_update(41, 7, 2, is_complete=False),
+    )
+    assert not watcher._is_source_behind
+    assert age_s is not None
+
+
+def test_an_answer_of_an_earlier_era_is_ignored():
+    watcher, _source = _poll(_new_update(40, 7, 2), _new_update(90, 9, 1))
+    assert (watcher.get_version(), watcher.era) == (7, 2)
+
+
 def test_restarted_server_starts_without_observed_state():
     async def check(_nursery):
         directory = directory_module.new_directory(lambda server: None)
