--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -77,7 +77,7 @@
         admitted = self._admitted
         now = trio.current_time()
         return admission.Prospect(
-            needed_s=self._predict_needed_s(chains, admitted.priority),
+            needed_s=self._predict_needed_s(chains, admitted.queue_priority),
             late_needed_s=self._predict_needed_s(chains, forecast.LATE),
             target_left_s=admitted.target_time_s - now - self._generation_s,
             deadline_left_s=admitted.deadline.get_left_s()
@@ -221,7 +221,7 @@
         )
         task.deadline = deadline_module.Deadline(last_s)
         task.due_s = due_s
-        task.priority = self._admitted.priority
+        task.priority = self._admitted.queue_priority
         # The caller is already reading this answer and waits for the rest.
         task.is_resumed = self._is_resumed
         stage = self._admitted.route.stages[index]
@@ -259,7 +259,7 @@
             if index in stage.after:
                 call_s = self._pools.get_call_s(stage.service, CALL_FILL_RATIO)
                 call_s += self._pools.get_shortest_wait_s(
-                    stage.service, self._admitted.priority
+                    stage.service, self._admitted.queue_priority
                 )
                 downstream_s = max(
                     downstream_s, call_s + self._get_downstream_s(dependent)
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -56,6 +56,15 @@
                 return self.organisation.priority
         return self.route.priority
 
+    @property
+    def queue_priority(self):
+        """The priority among requests that wait, 0 is the first.
+
+        Where organisations have priorities, most requests have the same;
+        then the kinds of requests differ by those of their routes.
+        """
+        return self.priority + self.route.priority
+
     @property
     def target_time_s(self):
         """The target time of the answer, on the clock of this process."""
