--- a/greengagetrack/process/direct/linear_estimate.py
+++ b/greengagetrack/process/direct/linear_estimate.py
@@ -1,6 +1,9 @@
 """An online estimate of a time that grows linearly with the work."""
 
 FORGET_FACTOR = 0.99
+OUTLIER_FACTOR = 4.0
+EXPECTED_POINT_WEIGHT = 4.0
+VARIANCE_SHARE_MIN = 1e-6
 
 
 class LinearEstimate:
@@ -28,7 +31,7 @@
 
     def record(self, units, spent):
         """Learn from work of `units` that took `spent`."""
-        spent = min(spent, OUTLIER_FACTOR * max(self.predict(units), 1e-9))
+        spent = min(spent, OUTLIER_FACTOR * self.predict(units))
         point = (1.0, units, spent, units * units, units * spent)
         self._sums = [
             total * FORGET_FACTOR + value
@@ -37,27 +40,24 @@
         self._solve()
 
     def _solve(self):
+        """Fit the line of least squares; keep its slope without variance."""
         count, units, spent, squares, products = self._sums
         variance = squares * count - units * units
-        if variance > 1e-6 * squares * count:
+        if variance > VARIANCE_SHARE_MIN * squares * count:
             slope = (products * count - units * spent) / variance
             self.per_unit = max(slope, 0.0)
         self.fixed = max((spent - self.per_unit * units) / count, 0.0)
 
 
-OUTLIER_FACTOR = 4.0
-
-
 def new_linear_estimate(fixed, per_unit, typical_units):
     """Return an estimate that expects a fixed time and a time per unit."""
     end = fixed + per_unit * typical_units
-    # Two points count as two measurements each.
-    return LinearEstimate(
-        [
-            4.0,
-            2.0 * typical_units,
-            2.0 * (fixed + end),
-            2.0 * typical_units**2,
-            2.0 * typical_units * end,
-        ]
-    )
+    # One point without work, one with the typical amount.
+    sums = [
+        2.0,
+        typical_units,
+        fixed + end,
+        typical_units**2,
+        typical_units * end,
+    ]
+    return LinearEstimate([EXPECTED_POINT_WEIGHT * value for value in sums])
