Let a peer that is slow to report finish what it has begun

Cause: pieces that were asked of a pool owner were made again here once it was silent for 1.3 s. New work goes to the next in rank after 1.3 s as before; begun work is waited for until the link is down or 3.2 s have passed.

--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -16,6 +16,8 @@
 
 LOCAL_SILENCE_MAX_S = 1.3
 REMOTE_SILENCE_MAX_S = 3.2
+# A peer that is slow to report may still be at work for this entry.
+WORK_SILENCE_MAX_S = 3.2
 PEER_EXPIRY_S = 30.0
 PEERS_MAX = 2000
 DELEGATE_KEY = "speaker"  # hashed: must be the same on all entries
@@ -74,7 +76,13 @@
         if self.last_contact_s is None or self.is_leaving:
             return False
         limit_s = LOCAL_SILENCE_MAX_S if is_local else REMOTE_SILENCE_MAX_S
-        return trio.current_time() - self.last_contact_s < limit_s
+        return self.get_silence_s() < limit_s
+
+    def get_silence_s(self):
+        """Return the time since the last contact."""
+        if self.last_contact_s is None:
+            return math.inf
+        return trio.current_time() - self.last_contact_s
 
 
 class Members:
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -248,8 +248,12 @@
         await link.request(message, REQUEST_TIMEOUT_S)
 
     def _is_reachable(self, peer):
-        is_local = self.members.is_local(peer)
-        if not peer.is_alive(is_local) and not peer.is_leaving:
+        """Return whether work that a peer has begun may still end there.
+
+        New work goes to the next in rank sooner; what has begun would only
+        be done twice.
+        """
+        if peer.get_silence_s() >= members_module.WORK_SILENCE_MAX_S:
             return False
         return self._links.get_link(peer.address).is_up()
 
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -374,3 +374,78 @@
             assert task.result_bytes == other.result_bytes
 
     fakes.run_with_mock_clock(check)
+
+
+class SlowLinks:
+    """Links to a peer that makes pieces, but sends no digests meanwhile."""
+
+    def __init__(self, work_s):
+        self.requests = 0
+        self.is_connected = True
+        self._work_s = work_s
+
+    def get_link(self, _address):
+        """Return the link to the only peer."""
+        return self
+
+    def is_up(self):
+        """Return whether the peer is connected."""
+        return self.is_connected
+
+    async def request(self, message, timeout_s):
+        """Make the pieces of `message`."""
+        self.requests += 1
+        await trio.sleep(self._work_s)
+        made = [messages.PieceResult("h", "s1") for _piece in message.numbers]
+        return messages.MakePiecesReply(made)
+
+
+def _request_from_silent_peer(work_s, down_after_s=None):
+    """Return whether pieces came from a peer, and after how long."""
+    results = []
+
+    async def check(nursery):
+        links = SlowLinks(work_s)
+        settings = types.SimpleNamespace(
+            name="me",
+            peer_address="me:1",
+            data_centre="a",
+            cores=1.0,
+            seeds=(),
+        )
+        directory = directory_module.new_directory(lambda _server: None)
+        peers = peers_module.new_peers(settings, links, None, None, directory)
+        peer = peers.members.get_or_add("p:1")
+        peer.last_contact_s = trio.current_time()
+        task = piece_module.PieceTask("request", 0, 0, "key", None)
+        task.deadline = deadline_module.new_deadline(8000)
+
+        async def cut():
+            await trio.sleep(down_after_s)
+            links.is_connected = False
+
+        if down_after_s is not None:
+            nursery.start_soon(cut)
+        is_made = await peers.request_pieces(peer, FakePool("s", "a"), [task])
+        results.extend((is_made, trio.current_time(), links.requests))
+
+    fakes.run_with_mock_clock(check)
+    is_made, spent_s, requests = results
+    assert requests == 1
+    return is_made, spent_s
+
+
+def test_work_of_a_peer_that_is_slow_to_report_is_not_done_again():
+    """Owners with little processor time were given up after 1.3 s."""
+    is_made, spent_s = _request_from_silent_peer(work_s=2.5)
+    assert is_made
+    assert abs(spent_s - 2.5) < 0.1
+
+
+def test_work_of_a_peer_that_is_lost_is_done_elsewhere():
+    is_made, spent_s = _request_from_silent_peer(work_s=60.0)
+    assert not is_made
+    assert spent_s < members_module.WORK_SILENCE_MAX_S + 0.2
+    is_made, spent_s = _request_from_silent_peer(60.0, down_after_s=0.5)
+    assert not is_made
+    assert spent_s < 0.7
