Compute what a data centre tells others at most five times a second

Tried and dropped: caching the whole digest with its age; members then counted as lost in between (test of the peers' polls).

--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -14,6 +14,7 @@
 WAIT_MAX_S = 30.0
 LOAD_MAX_PERCENT = 1000
 FORWARD_AGE_MAX_S = 4.0
+CENTRE_WORK_CACHE_S = 0.2
 
 
 class CentreRecord(msgspec.Struct):
@@ -23,12 +24,21 @@
     created_s: float
 
 
+class CentreWork(msgspec.Struct):
+    """The waits of this data centre's pools and its loads at servers."""
+
+    valid_until_s: float
+    waits: list = []
+    loads: list = []
+
+
 class Digests:
     """Builds this entry's digests and applies those of its peers."""
 
     __slots__ = (
         "_catalog_watcher",
         "_centre_by_name",
+        "_centre_work",
         "_directory",
         "_lease",
         "_members",
@@ -45,6 +55,7 @@
         self._catalog_watcher = catalog_watcher
         self._directory = directory
         self._centre_by_name = {}
+        self._centre_work = CentreWork(0.0)
         self.pools = None
 
     def get_created_s(self, data_centre):
@@ -90,20 +101,36 @@
         )
 
     def _new_centre(self):
-        local_names = [
-            peer.name
-            for peer in self._members.get_live_peers(self._members.data_centre)
-        ]
+        work = self._get_centre_work()
         return messages.CentreDigest(
             data_centre=self._members.data_centre,
             age_ms=0,
             members=self._members.get_local_members(
                 self._catalog_watcher.get_version()
             ),
-            waits=_new_pool_waits(self.pools.get_local_pool_waits()),
-            loads=self._directory.get_data_centre_loads(local_names),
+            waits=work.waits,
+            loads=work.loads,
         )
 
+    def _get_centre_work(self):
+        """Return the work in this data centre, cached briefly.
+
+        Entries of all other data centres get the same.
+        """
+        now = trio.current_time()
+        if now >= self._centre_work.valid_until_s:
+            members = self._members
+            names = [
+                peer.name
+                for peer in members.get_live_peers(members.data_centre)
+            ]
+            self._centre_work = CentreWork(
+                now + CENTRE_WORK_CACHE_S,
+                _new_pool_waits(self.pools.get_local_pool_waits()),
+                self._directory.get_data_centre_loads(names),
+            )
+        return self._centre_work
+
     def _get_centres_since(self, since_s):
         now = trio.current_time()
         centres = []
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -341,7 +341,7 @@
     def get_owned_pool_waits(self):
         """Return the waits of the local pools that this entry owns."""
         return [
-            (pool.service, pool.batcher.get_waits())
+            (pool.service, self._get_waits(pool))
             for pool in self._pool_by_key.values()
             if pool.data_centre == self._data_centre
             and self.get_owner(pool) is None
