Split the run, the batcher and the directory by their jobs

Moves only, but for one fault seen while reading: the end of a stream that no other server can resume was counted from its last event, so one that stalled for more than a second in an event could be cut before its deadline (test added). The choice of pieces for a call and of those that can't begin in time stand with the other decisions; what is known of one server, and the relay of events, have modules of their own.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -12,6 +12,7 @@
 from greengagetrack.process.direct import daemon
 from greengagetrack.process.direct import directory
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import known_server
 from greengagetrack.request.direct import run as run_module
 
 
@@ -45,7 +46,7 @@
 
 def _use_leaving():
     """Send new work to servers that are leaving."""
-    directory.KnownServer.is_usable = lambda self: True
+    known_server.KnownServer.is_usable = lambda self: True
     directory.Directory._apply_removal = lambda self, server_id: None
 
 
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.process.direct.decisions import batch as batch_choice
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import queue_order
 from greengagetrack.process.direct import group as group_module
@@ -121,6 +122,7 @@
                 sum(usage.typical_batch for usage in usages), 1.0
             ),
             round_s=batching.get_call_s(batching.batch_max),
+            start_s=batching.call_ms / 1000,
         )
 
     def _get_batching(self):
@@ -162,22 +164,16 @@
     def _fail_unreachable_deadlines(self, usages, batching):
         """Fail groups whose work could not start before their deadline."""
         now = trio.current_time()
-        call_s = self._get_typical_call_s()
-        queue_forecast = self._get_forecast(usages, batching)
-        all_arrivals = self._rates.get_total(now)
-        ahead = 0
-        for group in self._queue:
-            task = group.tasks[0]
-            is_late = queue_order.is_late(task.due_s, call_s, now)
-            wait_s = queue_forecast.get_wait_s(
-                ahead, all_arrivals if is_late else 0.0
-            )
-            start_s = now + wait_s + batching.call_ms / 1000
-            if start_s > task.deadline.at_s and not group.is_started:
-                for waiting_task in group.tasks:
-                    waiting_task.complete(gateway_module.PieceFailure.LATE)
-            else:
-                ahead += len(group.tasks)
+        unreachable_groups = queue_order.find_unreachable(
+            self._queue,
+            self._get_forecast(usages, batching),
+            self._rates.get_total(now),
+            self._get_typical_call_s(),
+            now,
+        )
+        for group in unreachable_groups:
+            for task in group.tasks:
+                task.complete(gateway_module.PieceFailure.LATE)
         self._drop_completed()
 
     def _drop_completed(self):
@@ -231,47 +227,15 @@
     def _pop_batch(self, usage, batching):
         """Remove the pieces of the next call from the queue; return them."""
         usage.release_expired()
-        may_split_any = queue_order.may_split_groups(
-            self.count_waiting(), batching.batch_max
+        batch = batch_choice.pop_batch(
+            self._queue,
+            batching.batch_max,
+            usage.get_free_bytes(batching.result_memory_bytes),
         )
-        batch = []
-        for group in self._queue:
-            free_places = batching.batch_max - len(batch)
-            if free_places <= 0:
-                break
-            fitting_count = min(
-                self._count_fitting(usage, group, batching), free_places
-            )
-            # Split a group only if it is too large for one call, is partly
-            # sent, or starts the batch. Small results may overtake large
-            # ones that wait for memory.
-            may_split = (
-                may_split_any
-                or group.is_started
-                or len(group.tasks) > batching.batch_max
-            )
-            fits_whole = fitting_count == len(group.tasks)
-            if not fitting_count or not (fits_whole or may_split or not batch):
-                continue
-            fitting_tasks = group.tasks[:fitting_count]
-            del group.tasks[:fitting_count]
-            group.is_started = True
-            batch += fitting_tasks
-            usage.used_bytes += sum(
-                task.result_bytes for task in fitting_tasks
-            )
+        usage.used_bytes += sum(task.result_bytes for task in batch)
         self._queue = [group for group in self._queue if group.tasks]
         return batch
 
-    def _count_fitting(self, usage, group, batching):
-        """Return how many results of a group fit into a server's memory."""
-        count = len(group.tasks)
-        result_bytes = group.tasks[0].result_bytes
-        if not (batching.result_memory_bytes and result_bytes):
-            return count
-        free_bytes = usage.get_free_bytes(batching.result_memory_bytes)
-        return min(max(int(free_bytes / result_bytes), 0), count)
-
     async def _run_call(self, usage, batch, batching):
         server = usage.server
         started_s = trio.current_time()
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import linear_estimate
 from greengagetrack.process.direct import rendezvous
 
@@ -38,7 +38,7 @@
 class Choice(msgspec.Struct, frozen=True):
     """The chosen server, its predicted cost and the candidate count."""
 
-    server: directory_module.KnownServer
+    server: known_server.KnownServer
     cost_ms: float
     wait_ms: float
     new_tokens: int
--- a/greengagetrack/process/direct/decisions/forecast.py
+++ b/greengagetrack/process/direct/decisions/forecast.py
@@ -52,12 +52,14 @@
 class QueueForecast(msgspec.Struct, frozen=True):
     """When the next server is free, and how fast the queue drains.
 
-    A round is one full call at each server.
+    A round is one full call at each server. The first piece of a call
+    begins `start_s` after the turn of the call.
     """
 
     next_free_s: float
     pieces_per_round: float
     round_s: float
+    start_s: float = 0.0
 
     @property
     def pieces_per_s(self):
--- a/greengagetrack/process/direct/decisions/queue_order.py
+++ b/greengagetrack/process/direct/decisions/queue_order.py
@@ -7,7 +7,6 @@
 
 PRIORITY_STEP_CALLS = 2.0
 LATE_SLACK_S = 0.05
-SPLIT_QUEUE_CALLS = 1.5
 
 
 def is_late(due_s, call_s, now_s):
@@ -35,10 +34,24 @@
     )
 
 
-def may_split_groups(waiting_pieces, batch_max):
-    """Return whether a call is filled with a part of a group.
+def find_unreachable(queue, forecast, arrivals_per_s, call_s, now_s):
+    """Return the groups whose work can't begin before their deadline.
 
-    With few pieces waiting, a split group ends later than it would whole.
-    With more than a call and a half, full calls shorten the wait of all.
+    `queue` is sorted, and the work of a call begins `forecast.start_s`
+    after its turn. A group that can't be in time waits for all that
+    arrives meanwhile; one that is partly in a call is completed.
     """
-    return waiting_pieces > batch_max * SPLIT_QUEUE_CALLS
+    unreachable_groups = []
+    ahead = 0
+    for group in queue:
+        task = group.tasks[0]
+        is_group_late = is_late(task.due_s, call_s, now_s)
+        wait_s = forecast.get_wait_s(
+            ahead, arrivals_per_s if is_group_late else 0.0
+        )
+        start_s = now_s + wait_s + forecast.start_s
+        if start_s > task.deadline.at_s and not group.is_started:
+            unreachable_groups.append(group)
+        else:
+            ahead += len(group.tasks)
+    return unreachable_groups
--- a/greengagetrack/process/direct/server_usage.py
+++ b/greengagetrack/process/direct/server_usage.py
@@ -1,5 +1,7 @@
 """One entry's use of one server that makes pieces of stages."""
 
+import math
+
 import trio
 
 TYPICAL_BATCH_WEIGHT = 0.25
@@ -64,7 +66,12 @@
         self._unrecorded_s = trio.current_time()
 
     def get_free_bytes(self, memory_bytes):
-        """Return the memory that is left for results."""
+        """Return the memory that is left for results.
+
+        A service that publishes no memory has no limit.
+        """
+        if not memory_bytes:
+            return math.inf
         age_s = trio.current_time() - self._unrecorded_s
         left_share = max(1 - age_s / self._result_life_s, 0.0)
         unrecorded_bytes = self._unrecorded_bytes * left_share
--- /dev/null
+++ b/greengagetrack/request/direct/event_relay.py
@@ -0,0 +1,92 @@
+"""The events of one answer, relayed to its caller in sequence."""
+
+import trio
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection.http import events
+from greengagetrack.request import outcome
+
+_Reason = outcome.Reason
+_Ran = outcome.Ran
+
+
+class EventRelay:
+    """Sends complete events of one server or several to one caller.
+
+    `last_event` is the id of the last event sent, after which another
+    server can resume the stream. `progress_s` is when the last event was
+    sent: bytes that complete no event are no progress.
+    """
+
+    __slots__ = (
+        "_reply",
+        "_splitter",
+        "first_event_s",
+        "last_event",
+        "progress_s",
+    )
+
+    def __init__(self, reply):
+        self._reply = reply
+        self._splitter = None
+        self.first_event_s = None
+        self.last_event = None
+        self.progress_s = trio.current_time()
+
+    async def start(self, status, headers):
+        """Start to relay the answer of a server, the first or a later one."""
+        if not self._reply.is_started:
+            await self._reply.start(status, headers)
+        self._splitter = events.EventSplitter()
+        self.progress_s = trio.current_time()
+
+    async def feed(self, data):
+        """Send the events that `data` completes.
+
+        Return a `Failure` if one is out of sequence or too long.
+        """
+        if self.first_event_s is None:
+            self.first_event_s = trio.current_time()
+        forwarded, problem = self._check(self._splitter.feed(data))
+        if forwarded:
+            await self._reply.send_part(b"".join(forwarded))
+            self.progress_s = trio.current_time()
+        if problem is None and self._splitter.is_too_long():
+            problem = _new_problem("event exceeds the size limit")
+        return problem
+
+    def _check(self, complete_events):
+        """Return the events in sequence, and a `Failure` for the next."""
+        forwarded = []
+        for event in complete_events:
+            if not self._is_in_sequence(event):
+                return forwarded, _new_problem(
+                    f"event {event.event_id!r} after {self.last_event!r}"
+                )
+            if event.event_id is not None:
+                self.last_event = event.event_id
+            forwarded.append(event.data)
+        return forwarded, None
+
+    def _is_in_sequence(self, event):
+        if event.event_id is None or self.last_event is None:
+            return True
+        if not (event.event_id.isdigit() and self.last_event.isdigit()):
+            return True
+        return int(event.event_id) == int(self.last_event) + 1
+
+    async def finish(self):
+        """Complete the answer of the caller."""
+        rest = self._splitter.get_rest()
+        if rest:
+            await self._reply.send_part(rest)
+        await self._reply.finish()
+
+
+def _new_problem(detail):
+    return gateway.Failure(_Reason.BACKEND_FAILED, _Ran.UNKNOWN, detail)
+
+
+def new_event_relay(reply):
+    """Return the relay of a stream of which nothing was sent yet."""
+    return EventRelay(reply)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,8 +10,8 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import events
 from greengagetrack.request.direct import attempt as attempt_module
+from greengagetrack.request.direct import event_relay
 from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import request_log
@@ -48,20 +48,17 @@
         "_admitted",
         "_attempts",
         "_excluded",
-        "_first_event_s",
         "_graph",
         "_input_bytes",
         "_inputs",
         "_may_have_run",
-        "_progress_s",
-        "_last_event",
         "_last_failure",
+        "_relay",
         "_reply",
         "_scope",
         "_sends",
         "_service",
         "_services",
-        "_splitter",
         "_stages_s",
         "_started_s",
     )
@@ -70,6 +67,7 @@
         self._services = services
         self._admitted = admitted
         self._reply = reply
+        self._relay = event_relay.new_event_relay(reply)
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
         self._graph = None
         self._inputs = None
@@ -79,12 +77,9 @@
         self._sends = 0
         self._attempts = 0
         self._may_have_run = False
-        self._last_event = None
         self._last_failure = None
-        self._splitter = None
-        self._progress_s = self._started_s = trio.current_time()
+        self._started_s = trio.current_time()
         self._stages_s = 0.0
-        self._first_event_s = None
 
     async def run(self):
         """Return `Relayed`, `Refused`, `Unknown` or `Cut`."""
@@ -156,7 +151,7 @@
             self._services.chooser.predict_first_event_s(
                 self._service, self._admitted.request
             ),
-            is_resumed=self._last_event is not None,
+            is_resumed=self._relay.last_event is not None,
         )
         if self._sends == 0:
             refused = self._graph.check_admission()
@@ -288,7 +283,7 @@
             ),
             priority=min(max(admitted.priority, 0), 9),
             inputs=self._inputs,
-            resume_after=self._last_event,
+            resume_after=self._relay.last_event,
             needs_fresh_connection=not admitted.route.is_idempotent,
         )
 
@@ -375,15 +370,10 @@
         )
 
     async def _relay_events(self, attempt, answer):
-        if not self._reply.is_started:
-            await self._reply.start(answer.status, answer.headers)
-        self._splitter = events.EventSplitter()
-        self._progress_s = trio.current_time()
+        await self._relay.start(answer.status, answer.headers)
         while True:
             part = None
-            # Bytes that complete no event are no progress.
-            end_s = self._progress_s + self._get_event_timeout_s()
-            with trio.move_on_at(end_s) as scope:
+            with trio.move_on_at(self._get_event_end_s()) as scope:
                 part = await answer.receive_part()
             if scope.cancelled_caught:
                 part = gateway.Failure(
@@ -392,27 +382,44 @@
             if isinstance(part, gateway.Failure):
                 return self._handle_failure(attempt, part, is_counted=True)
             if part is None:
-                return await self._finish_events(attempt, answer)
-            if self._first_event_s is None:
-                self._first_event_s = trio.current_time()
+                await self._relay.finish()
+                attempt.record_answer(answer.status)
+                return direct_outcome.Relayed(answer.status)
             if not attempt.is_prefilled:
-                # The server no longer needs the inputs once it has sent its
-                # first event.
-                attempt.record_first_event(
-                    self._services.chooser.get_first_event_estimate(
-                        self._service
-                    )
-                )
-                if self._graph is not None and self._graph.is_freed:
-                    self._get_fetch_time().record_fetched()
-                self._free_inputs()
-            problem = await self._forward_events(part)
+                self._record_first_event(attempt)
+            problem = await self._relay.feed(part)
             if problem is not None:
                 return self._handle_failure(attempt, problem, is_counted=True)
 
+    def _record_first_event(self, attempt):
+        attempt.record_first_event(
+            self._services.chooser.get_first_event_estimate(self._service)
+        )
+        if self._graph is not None and self._graph.is_freed:
+            self._get_fetch_time().record_fetched()
+        # The server no longer needs the inputs.
+        self._free_inputs()
+
+    def _get_event_end_s(self):
+        """Return when to give up on the next event of a server."""
+        route = self._admitted.route
+        if not route.is_resumable or self._attempts >= route.attempts_max:
+            # No other server could go on, so the deadline ends the stream.
+            return self._admitted.deadline.at_s + 1.0
+        if self._relay.last_event is None:
+            timeout_s = max(FIRST_EVENT_TIMEOUT_MIN_S, route.target_ms / 1000)
+        else:
+            gap_s = EVENT_GAP_FACTOR * route.target_gap_ms / 1000
+            timeout_s = max(EVENT_GAP_MIN_S, gap_s)
+        return self._relay.progress_s + timeout_s
+
     def _log_failure(self, server, failure):
         request_log.log_failure(
-            self._admitted, self._sends, self._last_event, server, failure
+            self._admitted,
+            self._sends,
+            self._relay.last_event,
+            server,
+            failure,
         )
 
     def _record_outcome(self, outcome):
@@ -420,64 +427,12 @@
         self._services.metrics.record_outcome(
             self._admitted.route, outcome, spent_s * 1000
         )
-        first_event_s = None
-        if self._first_event_s is not None:
-            first_event_s = self._first_event_s - self._started_s
+        first_event_s = self._relay.first_event_s
+        if first_event_s is not None:
+            first_event_s -= self._started_s
         times = request_log.RunTimes(spent_s, self._stages_s, first_event_s)
         request_log.log_outcome(self._admitted, self._sends, times, outcome)
 
-    def _get_event_timeout_s(self):
-        route = self._admitted.route
-        if not route.is_resumable or self._attempts >= route.attempts_max:
-            return self._admitted.deadline.get_left_s() + 1.0
-        if self._last_event is None:
-            return max(FIRST_EVENT_TIMEOUT_MIN_S, route.target_ms / 1000)
-        return max(
-            EVENT_GAP_MIN_S, EVENT_GAP_FACTOR * route.target_gap_ms / 1000
-        )
-
-    async def _forward_events(self, part):
-        """Send complete events; return a `Failure` if one is out of order."""
-        complete_events = self._splitter.feed(part)
-        forwarded = []
-        problem = None
-        for event in complete_events:
-            if not self._is_in_sequence(event):
-                problem = gateway.Failure(
-                    _Reason.BACKEND_FAILED,
-                    _Ran.UNKNOWN,
-                    f"event {event.event_id!r} after {self._last_event!r}",
-                )
-                break
-            if event.event_id is not None:
-                self._last_event = event.event_id
-            forwarded.append(event.data)
-        if forwarded:
-            await self._reply.send_part(b"".join(forwarded))
-            self._progress_s = trio.current_time()
-        if problem is None and self._splitter.is_too_long():
-            problem = gateway.Failure(
-                _Reason.BACKEND_FAILED,
-                _Ran.UNKNOWN,
-                "event exceeds the size limit",
-            )
-        return problem
-
-    def _is_in_sequence(self, event):
-        if event.event_id is None or self._last_event is None:
-            return True
-        if not (event.event_id.isdigit() and self._last_event.isdigit()):
-            return True
-        return int(event.event_id) == int(self._last_event) + 1
-
-    async def _finish_events(self, attempt, answer):
-        rest = self._splitter.get_rest()
-        if rest:
-            await self._reply.send_part(rest)
-        await self._reply.finish()
-        attempt.record_answer(answer.status)
-        return direct_outcome.Relayed(answer.status)
-
 
 def new_direct_run(services, admitted, reply):
     """Return the run of an admitted request."""
--- a/tests/direct/decisions/test_queue_order.py
+++ b/tests/direct/decisions/test_queue_order.py
@@ -1,5 +1,6 @@
 """Tests of the order in which waiting groups go into calls."""
 
+from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import queue_order
 from greengagetrack.process.direct import group as group_module
 from greengagetrack.request import deadline as deadline_module
@@ -53,6 +54,15 @@
     assert names == ["in_time", "late"]
 
 
-def test_groups_are_split_with_more_than_a_call_and_a_half_waiting():
-    assert not queue_order.may_split_groups(15, 10)
-    assert queue_order.may_split_groups(16, 10)
+def test_what_would_wait_past_its_deadline_is_found():
+    """Ten pieces a second are made, and nine arrive meanwhile."""
+    queue = [_new_group(0.5), _new_group(-1.0), _new_group(-4.9)]
+    calls = forecast.QueueForecast(0.0, 1.0, 0.1, start_s=0.05)
+    found = queue_order.find_unreachable(queue, calls, 0.0, CALL_S, NOW_S)
+    assert found == queue[2:]
+    queue[2].is_started = True
+    found = queue_order.find_unreachable(queue, calls, 0.0, CALL_S, NOW_S)
+    assert found == []
+    queue[2].is_started = False
+    found = queue_order.find_unreachable(queue, calls, 9.9, CALL_S, NOW_S)
+    assert found == queue[2:]
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -11,6 +11,7 @@
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import rendezvous
@@ -267,7 +268,7 @@
     async def check(fleet):
         published = fakes.new_server("x", "s", data_centre="a")
         for node in fleet.node_by_address.values():
-            node.directory.server_by_id["x"] = directory_module.KnownServer(
+            node.directory.server_by_id["x"] = known_server.KnownServer(
                 published
             )
         await trio.sleep(6.0)
--- a/tests/direct/test_run.py
+++ b/tests/direct/test_run.py
@@ -297,3 +297,12 @@
     assert outcome == direct_outcome.Relayed(200)
     assert reply.body == _new_event(1) + _new_event(2)
     assert len(fake_gateway.sent) == 2
+
+
+def test_a_stream_that_no_other_server_can_resume_lasts_until_its_deadline():
+    parts = [_new_event(1), b": ", 2.0, b"x", 2.5, b"y\n\n", _new_event(2)]
+    outcome, reply, _fake_gateway = _serve(
+        NOT_RESUMABLE, _new_stream(*parts), left_s=5.0
+    )
+    assert outcome == direct_outcome.Relayed(200)
+    assert reply.body.endswith(_new_event(2))
