--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -12,6 +12,7 @@
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct.decisions import forecast
+from greengagetrack.process.direct.decisions import placement
 from greengagetrack.process.direct import rendezvous
 
 WAKE_INTERVAL_S = 0.1
@@ -21,12 +22,6 @@
     gateway_module.PieceFailure.NOT_TAKEN,
 )
 REMOTE_DELAY_S = 0.03
-TRANSFER_COST_PER_MB = 0.05
-LATE_COST = 1.5
-LATE_SPREAD_S = 0.12
-WAIT_COST_PER_S = 0.15
-WAIT_MAX_S = 30.0
-MB = 1_000_000
 SENT_WINDOW_S = 0.8
 WAIT_DEFAULT_S = 0.15
 SHORTEST_WAIT_MAX_S = 2.0
@@ -174,10 +169,7 @@
         await pool.batcher.make_pieces(tasks)
 
     def _choose_pool(self, services, tasks, inputs, end_s, tried_centres):
-        """Return the pool of lowest cost.
-
-        A cost of 1 is the value of a typical request.
-        """
+        """Return the pool of lowest cost, or None without servers."""
         service = services[0]
         centres = {
             server.published.data_centre
@@ -192,11 +184,10 @@
         def get_cost(centre):
             pool = self.get_pool(service, centre)
             finish_s = self._get_finish_s(services, centre, priority)
-            cost = self._get_transfer_cost(pool, tasks, inputs)
-            if pool.data_centre != self._data_centre:
+            if centre != self._data_centre:
                 finish_s += REMOTE_DELAY_S
-            cost += LATE_COST * get_late_probability(finish_s - left_s)
-            return cost + WAIT_COST_PER_S * min(finish_s, WAIT_MAX_S)
+            moved_bytes = self._count_moved_bytes(pool, tasks, inputs)
+            return placement.get_cost(finish_s, left_s, moved_bytes)
 
         return self.get_pool(service, min(sorted(centres), key=get_cost))
 
@@ -216,8 +207,8 @@
             )
         return finish_s
 
-    def _get_transfer_cost(self, pool, tasks, inputs):
-        """Return the cost of the bytes moved between data centres.
+    def _count_moved_bytes(self, pool, tasks, inputs):
+        """Return the bytes that would move between data centres.
 
         Each piece reads all inputs, so they are transferred once per piece.
         """
@@ -229,7 +220,7 @@
         transferred_bytes = remote_bytes * len(tasks)
         if pool.data_centre != self._data_centre:
             transferred_bytes += sum(task.result_bytes for task in tasks)
-        return transferred_bytes / MB * TRANSFER_COST_PER_MB
+        return transferred_bytes
 
     def _get_wait_s(self, pool, priority):
         return self._get_waits(pool).get(priority)
@@ -367,12 +358,6 @@
                 pool.batcher.wake()
 
 
-def get_late_probability(overrun_s):
-    """Return the probability of lateness for a predicted overrun."""
-    exponent = min(max(-overrun_s / LATE_SPREAD_S, -50.0), 50.0)
-    return 1 / (1 + math.exp(exponent))
-
-
 def new_pools(data_centre, dependencies, peers, generator):
     """Return the pools of an entry in `data_centre`."""
     return Pools(data_centre, dependencies, peers, generator)
--- /dev/null
+++ b/tests/direct/decisions/test_placement.py
@@ -0,0 +1,25 @@
+"""Tests of the choice of a data centre for pieces."""
+
+import math
+
+from greengagetrack.process.direct.decisions import placement
+
+
+def test_pieces_stay_while_they_are_in_time_and_leave_to_be_in_time():
+    megabyte = placement.BYTES_PER_MB
+    calm_here = placement.get_cost(0.5, 1.5, 0)
+    assert calm_here < placement.get_cost(0.4, 1.5, megabyte)
+    burst_here = placement.get_cost(2.0, 1.5, 0)
+    assert burst_here > placement.get_cost(0.5, 1.5, megabyte)
+
+
+def test_a_small_result_leaves_sooner_than_a_large_one():
+    here = placement.get_cost(1.6, 1.5, 0)
+    assert placement.get_cost(0.5, 1.5, placement.BYTES_PER_MB) < here
+    assert placement.get_cost(0.5, 1.5, 50 * placement.BYTES_PER_MB) > here
+
+
+def test_no_server_costs_more_than_any_wait():
+    gone = placement.get_cost(math.inf, 1.5, 0)
+    assert math.isfinite(gone)
+    assert gone > placement.get_cost(20.0, 1.5, 0)
