Let the orders machine lose the home of a key and repeat the key

Cause that deliberate faults were missed: a key was repeated by chance only after its home had restarted, and a ticket always came with the incarnation that had issued it, which another check refuses. Two rules reach both: the home of a key fails (restarted, or off the list) between a key and its repeat, and an entry that looked the agent up again sends an old ticket to the new process.

--- a/tests/machines/test_orders.py
+++ b/tests/machines/test_orders.py
@@ -207,17 +207,57 @@
         """
         key = self.call(self._get_current_key, key)
         names = sorted(self.agent_by_name)
-        home = rendezvous.get_first(f"{SERVICE}|o|{key}", names)
+        home = self._get_home(key)
         name = data.draw(strategies.sampled_from([home, home, *names]))
-        node = self.agent_by_name[name]
+        self._send_key_to(key, name)
+
+    def _get_home(self, key):
+        names = sorted(self.agent_by_name)
+        return rendezvous.get_first(f"{SERVICE}|o|{key}", names)
+
+    def _send_key_to(self, key, name):
         self.call(
             self._submit,
             key,
             name,
-            node.incarnation,
+            self.agent_by_name[name].incarnation,
             self._get_claim(key, key=key),
         )
 
+    @stateful.rule(
+        key=strategies.sampled_from(KEYS),
+        is_dropped=strategies.booleans(),
+        lag_s=strategies.sampled_from((0.0, LIST_LAG_S)),
+        pause_s=strategies.sampled_from((0.05, 1.0, 3.0)),
+    )
+    def fail_home_and_repeat(self, key, is_dropped, lag_s, pause_s):
+        """Send a key, lose its home, and repeat it where it belongs then.
+
+        The home restarts, or is replaced: it leaves the list, and the next
+        in rank is the home of all its keys.
+        """
+        key = self.call(self._get_current_key, key)
+        home = self._get_home(key)
+        self._send_key_to(key, home)
+        self.runtime.advance(CALL_DURATION_S / 2)
+        self.crash(home)
+        if is_dropped:
+            self.drop_from_list(home)
+        else:
+            self.restart(home, lag_s)
+        self.runtime.advance(pause_s)
+        if self.call(self._is_current, key):
+            self._send_key_to(key, self._get_home(key))
+
+    def _is_current(self, key):
+        """Return whether the retry window of a key has not ended."""
+        sent_s = max(
+            first_sent_s
+            for current, first_sent_s in self.key_and_start_by_name.values()
+            if current == key
+        )
+        return trio.current_time() - sent_s < WINDOW_S
+
     @stateful.rule(name=strategies.sampled_from(AGENTS))
     def get_ticket(self, name):
         """Get a ticket from a running agent."""
@@ -240,12 +280,16 @@
     def send_ticket(self, data):
         """Send an order with a ticket, for the first time or as a repeat."""
         order, name, token = data.draw(strategies.sampled_from(self.tickets))
-        body = ticket_module.read_ticket(token, RING)
+        incarnations = [ticket_module.read_ticket(token, RING).incarnation]
+        if name in self.agent_by_name:
+            # An entry may have looked the agent up again since.
+            incarnations.append(self.agent_by_name[name].incarnation)
+        incarnation = data.draw(strategies.sampled_from(incarnations))
         self.call(
             self._submit,
             order,
             name,
-            body.incarnation,
+            incarnation,
             self._get_claim(order, ticket=token),
         )
 
