--- a/tests/direct/test_inputs.py
+++ b/tests/direct/test_inputs.py
@@ -38,6 +38,15 @@
     results.append(await fake_entry.serve(ROUTE, piece_counts=(2,)))
 
 
+async def _check_made_again(nursery, fake_entry):
+    """Serve a request whose stage is made twice."""
+    results = []
+    nursery.start_soon(_serve, fake_entry, results)
+    await trio.sleep(3.0)
+    assert results[0][0] == direct_outcome.Relayed(200)
+    assert len(fake_entry.gateway.calls) == 2
+
+
 def test_inputs_are_freed_before_the_first_event_of_a_long_prompt():
     """A prompt of 20,000 tokens takes 0.8 s; its inputs blocked a pool."""
 
@@ -72,11 +81,7 @@
 
 def test_inputs_that_were_freed_too_early_are_made_again_and_held_longer():
     async def check(nursery, fake_entry):
-        results = []
-        nursery.start_soon(_serve, fake_entry, results)
-        await trio.sleep(3.0)
-        assert results[0][0] == direct_outcome.Relayed(200)
-        assert len(fake_entry.gateway.calls) == 2
+        await _check_made_again(nursery, fake_entry)
         fetch_time = fake_entry.services.fetch_times.get("svc")
         assert fetch_time.hold_s > 1.9 * HOLD_S
 
@@ -88,11 +93,7 @@
 
 def test_an_attempt_that_broke_off_late_makes_its_inputs_again():
     async def check(nursery, fake_entry):
-        results = []
-        nursery.start_soon(_serve, fake_entry, results)
-        await trio.sleep(3.0)
-        assert results[0][0] == direct_outcome.Relayed(200)
-        assert len(fake_entry.gateway.calls) == 2
+        await _check_made_again(nursery, fake_entry)
 
     broken = fakes.new_failure(outcome_module.Ran.UNKNOWN)
     _run(check, (HOLD_S * 2, broken), _new_stream(0.3, FIRST_EVENT))
