--- a/tests/machines/test_attempts.py
+++ b/tests/machines/test_attempts.py
@@ -119,10 +119,10 @@
     @stateful.precondition(lambda self: self.submit_by_number)
     @stateful.rule(data=strategies.data())
     def submit_copy(self, data):
-        """Deliver a copy of an earlier `Submit`."""
-        number = data.draw(
-            strategies.sampled_from(sorted(self.submit_by_number))
-        )
+        """Deliver a copy of an earlier `Submit`, often of the last one."""
+        numbers = sorted(self.submit_by_number)
+        last = numbers[-1]
+        number = data.draw(strategies.sampled_from([last, last, *numbers]))
         self._record_chunk(
             self.submit_by_number[number],
             self._send(self.submit_by_number[number]),
@@ -175,6 +175,13 @@
         """Switch the refusal of new work on or off."""
         self.agent.is_draining = not self.agent.is_draining
 
+    @stateful.rule()
+    def submit_while_draining(self):
+        """Send a new attempt that is refused, then accept work again."""
+        self.agent.is_draining = True
+        self.submit()
+        self.agent.is_draining = False
+
     @stateful.rule(seconds=strategies.sampled_from((0.05, 0.4, 61.0)))
     def wait(self, seconds):
         """Advance the clock by part of a call, a call or the retention."""
