Send no free request to a server that asked for a pause

It wants nothing from this machine for so long; results expire at the server anyway. With a test, and one for a service that leaves the catalog during a call.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -219,9 +219,8 @@
             len(batch), batching.batch_max, bool(self._queue)
         )
         usage.calls_in_flight += 1
-        usage.busy_until_s = trio.current_time() + batching.get_call_s(
-            len(batch)
-        )
+        call_s = batching.get_call_s(len(batch))
+        usage.busy_until_s = trio.current_time() + call_s
         self._nursery.start_soon(self._run_call, usage, batch, batching)
 
     def _pop_batch(self, usage, batching):
@@ -354,6 +353,7 @@
     async def _flush_frees(self, usage):
         # After a short delay one call frees the results of many requests.
         await trio.sleep(FREE_DELAY_S)
+        await usage.server.wait_until_unpaused()
         handles, usage.pending_frees = usage.pending_frees, []
         is_freed = await self._gateway.free_results(
             usage.server.published.address, handles
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -65,6 +65,11 @@
         is_there = self.removal_due_s is None or self.removal_due_s > now
         return is_there and now >= self.paused_until_s
 
+    async def wait_until_unpaused(self):
+        """Wait for the end of a pause that the server has asked for."""
+        while trio.current_time() < self.paused_until_s:
+            await trio.sleep_until(self.paused_until_s)
+
     def is_suspect(self):
         """Return whether other servers are preferred at present."""
         return trio.current_time() < self.suspect_until_s
--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -338,6 +338,34 @@
     _run(check)
 
 
+def test_a_server_that_asked_for_a_pause_gets_no_free_request_before():
+    async def check(nursery, fake_entry, batcher):
+        tasks = _new_tasks("a", 1)
+        await batcher.make_pieces(tasks)
+        fake_entry.directory.record_pause(LOCAL_SERVER, 2.0)
+        batcher.free_results("p1", [tasks[0].result])
+        await trio.sleep(1.9)
+        assert not fake_entry.gateway.freed
+        await trio.sleep(0.2)
+        assert fake_entry.gateway.freed == [tasks[0].result]
+
+    _run(check)
+
+
+def test_a_service_may_leave_the_catalog_during_a_call():
+    async def check(nursery, fake_entry, batcher):
+        tasks = _new_tasks("a", 1)
+        nursery.start_soon(batcher.make_pieces, tasks)
+        await trio.sleep(0.05)
+        fake_entry.catalog = fakes.new_catalog(
+            2, services=[catalog.Service("svc")]
+        )
+        await trio.sleep(0.2)
+        assert tasks[0].result == "p1/a.0.0"
+
+    _run(check)
+
+
 def test_usages_of_removed_servers_are_dropped():
     async def check(_nursery, fake_entry, batcher):
         await batcher.make_pieces(_new_tasks("a", 1))
