Keep leaving in one place, and name the data centres of a service once

What a server says itself of leaving is kept in its record, which never goes back anyway, instead of a second flag beside it; a published record that says the same later is no second line in the log. The batcher computed the time of a call and the clock twice for each dispatch and failed groups in two loops; the data centres of a service were collected in three places of pools.py. No other behaviour meant; tests are unchanged.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -137,7 +137,8 @@
         batching = self._get_batching()
         usages = self._get_usages()
         if batching is None or not usages:
-            self._fail_all(gateway_module.PieceFailure.NO_SERVER)
+            queue, self._queue = self._queue, []
+            self._fail_groups(queue, gateway_module.PieceFailure.NO_SERVER)
             return
         free_usages = [
             usage for usage in usages if usage.calls_in_flight < batching.slots
@@ -150,31 +151,23 @@
         self._queue.sort(
             key=lambda group: queue_order.get_rank(group, call_s, now)
         )
-        self._fail_unreachable_deadlines(usages, batching)
-        for usage in free_usages:
-            if self._queue:
-                self._start_call(usage, batching)
-
-    def _fail_all(self, failure):
-        queue, self._queue = self._queue, []
-        for group in queue:
-            for task in group.tasks:
-                task.complete(failure)
-
-    def _fail_unreachable_deadlines(self, usages, batching):
-        """Fail groups whose work could not start before their deadline."""
-        now = trio.current_time()
         unreachable_groups = queue_order.find_unreachable(
             self._queue,
             self._get_forecast(usages, batching),
             self._rates.get_total(now),
-            self._get_typical_call_s(),
+            call_s,
             now,
         )
-        for group in unreachable_groups:
-            for task in group.tasks:
-                task.complete(gateway_module.PieceFailure.LATE)
+        self._fail_groups(unreachable_groups, gateway_module.PieceFailure.LATE)
         self._drop_completed()
+        for usage in free_usages:
+            if self._queue:
+                self._start_call(usage, batching)
+
+    def _fail_groups(self, groups, failure):
+        for group in groups:
+            for task in group.tasks:
+                task.complete(failure)
 
     def _drop_completed(self):
         for group in self._queue:
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -208,11 +208,11 @@
             )
             self._log_change("server added", published)
             return
-        if server.published.is_leaving != published.is_leaving:
-            self._log_change("server state changed", published)
         if server.published.is_leaving and not published.is_leaving:
             # A server that leaves never comes back in the same incarnation.
-            published = msgspec.structs.replace(published, is_leaving=True)
+            published = _to_leaving(published)
+        if server.published.is_leaving != published.is_leaving:
+            self._log_change("server state changed", published)
         server.published = published
         server.removal_due_s = None
 
@@ -240,20 +240,17 @@
                 self._log_change("server removed", server.published)
 
     def _record_gone(self, server):
-        is_leaving = server.published.is_leaving or server.is_seen_leaving
         self._gone_by_id.pop(server.server_id, None)
-        self._gone_by_id[server.server_id] = msgspec.structs.replace(
-            server.published, is_leaving=is_leaving
-        )
+        self._gone_by_id[server.server_id] = server.published
         while len(self._gone_by_id) > GONE_SERVERS_MAX:
             self._gone_by_id.pop(next(iter(self._gone_by_id)))
 
     def record_leaving(self, published):
         """Record that a server says itself that it is leaving."""
         server = self._get_same(published)
-        if server is not None and not server.is_seen_leaving:
-            server.is_seen_leaving = True
-            self._log_change("server says it leaves", published)
+        if server is not None and not server.published.is_leaving:
+            server.published = _to_leaving(server.published)
+            self._log_change("server says it leaves", server.published)
 
     def record_pause(self, published, pause_s):
         """Record that a server wants no requests for `pause_s`."""
@@ -281,6 +278,10 @@
         )
 
 
+def _to_leaving(published):
+    return msgspec.structs.replace(published, is_leaving=True)
+
+
 def new_directory(on_removed):
     """Return an empty directory; calls `on_removed(server)` on removal."""
     return Directory(on_removed)
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -24,7 +24,6 @@
     __slots__ = (
         "failure_share",
         "cached_part_times",
-        "is_seen_leaving",
         "latency_ms",
         "outstanding",
         "paused_until_s",
@@ -45,7 +44,6 @@
         self.latency_ms = None
         self.slowness = 1.0
         self.suspect_until_s = 0.0
-        self.is_seen_leaving = False
         self.paused_until_s = 0.0
         self.unreachable_count = 0
         self.removal_due_s = None
@@ -59,7 +57,7 @@
 
     def is_usable(self):
         """Return whether the server may get new work."""
-        if self.published.is_leaving or self.is_seen_leaving:
+        if self.published.is_leaving:
             return False
         now = trio.current_time()
         is_there = self.removal_due_s is None or self.removal_due_s > now
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -171,10 +171,7 @@
     def _choose_pool(self, services, tasks, inputs, end_s, tried_centres):
         """Return the pool of lowest cost, or None without servers."""
         service = services[0]
-        centres = {
-            server.published.data_centre
-            for server in self._directory.get_servers(service)
-        } - tried_centres
+        centres = self._get_centres(service) - tried_centres
         if self.get_batching(service) is None or not centres:
             return None
 
@@ -222,8 +219,12 @@
             transferred_bytes += sum(task.result_bytes for task in tasks)
         return transferred_bytes
 
-    def _get_wait_s(self, pool, priority):
-        return self._get_waits(pool).get(priority)
+    def _get_centres(self, service):
+        """Return the data centres that have servers of a service."""
+        return {
+            server.published.data_centre
+            for server in self._directory.get_servers(service)
+        }
 
     def _get_waits(self, pool):
         """Return the `PoolWaits`, cached briefly: a request asks often."""
@@ -303,13 +304,9 @@
         return min(0.0 if wait_s == math.inf else wait_s, SHORTEST_WAIT_MAX_S)
 
     def _get_shortest_wait_s(self, service, priority):
-        centres = {
-            server.published.data_centre
-            for server in self._directory.get_servers(service)
-        }
         waits = [
-            self._get_wait_s(self.get_pool(service, centre), priority)
-            for centre in centres
+            self._get_waits(self.get_pool(service, centre)).get(priority)
+            for centre in self._get_centres(service)
         ]
         return min(waits, default=math.inf)
 
@@ -319,13 +316,9 @@
         With `forecast.LATE` as the priority, it is that of work that takes
         what others leave.
         """
-        centres = {
-            server.published.data_centre
-            for server in self._directory.get_servers(services[0])
-        }
         durations = [
             self._get_finish_s(services, centre, priority)
-            for centre in centres
+            for centre in self._get_centres(services[0])
         ]
         return min(durations, default=math.inf)
 
