--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from greengagetrack.connection.http import framing
 from greengagetrack.request import outcome
 
 
@@ -69,6 +70,7 @@
 
     status: int
     headers: list
+    framing: framing.Framing
     is_not_run: bool
     is_other_server: bool
     is_input_gone: bool
--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -22,6 +22,7 @@
 import trio
 
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import framing as framing_module
 
 CONNECT_TIMEOUT_S = 0.4
 RECEIVE_BYTES = 65536
@@ -54,10 +55,14 @@
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """The status code and the header fields of a response."""
+    """The status code and the header fields of a response.
+
+    `framing` tells what the end of the body proves.
+    """
 
     status: int
     headers: list
+    framing: framing_module.Framing
 
 
 class RequestHead(msgspec.Struct, frozen=True):
@@ -177,9 +182,7 @@
                 return ResponseFailure(
                     f"{type(event).__name__} instead of a response head"
                 )
-            head = ResponseHead(
-                event.status_code, list(event.headers.raw_items())
-            )
+            head = self._new_head(event)
             if is_expected(head):
                 return head
             failure = await self._skip_response()
@@ -187,6 +190,13 @@
                 return failure
         return ResponseFailure("only responses to other requests")
 
+    def _new_head(self, event):
+        headers = list(event.headers.raw_items())
+        framing = framing_module.get_framing(
+            self._request.method, event.status_code, headers
+        )
+        return ResponseHead(event.status_code, headers, framing)
+
     async def _receive_final_head(self):
         """Return the next event that is no informational response."""
         for _response in range(INFORMATIONAL_RESPONSES_MAX + 1):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -58,6 +58,7 @@
 
     __slots__ = (
         "_call",
+        "framing",
         "headers",
         "is_events",
         "is_input_gone",
@@ -69,6 +70,7 @@
     def __init__(self, call, head):
         self._call = call
         self.status = head.status
+        self.framing = head.framing
         self.headers = fields.keep_end_to_end(head.headers)
         self.is_not_run = _is_not_run(head)
         self.is_other_server = head.status == MISDIRECTED_STATUS
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -75,6 +75,10 @@
             return True
         return int(event.event_id) == int(self.last_event) + 1
 
+    def get_partial_event_bytes(self):
+        """Return the number of bytes after the last complete event."""
+        return len(self._splitter.get_rest()) if self._splitter else 0
+
     async def finish(self):
         """Complete the answer of the caller."""
         rest = self._splitter.get_rest()
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -63,7 +63,18 @@
     first_event_s: float | None
 
 
-def log_outcome(admitted, sends, times, outcome):
+class AnswerEnd(msgspec.Struct, frozen=True):
+    """Where the last answer of a request ended.
+
+    `framing` is what marked its end, `partial_event_bytes` the number of
+    bytes after its last complete event.
+    """
+
+    framing: str = ""
+    partial_event_bytes: int = 0
+
+
+def log_outcome(admitted, sends, times, end, outcome):
     """Log the outcome of a request."""
     is_whole = isinstance(outcome, direct_outcome.Relayed)
     level = logging.INFO if is_whole else logging.WARNING
@@ -82,6 +93,8 @@
             "stages_ms": round(times.stages_s * 1000, 1),
             "first_event_ms": round((times.first_event_s or 0) * 1000, 1),
             "priority": admitted.priority,
+            "framing": end.framing,
+            "partial_event_bytes": end.partial_event_bytes,
             "sends": sends,
             "left_ms": admitted.deadline.get_left_ms(),
             "catalog_version": admitted.catalog_version,
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "_admitted",
+        "_answer_end",
         "_attempts",
         "_excluded",
         "_graph",
@@ -78,6 +79,7 @@
         self._attempts = 0
         self._may_have_run = False
         self._last_failure = None
+        self._answer_end = request_log.AnswerEnd()
         self._started_s = trio.current_time()
         self._stages_s = 0.0
 
@@ -255,6 +257,9 @@
         try:
             return await self._handle_answer(attempt, answer)
         finally:
+            self._answer_end = request_log.AnswerEnd(
+                answer.framing, self._relay.get_partial_event_bytes()
+            )
             answer.finish()
 
     def _get_answer_timeout_s(self):
@@ -431,7 +436,9 @@
         if first_event_s is not None:
             first_event_s -= self._started_s
         times = request_log.RunTimes(spent_s, self._stages_s, first_event_s)
-        request_log.log_outcome(self._admitted, self._sends, times, outcome)
+        request_log.log_outcome(
+            self._admitted, self._sends, times, self._answer_end, outcome
+        )
 
 
 def new_direct_run(services, admitted, reply):
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http import framing
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import budget as budget_module
@@ -90,6 +91,7 @@
     def __init__(self, status=200, parts=(b"ok",), **flags):
         self.status = status
         self.headers = [(b"X-Seal", b"s")]
+        self.framing = flags.get("framing", framing.Framing.CHUNKS)
         self.is_not_run = flags.get("is_not_run", False)
         self.is_other_server = flags.get("is_other_server", False)
         self.is_input_gone = flags.get("is_input_gone", False)
