--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import hypothesis
 
-pytest_plugins = ["bench.scenarios.steps"]
+pytest_plugins = ["bench.scenarios.steps", "tests.known_red"]
 
 hypothesis.settings.register_profile(
     "ci",
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -44,10 +44,12 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def new_server(server_id, service="svc", data_centre="dc-a", **fields):
-    """Return a published server with its own address."""
+def new_server(
+    server_id, service="svc", data_centre="dc-a", address="", **fields
+):
+    """Return a published server, with its own address by default."""
     return gateway.Server(
-        server_id, service, f"{server_id}:1", data_centre, **fields
+        server_id, service, address or f"{server_id}:1", data_centre, **fields
     )
 
 
@@ -280,9 +282,13 @@
     async def serve(self, route, **fields):
         """Return the outcome of a request and the caller's `FakeReply`."""
         reply = FakeReply()
+        return await self.run(route, reply, **fields), reply
+
+    async def run(self, route, reply, **fields):
+        """Return the outcome of a request that is answered by `reply`."""
         admitted = self.admit(route, **fields)
         run = run_module.new_direct_run(self.services, admitted, reply)
-        return await run.run(), reply
+        return await run.run()
 
 
 def new_failure(ran, **flags):
--- /dev/null
+++ b/tests/direct/test_broken_answers.py
@@ -0,0 +1,220 @@
+"""Answers that were broken off never reach their caller as complete."""
+
+import enum
+import struct
+
+import pytest
+import trio
+
+from greengagetrack.connection.http import client
+from greengagetrack.connection.http import server as server_module
+from greengagetrack.platform import callers
+from greengagetrack.platform import engines
+from greengagetrack.version import catalog
+from tests.direct import fakes
+from tests.direct import loopback
+
+EVENTS = b"Content-Type: text/event-stream\r\n"
+LENGTH, CHUNKS, CONNECTION = "length", "chunks", "connection"
+STREAM = fakes.new_route(repeat=catalog.Repeat.STREAM)
+RESUMABLE = fakes.new_route(
+    repeat=catalog.Repeat.STREAM, is_resumable=True, target_gap_ms=100.0
+)
+SAFE = fakes.new_route(attempts_max=1)
+
+
+class End(enum.Enum):
+    """How a caller saw the end of its answer."""
+
+    LAST_CHUNK = enum.auto()
+    LENGTH = enum.auto()
+    CLOSED = enum.auto()
+    CUT = enum.auto()
+    RESET = enum.auto()
+
+
+def _new_event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def _new_answer(framing, body, fields=EVENTS):
+    """Return an answer whose framing says that `body` is all of it."""
+    if framing == LENGTH:
+        fields += b"Content-Length: %d\r\n" % len(body)
+    elif framing == CHUNKS:
+        fields += b"Transfer-Encoding: chunked\r\n"
+        body = (
+            b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+            if body
+            else (b"0\r\n\r\n")
+        )
+    return b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n" + body
+
+
+def _reset(stream):
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(
+        trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
+    )
+    stream.socket.close()
+
+
+async def _receive_answer(stream):
+    """Return the raw answer, and the `End` without regard to its head."""
+    data = b""
+    while True:
+        try:
+            more = await stream.receive_some(65536)
+        except trio.BrokenResourceError:
+            return data, End.RESET
+        if not more:
+            return data, End.CLOSED
+        data += more
+
+
+def _read_answer(data, end):
+    """Return the head, the body and how its end was marked."""
+    head, _separator, body = data.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" in head.lower():
+        is_whole = body.endswith(b"0\r\n\r\n")
+        return head, body, End.LAST_CHUNK if is_whole else End.CUT
+    if b"content-length:" in head.lower():
+        return head, body, End.LENGTH
+    return head, body, end
+
+
+def _ask(route, *answers, resets=(), version=b"1.1"):
+    """Send one request to an entry whose servers give `answers`.
+
+    A server closes the connection after its answer, or resets it if the
+    number of the answer is in `resets`. Return what the caller received.
+    """
+    results = []
+
+    async def main():
+        remaining = list(enumerate(answers))
+
+        async def answer(stream):
+            await loopback.read_until(stream, b"\r\n\r\n")
+            number, data = remaining.pop(0)
+            await stream.send_all(data)
+            await trio.sleep(0.05)
+            if number in resets:
+                _reset(stream)
+            else:
+                await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            address = await loopback.start_raw_server(nursery, answer)
+            fake_entry = fakes.FakeEntry(
+                nursery,
+                engines.new_engine_gateway(client.new_pool(nursery)),
+                [
+                    fakes.new_server(name, address=address)
+                    for name in ("s1", "s2", "s3")
+                ],
+            )
+
+            async def handle(exchange):
+                reply = callers.HttpReply(exchange)
+                outcome = await fake_entry.run(
+                    route, reply, headers=[(b"Host", b"h")]
+                )
+                if not exchange.is_started:
+                    status, fields = callers.get_error_response(outcome)
+                    await exchange.answer(status, fields)
+
+            server = server_module.new_server("", handle, catalog.CallerLimits)
+            entry_address = await loopback.start_raw_server(
+                nursery, server.serve_connection
+            )
+            stream = await loopback.open_stream(entry_address)
+            await stream.send_all(
+                b"POST / HTTP/%s\r\nHost: h\r\nContent-Length: 0\r\n"
+                b"Connection: close\r\n\r\n" % version
+            )
+            with trio.fail_after(loopback.LIMIT_S):
+                results.append(_read_answer(*await _receive_answer(stream)))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return results[0]
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION])
+def test_stream_that_ends_inside_an_event_is_not_relayed_as_complete(framing):
+    answer = _new_answer(framing, _new_event(1) + b"id: 2\nda")
+    _head, body, end = _ask(STREAM, answer)
+    assert end in (End.CUT, End.RESET)
+    assert b"id: 2" not in body
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION])
+def test_stream_that_ends_inside_an_event_is_resumed(framing):
+    broken = _new_answer(framing, _new_event(1) + b"id: 2\nda")
+    rest = _new_answer(framing, _new_event(2) + _new_event(3))
+    _head, body, end = _ask(RESUMABLE, broken, rest)
+    assert end in (End.LAST_CHUNK, End.CLOSED)
+    assert [body.count(b"id: %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
+
+
+def test_stream_without_length_is_not_relayed_with_a_stronger_framing():
+    answer = _new_answer(CONNECTION, _new_event(1) + _new_event(2))
+    head, body, end = _ask(STREAM, answer)
+    assert end is End.CLOSED
+    assert body == _new_event(1) + _new_event(2)
+    assert b"connection: close" in head.lower()
+
+
+def test_body_without_length_is_not_relayed_with_a_stronger_framing():
+    answer = _new_answer(CONNECTION, b"all of it", b"X-A: 1\r\n")
+    head, body, end = _ask(SAFE, answer)
+    assert (body, end) == (b"all of it", End.CLOSED)
+    assert b"connection: close" in head.lower()
+
+
+def test_stream_without_length_and_without_event_is_not_complete():
+    _head, body, end = _ask(STREAM, _new_answer(CONNECTION, b""))
+    assert body == b""
+    assert end in (End.CUT, End.RESET)
+
+
+def test_reset_stream_without_length_is_reset_for_its_caller():
+    answer = _new_answer(CONNECTION, _new_event(1))
+    _head, _body, end = _ask(STREAM, answer, resets=(0,))
+    assert end in (End.CUT, End.RESET)
+
+
+def test_reset_body_without_length_is_not_relayed():
+    answer = _new_answer(CONNECTION, b"half", b"X-A: 1\r\n")
+    head, _body, _end = _ask(SAFE, answer, resets=(0,))
+    assert b" 502 " in head
+
+
+def test_broken_stream_is_not_complete_for_a_caller_without_chunks():
+    """A caller of HTTP/1.0 takes the end of its connection for the end."""
+    answer = _new_answer(CHUNKS, _new_event(1) + b"id: 2\nda")
+    _head, _body, end = _ask(STREAM, answer, version=b"1.0")
+    assert end is End.RESET
+
+
+def test_resumed_stream_without_length_does_not_end_a_chunked_one():
+    broken = _new_answer(CHUNKS, _new_event(1) + b"id: 2\nda")
+    rest = _new_answer(CONNECTION, _new_event(2))
+    _head, _body, end = _ask(RESUMABLE, broken, rest)
+    assert end is End.CUT
+
+
+def test_end_that_is_not_proven_is_asked_of_another_server():
+    route = fakes.new_route(
+        repeat=catalog.Repeat.STREAM,
+        is_resumable=True,
+        target_gap_ms=100.0,
+        attempts_max=3,
+    )
+    broken = _new_answer(CHUNKS, _new_event(1) + b"id: 2\nda")
+    unproven = _new_answer(CONNECTION, _new_event(2))
+    proven = _new_answer(CHUNKS, _new_event(3))
+    _head, body, end = _ask(route, broken, unproven, proven)
+    assert end is End.LAST_CHUNK
+    assert [body.count(b"id: %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
