--- /dev/null
+++ b/greengagetrack/connection/answer_end.py
@@ -0,0 +1,24 @@
+"""Whether an answer that was read from another process is complete.
+
+The end of a body proves less than it seems to: a server that breaks off may
+close its connection in an orderly way, or end a stream in the middle of an
+event. Every reader of an answer asks here before it takes one for complete.
+"""
+
+from greengagetrack.connection.http import framing as framing_module
+
+
+def find_stream_problem(framing, splitter):
+    """Return why a stream that has ended is incomplete, or "".
+
+    `splitter` is the `EventSplitter` that has received all of its body::
+
+        splitter.feed(b"id: 1\\ndata: x\\n\\nid: 2\\nda")
+        assert find_stream_problem(Framing.CHUNKS, splitter)
+    """
+    if splitter.is_inside_event():
+        return "the stream ended inside an event"
+    is_proven = framing is not framing_module.Framing.CONNECTION
+    if not is_proven and not splitter.event_count:
+        return "the connection closed before the first event"
+    return ""
--- a/greengagetrack/connection/http/events.py
+++ b/greengagetrack/connection/http/events.py
@@ -5,9 +5,9 @@
 import msgspec
 
 
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
-
+# Two line ends in sequence, of the same kind or not.
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
 
 # A longer event is taken for bytes that are no stream.
 EVENT_MAX_BYTES = 1024 * 1024
@@ -23,10 +23,11 @@
 class EventSplitter:
     """Splits a body into events and buffers an incomplete event."""
 
-    __slots__ = ("_rest",)
+    __slots__ = ("_rest", "event_count")
 
     def __init__(self):
         self._rest = b""
+        self.event_count = 0
 
     def feed(self, data):
         """Return the events that `data` completes."""
@@ -35,6 +36,7 @@
         while True:
             end = _EVENT_END.search(self._rest)
             if end is None:
+                self.event_count += len(events)
                 return events
             event = self._rest[: end.end()]
             self._rest = self._rest[end.end() :]
@@ -44,6 +46,10 @@
         """Return whether the incomplete event exceeds the size limit."""
         return len(self._rest) > EVENT_MAX_BYTES
 
+    def is_inside_event(self):
+        """Return whether an event has begun and not ended."""
+        return bool(self._rest.strip(b"\r\n"))
+
     def get_rest(self):
         """Return the bytes after the last complete event."""
         return self._rest
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import events
 from greengagetrack.request import outcome
@@ -19,6 +20,7 @@
     """
 
     __slots__ = (
+        "_framing",
         "_reply",
         "_splitter",
         "first_event_s",
@@ -28,15 +30,17 @@
 
     def __init__(self, reply):
         self._reply = reply
+        self._framing = None
         self._splitter = None
         self.first_event_s = None
         self.last_event = None
         self.progress_s = trio.current_time()
 
-    async def start(self, status, headers):
+    async def start(self, answer):
         """Start to relay the answer of a server, the first or a later one."""
         if not self._reply.is_started:
-            await self._reply.start(status, headers)
+            await self._reply.start(answer.status, answer.headers)
+        self._framing = answer.framing
         self._splitter = events.EventSplitter()
         self.progress_s = trio.current_time()
 
@@ -80,11 +84,15 @@
         return len(self._splitter.get_rest()) if self._splitter else 0
 
     async def finish(self):
-        """Complete the answer of the caller."""
-        rest = self._splitter.get_rest()
-        if rest:
-            await self._reply.send_part(rest)
+        """Complete the answer of the caller, after the server's ended.
+
+        Return a `Failure` if the server's answer is incomplete.
+        """
+        problem = answer_end.find_stream_problem(self._framing, self._splitter)
+        if problem:
+            return _new_problem(problem)
         await self._reply.finish()
+        return None
 
 
 def _new_problem(detail):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -375,7 +375,7 @@
         )
 
     async def _relay_events(self, attempt, answer):
-        await self._relay.start(answer.status, answer.headers)
+        await self._relay.start(answer)
         while True:
             part = None
             with trio.move_on_at(self._get_event_end_s()) as scope:
@@ -387,15 +387,20 @@
             if isinstance(part, gateway.Failure):
                 return self._handle_failure(attempt, part, is_counted=True)
             if part is None:
-                await self._relay.finish()
-                attempt.record_answer(answer.status)
-                return direct_outcome.Relayed(answer.status)
+                return await self._finish_events(attempt, answer)
             if not attempt.is_prefilled:
                 self._record_first_event(attempt)
             problem = await self._relay.feed(part)
             if problem is not None:
                 return self._handle_failure(attempt, problem, is_counted=True)
 
+    async def _finish_events(self, attempt, answer):
+        problem = await self._relay.finish()
+        if problem is not None:
+            return self._handle_failure(attempt, problem, is_counted=True)
+        attempt.record_answer(answer.status)
+        return direct_outcome.Relayed(answer.status)
+
     def _record_first_event(self, attempt):
         attempt.record_first_event(
             self._services.chooser.get_first_event_estimate(self._service)
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -105,13 +105,16 @@
                 await stream.aclose()
 
         async with trio.open_nursery() as nursery:
-            address = await loopback.start_raw_server(nursery, answer)
+            addresses = [
+                await loopback.start_raw_server(nursery, answer)
+                for _server in range(3)
+            ]
             fake_entry = fakes.FakeEntry(
                 nursery,
                 engines.new_engine_gateway(client.new_pool(nursery)),
                 [
-                    fakes.new_server(name, address=address)
-                    for name in ("s1", "s2", "s3")
+                    fakes.new_server(f"s{number}", address=address)
+                    for number, address in enumerate(addresses)
                 ],
             )
 
