--- a/greengagetrack/connection/answer_end.py
+++ b/greengagetrack/connection/answer_end.py
@@ -22,3 +22,15 @@
     if not is_proven and not splitter.event_count:
         return "the connection closed before the first event"
     return ""
+
+
+def find_framing_problem(read_framing, sent_framing):
+    """Return why the end of an answer can't be passed on, or "".
+
+    A resumed stream is sent with the framing of its first answer. The end
+    of a later one must prove as much.
+    """
+    is_proven = read_framing is not framing_module.Framing.CONNECTION
+    if is_proven or sent_framing is framing_module.Framing.CONNECTION:
+        return ""
+    return "the connection closed, which doesn't prove an end"
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -8,11 +8,14 @@
 """
 
 import logging
+import socket
+import struct
 
 import h11
 import trio
 
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import framing as framing_module
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
@@ -21,6 +24,10 @@
 IDLE_SLACK_S = 1.0
 SEND_TIMEOUT_S = 10.0
 
+_LINGER_OFF = struct.pack("ii", 0, 0)
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_Framing = framing_module.Framing
+
 _log = logging.getLogger(__name__)
 
 
@@ -28,7 +35,8 @@
     """A request of a caller, with the methods that send its response.
 
     A response is sent either by `answer` alone, or by `start`, any number
-    of calls of `send`, and `finish`.
+    of calls of `send`, and `finish`. With `Framing.CONNECTION` its end is
+    that of the connection, which is reset if the response isn't finished.
     """
 
     __slots__ = (
@@ -54,10 +62,15 @@
         self.is_started = False
         self.is_finished = False
 
-    async def answer(self, status, headers, body=b""):
+    async def answer(self, status, headers, body=b"", framing=_Framing.LENGTH):
         """Send a complete response."""
-        framing = [(b"Content-Length", b"%d" % len(body))]
-        data = self._encode_head(status, list(headers) + framing)
+        if framing is _Framing.CONNECTION:
+            await self.start(status, headers, framing)
+            await self.send(body)
+            await self.finish()
+            return
+        length = [(b"Content-Length", b"%d" % len(body))]
+        data = self._encode_head(status, list(headers) + length)
         protocol = self._connection.protocol
         if body and self.method != b"HEAD":
             data += protocol.send(h11.Data(data=body))
@@ -65,10 +78,11 @@
         await self._connection.send(data + protocol.send(h11.EndOfMessage()))
         self.is_finished = True
 
-    async def start(self, status, headers):
+    async def start(self, status, headers, framing=_Framing.CHUNKS):
         """Send the head of a response of unknown length."""
         # Without Content-Length, h11 uses chunked transfer encoding.
         self.is_started = True
+        self._connection.begin_body(framing)
         await self._connection.send(self._encode_head(status, headers))
 
     async def send(self, data):
@@ -80,6 +94,7 @@
         """Send the end of the body, which completes the response."""
         event = h11.EndOfMessage()
         await self._connection.send(self._connection.protocol.send(event))
+        await self._connection.end_body()
         self.is_finished = True
 
     def _encode_head(self, status, headers):
@@ -111,11 +126,18 @@
 class _CallerConnection:
     """A connection of a caller, which serves its requests in order."""
 
-    __slots__ = ("_server", "_stream", "protocol", "request_count")
+    __slots__ = (
+        "_is_body_ended_by_close",
+        "_server",
+        "_stream",
+        "protocol",
+        "request_count",
+    )
 
     def __init__(self, server, stream):
         self._server = server
         self._stream = stream
+        self._is_body_ended_by_close = False
         self.protocol = self._new_protocol()
         self.request_count = 0
 
@@ -129,6 +151,41 @@
         """Return whether the next response closes the connection."""
         return self._server.is_draining
 
+    def begin_body(self, framing):
+        """Prepare for a body of unknown length.
+
+        A caller without chunks takes an orderly close for the end of the
+        body, so its connection is set to be reset until `end_body`. The
+        socket option also holds if this process is killed.
+        """
+        if framing is _Framing.CONNECTION:
+            # This is how h11 is told not to use chunks.
+            self.protocol.their_http_version = b"1.0"
+        if self.protocol.their_http_version < b"1.1":
+            self._is_body_ended_by_close = True
+            self._set_linger(_LINGER_RESET)
+
+    async def end_body(self):
+        """Send an EOF if that is the end of the body."""
+        if self._is_body_ended_by_close:
+            self._set_linger(_LINGER_OFF)
+            await self._stream.send_eof()
+
+    def _set_linger(self, value):
+        self._stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, value
+        )
+
+    async def _wait_for_close(self):
+        """Wait until the caller has closed its side as well.
+
+        Closing with unread bytes would reset the connection before the
+        caller has read the response.
+        """
+        with trio.move_on_after(LINGER_S):
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+
     async def send(self, data):
         """Send bytes; raise `TooSlowError` if the caller reads too slowly."""
         with trio.fail_after(SEND_TIMEOUT_S):
@@ -160,6 +217,9 @@
             self._server.in_progress -= 1
         if not exchange.is_finished:
             return False
+        if self._is_body_ended_by_close:
+            await self._wait_for_close()
+            return False
         if self.protocol.our_state is not h11.DONE:
             return False
         return self.protocol.their_state is h11.DONE
@@ -301,10 +361,7 @@
             try:
                 await self._stream.send_all(data)
                 await self._stream.send_eof()
-                # Closing with unread bytes would reset the connection
-                # before the caller has read the response.
-                while await self._stream.receive_some(RECEIVE_BYTES):
-                    pass
+                await self._wait_for_close()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
 
--- a/greengagetrack/platform/callers.py
+++ b/greengagetrack/platform/callers.py
@@ -30,13 +30,13 @@
         """Whether part of the response was sent."""
         return self._exchange.is_started
 
-    async def send_whole(self, status, headers, body):
+    async def send_whole(self, status, headers, body, framing):
         """Send a complete response."""
-        await self._exchange.answer(status, headers, body)
+        await self._exchange.answer(status, headers, body, framing)
 
-    async def start(self, status, headers):
+    async def start(self, status, headers, framing):
         """Send the status and headers of a stream."""
-        await self._exchange.start(status, headers)
+        await self._exchange.start(status, headers, framing)
 
     async def send_part(self, data):
         """Send bytes of the stream."""
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -22,6 +22,7 @@
     __slots__ = (
         "_framing",
         "_reply",
+        "_reply_framing",
         "_splitter",
         "first_event_s",
         "last_event",
@@ -31,6 +32,7 @@
     def __init__(self, reply):
         self._reply = reply
         self._framing = None
+        self._reply_framing = None
         self._splitter = None
         self.first_event_s = None
         self.last_event = None
@@ -39,7 +41,10 @@
     async def start(self, answer):
         """Start to relay the answer of a server, the first or a later one."""
         if not self._reply.is_started:
-            await self._reply.start(answer.status, answer.headers)
+            await self._reply.start(
+                answer.status, answer.headers, answer.framing
+            )
+            self._reply_framing = answer.framing
         self._framing = answer.framing
         self._splitter = events.EventSplitter()
         self.progress_s = trio.current_time()
@@ -88,7 +93,11 @@
 
         Return a `Failure` if the server's answer is incomplete.
         """
-        problem = answer_end.find_stream_problem(self._framing, self._splitter)
+        problem = answer_end.find_stream_problem(
+            self._framing, self._splitter
+        ) or answer_end.find_framing_problem(
+            self._framing, self._reply_framing
+        )
         if problem:
             return _new_problem(problem)
         await self._reply.finish()
--- a/greengagetrack/request/direct/reply.py
+++ b/greengagetrack/request/direct/reply.py
@@ -7,17 +7,18 @@
     """Receiver of one answer: complete, or as a stream of events.
 
     If a stream is started and never finished, the caller can tell that it
-    is incomplete.
+    is incomplete. `framing` is that of the server's answer; its caller's is
+    no stronger, since it would vouch for what the server did not.
     """
 
     is_started = False
 
     @abc.abstractmethod
-    async def send_whole(self, status, headers, body):
+    async def send_whole(self, status, headers, body, framing):
         """Send a complete answer."""
 
     @abc.abstractmethod
-    async def start(self, status, headers):
+    async def start(self, status, headers, framing):
         """Send the status and headers of a stream."""
 
     @abc.abstractmethod
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -364,7 +364,7 @@
                 _Reason.BACKEND_FAILED, f"status {answer.status}"
             )
         await self._reply.send_whole(
-            answer.status, answer.headers, b"".join(parts)
+            answer.status, answer.headers, b"".join(parts), answer.framing
         )
         return direct_outcome.Relayed(answer.status)
 
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -182,12 +182,12 @@
         self.status = None
         self.body = b""
 
-    async def send_whole(self, status, headers, body):
+    async def send_whole(self, status, headers, body, framing):
         self.is_started = self.is_whole = True
         self.status = status
         self.body = body
 
-    async def start(self, status, headers):
+    async def start(self, status, headers, framing):
         self.is_started = True
         self.status = status
 
--- a/tests/direct/test_http_server.py
+++ b/tests/direct/test_http_server.py
@@ -1,8 +1,11 @@
 """Parsing of callers' requests, responses, disconnects and timeouts."""
 
+import socket
+
 import pytest
 import trio
 
+from greengagetrack.connection.http import framing
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.version import catalog
 from tests.direct import loopback
@@ -152,6 +155,65 @@
     _run(check, respond_partially)
 
 
+async def _respond_without_chunks(exchange):
+    await exchange.start(200, [], framing.Framing.CONNECTION)
+    await exchange.send(b"some")
+
+
+def test_unfinished_response_without_chunks_is_reset():
+    async def check(_handler, _server, address):
+        stream = await loopback.open_stream(address)
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        with pytest.raises(trio.BrokenResourceError):
+            while await stream.receive_some():
+                pass
+
+    _run(check, _respond_without_chunks)
+
+
+def test_response_without_chunks_is_reset_if_the_entry_stops():
+    async def respond_and_wait(exchange):
+        await _respond_without_chunks(exchange)
+        await trio.sleep_forever()
+
+    async def check(_handler, _server, address):
+        stream = await loopback.open_stream(address)
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"some" in await loopback.read_until(stream, b"some")
+        streams.append(stream)
+
+    streams = []
+    _run(check, respond_and_wait)
+    with pytest.raises(ConnectionResetError):
+        _receive_after_run(streams[0])
+
+
+def _receive_after_run(stream):
+    """Receive from a stream whose event loop has ended."""
+    with socket.socket(fileno=stream.socket.detach()) as plain_socket:
+        plain_socket.settimeout(loopback.LIMIT_S)
+        while plain_socket.recv(100):
+            pass
+
+
+def test_finished_response_without_chunks_ends_in_order():
+    async def respond(exchange):
+        await _respond_without_chunks(exchange)
+        await exchange.finish()
+
+    async def check(_handler, _server, address):
+        stream = await loopback.open_stream(address)
+        pipelined = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 3
+        await stream.send_all(pipelined)
+        data = b""
+        while more := await stream.receive_some():
+            data += more
+        assert data.endswith(b"\r\n\r\nsome")
+        assert b"connection: close" in data.lower()
+
+    _run(check, respond)
+
+
 def test_pipelined_requests_are_answered_in_order():
     async def check(handler, _server, address):
         stream = await loopback.open_stream(address)
