--- a/greengagetrack/connection/answer_end.py
+++ b/greengagetrack/connection/answer_end.py
@@ -8,6 +8,11 @@
 from greengagetrack.connection.http import framing as framing_module
 
 
+def is_body_end_proven(framing):
+    """Return whether the framing alone proves that a body is complete."""
+    return framing is not framing_module.Framing.CONNECTION
+
+
 def find_stream_problem(framing, splitter):
     """Return why a stream that has ended is incomplete, or "".
 
@@ -18,8 +23,7 @@
     """
     if splitter.is_inside_event():
         return "the stream ended inside an event"
-    is_proven = framing is not framing_module.Framing.CONNECTION
-    if not is_proven and not splitter.event_count:
+    if not is_body_end_proven(framing) and not splitter.event_count:
         return "the connection closed before the first event"
     return ""
 
@@ -30,7 +34,8 @@
     A resumed stream is sent with the framing of its first answer. The end
     of a later one must prove as much.
     """
-    is_proven = read_framing is not framing_module.Framing.CONNECTION
-    if is_proven or sent_framing is framing_module.Framing.CONNECTION:
+    if is_body_end_proven(read_framing) or not is_body_end_proven(
+        sent_framing
+    ):
         return ""
     return "the connection closed, which doesn't prove an end"
--- a/greengagetrack/connection/platform/http.py
+++ b/greengagetrack/connection/platform/http.py
@@ -3,6 +3,8 @@
 import httpx
 import msgspec
 
+from greengagetrack.connection import answer_end
+from greengagetrack.connection.http import framing as framing_module
 from greengagetrack.connection import http_client
 from greengagetrack.connection.platform import base
 
@@ -42,6 +44,12 @@
             return None
         if response.status_code != httpx.codes.OK:
             return None
+        framing = framing_module.get_framing(
+            b"GET", response.status_code, response.headers.raw
+        )
+        # The first lines of a value may be a valid value.
+        if not answer_end.is_body_end_proven(framing):
+            return None
         revision = response.headers.get(REVISION_HEADER, "")
         if not revision.isdigit() or len(response.content) > VALUE_MAX_BYTES:
             return None
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.platform import callers
@@ -221,3 +222,32 @@
     _head, body, end = _ask(route, broken, unproven, proven)
     assert end is End.LAST_CHUNK
     assert [body.count(b"id: %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
+
+
+@pytest.mark.parametrize("size", [0, 10, 30, 40])
+def test_cut_result_of_a_stage_without_length_is_a_failure(size):
+    body = b'{"items":[{"handle":"a"},{"handle":"b"}]}'
+    results = []
+
+    async def main():
+        async def answer(stream):
+            await loopback.read_until(stream, b"]}")
+            await stream.send_all(_new_answer(CONNECTION, body[:size], b""))
+            await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            address = await loopback.start_raw_server(nursery, answer)
+            gateway = engines.new_engine_gateway(client.new_pool(nursery))
+            pieces = [
+                gateway_module.Piece("r", 0, number, 100, "key")
+                for number in range(2)
+            ]
+            results.append(
+                await gateway.run_pieces(
+                    fakes.new_server("s", address=address), pieces
+                )
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert isinstance(results[0], gateway_module.Failure)
