--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -6,13 +6,17 @@
 
 
 class Attempt:
-    """One attempt of a request and its share of the server's load."""
+    """One attempt of a request and its share of the server's load.
+
+    `has_begun` says that the head of its answer was received.
+    """
 
     __slots__ = (
         "_predicted_ms",
         "_prefill_tokens",
         "_started_s",
         "_tokens_ahead",
+        "has_begun",
         "is_prefilled",
         "server",
     )
@@ -24,6 +28,7 @@
         self._predicted_ms = choice.wait_ms / server.slowness
         self._tokens_ahead = choice.tokens_ahead
         self._started_s = trio.current_time()
+        self.has_begun = False
         self.is_prefilled = False
 
     def record_prefill_done(self):
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -33,6 +33,14 @@
         """The target without its query, as text."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def shared_parts(self):
+        """The ids of the parts that other requests may have as well.
+
+        The last part belongs to the request itself or to its session.
+        """
+        return [part_id for part_id, _tokens in self.parts[:-1]]
+
     @property
     def log_id(self):
         """The request id as text, for logs and pieces."""
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -33,20 +33,22 @@
     )
 
 
-def log_failure(admitted, sends, last_event, server, failure):
-    """Log a failed attempt."""
+def log_failure(admitted, sends, last_event, attempt, failure):
+    """Log a failed attempt, with the prompt parts that others may share."""
     _log.warning(
         "attempt failed",
         extra={
             "decision": "attempt",
             "request": admitted.request.log_id,
             "route": admitted.route.name,
-            "server": server.server_id,
+            "server": attempt.server.server_id,
             "outcome": failure.reason,
             "ran": failure.ran,
             "detail": failure.detail,
             "sends": sends,
             "last_event": (last_event or b"").decode("latin-1"),
+            "has_begun": attempt.has_begun,
+            "parts": admitted.request.shared_parts,
         },
     )
 
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -306,12 +306,13 @@
             self._attempts += 1
         server.record_failed_call(failure)
         self._last_failure = failure
-        self._log_failure(server, failure)
+        self._log_failure(attempt, failure)
         return None
 
     async def _handle_answer(self, attempt, answer):
         if answer.is_not_run:
             return await self._handle_rejection(attempt, answer)
+        attempt.has_begun = True
         self._attempts += 1
         if answer.is_events and answer.status < 300:
             return await self._relay_events(attempt, answer)
@@ -357,7 +358,7 @@
                 f"status {answer.status}",
             )
             if self._may_retry():
-                self._log_failure(attempt.server, self._last_failure)
+                self._log_failure(attempt, self._last_failure)
                 return None
         if self._reply.is_started:
             return direct_outcome.Cut(
@@ -423,12 +424,12 @@
             timeout_s = max(EVENT_GAP_MIN_S, gap_s)
         return self._relay.progress_s + timeout_s
 
-    def _log_failure(self, server, failure):
+    def _log_failure(self, attempt, failure):
         request_log.log_failure(
             self._admitted,
             self._sends,
             self._relay.last_event,
-            server,
+            attempt,
             failure,
         )
 
