--- a/bench/reference.py
+++ b/bench/reference.py
@@ -8,6 +8,7 @@
 
 from bench.scenarios import steps
 from greengagetrack.connection import problems
+from greengagetrack.process.direct.decisions import crash_evidence
 from greengagetrack.process.direct import metrics as direct_metrics
 from greengagetrack.process import metrics
 from greengagetrack.process import settings
@@ -46,6 +47,7 @@
     "order_book_full": "The order book is full; no order is deleted early.",
     "order_too_recent_start": "The agent just started; wait a retry window.",
     "organisation_unknown": "The table has no such organisation.",
+    "part_crashes_servers": "A part of the prompt crashed several servers.",
     "pipeline_unknown": "The table has no such pipeline.",
     "rate_limit": "The row's rate is used up; retry later.",
     "records_full": "The records are full; none is deleted early.",
@@ -166,6 +168,7 @@
         source = path.read_text()
         decisions |= set(re.findall(r'"decision": "([\w ]+)"', source))
     decisions |= {"route", "hedge", "order_run", "order_join", "order_deny"}
+    decisions |= set(crash_evidence.ChangeKind)
     lines += [f"- `{decision}`" for decision in sorted(decisions)]
     return "\n".join(lines) + "\n"
 
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -141,6 +141,10 @@
     async def free_results(self, address, handles):
         """Free results at `address`; return whether the server confirms."""
 
+    @abc.abstractmethod
+    async def is_refusing(self, server):
+        """Return whether a server refuses connections, as after a crash."""
+
     @abc.abstractmethod
     def drop_connections(self, server):
         """Close the idle connections to a server that was removed."""
--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -38,9 +38,13 @@
 
 
 class NotSent(msgspec.Struct, frozen=True):
-    """A call of which no byte was written to a connection."""
+    """A call of which no byte was written to a connection.
+
+    `is_refused` means that nothing listens at the address.
+    """
 
     detail: str = ""
+    is_refused: bool = False
 
 
 class ResponseFailure(msgspec.Struct, frozen=True):
@@ -385,6 +389,17 @@
             self.drop(connection)
         return None
 
+    async def is_refusing(self, address):
+        """Return whether connections to `address` are refused.
+
+        One that is accepted stays in the pool.
+        """
+        connection = await self._connect(address)
+        if isinstance(connection, NotSent):
+            return connection.is_refused
+        self.release(connection)
+        return False
+
     async def _connect(self, address):
         host, _separator, port = address.rpartition(":")
         self.count_by_address[address] = self.count(address) + 1
@@ -394,7 +409,8 @@
                 stream = await open_stream(host, int(port))
                 is_open = True
         except OSError as error:
-            return NotSent(str(error))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return NotSent(str(error), is_refused)
         finally:
             if not is_open:
                 self._decrement_count(address)
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -305,6 +305,45 @@
     loads: list[tuple[str, int, int]] = []
 
 
+class CrashedRequest(_Message):
+    """A request that broke off, `age_ms` ago, when a server crashed.
+
+    `parts` are those of its prompt that other requests may share.
+    """
+
+    lifetime: str
+    age_ms: int
+    request_id: str
+    parts: list[str]
+    has_begun: bool
+
+
+class PartHold(_Message):
+    """A part with which requests are refused.
+
+    The ages are the times since it was found guilty and last seen.
+    """
+
+    part: str
+    since_age_ms: int
+    seen_age_ms: int
+
+
+class SoundPart(_Message):
+    """A part on which an answer went well, `age_ms` ago."""
+
+    part: str
+    age_ms: int
+
+
+class CrashNews(_Message):
+    """What an entry knows of parts of prompts that crash servers."""
+
+    crashed: list[CrashedRequest] = []
+    holds: list[PartHold] = []
+    sound: list[SoundPart] = []
+
+
 class EntryDigest(_Message, tag="entry_digest"):
     """The state of one entry in direct mode, as it sends it to another.
 
@@ -313,7 +352,8 @@
     each with the id of the server that it was just sent to, `far_parts`
     those of other data centres. `waits` and `loads` are the sender's own,
     and omitted where `centres` has them. `peers` has the addresses of all
-    entries, for a receiver that knows fewer than `peers_known`.
+    entries, for a receiver that knows fewer than `peers_known`. `crash_news`
+    is repeated in each digest, so that a lost one does no harm.
     """
 
     name: str
@@ -330,6 +370,7 @@
     far_parts: list[tuple[str, str]] = []
     loads: list[tuple[str, int, int]] = []
     centres: list[CentreDigest] = []
+    crash_news: CrashNews | None = None
 
 
 class EntryDigestReply(_Message, tag="entry_heard"):
--- a/greengagetrack/platform/callers.py
+++ b/greengagetrack/platform/callers.py
@@ -65,7 +65,7 @@
     """Return the status and headers for the outcome of a failed request."""
     if isinstance(outcome, outcome_module.Refused):
         status = _STATUS_BY_REASON.get(outcome.reason, 503)
-        if status != 503:
+        if status != 503 or outcome.retry_after_ms is None:
             return status, []
         seconds = f"{outcome.retry_after_ms / 1000:.3f}".encode()
         return status, [(RETRY_AFTER, seconds)]
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -140,6 +140,10 @@
         """Close the idle connections to a server that was removed."""
         self._pool.drop_connections(server.address)
 
+    async def is_refusing(self, server):
+        """Return whether a server refuses connections, as after a crash."""
+        return await self._pool.is_refusing(server.address)
+
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
         head = client.RequestHead(
--- /dev/null
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -0,0 +1,188 @@
+"""Keeps parts of prompts that crash servers away from them.
+
+The decisions are those of `decisions.crash_evidence`. This module confirms
+that a server has crashed, logs each change with its evidence, and exchanges
+the evidence with the other entries.
+"""
+
+import logging
+
+import trio
+
+from greengagetrack.connection import messages
+from greengagetrack.process.direct.decisions import charge
+from greengagetrack.process.direct.decisions import crash_evidence
+
+# Requests that break off together do so within this time.
+COLLECT_S = 0.05
+CRASHED_TOLD_MAX = 32
+TOLD_AGE_MAX_S = 10.0
+SUSPECTS_MAX = 32
+# How long peers are told that a part that they hold is sound.
+DISPUTE_S = 10.0
+MS = 1000
+
+_log = logging.getLogger(__name__)
+
+
+class CrashGuard:
+    """The evidence of one entry, from its own requests and its peers."""
+
+    __slots__ = (
+        "_disputed_until_s_by_part",
+        "_evidence",
+        "_gateway",
+        "_nursery",
+        "_suspects_by_lifetime",
+    )
+
+    def __init__(self, gateway, nursery):
+        self._evidence = crash_evidence.new_crash_evidence()
+        self._gateway = gateway
+        self._nursery = nursery
+        self._suspects_by_lifetime = {}
+        self._disputed_until_s_by_part = {}
+
+    def find_held(self, request):
+        """Return the part because of which a request is refused, or None."""
+        if self._evidence.is_empty():
+            return None
+        now_s = trio.current_time()
+        self._log_changes(self._evidence.update(now_s))
+        return self._evidence.find_held(request.shared_parts, now_s)
+
+    def record_sound(self, request):
+        """Record that the answer of a request goes well at its server."""
+        parts = request.shared_parts
+        if parts:
+            now_s = trio.current_time()
+            self._log_changes(self._evidence.record_sound(parts, now_s))
+
+    def record_break(self, server, request, has_begun):
+        """Record a request that broke off while its answer was to begin."""
+        parts = tuple(request.shared_parts)
+        if not parts or server.published.is_leaving:
+            return
+        lifetime = f"{server.server_id}/{server.published.incarnation}"
+        suspect = charge.Suspect(request.log_id, parts, has_begun)
+        suspects = self._suspects_by_lifetime.get(lifetime)
+        if suspects is None:
+            self._suspects_by_lifetime[lifetime] = [suspect]
+            self._nursery.start_soon(
+                self._confirm_crash, server.published, lifetime
+            )
+        elif len(suspects) < SUSPECTS_MAX:
+            suspects.append(suspect)
+
+    async def _confirm_crash(self, published, lifetime):
+        """Accuse the suspects if their server no longer listens."""
+        await trio.sleep(COLLECT_S)
+        is_refusing = await self._gateway.is_refusing(published)
+        suspects = self._suspects_by_lifetime.pop(lifetime)
+        if is_refusing:
+            now_s = trio.current_time()
+            self._log_changes(
+                self._evidence.record_crash(lifetime, suspects, now_s)
+            )
+
+    def new_news(self):
+        """Return what to tell a peer, or None if there is nothing."""
+        evidence = self._evidence
+        now_s = trio.current_time()
+        disputed = self._get_disputed(now_s)
+        if evidence.is_empty() and not disputed:
+            return None
+        self._log_changes(evidence.update(now_s))
+        crashed_requests = evidence.get_crashed(now_s - TOLD_AGE_MAX_S)
+        crashed_requests = crashed_requests[-CRASHED_TOLD_MAX:]
+        holds = evidence.get_holds()
+        parts = {
+            part
+            for crashed in crashed_requests
+            for part in crashed.suspect.parts
+        }
+        sound_s_by_part = evidence.get_sound_times(
+            parts | holds.keys() | disputed
+        )
+        return messages.CrashNews(
+            crashed=[
+                messages.CrashedRequest(
+                    crashed.lifetime,
+                    _to_age_ms(crashed.crashed_s, now_s),
+                    crashed.suspect.request_id,
+                    list(crashed.suspect.parts),
+                    crashed.suspect.has_begun,
+                )
+                for crashed in crashed_requests
+            ],
+            holds=[
+                messages.PartHold(
+                    part,
+                    _to_age_ms(hold.since_s, now_s),
+                    _to_age_ms(hold.seen_s, now_s),
+                )
+                for part, hold in holds.items()
+            ],
+            sound=[
+                messages.SoundPart(part, _to_age_ms(sound_s, now_s))
+                for part, sound_s in sound_s_by_part.items()
+            ],
+        )
+
+    def _get_disputed(self, now_s):
+        """Return the parts that peers hold and that are known as sound."""
+        until_s_by_part = self._disputed_until_s_by_part
+        for part in [
+            part
+            for part, until_s in until_s_by_part.items()
+            if until_s < now_s
+        ]:
+            del until_s_by_part[part]
+        return set(until_s_by_part)
+
+    def apply_news(self, news):
+        """Add what a peer tells, which is None if that is nothing."""
+        if news is None:
+            return
+        now_s = trio.current_time()
+        evidence = self._evidence
+        changes = []
+        for told in news.sound:
+            changes += evidence.add_sound(told.part, now_s - told.age_ms / MS)
+        for told in news.crashed:
+            suspect = charge.Suspect(
+                told.request_id, tuple(told.parts), told.has_begun
+            )
+            changes += evidence.add_crashed(
+                charge.CrashedRequest(
+                    told.lifetime, now_s - told.age_ms / MS, suspect
+                )
+            )
+        for told in news.holds:
+            since_s = now_s - told.since_age_ms / MS
+            if evidence.was_sound_since(told.part, since_s):
+                self._disputed_until_s_by_part[told.part] = now_s + DISPUTE_S
+            changes += evidence.add_hold(
+                told.part, since_s, now_s - told.seen_age_ms / MS
+            )
+        self._log_changes(changes + evidence.update(now_s))
+
+    def _log_changes(self, changes):
+        for change in changes:
+            _log.info(
+                "prompt part",
+                extra={
+                    "decision": change.kind,
+                    "parts": change.parts,
+                    "lifetimes": change.lifetimes,
+                },
+            )
+
+
+def _to_age_ms(time_s, now_s):
+    return max(int((now_s - time_s) * MS), 0)
+
+
+def new_crash_guard(gateway, nursery):
+    """Return a guard that confirms crashes by `gateway` in `nursery`."""
+    return CrashGuard(gateway, nursery)
--- /dev/null
+++ b/greengagetrack/process/direct/decisions/charge.py
@@ -0,0 +1,127 @@
+"""How much the crashes of servers speak against one part of prompts.
+
+Load pattern: servers crash one after the other under requests that share a
+part, among others that crash all at once or for other reasons.
+"""
+
+import msgspec
+
+# The sum of what the accusations of a guilty part weigh.
+GUILTY_WEIGHT = 3.0
+# Of a request that waited on a server where another answer had begun.
+WAITING_WEIGHT = 1 / 3
+REQUESTS_MIN = 2
+# Servers that crash at the same moment have another cause.
+MOMENT_S = 0.3
+# Without answers that go well, nothing could have cleared a part.
+SOUND_ANSWERS_MIN = 3
+
+
+class Suspect(msgspec.Struct, frozen=True):
+    """A request that broke off with its server.
+
+    `parts` are the ids of those that other requests may share. `has_begun`
+    says that its answer had a head, and no more than its first events.
+    """
+
+    request_id: str
+    parts: tuple[str, ...]
+    has_begun: bool
+
+
+class CrashedRequest(msgspec.Struct, frozen=True):
+    """A suspect and the crash with which it broke off.
+
+    `lifetime` names the server from its start to its crash.
+    """
+
+    lifetime: str
+    crashed_s: float
+    suspect: Suspect
+
+
+class Charge(msgspec.Struct, frozen=True):
+    """The evidence against one part that no answer has cleared since.
+
+    `weight` is the sum of its accusations, `decisive_s` when it sufficed,
+    `depth` how far behind the begin of a prompt the part was.
+    """
+
+    part: str
+    weight: float
+    decisive_s: float
+    lifetimes: tuple[str, ...]
+    sound_s: float
+    depth: int
+
+
+def new_charge(part, crashed_requests, sound_s, answer_times):
+    """Return the `Charge` against a part, or None if it is too weak.
+
+    Only crashes after `sound_s` count, when an answer on the part last went
+    well. `answer_times` is when answers of any kind last did.
+    """
+    accusers = _find_accusers(part, crashed_requests, sound_s)
+    request_ids = {crashed.suspect.request_id for crashed in accusers}
+    if len(request_ids) < REQUESTS_MIN:
+        return None
+    first_s = accusers[0].crashed_s
+    if accusers[-1].crashed_s - first_s < MOMENT_S:
+        return None
+    answers = [time_s for time_s in answer_times if time_s > first_s]
+    if len(answers) < SOUND_ANSWERS_MIN:
+        return None
+    begun_lifetimes = {
+        crashed.lifetime
+        for crashed in crashed_requests
+        if crashed.suspect.has_begun
+    }
+    return _weigh(part, accusers, begun_lifetimes, sound_s)
+
+
+def new_charge_of_doubted(part, crashed_requests, sound_s, doubted_since_s):
+    """Return the `Charge` against a part that was nearly held before.
+
+    One crash since then is enough.
+    """
+    accusers = _find_accusers(
+        part, crashed_requests, max(sound_s, doubted_since_s)
+    )
+    if not accusers:
+        return None
+    return _weigh(part, accusers, set(), sound_s, weight_min=0.0)
+
+
+def _find_accusers(part, crashed_requests, since_s):
+    accusers = [
+        crashed
+        for crashed in crashed_requests
+        if part in crashed.suspect.parts and crashed.crashed_s > since_s
+    ]
+    return sorted(accusers, key=lambda crashed: crashed.crashed_s)
+
+
+def _weigh(part, accusers, begun_lifetimes, sound_s, weight_min=GUILTY_WEIGHT):
+    """Return the `Charge` by requests in the order of their crashes.
+
+    Return None if their weight is less than `weight_min`.
+    """
+    weight_by_lifetime = {}
+    decisive_s = None
+    for crashed in accusers:
+        lifetime = crashed.lifetime
+        is_waiting = (
+            lifetime in begun_lifetimes and not crashed.suspect.has_begun
+        )
+        weight_by_lifetime[lifetime] = max(
+            weight_by_lifetime.get(lifetime, 0.0),
+            WAITING_WEIGHT if is_waiting else 1.0,
+        )
+        weight = sum(weight_by_lifetime.values())
+        if decisive_s is None and weight >= weight_min:
+            decisive_s = crashed.crashed_s
+    if decisive_s is None:
+        return None
+    lifetimes = tuple(weight_by_lifetime)
+    depth = max(crashed.suspect.parts.index(part) for crashed in accusers)
+    return Charge(part, weight, decisive_s, lifetimes, sound_s, depth)
--- /dev/null
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -0,0 +1,306 @@
+"""Which parts of prompts crash the servers that answer them.
+
+Load pattern: a few requests share one part that crashes each server which
+begins an answer on it. Their other parts are sound, requests of all kinds
+break off with the server, and servers crash for other reasons as well.
+
+A crash accuses the parts of the requests whose answer was due to begin. An
+answer that goes well on a living server clears its parts. A part is held if
+several servers accuse it, one after the other, and no answer clears it. What
+a held part explains accuses no other part::
+
+    evidence.record_crash("s1/7", [Suspect("r1", ("a", "b"), True)], 1.0)
+    evidence.record_sound(("a",), 1.5)   # "a" is no longer accused
+    evidence.find_held(("a", "b"), 9.0)  # "b" once more crashes accuse it
+"""
+
+import enum
+import hashlib
+import math
+
+import msgspec
+
+from greengagetrack.process.direct.decisions import charge as charge_module
+
+# Time for news of answers that clear a part to arrive from other entries.
+CLEARING_S = 1.2
+CRASH_AGE_MAX_S = 60.0
+HOLD_IDLE_S = 300.0
+HOLD_AGE_MAX_S = 3600.0
+CRASHED_REQUESTS_MAX = 128
+HOLDS_MAX = 64
+SOUND_PARTS_MAX = 4096
+PART_ID_MAX_CHARS = 64
+PART_DIGEST_BYTES = 16
+
+
+class Hold(msgspec.Struct):
+    """A part with which no request is sent to a server.
+
+    `since_s` is when it was found guilty, `seen_s` when a request last had
+    it. A hold without requests ends, and one crash brings it back.
+    """
+
+    since_s: float
+    seen_s: float
+
+    def is_active(self, now_s):
+        """Return whether requests with the part are refused."""
+        return now_s - self.seen_s < HOLD_IDLE_S
+
+
+class ChangeKind(enum.StrEnum):
+    """What changed about a part, as it is logged."""
+
+    ACCUSED = "part_accuse"
+    CLEARED = "part_clear"
+    HELD = "part_hold"
+    RELEASED = "part_release"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change of what is known of parts, with its evidence."""
+
+    kind: ChangeKind
+    parts: tuple[str, ...]
+    lifetimes: tuple[str, ...] = ()
+
+
+class CrashEvidence:
+    """What one entry knows of crashes and of the parts of prompts.
+
+    Times are seconds on the clock of the process. Each method that changes
+    something returns the `Change`s.
+    """
+
+    __slots__ = (
+        "_answer_times",
+        "_crashed_by_key",
+        "_doubted_since_s_by_part",
+        "_hold_by_part",
+        "_sound_s_by_part",
+    )
+
+    def __init__(self):
+        self._crashed_by_key = {}
+        self._doubted_since_s_by_part = {}
+        self._hold_by_part = {}
+        self._sound_s_by_part = {}
+        self._answer_times = []
+
+    def is_empty(self):
+        """Return whether no part is accused or held."""
+        return not (self._crashed_by_key or self._hold_by_part)
+
+    def record_crash(self, lifetime, suspects, now_s):
+        """Record that a server has crashed under these requests."""
+        changes = []
+        for suspect in suspects:
+            parts = tuple(get_part_key(part) for part in suspect.parts)
+            suspect = msgspec.structs.replace(suspect, parts=parts)
+            changes += self.add_crashed(
+                charge_module.CrashedRequest(lifetime, now_s, suspect)
+            )
+        return changes + self.update(now_s)
+
+    def add_crashed(self, crashed):
+        """Add a request that broke off, here or at another entry."""
+        key = (crashed.lifetime, crashed.suspect.request_id)
+        if key in self._crashed_by_key:
+            return []
+        self._crashed_by_key[key] = crashed
+        _drop_first(self._crashed_by_key, CRASHED_REQUESTS_MAX)
+        for part in crashed.suspect.parts:
+            hold = self._hold_by_part.get(part)
+            if hold is not None:
+                hold.seen_s = max(hold.seen_s, crashed.crashed_s)
+        return [
+            Change(
+                ChangeKind.ACCUSED, crashed.suspect.parts, (crashed.lifetime,)
+            )
+        ]
+
+    def record_sound(self, parts, now_s):
+        """Record that an answer on these parts went well at a server."""
+        self._answer_times.append(now_s)
+        del self._answer_times[: -charge_module.SOUND_ANSWERS_MIN]
+        changes = []
+        for part in parts:
+            changes += self.add_sound(get_part_key(part), now_s)
+        return changes
+
+    def add_sound(self, part, sound_s):
+        """Record when a part was sound, here or at another entry."""
+        known_s = self._sound_s_by_part.pop(part, -math.inf)
+        self._sound_s_by_part[part] = max(sound_s, known_s)
+        _drop_first(self._sound_s_by_part, SOUND_PARTS_MAX)
+        if self.is_empty() or sound_s <= known_s:
+            return []
+        cleared = tuple(
+            crashed.lifetime
+            for crashed in self._crashed_by_key.values()
+            if part in crashed.suspect.parts
+            and known_s < crashed.crashed_s <= sound_s
+        )
+        self._doubted_since_s_by_part.pop(part, None)
+        changes = self._release(part)
+        if cleared:
+            changes.append(Change(ChangeKind.CLEARED, (part,), cleared))
+        return changes
+
+    def was_sound_since(self, part, time_s):
+        """Return whether an answer on a part went well since a time."""
+        return self._get_sound_s(part) >= time_s
+
+    def _get_sound_s(self, part):
+        return self._sound_s_by_part.get(part, -math.inf)
+
+    def _release(self, part):
+        hold = self._hold_by_part.get(part)
+        if hold is None or not self.was_sound_since(part, hold.since_s):
+            return []
+        del self._hold_by_part[part]
+        return [Change(ChangeKind.RELEASED, (part,))]
+
+    def add_hold(self, part, since_s, seen_s):
+        """Add a hold that another entry told."""
+        if self.was_sound_since(part, since_s):
+            return []
+        hold = self._hold_by_part.get(part)
+        if hold is not None:
+            hold.seen_s = max(hold.seen_s, seen_s)
+            return []
+        self._hold(part, since_s, seen_s)
+        return [Change(ChangeKind.HELD, (part,))]
+
+    def _hold(self, part, since_s, seen_s):
+        if len(self._hold_by_part) >= HOLDS_MAX:
+            holds = self._hold_by_part
+            del holds[min(holds, key=lambda key: holds[key].seen_s)]
+        self._hold_by_part[part] = Hold(since_s, seen_s)
+
+    def update(self, now_s):
+        """Hold the parts that are guilty by now; forget what is old."""
+        self._forget(now_s)
+        changes = []
+        while charge := self._find_guilty(now_s):
+            self._hold(charge.part, now_s, now_s)
+            changes.append(
+                Change(ChangeKind.HELD, (charge.part,), charge.lifetimes)
+            )
+        return changes
+
+    def _forget(self, now_s):
+        for key, crashed in list(self._crashed_by_key.items()):
+            if now_s - crashed.crashed_s > CRASH_AGE_MAX_S:
+                del self._crashed_by_key[key]
+        for part, hold in list(self._hold_by_part.items()):
+            if now_s - hold.seen_s > HOLD_AGE_MAX_S:
+                del self._hold_by_part[part]
+
+    def _find_guilty(self, now_s):
+        """Return the charge of the part to hold next, or None.
+
+        A request with a guilty part accuses its other parts as well. Of
+        those with equal weight, the one whose last good answer is longest
+        ago is held. If several never had one, they always came together:
+        the deepest is held, and one more crash will do for the others.
+        """
+        crashed_requests = self._get_unexplained()
+        parts = {
+            part
+            for crashed in crashed_requests
+            for part in crashed.suspect.parts
+        }
+        charges = [
+            charge
+            for part in parts - self._hold_by_part.keys()
+            if (charge := self._new_charge(part, crashed_requests))
+            and now_s >= charge.decisive_s + CLEARING_S
+        ]
+        if not charges:
+            return None
+        chosen = max(
+            charges,
+            key=lambda charge: (charge.weight, -charge.sound_s, charge.depth),
+        )
+        for charge in charges:
+            is_tied = charge.weight == chosen.weight
+            if is_tied and charge.sound_s == chosen.sound_s:
+                self._doubted_since_s_by_part[charge.part] = now_s
+        _drop_first(self._doubted_since_s_by_part, HOLDS_MAX)
+        return chosen
+
+    def _get_unexplained(self):
+        """Return the requests on servers that no held part has crashed."""
+        explained = {
+            crashed.lifetime
+            for crashed in self._crashed_by_key.values()
+            if any(
+                part in self._hold_by_part for part in crashed.suspect.parts
+            )
+        }
+        return [
+            crashed
+            for crashed in self._crashed_by_key.values()
+            if crashed.lifetime not in explained
+        ]
+
+    def _new_charge(self, part, crashed_requests):
+        sound_s = self._get_sound_s(part)
+        doubted_since_s = self._doubted_since_s_by_part.get(part)
+        charge = None
+        if doubted_since_s is not None:
+            charge = charge_module.new_charge_of_doubted(
+                part, crashed_requests, sound_s, doubted_since_s
+            )
+        return charge or charge_module.new_charge(
+            part, crashed_requests, sound_s, self._answer_times
+        )
+
+    def find_held(self, parts, now_s):
+        """Return the first part that is held, or None."""
+        for part in parts:
+            hold = self._hold_by_part.get(get_part_key(part))
+            if hold is not None and hold.is_active(now_s):
+                hold.seen_s = now_s
+                return part
+        return None
+
+    def get_crashed(self, since_s):
+        """Return the requests that broke off with a server since a time."""
+        return [
+            crashed
+            for crashed in self._crashed_by_key.values()
+            if crashed.crashed_s > since_s
+        ]
+
+    def get_holds(self):
+        """Return all holds, active or not, by part."""
+        return self._hold_by_part
+
+    def get_sound_times(self, parts):
+        """Return when those of `parts` were last sound that ever were."""
+        return {
+            part: self._sound_s_by_part[part]
+            for part in parts
+            if part in self._sound_s_by_part
+        }
+
+
+def get_part_key(part):
+    """Return the id of a part, or its digest if it is a long one."""
+    if len(part) <= PART_ID_MAX_CHARS:
+        return part
+    digest = hashlib.blake2b(part.encode(), digest_size=PART_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+def _drop_first(by_key, count_max):
+    while len(by_key) > count_max:
+        del by_key[next(iter(by_key))]
+
+
+def new_crash_evidence():
+    """Return the evidence of an entry that knows of no crash."""
+    return CrashEvidence()
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -39,6 +39,7 @@
         "_catalog_watcher",
         "_centre_by_name",
         "_centre_work",
+        "_crash_guard",
         "_directory",
         "_lease",
         "_members",
@@ -47,13 +48,20 @@
     )
 
     def __init__(
-        self, members, own_address, lease, catalog_watcher, directory
+        self,
+        members,
+        own_address,
+        lease,
+        catalog_watcher,
+        directory,
+        crash_guard,
     ):
         self._members = members
         self._own_address = own_address
         self._lease = lease
         self._catalog_watcher = catalog_watcher
         self._directory = directory
+        self._crash_guard = crash_guard
         self._centre_by_name = {}
         self._centre_work = CentreWork(0.0)
         self.pools = None
@@ -98,6 +106,7 @@
             is_leaving=self._members.is_leaving,
             weight=self._members.weight,
             peers_known=len(self._members.get_addresses()),
+            crash_news=self._crash_guard.new_news(),
         )
 
     def _new_centre(self):
@@ -151,6 +160,7 @@
         for address in digest.peers:
             self._members.get_or_add(address)
         self._apply_parts(peer, digest)
+        self._crash_guard.apply_news(digest.crash_news)
         if self._members.is_local(peer):
             self._directory.update_reported_loads(
                 digest.name, digest.loads, now
@@ -237,6 +247,10 @@
     return [new_pool_wait(service, wait) for service, wait in waits]
 
 
-def new_digests(members, own_address, lease, catalog_watcher, directory):
+def new_digests(
+    members, own_address, lease, catalog_watcher, directory, crash_guard
+):
     """Return the digests of an entry; `pools` is set later."""
-    return Digests(members, own_address, lease, catalog_watcher, directory)
+    return Digests(
+        members, own_address, lease, catalog_watcher, directory, crash_guard
+    )
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -10,6 +10,7 @@
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
@@ -118,8 +119,14 @@
             settings.budget_window_s,
             lambda: self.peers.members.count_entries(),
         )
+        guard = crash_guard.new_crash_guard(gateway, nursery)
         self.peers = peers_module.new_peers(
-            settings, links, self.lease, self.catalog_watcher, self.directory
+            settings,
+            links,
+            self.lease,
+            self.catalog_watcher,
+            self.directory,
+            guard,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory, gateway, budgets, get_catalog, nursery
@@ -139,6 +146,7 @@
             self._pools,
             budgets,
             self.metrics,
+            guard,
         )
 
     async def run(self):
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -47,7 +47,9 @@
         "pools",
     )
 
-    def __init__(self, settings, links, lease, catalog_watcher, directory):
+    def __init__(
+        self, settings, links, lease, catalog_watcher, directory, crash_guard
+    ):
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -61,6 +63,7 @@
             lease,
             catalog_watcher,
             directory,
+            crash_guard,
         )
         self._links = links
         self._lease = lease
@@ -340,6 +343,8 @@
         return gateway_module.PieceFailure.ERROR
 
 
-def new_peers(settings, links, lease, catalog_watcher, directory):
+def new_peers(settings, links, lease, catalog_watcher, directory, crash_guard):
     """Return the peers of an entry: at first only its seeds."""
-    return Peers(settings, links, lease, catalog_watcher, directory)
+    return Peers(
+        settings, links, lease, catalog_watcher, directory, crash_guard
+    )
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -8,7 +8,8 @@
 class Attempt:
     """One attempt of a request and its share of the server's load.
 
-    `has_begun` says that the head of its answer was received.
+    `begun_s` is when the head of its answer was received. `is_sound` says
+    that the answer went on well after that.
     """
 
     __slots__ = (
@@ -16,8 +17,9 @@
         "_prefill_tokens",
         "_started_s",
         "_tokens_ahead",
-        "has_begun",
+        "begun_s",
         "is_prefilled",
+        "is_sound",
         "server",
     )
 
@@ -28,8 +30,18 @@
         self._predicted_ms = choice.wait_ms / server.slowness
         self._tokens_ahead = choice.tokens_ahead
         self._started_s = trio.current_time()
-        self.has_begun = False
+        self.begun_s = None
         self.is_prefilled = False
+        self.is_sound = False
+
+    @property
+    def has_begun(self):
+        """Whether the head of the answer was received."""
+        return self.begun_s is not None
+
+    def begin(self):
+        """Record that the head of the answer was received."""
+        self.begun_s = trio.current_time()
 
     def record_prefill_done(self):
         """Subtract the prompt from the server's tokens to prefill."""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -24,6 +24,8 @@
 FIRST_EVENT_TIMEOUT_MIN_S = 1.2
 EVENT_GAP_MIN_S = 1.2
 EVENT_GAP_FACTOR = 2.5
+# An event after this time shows that the begin of an answer went well.
+SOUND_AFTER_S = 0.1
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -39,6 +41,7 @@
     pools: object
     budgets: object
     metrics: object
+    crash_guard: object
 
 
 class DirectRun:
@@ -130,11 +133,13 @@
         self._service = chooser.choose_service(self._admitted.route)
         self._services.budgets.get(self._service).count_first_attempt()
         while True:
-            outcome = None
             if self._graph is not None and self._graph.is_freed:
                 self._inputs = None
-            if self._inputs is None:
+            outcome = self._check_parts()
+            if outcome is None and self._inputs is None:
                 outcome = await self._run_stages()
+                # A part may have been found guilty meanwhile.
+                outcome = outcome or self._check_parts()
             if outcome is None:
                 outcome = await self._try_server()
             if outcome is not None:
@@ -142,6 +147,15 @@
             if not self._may_retry():
                 return self._combine_outcome(self._new_refusal())
 
+    def _check_parts(self):
+        """Return `Refused` if a part of the prompt crashes servers."""
+        part = self._services.crash_guard.find_held(self._admitted.request)
+        if part is None:
+            return None
+        return outcome_module.Refused(
+            _Reason.PART_CRASHES_SERVERS, f"part {part}", retry_after_ms=None
+        )
+
     async def _run_stages(self):
         """Run the stages; return `Refused` if they fail, else None."""
         self._inputs = ()
@@ -305,14 +319,31 @@
             self._sends += 1
             self._attempts += 1
         server.record_failed_call(failure)
+        self._record_break(attempt, failure)
         self._last_failure = failure
         self._log_failure(attempt, failure)
         return None
 
+    def _record_break(self, attempt, failure):
+        is_broken = (
+            failure.reason is _Reason.BACKEND_FAILED
+            and failure.ran is _Ran.UNKNOWN
+        )
+        if is_broken and not attempt.is_sound:
+            self._services.crash_guard.record_break(
+                attempt.server, self._admitted.request, attempt.has_begun
+            )
+
+    def _record_sound(self, attempt):
+        """Record once that the answer of an attempt goes well."""
+        if not attempt.is_sound:
+            attempt.is_sound = True
+            self._services.crash_guard.record_sound(self._admitted.request)
+
     async def _handle_answer(self, attempt, answer):
         if answer.is_not_run:
             return await self._handle_rejection(attempt, answer)
-        attempt.has_begun = True
+        attempt.begin()
         self._attempts += 1
         if answer.is_events and answer.status < 300:
             return await self._relay_events(attempt, answer)
@@ -350,6 +381,8 @@
                     _Reason.BACKEND_FAILED, "answer exceeds the size limit"
                 )
         attempt.record_answer(answer.status)
+        if answer.status < attempt_module.SERVER_ERROR:
+            self._record_sound(attempt)
         if self._is_retry_preferred(answer.status):
             attempt.server.record_failure()
             self._last_failure = gateway.Failure(
@@ -394,12 +427,15 @@
             problem = await self._relay.feed(part)
             if problem is not None:
                 return self._handle_failure(attempt, problem, is_counted=True)
+            if self._relay.progress_s >= attempt.begun_s + SOUND_AFTER_S:
+                self._record_sound(attempt)
 
     async def _finish_events(self, attempt, answer):
         problem = await self._relay.finish()
         if problem is not None:
             return self._handle_failure(attempt, problem, is_counted=True)
         attempt.record_answer(answer.status)
+        self._record_sound(attempt)
         return direct_outcome.Relayed(answer.status)
 
     def _record_first_event(self, attempt):
--- a/greengagetrack/request/outcome.py
+++ b/greengagetrack/request/outcome.py
@@ -47,6 +47,7 @@
     ORDER_BOOK_FULL = "order_book_full"
     ORDER_TOO_RECENT_START = "order_too_recent_start"
     ORGANISATION_UNKNOWN = "organisation_unknown"
+    PART_CRASHES_SERVERS = "part_crashes_servers"
     PIPELINE_UNKNOWN = "pipeline_unknown"
     RATE_LIMIT = "rate_limit"
     RECORDS_FULL = "records_full"
@@ -68,12 +69,13 @@
 class Refused(msgspec.Struct, frozen=True):
     """A request that provably did not run, or a step that did not.
 
-    `retry_after_ms` tells the caller when to retry.
+    `retry_after_ms` tells the caller when to retry; None means that no
+    time is known.
     """
 
     reason: Reason
     detail: str = ""
-    retry_after_ms: int = 1000
+    retry_after_ms: int | None = 1000
 
 
 class Unknown(msgspec.Struct, frozen=True):
@@ -81,7 +83,7 @@
 
     reason: Reason
     detail: str = ""
-    retry_after_ms: int = 1000
+    retry_after_ms: int | None = 1000
 
 
 def to_unknown(refused):
--- a/tests/direct/crashing_servers.py
+++ b/tests/direct/crashing_servers.py
@@ -101,7 +101,6 @@
         """Crash a server for `DOWN_S`."""
         self.server_by_id[server_id].crash()
 
-    async def is_listening(self, server):
-        """Return whether a server accepts connections."""
+    async def is_refusing(self, server):
         await trio.sleep(0.002)
-        return self.server_by_id[server.server_id].is_up()
+        return not self.server_by_id[server.server_id].is_up()
--- /dev/null
+++ b/tests/direct/decisions/test_crash_evidence.py
@@ -0,0 +1,185 @@
+"""Which part of a prompt is held, for given crashes and good answers."""
+
+import pytest
+
+from greengagetrack.process.direct.decisions import charge
+from greengagetrack.process.direct.decisions import crash_evidence
+
+FIRST, RARE, GUILTY = "first", "rare", "guilty"
+LATER_S = crash_evidence.CLEARING_S + 0.1
+
+
+class Story:
+    """Crashes and good answers in the order of their times."""
+
+    def __init__(self):
+        self.evidence = crash_evidence.new_crash_evidence()
+        self._count = 0
+
+    def crash(self, now_s, *prompts, request_id=None, has_begun=True):
+        """Crash one more server under requests with these parts."""
+        self._count += 1
+        suspects = [
+            charge.Suspect(
+                request_id or f"r{self._count}.{number}", parts, has_begun
+            )
+            for number, parts in enumerate(prompts)
+        ]
+        self.evidence.record_crash(f"s{self._count}/1", suspects, now_s)
+
+    def answer(self, now_s, *parts, count=1):
+        """Record that answers on these parts went well."""
+        for _answer in range(count):
+            self.evidence.record_sound(parts, now_s)
+
+    def get_held(self, now_s):
+        """Return the parts that are held at a time."""
+        self.evidence.update(now_s)
+        return set(self.evidence.get_holds())
+
+    def crash_until_held(self, parts=(FIRST, RARE, GUILTY)):
+        """Crash three servers under requests with these parts."""
+        for now_s in (1.0, 2.0, 3.0):
+            self.crash(now_s, parts)
+            self.answer(now_s + 0.5, FIRST, count=3)
+
+
+def test_part_of_three_crashes_is_held_and_not_the_one_that_was_cleared():
+    story = Story()
+    story.answer(0.5, FIRST, RARE)
+    story.crash_until_held()
+    assert story.get_held(3.0 + LATER_S) == {GUILTY}
+    assert story.evidence.find_held((FIRST, GUILTY), 9.0) == GUILTY
+    assert story.evidence.find_held((FIRST, RARE), 9.0) is None
+
+
+def test_news_that_clears_a_part_may_come_a_little_later():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(3.0 + LATER_S - 0.2) == set()
+    story.evidence.add_sound(GUILTY, 3.5)
+    assert GUILTY not in story.get_held(3.0 + LATER_S)
+
+
+def test_two_crashes_hold_no_part():
+    story = Story()
+    for now_s in (1.0, 2.0):
+        story.crash(now_s, (FIRST, GUILTY))
+    story.answer(2.5, FIRST, count=3)
+    assert story.get_held(30.0) == set()
+
+
+def test_servers_that_crash_at_once_hold_no_part():
+    story = Story()
+    for number in range(9):
+        story.crash(1.0 + number / 100, (FIRST, RARE))
+    story.answer(1.5, "other", count=9)
+    assert story.get_held(30.0) == set()
+
+
+def test_one_request_and_its_retries_hold_no_part():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (FIRST, RARE), request_id="the same")
+        story.answer(now_s + 0.5, "other", count=3)
+    assert story.get_held(30.0) == set()
+
+
+def test_without_good_answers_no_part_is_held():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (FIRST, RARE))
+    assert story.get_held(30.0) == set()
+
+
+def test_request_that_waited_beside_one_that_had_begun_counts_less():
+    story = Story()
+    story.answer(0.5, FIRST)
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (FIRST, GUILTY))
+        suspect = charge.Suspect(f"w{now_s}", (FIRST, RARE), False)
+        story.evidence.record_crash(f"s{int(now_s)}/1", [suspect], now_s)
+        story.answer(now_s + 0.5, FIRST, count=3)
+    assert story.get_held(30.0) == {GUILTY}
+
+
+def test_request_that_waited_alone_counts_in_full():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (FIRST, GUILTY), has_begun=False)
+        story.answer(now_s + 0.5, FIRST, count=3)
+    assert story.get_held(30.0) == {GUILTY}
+
+
+def test_what_a_held_part_explains_accuses_no_other():
+    story = Story()
+    story.answer(0.5, FIRST, RARE)
+    story.crash_until_held()
+    assert story.get_held(3.0 + LATER_S) == {GUILTY}
+    # Requests that were under way when the part was held.
+    for now_s in (4.5, 5.0, 5.5):
+        story.crash(now_s, (FIRST, RARE, GUILTY), (FIRST, RARE))
+        story.answer(now_s + 0.1, FIRST, count=3)
+    assert story.get_held(30.0) == {GUILTY}
+
+
+def test_of_parts_that_always_came_together_the_deepest_is_held():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(3.0 + LATER_S) == {GUILTY}
+    assert story.evidence.find_held((FIRST, RARE), 9.0) is None
+
+
+def test_one_more_crash_holds_a_part_that_always_came_with_a_held_one():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(5.0) == {GUILTY}
+    story.crash(6.0, (FIRST, RARE))
+    assert story.get_held(6.0 + LATER_S) == {GUILTY, RARE}
+
+
+def test_one_more_crash_holds_no_part_that_was_sound_meanwhile():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(5.0) == {GUILTY}
+    story.answer(5.5, FIRST, RARE)
+    story.crash(6.0, (FIRST, RARE))
+    assert story.get_held(30.0) == {GUILTY}
+
+
+def test_hold_ends_without_requests_and_one_crash_brings_it_back():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(5.0) == {GUILTY}
+    idle_s = 5.0 + crash_evidence.HOLD_IDLE_S
+    assert story.evidence.find_held((GUILTY,), idle_s - 1.0) == GUILTY
+    idle_s = idle_s - 1.0 + crash_evidence.HOLD_IDLE_S
+    assert story.evidence.find_held((GUILTY,), idle_s + 1.0) is None
+    story.crash(idle_s + 2.0, (FIRST, GUILTY))
+    assert story.evidence.find_held((GUILTY,), idle_s + 2.1) == GUILTY
+
+
+def test_good_answer_ends_a_hold():
+    story = Story()
+    story.crash_until_held()
+    assert story.get_held(5.0) == {GUILTY}
+    story.answer(6.0, FIRST, RARE, GUILTY)
+    assert story.get_held(6.1) == set()
+    story.evidence.add_hold(GUILTY, 5.0, 6.0)
+    assert story.get_held(6.2) == set()
+
+
+@pytest.mark.parametrize("prefix", ["", "x" * 10_000])
+def test_memory_is_bounded_for_any_prompts(prefix):
+    story = Story()
+    for number in range(3000):
+        part = f"{prefix}{number}"
+        story.crash(1.0 + number / 1000, (part,))
+        story.evidence.add_hold(crash_evidence.get_part_key(part), 1.0, 1.0)
+        story.answer(1.0, *(f"{part}.{index}" for index in range(2)))
+    evidence = story.evidence
+    crashed = evidence.get_crashed(0.0)
+    assert len(crashed) <= crash_evidence.CRASHED_REQUESTS_MAX
+    assert len(evidence.get_holds()) <= crash_evidence.HOLDS_MAX
+    longest = max(len(request.suspect.parts[0]) for request in crashed)
+    assert longest <= crash_evidence.PART_ID_MAX_CHARS
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -11,6 +11,7 @@
 from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time as fetch_time_module
 from greengagetrack.process.direct import members as members_module
@@ -160,6 +161,9 @@
         self.freed += handles
         return True
 
+    async def is_refusing(self, server):
+        return False
+
     def drop_connections(self, server):
         return None
 
@@ -229,6 +233,7 @@
         self.directory.apply_update(
             source_module.Update(1, servers=tuple(servers), is_complete=True)
         )
+        self.crash_guard = crash_guard.new_crash_guard(fake_gateway, nursery)
         self.budgets = budget_module.new_retry_budgets(
             0.2, 80.0, 10.0, lambda: 8
         )
@@ -257,6 +262,7 @@
             self.pools,
             self.budgets,
             metrics_module.new_direct_metrics("me"),
+            self.crash_guard,
         )
 
     def admit(self, route, left_s=3.0, **fields):
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -8,6 +8,7 @@
 
 from greengagetrack.connection import base
 from greengagetrack.connection import messages
+from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
@@ -144,6 +145,7 @@
             node.lease,
             types.SimpleNamespace(get_version=lambda: node.version),
             node.directory,
+            crash_guard.new_crash_guard(None, None),
         )
         node.pools = FakePools(centre, WAITS if index == 0 else None)
         node.pools.data_centre = centre
@@ -415,7 +417,9 @@
             seeds=(),
         )
         directory = directory_module.new_directory(lambda _server: None)
-        peers = peers_module.new_peers(settings, links, None, None, directory)
+        peers = peers_module.new_peers(
+            settings, links, None, None, directory, None
+        )
         peer = peers.members.get_or_add("p:1")
         peer.last_contact_s = trio.current_time()
         task = piece_module.PieceTask("request", 0, 0, "key", None)
