--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -15,6 +15,8 @@
 
 # Requests that break off together do so within this time.
 COLLECT_S = 0.05
+# The evidence is weighed anew no more often than this.
+UPDATE_INTERVAL_S = 0.1
 CRASHED_TOLD_MAX = 32
 TOLD_AGE_MAX_S = 10.0
 SUSPECTS_MAX = 32
@@ -34,6 +36,7 @@
         "_gateway",
         "_nursery",
         "_suspects_by_lifetime",
+        "_update_due_s",
     )
 
     def __init__(self, gateway, nursery):
@@ -42,13 +45,14 @@
         self._nursery = nursery
         self._suspects_by_lifetime = {}
         self._disputed_until_s_by_part = {}
+        self._update_due_s = 0.0
 
     def find_held(self, request):
         """Return the part because of which a request is refused, or None."""
         if self._evidence.is_empty():
             return None
         now_s = trio.current_time()
-        self._log_changes(self._evidence.update(now_s))
+        self._update(now_s)
         return self._evidence.find_held(request.shared_parts, now_s)
 
     def record_sound(self, request):
@@ -92,7 +96,7 @@
         disputed = self._get_disputed(now_s)
         if evidence.is_empty() and not disputed:
             return None
-        self._log_changes(evidence.update(now_s))
+        self._update(now_s)
         crashed_requests = evidence.get_crashed(now_s - TOLD_AGE_MAX_S)
         crashed_requests = crashed_requests[-CRASHED_TOLD_MAX:]
         holds = evidence.get_holds()
@@ -165,7 +169,13 @@
             changes += evidence.add_hold(
                 told.part, since_s, now_s - told.seen_age_ms / MS
             )
-        self._log_changes(changes + evidence.update(now_s))
+        self._log_changes(changes)
+        self._update(now_s)
+
+    def _update(self, now_s):
+        if now_s >= self._update_due_s:
+            self._update_due_s = now_s + UPDATE_INTERVAL_S
+            self._log_changes(self._evidence.update(now_s))
 
     def _log_changes(self, changes):
         for change in changes:
--- a/greengagetrack/process/direct/decisions/crash_evidence.py
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -207,6 +207,8 @@
         the deepest is held, and one more crash will do for the others.
         """
         crashed_requests = self._get_unexplained()
+        if not crashed_requests:
+            return None
         parts = {
             part
             for crashed in crashed_requests
