--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,4 +1,8 @@
-"""The faults of a soak: kind, time, target and duration, by seed."""
+"""The faults of a soak: kind, time, target and duration, by seed.
+
+Most are drawn. After the last of them each soak has the closing faults: they
+meet orders in progress, and no other fault excuses what comes of them.
+"""
 
 import random
 
@@ -35,17 +39,39 @@
 
 
 class Fault(msgspec.Struct, frozen=True):
-    """One fault; `target_index` modulo the number of targets selects one."""
+    """One fault; `target_index` modulo the number of targets selects one.
+
+    With a `service`, only its engines are targets.
+    """
 
     kind: str
     at_s: float
     active_s: float
     target_index: int
+    service: str = ""
 
     def __str__(self):
         return f"{self.kind} {self.target_index} at {self.at_s:.2f} s"
 
 
+# Relative to the end of the drawn part. The second is later than what the
+# drawn faults can still excuse.
+CLOSING_FAULTS = (
+    Fault("silent engine", 0.0, 1.0, 0, "desk"),
+    Fault("leave engine", 1.5, 0.0, 0, "desk"),
+)
+# Until some seconds after requests to the leaving engine break a rule.
+CLOSING_S = 7.0
+
+
+def get_closing_faults(duration_s):
+    """Return the faults that follow a drawn part of `duration_s`."""
+    return [
+        msgspec.structs.replace(fault, at_s=duration_s + fault.at_s)
+        for fault in CLOSING_FAULTS
+    ]
+
+
 def get_faults(seed, duration_s, kinds=KINDS):
     """Return the faults of a soak in order of time; they may overlap."""
     generator = random.Random(f"soak-{seed}")
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -54,14 +54,16 @@
         self._checker = checker_module.Checker()
         self._started_s = 0.0
         self._key_history = [(0.0, "key-1")]
-        self._faults = faults_module.get_faults(seed, duration_s)
+        self._faults = faults_module.get_faults(
+            seed, duration_s
+        ) + faults_module.get_closing_faults(duration_s)
 
     async def run(self, build):
         """Run the soak and return its `SoakResult`."""
         with trio.fail_after(START_TIMEOUT_S):
             await self._site.start()
         self._started_s = trio.current_time()
-        end_s = self._started_s + self._duration_s
+        end_s = self._started_s + self._duration_s + faults_module.CLOSING_S
         async with trio.open_nursery() as nursery:
             for number in range(CONSUMER_COUNT):
                 nursery.start_soon(self._run_consumer, number, end_s)
@@ -200,6 +202,7 @@
             engine
             for engine_id, engine in self._site.engine_by_id.items()
             if engine_id not in self._checker.departure_s_by_engine
+            and fault.service in ("", engine.service)
         ]
         engine = engines[fault.target_index % len(engines)]
         span.target_name = engine.engine_id
