--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -9,6 +9,7 @@
 import trio
 
 from greengagetrack.command import greengagetrackd
+from greengagetrack.connection import answer_end
 from greengagetrack.process.direct import daemon
 from greengagetrack.process.direct import directory
 from greengagetrack.process.direct import freshness
@@ -50,11 +51,17 @@
     directory.Directory._apply_removal = lambda self, server_id: None
 
 
+def _trust_ends():
+    """Take every stream that ends for a complete one."""
+    answer_end.find_stream_problem = lambda framing, splitter: ""
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
     "cut-on-stop": _cut_on_stop,
     "use-leaving": _use_leaving,
+    "trust-ends": _trust_ends,
 }
 
 
--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -20,6 +20,7 @@
     "slow engine",
     "silent engine",
     "cut engine",
+    "break engine",
 )
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -26,6 +26,7 @@
     "slow engine",
     "silent engine",
     "cut engine",
+    "break engine",
     "leave engine",
     "restart engine",
     "store down",
@@ -54,10 +55,11 @@
         return f"{self.kind} {self.target_index} at {self.at_s:.2f} s"
 
 
-# Relative to the end of the drawn part. The second is later than what the
+# Relative to the end of the drawn part. The last is later than what the
 # drawn faults can still excuse.
 CLOSING_FAULTS = (
     Fault("silent engine", 0.0, 1.0, 0, "desk"),
+    Fault("break engine", 1.0, 2.0, 0, "model"),
     Fault("leave engine", 1.5, 0.0, 0, "desk"),
 )
 # Until some seconds after requests to the leaving engine break a rule.
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -210,8 +210,12 @@
         if action in ("leave", "restart"):
             await self._replace_engine(action, engine, fault.active_s)
             return
-        proxy.inject(action)
+        if action == "break":
+            engine.is_breaking = True
+        else:
+            proxy.inject(action)
         await trio.sleep(fault.active_s)
+        engine.is_breaking = False
         proxy.clear_faults()
 
     async def _replace_engine(self, action, engine, active_s):
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -13,6 +13,7 @@
 
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import framing
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.platform import names
 from greengagetrack.version import catalog
@@ -22,7 +23,9 @@
 STAGE_CALL_S = 0.02
 EVENT_INTERVAL_S = 0.005
 EVENT_COUNT = 4
+CUT_EVENT_BYTES = 8
 NOT_SENT = -1
+Framing = framing.Framing
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 
 
@@ -104,6 +107,8 @@
         self.calls = []
         self.freed = set()
         self.is_silent = False
+        # Streams have no length and end inside their last event.
+        self.is_breaking = False
         self.work_s = REQUEST_WORK_S
         self.event_interval_s = EVENT_INTERVAL_S
 
@@ -168,11 +173,17 @@
             return
         after = fields.get_value(headers, names.LAST_EVENT_ID.lower(), b"0")
         response_headers.append((b"Content-Type", names.EVENT_STREAM))
-        await exchange.start(200, response_headers)
+        is_breaking = self.is_breaking
+        await exchange.start(
+            200,
+            response_headers,
+            Framing.CONNECTION if is_breaking else Framing.CHUNKS,
+        )
         for number in range(int(after) + 1, EVENT_COUNT + 1):
             await trio.sleep(self.event_interval_s)
             event = b"id: %d\ndata: %s\n\n" % (number, request_id)
-            await exchange.send(event)
+            is_cut = is_breaking and number == EVENT_COUNT
+            await exchange.send(event[:CUT_EVENT_BYTES] if is_cut else event)
         await exchange.finish()
 
 
