--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import event_relay
@@ -380,6 +381,9 @@
                 return outcome_module.Unknown(
                     _Reason.BACKEND_FAILED, "answer exceeds the size limit"
                 )
+        problem = await self._check_server(attempt, answer)
+        if problem is not None:
+            return self._handle_failure(attempt, problem, is_counted=True)
         attempt.record_answer(answer.status)
         if answer.status < attempt_module.SERVER_ERROR:
             self._record_sound(attempt)
@@ -402,6 +406,19 @@
         )
         return direct_outcome.Relayed(answer.status)
 
+    async def _check_server(self, attempt, answer):
+        """Return a `Failure` if the end of an answer may be a crash."""
+        if answer_end.is_body_end_proven(answer.framing):
+            return None
+        server = attempt.server.published
+        if not await self._services.gateway.is_refusing(server):
+            return None
+        return gateway.Failure(
+            _Reason.BACKEND_FAILED,
+            _Ran.UNKNOWN,
+            "the connection closed and the server is gone",
+        )
+
     def _is_retry_preferred(self, status):
         return (
             status >= attempt_module.SERVER_ERROR
@@ -431,7 +448,9 @@
                 self._record_sound(attempt)
 
     async def _finish_events(self, attempt, answer):
-        problem = await self._relay.finish()
+        problem = await self._check_server(attempt, answer)
+        if problem is None:
+            problem = await self._relay.finish()
         if problem is not None:
             return self._handle_failure(attempt, problem, is_counted=True)
         attempt.record_answer(answer.status)
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -60,6 +60,22 @@
     stream.socket.close()
 
 
+async def _start_server(nursery, handle, scope_by_port):
+    """Start a server; cancelling the scope of its port closes its listener."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    host, port = listeners[0].socket.getsockname()
+    scope_by_port[port] = trio.CancelScope()
+
+    async def listen():
+        with scope_by_port[port]:
+            await trio.serve_listeners(
+                handle, listeners, handler_nursery=nursery
+            )
+
+    nursery.start_soon(listen)
+    return f"{host}:{port}"
+
+
 async def _receive_answer(stream):
     """Return the raw answer, and the `End` without regard to its head."""
     data = b""
@@ -84,22 +100,29 @@
     return head, body, end
 
 
-def _ask(route, *answers, resets=(), version=b"1.1"):
+def _ask(route, *answers, resets=(), crashes=(), version=b"1.1"):
     """Send one request to an entry whose servers give `answers`.
 
     A server closes the connection after its answer, or resets it if the
-    number of the answer is in `resets`. Return what the caller received.
+    number of the answer is in `resets`. It no longer listens then if the
+    number is in `crashes`. Return what the caller received.
     """
     results = []
 
     async def main():
         remaining = list(enumerate(answers))
+        scope_by_port = {}
 
         async def answer(stream):
-            await loopback.read_until(stream, b"\r\n\r\n")
+            if not await loopback.read_until(stream, b"\r\n\r\n"):
+                return
             number, data = remaining.pop(0)
             await stream.send_all(data)
             await trio.sleep(0.05)
+            if number in crashes:
+                _host, port = stream.socket.getsockname()
+                scope_by_port[port].cancel()
+                await trio.sleep(0.05)
             if number in resets:
                 _reset(stream)
             else:
@@ -107,7 +130,7 @@
 
         async with trio.open_nursery() as nursery:
             addresses = [
-                await loopback.start_raw_server(nursery, answer)
+                await _start_server(nursery, answer, scope_by_port)
                 for _server in range(3)
             ]
             fake_entry = fakes.FakeEntry(
@@ -224,6 +247,27 @@
     assert [body.count(b"id: %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
 
 
+def test_stream_whose_server_crashes_between_events_is_not_complete():
+    """The connection closes in order, as at the end of the answer."""
+    answer = _new_answer(CONNECTION, _new_event(1) + _new_event(2))
+    _head, _body, end = _ask(STREAM, answer, crashes=(0,))
+    assert end in (End.CUT, End.RESET)
+
+
+def test_stream_whose_server_crashes_between_events_is_resumed():
+    broken = _new_answer(CONNECTION, _new_event(1))
+    rest = _new_answer(CHUNKS, _new_event(2))
+    _head, body, end = _ask(RESUMABLE, broken, rest, crashes=(0,))
+    assert end is End.CLOSED
+    assert body == _new_event(1) + _new_event(2)
+
+
+def test_body_whose_server_crashes_is_not_complete():
+    answer = _new_answer(CONNECTION, b"half", b"X-A: 1\r\n")
+    head, _body, _end = _ask(SAFE, answer, crashes=(0,))
+    assert b" 502 " in head
+
+
 @pytest.mark.parametrize("size", [0, 10, 30, 40])
 def test_cut_result_of_a_stage_without_length_is_a_failure(size):
     body = b'{"items":[{"handle":"a"},{"handle":"b"}]}'
