--- /dev/null
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -0,0 +1,88 @@
+"""Reads the answer of one attempt to its end, and judges how it went."""
+
+import trio
+
+from greengagetrack.connection import answer_end
+from greengagetrack.connection import gateway
+from greengagetrack.request import outcome
+
+RESPONSE_MAX_BYTES = 8 * 1024 * 1024
+# An event after this time shows that the begin of an answer went well.
+SOUND_AFTER_S = 0.1
+
+_Reason = outcome.Reason
+_Ran = outcome.Ran
+
+
+class AnswerReader:
+    """The answer of one attempt and what it says of its server."""
+
+    __slots__ = ("_answer", "_attempt", "_request", "_services")
+
+    def __init__(self, services, request, attempt, answer):
+        self._services = services
+        self._request = request
+        self._attempt = attempt
+        self._answer = answer
+
+    async def read_body(self):
+        """Return the whole body, a `Failure`, or `Unknown` if too long."""
+        parts, size = [], 0
+        while True:
+            part = await self._answer.receive_part()
+            if isinstance(part, gateway.Failure):
+                return part
+            if part is None:
+                failure = await self.check_server()
+                return failure or b"".join(parts)
+            parts.append(part)
+            size += len(part)
+            if size > RESPONSE_MAX_BYTES:
+                return outcome.Unknown(
+                    _Reason.BACKEND_FAILED, "answer exceeds the size limit"
+                )
+
+    async def receive_part(self, end_s):
+        """Return bytes of a stream, None at its end, or a `Failure`.
+
+        A stream that sends nothing until `end_s` has stalled.
+        """
+        part = None
+        with trio.move_on_at(end_s) as scope:
+            part = await self._answer.receive_part()
+        if scope.cancelled_caught:
+            part = gateway.Failure(
+                _Reason.AGENT_SILENT, _Ran.UNKNOWN, "stream stalled"
+            )
+        if part is None:
+            part = await self.check_server()
+        return part
+
+    async def check_server(self):
+        """Return a `Failure` if the end of the answer may be a crash."""
+        if answer_end.is_body_end_proven(self._answer.framing):
+            return None
+        server = self._attempt.server.published
+        if not await self._services.gateway.is_refusing(server):
+            return None
+        return gateway.Failure(
+            _Reason.BACKEND_FAILED,
+            _Ran.UNKNOWN,
+            "the connection closed and the server is gone",
+        )
+
+    def record_progress(self, progress_s):
+        """Record an event at `progress_s`."""
+        if progress_s >= self._attempt.begun_s + SOUND_AFTER_S:
+            self.record_sound()
+
+    def record_sound(self):
+        """Record once that the answer goes well."""
+        if not self._attempt.is_sound:
+            self._attempt.is_sound = True
+            self._services.crash_guard.record_sound(self._request)
+
+
+def new_answer_reader(services, request, attempt, answer):
+    """Return a reader of the answer of an attempt."""
+    return AnswerReader(services, request, attempt, answer)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
+from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import event_relay
 from greengagetrack.request.direct import graph as graph_module
@@ -20,13 +20,10 @@
 
 SENDS_OVER_ATTEMPTS_MAX = 1
 RETRY_LEFT_MIN_MS = 5
-RESPONSE_MAX_BYTES = 8 * 1024 * 1024
 RETRY_AFTER_MIN_MS = 100
 FIRST_EVENT_TIMEOUT_MIN_S = 1.2
 EVENT_GAP_MIN_S = 1.2
 EVENT_GAP_FACTOR = 2.5
-# An event after this time shows that the begin of an answer went well.
-SOUND_AFTER_S = 0.1
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -335,12 +332,6 @@
                 attempt.server, self._admitted.request, attempt.has_begun
             )
 
-    def _record_sound(self, attempt):
-        """Record once that the answer of an attempt goes well."""
-        if not attempt.is_sound:
-            attempt.is_sound = True
-            self._services.crash_guard.record_sound(self._admitted.request)
-
     async def _handle_answer(self, attempt, answer):
         if answer.is_not_run:
             return await self._handle_rejection(attempt, answer)
@@ -368,25 +359,15 @@
         return self._handle_failure(attempt, failure)
 
     async def _relay_response(self, attempt, answer):
-        parts, size = [], 0
-        while True:
-            part = await answer.receive_part()
-            if part is None:
-                break
-            if isinstance(part, gateway.Failure):
-                return self._handle_failure(attempt, part, is_counted=True)
-            parts.append(part)
-            size += len(part)
-            if size > RESPONSE_MAX_BYTES:
-                return outcome_module.Unknown(
-                    _Reason.BACKEND_FAILED, "answer exceeds the size limit"
-                )
-        problem = await self._check_server(attempt, answer)
-        if problem is not None:
-            return self._handle_failure(attempt, problem, is_counted=True)
+        reader = self._new_reader(attempt, answer)
+        body = await reader.read_body()
+        if isinstance(body, outcome_module.Unknown):
+            return body
+        if isinstance(body, gateway.Failure):
+            return self._handle_failure(attempt, body, is_counted=True)
         attempt.record_answer(answer.status)
         if answer.status < attempt_module.SERVER_ERROR:
-            self._record_sound(attempt)
+            reader.record_sound()
         if self._is_retry_preferred(answer.status):
             attempt.server.record_failure()
             self._last_failure = gateway.Failure(
@@ -402,21 +383,13 @@
                 _Reason.BACKEND_FAILED, f"status {answer.status}"
             )
         await self._reply.send_whole(
-            answer.status, answer.headers, b"".join(parts), answer.framing
+            answer.status, answer.headers, body, answer.framing
         )
         return direct_outcome.Relayed(answer.status)
 
-    async def _check_server(self, attempt, answer):
-        """Return a `Failure` if the end of an answer may be a crash."""
-        if answer_end.is_body_end_proven(answer.framing):
-            return None
-        server = attempt.server.published
-        if not await self._services.gateway.is_refusing(server):
-            return None
-        return gateway.Failure(
-            _Reason.BACKEND_FAILED,
-            _Ran.UNKNOWN,
-            "the connection closed and the server is gone",
+    def _new_reader(self, attempt, answer):
+        return answer_reader.new_answer_reader(
+            self._services, self._admitted.request, attempt, answer
         )
 
     def _is_retry_preferred(self, status):
@@ -426,37 +399,33 @@
         )
 
     async def _relay_events(self, attempt, answer):
+        reader = self._new_reader(attempt, answer)
         await self._relay.start(answer)
-        while True:
-            part = None
-            with trio.move_on_at(self._get_event_end_s()) as scope:
-                part = await answer.receive_part()
-            if scope.cancelled_caught:
-                part = gateway.Failure(
-                    _Reason.AGENT_SILENT, _Ran.UNKNOWN, "stream stalled"
-                )
-            if isinstance(part, gateway.Failure):
-                return self._handle_failure(attempt, part, is_counted=True)
+        # A caller that reads slowly is no sign of a server that goes on.
+        attempt.begin()
+        problem = None
+        while problem is None:
+            part = await reader.receive_part(self._get_event_end_s())
             if part is None:
-                return await self._finish_events(attempt, answer)
-            if not attempt.is_prefilled:
-                self._record_first_event(attempt)
-            problem = await self._relay.feed(part)
-            if problem is not None:
-                return self._handle_failure(attempt, problem, is_counted=True)
-            if self._relay.progress_s >= attempt.begun_s + SOUND_AFTER_S:
-                self._record_sound(attempt)
-
-    async def _finish_events(self, attempt, answer):
-        problem = await self._check_server(attempt, answer)
+                break
+            problem = await self._relay_part(attempt, part)
+            reader.record_progress(self._relay.progress_s)
         if problem is None:
             problem = await self._relay.finish()
         if problem is not None:
             return self._handle_failure(attempt, problem, is_counted=True)
         attempt.record_answer(answer.status)
-        self._record_sound(attempt)
+        reader.record_sound()
         return direct_outcome.Relayed(answer.status)
 
+    async def _relay_part(self, attempt, part):
+        """Relay bytes of a stream; return a `Failure` if there is one."""
+        if isinstance(part, gateway.Failure):
+            return part
+        if not attempt.is_prefilled:
+            self._record_first_event(attempt)
+        return await self._relay.feed(part)
+
     def _record_first_event(self, attempt):
         attempt.record_first_event(
             self._services.chooser.get_first_event_estimate(self._service)
