--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -321,7 +321,7 @@
 class PartHold(_Message):
     """A part with which requests are refused.
 
-    The ages are the times since it was found guilty and last seen.
+    The ages are the times since it was found harmful and last seen.
     """
 
     part: str
--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -10,7 +10,7 @@
 import trio
 
 from greengagetrack.connection import messages
-from greengagetrack.process.direct.decisions import charge
+from greengagetrack.process.direct.decisions import blame
 from greengagetrack.process.direct.decisions import crash_evidence
 
 # Requests that break off together do so within this time.
@@ -68,7 +68,7 @@
         if not parts or server.published.is_leaving:
             return
         lifetime = f"{server.server_id}/{server.published.incarnation}"
-        suspect = charge.Suspect(request.log_id, parts, has_begun)
+        suspect = blame.Suspect(request.log_id, parts, has_begun)
         suspects = self._suspects_by_lifetime.get(lifetime)
         if suspects is None:
             self._suspects_by_lifetime[lifetime] = [suspect]
@@ -79,7 +79,7 @@
             suspects.append(suspect)
 
     async def _confirm_crash(self, published, lifetime):
-        """Accuse the suspects if their server no longer listens."""
+        """Blame the suspects if their server no longer listens."""
         await trio.sleep(COLLECT_S)
         is_refusing = await self._gateway.is_refusing(published)
         suspects = self._suspects_by_lifetime.pop(lifetime)
@@ -154,11 +154,11 @@
         for told in news.sound:
             changes += evidence.add_sound(told.part, now_s - told.age_ms / MS)
         for told in news.crashed:
-            suspect = charge.Suspect(
+            suspect = blame.Suspect(
                 told.request_id, tuple(told.parts), told.has_begun
             )
             changes += evidence.add_crashed(
-                charge.CrashedRequest(
+                blame.CrashedRequest(
                     told.lifetime, now_s - told.age_ms / MS, suspect
                 )
             )
--- a/greengagetrack/process/direct/decisions/charge.py
+++ b/greengagetrack/process/direct/decisions/blame.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-# The sum of what the accusations of a guilty part weigh.
-GUILTY_WEIGHT = 3.0
+# What the crashes that blame a harmful part weigh in sum.
+HARMFUL_WEIGHT = 3.0
 # Of a request that waited on a server where another answer had begun.
 WAITING_WEIGHT = 1 / 3
 REQUESTS_MIN = 2
@@ -40,10 +40,10 @@
     suspect: Suspect
 
 
-class Charge(msgspec.Struct, frozen=True):
+class Blame(msgspec.Struct, frozen=True):
     """The evidence against one part that no answer has cleared since.
 
-    `weight` is the sum of its accusations, `decisive_s` when it sufficed,
+    `weight` is the sum over its crashes, `decisive_s` when it sufficed,
     `depth` how far behind the begin of a prompt the part was.
     """
 
@@ -55,18 +55,18 @@
     depth: int
 
 
-def new_charge(part, crashed_requests, sound_s, answer_times):
-    """Return the `Charge` against a part, or None if it is too weak.
+def new_blame(part, crashed_requests, sound_s, answer_times):
+    """Return the `Blame` against a part, or None if it is too weak.
 
     Only crashes after `sound_s` count, when an answer on the part last went
     well. `answer_times` is when answers of any kind last did.
     """
-    accusers = _find_accusers(part, crashed_requests, sound_s)
-    request_ids = {crashed.suspect.request_id for crashed in accusers}
+    crashes = _find_crashes(part, crashed_requests, sound_s)
+    request_ids = {crashed.suspect.request_id for crashed in crashes}
     if len(request_ids) < REQUESTS_MIN:
         return None
-    first_s = accusers[0].crashed_s
-    if accusers[-1].crashed_s - first_s < MOMENT_S:
+    first_s = crashes[0].crashed_s
+    if crashes[-1].crashed_s - first_s < MOMENT_S:
         return None
     answers = [time_s for time_s in answer_times if time_s > first_s]
     if len(answers) < SOUND_ANSWERS_MIN:
@@ -76,39 +76,39 @@
         for crashed in crashed_requests
         if crashed.suspect.has_begun
     }
-    return _weigh(part, accusers, begun_lifetimes, sound_s)
+    return _weigh(part, crashes, begun_lifetimes, sound_s)
 
 
-def new_charge_of_doubted(part, crashed_requests, sound_s, doubted_since_s):
-    """Return the `Charge` against a part that was nearly held before.
+def new_blame_of_runner_up(part, crashed_requests, sound_s, runner_up_since_s):
+    """Return the `Blame` against a part that was nearly held before.
 
     One crash since then is enough.
     """
-    accusers = _find_accusers(
-        part, crashed_requests, max(sound_s, doubted_since_s)
+    crashes = _find_crashes(
+        part, crashed_requests, max(sound_s, runner_up_since_s)
     )
-    if not accusers:
+    if not crashes:
         return None
-    return _weigh(part, accusers, set(), sound_s, weight_min=0.0)
+    return _weigh(part, crashes, set(), sound_s, weight_min=0.0)
 
 
-def _find_accusers(part, crashed_requests, since_s):
-    accusers = [
+def _find_crashes(part, crashed_requests, since_s):
+    crashes = [
         crashed
         for crashed in crashed_requests
         if part in crashed.suspect.parts and crashed.crashed_s > since_s
     ]
-    return sorted(accusers, key=lambda crashed: crashed.crashed_s)
+    return sorted(crashes, key=lambda crashed: crashed.crashed_s)
 
 
-def _weigh(part, accusers, begun_lifetimes, sound_s, weight_min=GUILTY_WEIGHT):
-    """Return the `Charge` by requests in the order of their crashes.
+def _weigh(part, crashes, begun_lifetimes, sound_s, weight_min=HARMFUL_WEIGHT):
+    """Return the `Blame` by requests in the order of their crashes.
 
     Return None if their weight is less than `weight_min`.
     """
     weight_by_lifetime = {}
     decisive_s = None
-    for crashed in accusers:
+    for crashed in crashes:
         lifetime = crashed.lifetime
         is_waiting = (
             lifetime in begun_lifetimes and not crashed.suspect.has_begun
@@ -123,5 +123,5 @@
     if decisive_s is None:
         return None
     lifetimes = tuple(weight_by_lifetime)
-    depth = max(crashed.suspect.parts.index(part) for crashed in accusers)
-    return Charge(part, weight, decisive_s, lifetimes, sound_s, depth)
+    depth = max(crashed.suspect.parts.index(part) for crashed in crashes)
+    return Blame(part, weight, decisive_s, lifetimes, sound_s, depth)
--- a/greengagetrack/process/direct/decisions/crash_evidence.py
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -4,14 +4,14 @@
 begins an answer on it. Their other parts are sound, requests of all kinds
 break off with the server, and servers crash for other reasons as well.
 
-A crash accuses the parts of the requests whose answer was due to begin. An
+A crash blames the parts of the requests whose answer was due to begin. An
 answer that goes well on a living server clears its parts. A part is held if
-several servers accuse it, one after the other, and no answer clears it. What
-a held part explains accuses no other part::
+several crashes blame it, one after the other, and no answer clears it. What
+a held part explains blames no other part::
 
     evidence.record_crash("s1/7", [Suspect("r1", ("a", "b"), True)], 1.0)
-    evidence.record_sound(("a",), 1.5)   # "a" is no longer accused
-    evidence.find_held(("a", "b"), 9.0)  # "b" once more crashes accuse it
+    evidence.record_sound(("a",), 1.5)   # "a" is no longer blamed
+    evidence.find_held(("a", "b"), 9.0)  # "b" once more crashes blame it
 """
 
 import enum
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from greengagetrack.process.direct.decisions import charge as charge_module
+from greengagetrack.process.direct.decisions import blame as blame_module
 
 # Time for news of answers that clear a part to arrive from other entries.
 CLEARING_S = 1.2
@@ -37,7 +37,7 @@
 class Hold(msgspec.Struct):
     """A part with which no request is sent to a server.
 
-    `since_s` is when it was found guilty, `seen_s` when a request last had
+    `since_s` is when it was found harmful, `seen_s` when a request last had
     it. A hold without requests ends, and one crash brings it back.
     """
 
@@ -52,7 +52,7 @@
 class ChangeKind(enum.StrEnum):
     """What changed about a part, as it is logged."""
 
-    ACCUSED = "part_accuse"
+    BLAMED = "part_blame"
     CLEARED = "part_clear"
     HELD = "part_hold"
     RELEASED = "part_release"
@@ -76,20 +76,20 @@
     __slots__ = (
         "_answer_times",
         "_crashed_by_key",
-        "_doubted_since_s_by_part",
+        "_runner_up_since_s_by_part",
         "_hold_by_part",
         "_sound_s_by_part",
     )
 
     def __init__(self):
         self._crashed_by_key = {}
-        self._doubted_since_s_by_part = {}
+        self._runner_up_since_s_by_part = {}
         self._hold_by_part = {}
         self._sound_s_by_part = {}
         self._answer_times = []
 
     def is_empty(self):
-        """Return whether no part is accused or held."""
+        """Return whether no part is blamed or held."""
         return not (self._crashed_by_key or self._hold_by_part)
 
     def record_crash(self, lifetime, suspects, now_s):
@@ -99,7 +99,7 @@
             parts = tuple(get_part_key(part) for part in suspect.parts)
             suspect = msgspec.structs.replace(suspect, parts=parts)
             changes += self.add_crashed(
-                charge_module.CrashedRequest(lifetime, now_s, suspect)
+                blame_module.CrashedRequest(lifetime, now_s, suspect)
             )
         return changes + self.update(now_s)
 
@@ -116,14 +116,14 @@
                 hold.seen_s = max(hold.seen_s, crashed.crashed_s)
         return [
             Change(
-                ChangeKind.ACCUSED, crashed.suspect.parts, (crashed.lifetime,)
+                ChangeKind.BLAMED, crashed.suspect.parts, (crashed.lifetime,)
             )
         ]
 
     def record_sound(self, parts, now_s):
         """Record that an answer on these parts went well at a server."""
         self._answer_times.append(now_s)
-        del self._answer_times[: -charge_module.SOUND_ANSWERS_MIN]
+        del self._answer_times[: -blame_module.SOUND_ANSWERS_MIN]
         changes = []
         for part in parts:
             changes += self.add_sound(get_part_key(part), now_s)
@@ -142,7 +142,7 @@
             if part in crashed.suspect.parts
             and known_s < crashed.crashed_s <= sound_s
         )
-        self._doubted_since_s_by_part.pop(part, None)
+        self._runner_up_since_s_by_part.pop(part, None)
         changes = self._release(part)
         if cleared:
             changes.append(Change(ChangeKind.CLEARED, (part,), cleared))
@@ -180,13 +180,13 @@
         self._hold_by_part[part] = Hold(since_s, seen_s)
 
     def update(self, now_s):
-        """Hold the parts that are guilty by now; forget what is old."""
+        """Hold the parts that are harmful by now; forget what is old."""
         self._forget(now_s)
         changes = []
-        while charge := self._find_guilty(now_s):
-            self._hold(charge.part, now_s, now_s)
+        while blame := self._find_harmful(now_s):
+            self._hold(blame.part, now_s, now_s)
             changes.append(
-                Change(ChangeKind.HELD, (charge.part,), charge.lifetimes)
+                Change(ChangeKind.HELD, (blame.part,), blame.lifetimes)
             )
         return changes
 
@@ -198,10 +198,10 @@
             if now_s - hold.seen_s > HOLD_AGE_MAX_S:
                 del self._hold_by_part[part]
 
-    def _find_guilty(self, now_s):
-        """Return the charge of the part to hold next, or None.
+    def _find_harmful(self, now_s):
+        """Return the blame of the part to hold next, or None.
 
-        A request with a guilty part accuses its other parts as well. Of
+        A request with a harmful part blames its other parts as well. Of
         those with equal weight, the one whose last good answer is longest
         ago is held. If several never had one, they always came together:
         the deepest is held, and one more crash will do for the others.
@@ -214,23 +214,23 @@
             for crashed in crashed_requests
             for part in crashed.suspect.parts
         }
-        charges = [
-            charge
+        blames = [
+            blame
             for part in parts - self._hold_by_part.keys()
-            if (charge := self._new_charge(part, crashed_requests))
-            and now_s >= charge.decisive_s + CLEARING_S
+            if (blame := self._new_blame(part, crashed_requests))
+            and now_s >= blame.decisive_s + CLEARING_S
         ]
-        if not charges:
+        if not blames:
             return None
         chosen = max(
-            charges,
-            key=lambda charge: (charge.weight, -charge.sound_s, charge.depth),
+            blames,
+            key=lambda blame: (blame.weight, -blame.sound_s, blame.depth),
         )
-        for charge in charges:
-            is_tied = charge.weight == chosen.weight
-            if is_tied and charge.sound_s == chosen.sound_s:
-                self._doubted_since_s_by_part[charge.part] = now_s
-        _drop_first(self._doubted_since_s_by_part, HOLDS_MAX)
+        for blame in blames:
+            is_tied = blame.weight == chosen.weight
+            if is_tied and blame.sound_s == chosen.sound_s:
+                self._runner_up_since_s_by_part[blame.part] = now_s
+        _drop_first(self._runner_up_since_s_by_part, HOLDS_MAX)
         return chosen
 
     def _get_unexplained(self):
@@ -248,15 +248,15 @@
             if crashed.lifetime not in explained
         ]
 
-    def _new_charge(self, part, crashed_requests):
+    def _new_blame(self, part, crashed_requests):
         sound_s = self._get_sound_s(part)
-        doubted_since_s = self._doubted_since_s_by_part.get(part)
-        charge = None
-        if doubted_since_s is not None:
-            charge = charge_module.new_charge_of_doubted(
-                part, crashed_requests, sound_s, doubted_since_s
+        runner_up_since_s = self._runner_up_since_s_by_part.get(part)
+        blame = None
+        if runner_up_since_s is not None:
+            blame = blame_module.new_blame_of_runner_up(
+                part, crashed_requests, sound_s, runner_up_since_s
             )
-        return charge or charge_module.new_charge(
+        return blame or blame_module.new_blame(
             part, crashed_requests, sound_s, self._answer_times
         )
 
--- a/tests/direct/crashing_servers.py
+++ b/tests/direct/crashing_servers.py
@@ -59,20 +59,20 @@
 
 
 class CrashingGateway(fakes.FakeGateway):
-    """A gateway to servers that crash on `guilty_part`.
+    """A gateway to servers that crash on `harmful_part`.
 
     All entries of a test share one. `crash_times` has the crashes that the
-    part has caused, `guilty_times` the requests with it that reached a
+    part has caused, `harmful_times` the requests with it that reached a
     server.
     """
 
-    def __init__(self, servers, guilty_part="guilty"):
+    def __init__(self, servers, harmful_part="harmful"):
         super().__init__()
-        self.guilty_part = guilty_part
+        self.harmful_part = harmful_part
         self.parts_by_request = {}
         self.server_by_id = {server.server_id: _Server() for server in servers}
         self.crash_times = []
-        self.guilty_times = []
+        self.harmful_times = []
         self.sound_count = 0
 
     async def open_answer(self, server, request):
@@ -82,14 +82,14 @@
                 outcome.Ran.NO, is_connection_failure=True
             )
         parts = self.parts_by_request[request.request_id]
-        is_guilty = self.guilty_part in [part for part, _tokens in parts]
-        if is_guilty:
-            self.guilty_times.append(trio.current_time())
+        is_harmful = self.harmful_part in [part for part, _tokens in parts]
+        if is_harmful:
+            self.harmful_times.append(trio.current_time())
         lifetime = state.lifetime
         await trio.sleep(PREFILL_S)
         if state.lifetime != lifetime:
             return fakes.new_failure(outcome.Ran.UNKNOWN)
-        if is_guilty:
+        if is_harmful:
             self.crash(server.server_id)
             self.crash_times.append(trio.current_time())
             return _BrokenAnswer()
--- a/tests/direct/decisions/test_crash_evidence.py
+++ b/tests/direct/decisions/test_crash_evidence.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from greengagetrack.process.direct.decisions import charge
+from greengagetrack.process.direct.decisions import blame
 from greengagetrack.process.direct.decisions import crash_evidence
 
-FIRST, RARE, GUILTY = "first", "rare", "guilty"
+FIRST, RARE, HARMFUL = "first", "rare", "harmful"
 LATER_S = crash_evidence.CLEARING_S + 0.1
 
 
@@ -20,7 +20,7 @@
         """Crash one more server under requests with these parts."""
         self._count += 1
         suspects = [
-            charge.Suspect(
+            blame.Suspect(
                 request_id or f"r{self._count}.{number}", parts, has_begun
             )
             for number, parts in enumerate(prompts)
@@ -37,7 +37,7 @@
         self.evidence.update(now_s)
         return set(self.evidence.get_holds())
 
-    def crash_until_held(self, parts=(FIRST, RARE, GUILTY)):
+    def crash_until_held(self, parts=(FIRST, RARE, HARMFUL)):
         """Crash three servers under requests with these parts."""
         for now_s in (1.0, 2.0, 3.0):
             self.crash(now_s, parts)
@@ -48,8 +48,8 @@
     story = Story()
     story.answer(0.5, FIRST, RARE)
     story.crash_until_held()
-    assert story.get_held(3.0 + LATER_S) == {GUILTY}
-    assert story.evidence.find_held((FIRST, GUILTY), 9.0) == GUILTY
+    assert story.get_held(3.0 + LATER_S) == {HARMFUL}
+    assert story.evidence.find_held((FIRST, HARMFUL), 9.0) == HARMFUL
     assert story.evidence.find_held((FIRST, RARE), 9.0) is None
 
 
@@ -57,14 +57,14 @@
     story = Story()
     story.crash_until_held()
     assert story.get_held(3.0 + LATER_S - 0.2) == set()
-    story.evidence.add_sound(GUILTY, 3.5)
-    assert GUILTY not in story.get_held(3.0 + LATER_S)
+    story.evidence.add_sound(HARMFUL, 3.5)
+    assert HARMFUL not in story.get_held(3.0 + LATER_S)
 
 
 def test_two_crashes_hold_no_part():
     story = Story()
     for now_s in (1.0, 2.0):
-        story.crash(now_s, (FIRST, GUILTY))
+        story.crash(now_s, (FIRST, HARMFUL))
     story.answer(2.5, FIRST, count=3)
     assert story.get_held(30.0) == set()
 
@@ -96,76 +96,76 @@
     story = Story()
     story.answer(0.5, FIRST)
     for now_s in (1.0, 2.0, 3.0):
-        story.crash(now_s, (FIRST, GUILTY))
-        suspect = charge.Suspect(f"w{now_s}", (FIRST, RARE), False)
+        story.crash(now_s, (FIRST, HARMFUL))
+        suspect = blame.Suspect(f"w{now_s}", (FIRST, RARE), False)
         story.evidence.record_crash(f"s{int(now_s)}/1", [suspect], now_s)
         story.answer(now_s + 0.5, FIRST, count=3)
-    assert story.get_held(30.0) == {GUILTY}
+    assert story.get_held(30.0) == {HARMFUL}
 
 
 def test_request_that_waited_alone_counts_in_full():
     story = Story()
     for now_s in (1.0, 2.0, 3.0):
-        story.crash(now_s, (FIRST, GUILTY), has_begun=False)
+        story.crash(now_s, (FIRST, HARMFUL), has_begun=False)
         story.answer(now_s + 0.5, FIRST, count=3)
-    assert story.get_held(30.0) == {GUILTY}
+    assert story.get_held(30.0) == {HARMFUL}
 
 
-def test_what_a_held_part_explains_accuses_no_other():
+def test_what_a_held_part_explains_blames_no_other():
     story = Story()
     story.answer(0.5, FIRST, RARE)
     story.crash_until_held()
-    assert story.get_held(3.0 + LATER_S) == {GUILTY}
+    assert story.get_held(3.0 + LATER_S) == {HARMFUL}
     # Requests that were under way when the part was held.
     for now_s in (4.5, 5.0, 5.5):
-        story.crash(now_s, (FIRST, RARE, GUILTY), (FIRST, RARE))
+        story.crash(now_s, (FIRST, RARE, HARMFUL), (FIRST, RARE))
         story.answer(now_s + 0.1, FIRST, count=3)
-    assert story.get_held(30.0) == {GUILTY}
+    assert story.get_held(30.0) == {HARMFUL}
 
 
 def test_of_parts_that_always_came_together_the_deepest_is_held():
     story = Story()
     story.crash_until_held()
-    assert story.get_held(3.0 + LATER_S) == {GUILTY}
+    assert story.get_held(3.0 + LATER_S) == {HARMFUL}
     assert story.evidence.find_held((FIRST, RARE), 9.0) is None
 
 
 def test_one_more_crash_holds_a_part_that_always_came_with_a_held_one():
     story = Story()
     story.crash_until_held()
-    assert story.get_held(5.0) == {GUILTY}
+    assert story.get_held(5.0) == {HARMFUL}
     story.crash(6.0, (FIRST, RARE))
-    assert story.get_held(6.0 + LATER_S) == {GUILTY, RARE}
+    assert story.get_held(6.0 + LATER_S) == {HARMFUL, RARE}
 
 
 def test_one_more_crash_holds_no_part_that_was_sound_meanwhile():
     story = Story()
     story.crash_until_held()
-    assert story.get_held(5.0) == {GUILTY}
+    assert story.get_held(5.0) == {HARMFUL}
     story.answer(5.5, FIRST, RARE)
     story.crash(6.0, (FIRST, RARE))
-    assert story.get_held(30.0) == {GUILTY}
+    assert story.get_held(30.0) == {HARMFUL}
 
 
 def test_hold_ends_without_requests_and_one_crash_brings_it_back():
     story = Story()
     story.crash_until_held()
-    assert story.get_held(5.0) == {GUILTY}
+    assert story.get_held(5.0) == {HARMFUL}
     idle_s = 5.0 + crash_evidence.HOLD_IDLE_S
-    assert story.evidence.find_held((GUILTY,), idle_s - 1.0) == GUILTY
+    assert story.evidence.find_held((HARMFUL,), idle_s - 1.0) == HARMFUL
     idle_s = idle_s - 1.0 + crash_evidence.HOLD_IDLE_S
-    assert story.evidence.find_held((GUILTY,), idle_s + 1.0) is None
-    story.crash(idle_s + 2.0, (FIRST, GUILTY))
-    assert story.evidence.find_held((GUILTY,), idle_s + 2.1) == GUILTY
+    assert story.evidence.find_held((HARMFUL,), idle_s + 1.0) is None
+    story.crash(idle_s + 2.0, (FIRST, HARMFUL))
+    assert story.evidence.find_held((HARMFUL,), idle_s + 2.1) == HARMFUL
 
 
 def test_good_answer_ends_a_hold():
     story = Story()
     story.crash_until_held()
-    assert story.get_held(5.0) == {GUILTY}
-    story.answer(6.0, FIRST, RARE, GUILTY)
+    assert story.get_held(5.0) == {HARMFUL}
+    story.answer(6.0, FIRST, RARE, HARMFUL)
     assert story.get_held(6.1) == set()
-    story.evidence.add_hold(GUILTY, 5.0, 6.0)
+    story.evidence.add_hold(HARMFUL, 5.0, 6.0)
     assert story.get_held(6.2) == set()
 
 
--- a/tests/direct/test_crashing_part.py
+++ b/tests/direct/test_crashing_part.py
@@ -17,7 +17,7 @@
 FREE_CRASHES = 5
 LATE_REQUESTS_MAX = 3
 REQUEST_INTERVAL_S = 0.1
-GUILTY_SHARE = 0.12
+HARMFUL_SHARE = 0.12
 PART_CRASHES_SERVERS = outcome_module.Reason.PART_CRASHES_SERVERS
 TRAFFIC_S = 30.0
 NEWS_INTERVAL_S = 0.4
@@ -51,14 +51,14 @@
         """Replace an entry by one that knows nothing."""
         self.entries[index] = self._new_entry()
 
-    async def run(self, guilty_share):
+    async def run(self, harmful_share):
         """Send requests for `TRAFFIC_S`, and news all the while."""
         with trio.move_on_after(TRAFFIC_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._exchange_news)
                 for number in range(int(TRAFFIC_S / REQUEST_INTERVAL_S)):
-                    is_guilty = self._random.random() < guilty_share
-                    nursery.start_soon(self._send, number, is_guilty)
+                    is_harmful = self._random.random() < harmful_share
+                    nursery.start_soon(self._send, number, is_harmful)
                     await trio.sleep(REQUEST_INTERVAL_S)
                 nursery.cancel_scope.cancel()
 
@@ -71,16 +71,16 @@
                     if self._random.random() >= self._lost_share:
                         receiver.crash_guard.apply_news(news)
 
-    def _new_parts(self, number, is_guilty):
+    def _new_parts(self, number, is_harmful):
         # The part lies under a sound one that has few other requests.
-        if is_guilty:
-            shared = ("first", "doc0", self.gateway.guilty_part)
+        if is_harmful:
+            shared = ("first", "doc0", self.gateway.harmful_part)
         else:
             shared = ("first", f"doc{self._random.randrange(DOCUMENTS)}")
         return crashing_servers.new_parts(*shared, own=f"own{number}")
 
-    async def _send(self, number, is_guilty):
-        parts = self._new_parts(number, is_guilty)
+    async def _send(self, number, is_harmful):
+        parts = self._new_parts(number, is_harmful)
         request_id = b"r%d" % number
         self.gateway.parts_by_request[request_id] = parts
         entry = self._random.choice(self.entries)
@@ -89,7 +89,7 @@
             ROUTE, request_id=request_id, parts=parts, prompt_tokens=1800
         )
         is_served = isinstance(result, direct_outcome.Relayed)
-        if not is_guilty:
+        if not is_harmful:
             self.sound_results.append((sent_s, is_served))
         if getattr(result, "reason", None) is PART_CRASHES_SERVERS:
             self.held.add(result.detail.removeprefix("part "))
@@ -107,7 +107,7 @@
         if len(crash_times) < FREE_CRASHES:
             return 0
         from_s = crash_times[FREE_CRASHES - 1] + STABLE_S
-        return sum(time_s > from_s for time_s in self.gateway.guilty_times)
+        return sum(time_s > from_s for time_s in self.gateway.harmful_times)
 
     def get_sound_share(self):
         """Return the share of sound requests served after the crashes."""
@@ -128,7 +128,7 @@
 def test_part_that_crashes_servers_reaches_few_more_of_them():
     async def check(nursery):
         fleet = Fleet(nursery, random.Random(1), entry_count=1)
-        await fleet.run(GUILTY_SHARE)
+        await fleet.run(HARMFUL_SHARE)
         assert len(fleet.gateway.crash_times) >= 3
         assert fleet.count_late_requests() <= LATE_REQUESTS_MAX
 
@@ -138,13 +138,13 @@
 @hypothesis.settings(max_examples=8)
 @hypothesis.given(
     seed=strategies.integers(0, 1000),
-    guilty_share=strategies.sampled_from([0.05, 0.12, 0.3]),
+    harmful_share=strategies.sampled_from([0.05, 0.12, 0.3]),
     lost_share=strategies.sampled_from([0.0, 0.3]),
     restarted_at_s=strategies.sampled_from([None, 3.0, 12.0]),
     crash_count=strategies.sampled_from([0, 4]),
 )
 def test_entries_hold_the_part_and_no_sound_one(
-    seed, guilty_share, lost_share, restarted_at_s, crash_count
+    seed, harmful_share, lost_share, restarted_at_s, crash_count
 ):
     async def check(nursery):
         fleet = Fleet(nursery, random.Random(seed), 4, lost_share)
@@ -156,9 +156,9 @@
             await fleet.crash_servers(crash_count)
 
         nursery.start_soon(disturb)
-        await fleet.run(guilty_share)
+        await fleet.run(harmful_share)
         assert fleet.count_late_requests() <= LATE_REQUESTS_MAX
-        assert fleet.held <= {fleet.gateway.guilty_part}
+        assert fleet.held <= {fleet.gateway.harmful_part}
         assert fleet.get_sound_share() > 0.9
 
     _run(check)
@@ -176,7 +176,7 @@
         max_size=6,
     ),
 )
-def test_ordinary_crashes_accuse_no_sound_part(seed, crashes):
+def test_ordinary_crashes_blame_no_sound_part(seed, crashes):
     async def check(nursery):
         fleet = Fleet(nursery, random.Random(seed))
 
@@ -186,7 +186,7 @@
                 await fleet.crash_servers(count, interval_s)
 
         nursery.start_soon(disturb)
-        await fleet.run(guilty_share=0.0)
+        await fleet.run(harmful_share=0.0)
         assert not fleet.held
 
     _run(check)
@@ -197,9 +197,9 @@
 
     async def check(nursery):
         fleet = Fleet(nursery, random.Random(2))
-        await fleet.run(GUILTY_SHARE)
-        assert fleet.held == {fleet.gateway.guilty_part}
-        parts = (fleet.gateway.guilty_part,)
+        await fleet.run(HARMFUL_SHARE)
+        assert fleet.held == {fleet.gateway.harmful_part}
+        parts = (fleet.gateway.harmful_part,)
         request = (
             fleet.entries[0]
             .admit(ROUTE, parts=crashing_servers.new_parts(*parts))
