--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -136,7 +136,7 @@
             outcome = self._check_parts()
             if outcome is None and self._inputs is None:
                 outcome = await self._run_stages()
-                # A part may have been found guilty meanwhile.
+                # A part may have been found harmful meanwhile.
                 outcome = outcome or self._check_parts()
             if outcome is None:
                 outcome = await self._try_server()
