Log the limit that a server names in its answers

The logs could not tell whether a limit was not read at all or kept by each entry for itself. Now each entry logs when an answer names a limit, changes it or ends it. Nothing is decided by it yet. The engine stand-in can name one.

--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -107,6 +107,9 @@
         self.calls = []
         self.freed = set()
         self.is_silent = False
+        # The requests per second that it names in its answers, if any.
+        self.limit_per_s = None
+        self.arrival_times = []
         # Streams have no length and end inside their last event.
         self.is_breaking = False
         self.work_s = REQUEST_WORK_S
@@ -125,6 +128,7 @@
 
     async def handle(self, exchange):
         """Serve one request by the protocol of the platform's engines."""
+        self.arrival_times.append(trio.current_time())
         headers = exchange.headers
         expected_id = fields.get_value(headers, names.EXPECT_INSTANCE.lower())
         if expected_id is not None and expected_id != self.engine_id.encode():
@@ -134,7 +138,7 @@
         elif exchange.target == names.STAGE_FREE_PATH:
             body = msgspec.json.decode(exchange.body)
             self.freed.update(body["handles"])
-            await exchange.answer(200, [])
+            await exchange.answer(200, self._new_limit_headers())
         else:
             await self._run(exchange)
 
@@ -150,7 +154,13 @@
             for item in items
         ]
         body = msgspec.json.encode({"items": results})
-        await exchange.answer(200, JSON_HEADERS, body)
+        headers = JSON_HEADERS + self._new_limit_headers()
+        await exchange.answer(200, headers, body)
+
+    def _new_limit_headers(self):
+        if self.limit_per_s is None:
+            return []
+        return [(names.SERVER_LIMIT, str(self.limit_per_s).encode())]
 
     async def _run(self, exchange):
         headers = exchange.headers
@@ -165,6 +175,7 @@
         response_headers = [
             (names.REQUEST_ID, request_id),
             (names.SEAL, f"seal of {self.engine_id}".encode()),
+            *self._new_limit_headers(),
         ]
         if not self.is_stream:
             await trio.sleep(self.work_s)
@@ -231,14 +242,14 @@
     """The store and all engines of a small site."""
 
     def __init__(self, nursery):
-        self._nursery = nursery
+        self.nursery = nursery
         self.store = StoreStandIn()
         self.store_address = ""
         self.engine_by_id = {}
 
     async def start(self):
         """Start the store and six engines."""
-        self.store_address = await start_http(self._nursery, self.store.handle)
+        self.store_address = await start_http(self.nursery, self.store.handle)
         self.store.put(names.CONFIG_KEY, new_config())
         for number in (1, 2):
             await self.add_engine(f"desk-{number}", "desk")
@@ -248,7 +259,7 @@
     async def add_engine(self, engine_id, service, is_stream=False):
         """Start one engine and register it."""
         engine = EngineStandIn(engine_id, service, "dc-a", is_stream)
-        engine.address = await start_http(self._nursery, engine.handle)
+        engine.address = await start_http(self.nursery, engine.handle)
         self.engine_by_id[engine_id] = engine
         self.publish(engine)
 
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -118,6 +118,13 @@
     def record_pause(self, published, pause_s):
         """Record that a server wants no requests for `pause_s`."""
 
+    @abc.abstractmethod
+    def record_limit(self, published, limit_per_s):
+        """Record the requests per second that a server takes from all.
+
+        `limit_per_s` is None if the answer names no limit.
+        """
+
 
 class Gateway(abc.ABC):
     """A client of backend servers; implementations add the protocol."""
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -1,5 +1,7 @@
 """The gateway to the platform's engines, over HTTP."""
 
+import math
+
 import msgspec
 import trio
 
@@ -135,6 +137,10 @@
             pause_s = _read_seconds(_get_text(head, names.RETRY_AFTER))
             if pause_s is not None:
                 self._observer.record_pause(server, pause_s)
+        limit_text = _get_text(head, names.SERVER_LIMIT)
+        limit_per_s = _read_limit(limit_text)
+        if limit_per_s is not None or not limit_text:
+            self._observer.record_limit(server, limit_per_s)
 
     def drop_connections(self, server):
         """Close the idle connections to a server that was removed."""
@@ -258,6 +264,16 @@
     return min(seconds, PAUSE_MAX_S) if seconds >= 0 else None
 
 
+def _read_limit(text):
+    """Return a limit in requests per second, or None if it is no number."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    is_valid = math.isfinite(limit_per_s) and limit_per_s >= 0
+    return limit_per_s if is_valid else None
+
+
 def _is_response_to(head, request_id):
     echoed = fields.get_value(head.headers, names.REQUEST_ID.lower())
     return echoed is None or echoed == request_id
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -15,6 +15,7 @@
 INPUTS = b"X-Inputs"
 API_KEY = b"Api-Key"
 SERVER_LEAVING = b"Server-Leaving"
+SERVER_LIMIT = b"Server-Limit"
 STORE_ERA = b"Store-Era"
 RETRY_AFTER = b"Retry-After"
 
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -258,6 +258,23 @@
         if server is not None:
             server.paused_until_s = trio.current_time() + pause_s
 
+    def record_limit(self, published, limit_per_s):
+        """Record the limit that a server names in an answer, or None."""
+        server = self._get_same(published)
+        if server is not None and server.limit_per_s != limit_per_s:
+            server.limit_per_s = limit_per_s
+            _log.info(
+                "server limit ended"
+                if limit_per_s is None
+                else "server names a limit",
+                extra={
+                    "decision": "limit",
+                    "server": published.server_id,
+                    "incarnation": published.incarnation,
+                    "limit_per_s": limit_per_s,
+                },
+            )
+
     def _get_same(self, published):
         server = self.server_by_id.get(published.server_id)
         if server is None:
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -25,6 +25,7 @@
         "failure_share",
         "cached_part_times",
         "latency_ms",
+        "limit_per_s",
         "outstanding",
         "paused_until_s",
         "prefill_tokens",
@@ -45,6 +46,7 @@
         self.slowness = 1.0
         self.suspect_until_s = 0.0
         self.paused_until_s = 0.0
+        self.limit_per_s = None
         self.unreachable_count = 0
         self.removal_due_s = None
         self.cached_part_times = {}
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -273,6 +273,7 @@
     def __init__(self):
         self.leaving = []
         self.pauses = []
+        self.limits = []
 
     def record_leaving(self, published):
         self.leaving.append(published.server_id)
@@ -280,21 +281,30 @@
     def record_pause(self, published, pause_s):
         self.pauses.append((published.server_id, pause_s))
 
+    def record_limit(self, published, limit_per_s):
+        self.limits.append(limit_per_s)
+
 
 @pytest.mark.parametrize(
-    ("status", "headers", "leaving", "pauses"),
+    ("status", "headers", "leaving", "pauses", "limits"),
     [
-        (200, [(b"Server-Leaving", b"1")], ["i-1"], []),
-        (503, [(b"Retry-After", b"2.5")], [], [("i-1", 2.5)]),
-        (503, [(b"Retry-After", b"soon")], [], []),
-        (503, [(b"Retry-After", b"-1")], [], []),
-        (200, [(b"Retry-After", b"2.5")], [], []),
+        (200, [(b"Server-Leaving", b"1")], ["i-1"], [], [None]),
+        (503, [(b"Retry-After", b"2.5")], [], [("i-1", 2.5)], [None]),
+        (503, [(b"Retry-After", b"soon")], [], [], [None]),
+        (503, [(b"Retry-After", b"-1")], [], [], [None]),
+        (200, [(b"Retry-After", b"2.5")], [], [], [None]),
         # Another server's answer says nothing of the one that was asked.
-        (421, [(b"Server-Leaving", b"1")], [], []),
+        (421, [(b"Server-Leaving", b"1")], [], [], []),
+        (200, [(b"Server-Limit", b"1.1")], [], [], [1.1]),
+        (503, [(b"Server-Limit", b"0")], [], [], [0.0]),
+        # What can't be read neither names a limit nor ends one.
+        (200, [(b"Server-Limit", b"few")], [], [], []),
+        (200, [(b"Server-Limit", b"inf")], [], [], []),
+        (200, [(b"Server-Limit", b"-2")], [], [], []),
     ],
 )
 def test_what_engines_say_of_themselves_is_observed(
-    status, headers, leaving, pauses
+    status, headers, leaving, pauses, limits
 ):
     async def handle(exchange):
         await exchange.answer(status, headers, b"{}")
@@ -322,6 +332,7 @@
         # Both calls, the request and the one for pieces, are observed.
         assert observer.leaving == leaving * 2
         assert observer.pauses == pauses * 2
+        assert observer.limits == limits * 2
 
     trio.run(main)
 
