Test of servers beyond the limit that they name, failing

With three entries and a limit of 2 a second each engine gets up to 58 requests in 4 s, where 17 are allowed.

--- a/bench/command.py
+++ b/bench/command.py
@@ -19,6 +19,7 @@
 from bench import fleet as fleet_module
 from bench import processes
 from bench.soak import broken
+from bench.soak import limits as limits_module
 from bench.soak import run as soak_run
 
 EXIT_FAILURE = 1
@@ -196,6 +197,37 @@
     sys.exit(EXIT_FAILURE if failed_seeds else 0)
 
 
+def limits(
+    *,
+    seed: int = 0,
+    entries: int = 3,
+    rate: float = 60.0,
+    limit: float = 2.0,
+    duration: float = 20.0,
+    logs: str = "",
+):
+    """Run entries against engines that name a limit in their answers.
+
+    Prints one JSON line. Exit codes: 0 no engine got more than it allows;
+    1 one did.
+
+    :param seed: The seed of the requests.
+    :param entries: The number of entry processes, over three data centres.
+    :param rate: The requests per second of all kinds together.
+    :param limit: The requests per second that each engine takes.
+    :param duration: How long the limits are named, in seconds.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if a limit was exceeded.
+    """
+    folder = logs or tempfile.mkdtemp(prefix="greengagebench-limits-")
+    result = limits_module.run_limits(
+        seed, entries, rate, limit, duration, folder
+    )
+    _print_json(result)
+    _keep_or_delete_logs(folder, logs, result.exceeded)
+    sys.exit(EXIT_FAILURE if result.exceeded else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -273,6 +305,7 @@
             "compare": compare,
             "run": run,
             "soak": soak,
+            "limits": limits,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
--- /dev/null
+++ b/bench/soak/limits.py
@@ -0,0 +1,196 @@
+"""Load on entry processes whose engines name limits in their answers.
+
+The engines count all that reaches them. A limit holds for all entries
+together, so it is checked at each engine, whoever sent the requests.
+"""
+
+import itertools
+import os
+import random
+
+import msgspec
+import trio
+
+from bench.soak import site as site_module
+from bench.standins import site as standin_site
+from greengagetrack.connection.http import client
+
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+WARM_UP_S = 2.0
+# From then on after an engine has first named its limit it has to hold.
+SETTLING_S = 4.0
+WINDOW_S = 4.0
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+COOL_DOWN_S = 3.0
+TARGETS = (
+    ("/draft/{}", b"POST"),
+    ("/order/{}", b"POST"),
+    ("/stock/{}", b"GET"),
+)
+
+
+class EngineUse(msgspec.Struct):
+    """What one engine got of its limit.
+
+    `most_in_window` is the highest number of requests in `WINDOW_S`, and
+    `used_share` the part of the limit that was sent.
+    """
+
+    engine: str
+    service: str
+    limit_per_s: float
+    most_in_window: int
+    allowed_in_window: int
+    used_share: float
+
+    def is_exceeded(self):
+        """Return whether the engine got more than it allows."""
+        return self.most_in_window > self.allowed_in_window
+
+
+class LimitResult(msgspec.Struct):
+    """The JSON result of a run."""
+
+    seed: int
+    entries: int
+    requests: int
+    served: int
+    refused: int
+    failed: int
+    engines: list[EngineUse]
+
+    @property
+    def exceeded(self):
+        """The uses of the engines that got more than they allow."""
+        return [use for use in self.engines if use.is_exceeded()]
+
+
+class LimitSite(site_module.SoakSite):
+    """A site of any number of entries over several data centres."""
+
+    async def add_engine(self, engine_id, service, is_stream=False):
+        """Start one engine of each kind in each data centre."""
+        for data_centre in DATA_CENTRES:
+            engine = standin_site.EngineStandIn(
+                f"{engine_id}-{data_centre}", service, data_centre, is_stream
+            )
+            engine.address = await standin_site.start_http(
+                self.nursery, engine.handle
+            )
+            self.engine_by_id[engine.engine_id] = engine
+            self.publish(engine)
+
+    def change_node_file(self, index, node_file):
+        """Put the entries into the data centres in turn."""
+        node_file["zone"] = DATA_CENTRES[index % len(DATA_CENTRES)]
+        node_file["zones"] = dict.fromkeys(DATA_CENTRES, "north")
+
+
+class LimitRun:
+    """One run: requests at a steady rate, and limits after a while."""
+
+    def __init__(self, site, seed, rate_per_s, limit_per_s):
+        self._site = site
+        self._generator = random.Random(seed)
+        self._rate_per_s = rate_per_s
+        self._limit_per_s = limit_per_s
+        self._statuses = []
+
+    async def run(self, seed, duration_s):
+        """Return the `LimitResult`; limits are named for `duration_s`."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_requests, nursery, duration_s)
+            await trio.sleep(WARM_UP_S)
+            for engine in self._site.engine_by_id.values():
+                engine.limit_per_s = self._limit_per_s
+            start_s = trio.current_time() + SETTLING_S
+            end_s = start_s - SETTLING_S + duration_s
+        statuses = self._statuses
+        return LimitResult(
+            seed=seed,
+            entries=len(self._site.entries),
+            requests=len(statuses),
+            served=statuses.count(200),
+            refused=statuses.count(503),
+            failed=len(statuses) - statuses.count(200) - statuses.count(503),
+            engines=[
+                new_engine_use(engine, start_s, end_s)
+                for engine in self._site.engine_by_id.values()
+            ],
+        )
+
+    async def _send_requests(self, nursery, duration_s):
+        end_s = trio.current_time() + WARM_UP_S + duration_s
+        for number in itertools.count():
+            if trio.current_time() >= end_s:
+                break
+            nursery.start_soon(self._send_request, number)
+            await trio.sleep(self._generator.expovariate(self._rate_per_s))
+
+    async def _send_request(self, number):
+        path, method = TARGETS[number % len(TARGETS)]
+        entry = self._generator.choice(self._site.entries)
+        pool = client.new_pool(self._site.nursery)
+        with trio.move_on_after(COOL_DOWN_S):
+            status, _headers, _body = await standin_site.send_request(
+                pool,
+                entry.caller_address,
+                path.format(number),
+                b"%d" % number,
+                method,
+            )
+            self._statuses.append(status)
+        pool.drop_connections(entry.caller_address)
+
+
+def new_engine_use(engine, start_s, end_s):
+    """Return what an engine got between two times."""
+    times = [
+        time_s for time_s in engine.arrival_times if start_s < time_s < end_s
+    ]
+    most = max(
+        (
+            sum(first_s <= time_s < first_s + WINDOW_S for time_s in times)
+            for first_s in times
+        ),
+        default=0,
+    )
+    allowed = engine.limit_per_s * WINDOW_S * EXCESS_FACTOR + EXCESS_REQUESTS
+    return EngineUse(
+        engine=engine.engine_id,
+        service=engine.service,
+        limit_per_s=engine.limit_per_s,
+        most_in_window=most,
+        allowed_in_window=int(allowed),
+        used_share=round(
+            len(times) / (engine.limit_per_s * (end_s - start_s)), 2
+        ),
+    )
+
+
+async def _run(seed, entry_count, rate_per_s, limit_per_s, duration_s, logs):
+    os.makedirs(logs, exist_ok=True)
+    async with trio.open_nursery() as nursery:
+        site = LimitSite(nursery, seed, logs, "", entry_count)
+        try:
+            await site.start()
+            run = LimitRun(site, seed, rate_per_s, limit_per_s)
+            result = await run.run(seed, duration_s)
+        finally:
+            with trio.CancelScope(shield=True):
+                await site.stop()
+        nursery.cancel_scope.cancel()
+    return result
+
+
+def run_limits(seed, entry_count, rate_per_s, limit_per_s, duration_s, logs):
+    """Run entry processes against engines with limits.
+
+    Each engine names `limit_per_s` for the last `duration_s` of the run,
+    while `rate_per_s` requests of all kinds arrive. Return the
+    `LimitResult`; the logs are written to the folder `logs`.
+    """
+    return trio.run(
+        _run, seed, entry_count, rate_per_s, limit_per_s, duration_s, logs
+    )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -96,7 +96,7 @@
 
     async def _run_consumer(self, number, end_s):
         generator = random.Random(f"{self._seed}-{number}")
-        pool = client.new_pool(self._site._nursery)
+        pool = client.new_pool(self._site.nursery)
         entry = generator.choice(self._site.entries)
         count = 0
         while trio.current_time() < end_s:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -71,8 +71,9 @@
 class SoakSite(site_module.SiteStandIn):
     """A site whose store and engines are reached through TCP proxies."""
 
-    def __init__(self, nursery, seed, logs, build):
+    def __init__(self, nursery, seed, logs, build, entry_count=ENTRY_COUNT):
         super().__init__(nursery)
+        self._entry_count = entry_count
         self._logs = logs
         self._build = build
         self._address_prefix = (
@@ -89,18 +90,19 @@
         """Start the stand-ins and the entries; wait until these are ready."""
         await super().start()
         self.store_proxy = await proxy_module.new_proxy(
-            self._nursery, self.store_address
+            self.nursery, self.store_address
         )
         self.store_address = self.store_proxy.address
         port_sets = [
-            ports_module.find_free_ports(3) for _entry in range(ENTRY_COUNT)
+            ports_module.find_free_ports(3)
+            for _entry in range(self._entry_count)
         ]
         seeds = [f"{site_module.HOST}:{ports[2]}" for ports in port_sets[:2]]
         for index, ports in enumerate(port_sets):
             entry = self._new_entry(index, ports, seeds)
             entry.start()
             self.entries.append(entry)
-            self._nursery.start_soon(self._poll_readiness, entry)
+            self.nursery.start_soon(self._poll_readiness, entry)
         while not all(entry.is_in_rotation for entry in self.entries):
             await trio.sleep(0.05)
 
@@ -109,6 +111,7 @@
         node_file = self.get_node_file(name, ports, seeds, REVOKE_MS)
         # The metrics port is the same on all machines, so the IPs differ.
         node_file["ip"] = f"{self._address_prefix}.0.{index + 1}"
+        self.change_node_file(index, node_file)
         path = os.path.join(self._logs, f"{name}.json")
         with open(path, "w") as file:
             json.dump(node_file, file)
@@ -119,12 +122,15 @@
             command.append("greengagetrack.command.greengagetrackd")
         return EntryProcess(name, path, ports[:2], self._logs, command)
 
+    def change_node_file(self, index, node_file):
+        """Change the node file of one entry; here nothing is changed."""
+
     async def _poll_readiness(self, entry):
         """Poll the readiness of an entry, as a load balancer does."""
         missed_checks = 0
         while True:
             status = await _request_readiness(
-                self._nursery, entry.ready_address
+                self.nursery, entry.ready_address
             )
             missed_checks = 0 if status == 200 else missed_checks + 1
             if missed_checks == 0 or missed_checks >= MAX_MISSED_CHECKS:
@@ -136,8 +142,8 @@
         engine = site_module.EngineStandIn(
             engine_id, service, "dc-a", is_stream
         )
-        address = await site_module.start_http(self._nursery, engine.handle)
-        proxy = await proxy_module.new_proxy(self._nursery, address)
+        address = await site_module.start_http(self.nursery, engine.handle)
+        proxy = await proxy_module.new_proxy(self.nursery, address)
         engine.address = proxy.address
         # Long enough that some requests are in progress at any moment.
         engine.work_s, engine.event_interval_s = (
