--- a/tests/direct/crashing_servers.py
+++ b/tests/direct/crashing_servers.py
@@ -59,16 +59,24 @@
 
 
 class CrashingGateway(fakes.FakeGateway):
-    """A gateway to servers that crash on `harmful_part`.
+    """A gateway to servers that crash on `harmful_part` or `harmful_body`.
 
-    All entries of a test share one. `crash_times` has the crashes that the
-    part has caused, `harmful_times` the requests with it that reached a
-    server.
+    All entries of a test share one. `crash_times` has the crashes that these
+    have caused, `harmful_times` the requests with them that reached a
+    server. Answers are streams unless `is_plain` is set.
     """
 
-    def __init__(self, servers, harmful_part="harmful"):
+    def __init__(
+        self,
+        servers,
+        harmful_part="harmful",
+        harmful_body=b"harmful",
+        is_plain=False,
+    ):
         super().__init__()
         self.harmful_part = harmful_part
+        self.harmful_body = harmful_body
+        self.is_plain = is_plain
         self.parts_by_request = {}
         self.server_by_id = {server.server_id: _Server() for server in servers}
         self.crash_times = []
@@ -81,8 +89,11 @@
             return fakes.new_failure(
                 outcome.Ran.NO, is_connection_failure=True
             )
-        parts = self.parts_by_request[request.request_id]
-        is_harmful = self.harmful_part in [part for part, _tokens in parts]
+        parts = self.parts_by_request.get(request.request_id, ())
+        is_harmful = (
+            self.harmful_part in [part for part, _tokens in parts]
+            or request.body == self.harmful_body
+        )
         if is_harmful:
             self.harmful_times.append(trio.current_time())
         lifetime = state.lifetime
@@ -92,8 +103,12 @@
         if is_harmful:
             self.crash(server.server_id)
             self.crash_times.append(trio.current_time())
+            if self.is_plain:
+                return fakes.new_failure(outcome.Ran.UNKNOWN)
             return _BrokenAnswer()
         self.sound_count += 1
+        if self.is_plain:
+            return fakes.ScriptedAnswer()
         first = int(request.resume_after or b"0") + 1
         return _CrashableAnswer(state, first)
 
