Keep a request that crashes servers away from them

Callers saw a whole service refused: each copy of one request took up to three servers of three with it, as often as it came.

The guard on prompt parts dropped a break without parts, and parts that other requests share are cleared by these. The identity of a request, a keyed digest of caller, method, host, target and body, is one more suspect of crash_evidence now. Only a whole answer clears it. Copies of a request speak against its parts as much as one other request does, so that a held identity blames no sound part. After two crashes it is not sent to the last server that lives, and a crash is told to peers at once.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -51,6 +51,7 @@
     "pipeline_unknown": "The table has no such pipeline.",
     "rate_limit": "The row's rate is used up; retry later.",
     "records_full": "The records are full; none is deleted early.",
+    "request_crashes_servers": "Copies of the request crashed servers.",
     "shed": "The queue was full, and this had the lowest priority.",
     "ticket_expired": "The ticket has expired; its order may have run.",
     "ticket_forged": "The ticket's seal matches no active key.",
--- a/greengagetrack/connection/seal.py
+++ b/greengagetrack/connection/seal.py
@@ -43,6 +43,10 @@
             return None
         return body
 
+    def get_digest(self, data):
+        """Return a digest of `data` that only holders of the key can make."""
+        return self._get_code(self._signing_id, data, b"")
+
     def _get_code(self, key_id, body, context):
         digest = hashlib.blake2b(
             key=self._key_by_id[key_id], digest_size=_CODE_BYTES
--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps parts of prompts that crash servers away from them.
+"""Keeps requests, and parts of prompts, that crash servers away from them.
 
 The decisions are those of `decisions.crash_evidence`. This module confirms
 that a server has crashed, logs each change with its evidence, and exchanges
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import trio
 
@@ -20,6 +21,11 @@
 CRASHED_TOLD_MAX = 32
 TOLD_AGE_MAX_S = 10.0
 SUSPECTS_MAX = 32
+# A request that crashes its server does so soon after its answer began.
+BEGIN_MAX_S = 0.5
+# From then on, a request is kept from the last server of its service.
+RISKY_CRASHES = 2
+LENGTH_BYTES = 8
 # How long peers are told that a part that they hold is sound.
 DISPUTE_S = 10.0
 MS = 1000
@@ -34,41 +40,97 @@
         "_disputed_until_s_by_part",
         "_evidence",
         "_gateway",
+        "_get_digest",
         "_nursery",
         "_suspects_by_lifetime",
         "_update_due_s",
+        "announce",
     )
 
-    def __init__(self, gateway, nursery):
+    def __init__(self, gateway, nursery, get_digest):
         self._evidence = crash_evidence.new_crash_evidence()
         self._gateway = gateway
+        self._get_digest = get_digest
         self._nursery = nursery
+        # Called on a crash, so that peers hear of it before copies come.
+        self.announce = lambda: None
         self._suspects_by_lifetime = {}
         self._disputed_until_s_by_part = {}
         self._update_due_s = 0.0
 
     def find_held(self, request):
-        """Return the part because of which a request is refused, or None."""
+        """Return the part because of which a request is refused, or None.
+
+        It may be the identity of the request.
+        """
         if self._evidence.is_empty():
             return None
         now_s = trio.current_time()
         self._update(now_s)
-        return self._evidence.find_held(request.shared_parts, now_s)
+        parts = [*request.shared_parts, self._identify(request)]
+        return self._evidence.find_held(parts, now_s)
+
+    def is_last_at_risk(self, request, servers):
+        """Return whether a request may crash the last of its `servers`."""
+        if self._evidence.is_empty() or len(servers) < 2:
+            return False
+        crash_times = self._evidence.get_crash_times(self._identify(request))
+        if len(crash_times) < RISKY_CRASHES:
+            return False
+        alive = [
+            server
+            for server in servers
+            if not server.is_suspect()
+            and server.last_success_s
+            >= crash_times.get(_get_lifetime(server), -math.inf)
+        ]
+        return len(alive) < 2
+
+    def _identify(self, request):
+        """Return what copies of a request share, as a suspect part.
+
+        It is a digest, since news and logs must not tell what callers send.
+        """
+        if request.identity is None:
+            fields = (
+                (request.api_key or "").encode(),
+                request.method,
+                request.host.encode(),
+                request.target,
+                request.body,
+            )
+            data = b"".join(
+                len(field).to_bytes(LENGTH_BYTES) + field for field in fields
+            )
+            digest = self._get_digest(data).hex()
+            request.identity = blame.IDENTITY_PREFIX + digest
+        return request.identity
 
     def record_sound(self, request):
         """Record that the answer of a request goes well at its server."""
-        parts = request.shared_parts
-        if parts:
+        now_s = trio.current_time()
+        self._log_changes(
+            self._evidence.record_sound(request.shared_parts, now_s)
+        )
+
+    def record_whole(self, request):
+        """Record that a request was answered to the end."""
+        if self._evidence.is_empty():
+            return
+        identity = self._identify(request)
+        if self._evidence.is_suspect(identity):
             now_s = trio.current_time()
-            self._log_changes(self._evidence.record_sound(parts, now_s))
+            self._log_changes(self._evidence.add_sound(identity, now_s))
 
-    def record_break(self, server, request, has_begun):
-        """Record a request that broke off while its answer was to begin."""
-        parts = tuple(request.shared_parts)
+    def record_break(self, server, request, attempt):
+        """Record a request that broke off under an `Attempt`."""
+        parts = () if attempt.is_sound else tuple(request.shared_parts)
+        if not attempt.has_begun or attempt.get_answer_s() < BEGIN_MAX_S:
+            parts += (self._identify(request),)
         if not parts or server.published.is_leaving:
             return
-        lifetime = f"{server.server_id}/{server.published.incarnation}"
-        suspect = blame.Suspect(request.log_id, parts, has_begun)
+        lifetime = _get_lifetime(server)
+        suspect = blame.Suspect(request.log_id, parts, attempt.has_begun)
         suspects = self._suspects_by_lifetime.get(lifetime)
         if suspects is None:
             self._suspects_by_lifetime[lifetime] = [suspect]
@@ -88,6 +150,7 @@
             self._log_changes(
                 self._evidence.record_crash(lifetime, suspects, now_s)
             )
+            self.announce()
 
     def new_news(self):
         """Return what to tell a peer, or None if there is nothing."""
@@ -189,10 +252,17 @@
             )
 
 
+def _get_lifetime(server):
+    return f"{server.server_id}/{server.published.incarnation}"
+
+
 def _to_age_ms(time_s, now_s):
     return max(int((now_s - time_s) * MS), 0)
 
 
-def new_crash_guard(gateway, nursery):
-    """Return a guard that confirms crashes by `gateway` in `nursery`."""
-    return CrashGuard(gateway, nursery)
+def new_crash_guard(gateway, nursery, get_digest):
+    """Return a guard that confirms crashes by `gateway` in `nursery`.
+
+    `get_digest(data)` returns a digest that is the same at all entries.
+    """
+    return CrashGuard(gateway, nursery, get_digest)
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -91,6 +91,7 @@
             links,
             nursery,
             random.Random(settings.name),
+            peer_keys.get_digest,
         )
         await nursery.start(peer_server.serve, entry.peers.handle)
         caller_server = await _start_servers(nursery, adapter, entry)
--- a/greengagetrack/process/direct/decisions/blame.py
+++ b/greengagetrack/process/direct/decisions/blame.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+IDENTITY_PREFIX = "request:"
 # What the crashes that blame a harmful part weigh in sum.
 HARMFUL_WEIGHT = 3.0
 # Of a request that waited on a server where another answer had begun.
@@ -20,8 +21,10 @@
 class Suspect(msgspec.Struct, frozen=True):
     """A request that broke off with its server.
 
-    `parts` are the ids of those that other requests may share. `has_begun`
-    says that its answer had a head, and no more than its first events.
+    `parts` are the ids of the prompt parts that other requests may share,
+    and last its identity, which copies of the same request share.
+    `has_begun` says that its answer had a head, and no more than its first
+    events.
     """
 
     request_id: str
@@ -62,12 +65,9 @@
     well. `answer_times` is when answers of any kind last did.
     """
     crashes = _find_crashes(part, crashed_requests, sound_s)
-    request_ids = {crashed.suspect.request_id for crashed in crashes}
-    if len(request_ids) < REQUESTS_MIN:
+    if not _is_one_by_one(part, crashes):
         return None
     first_s = crashes[0].crashed_s
-    if crashes[-1].crashed_s - first_s < MOMENT_S:
-        return None
     answers = [time_s for time_s in answer_times if time_s > first_s]
     if len(answers) < SOUND_ANSWERS_MIN:
         return None
@@ -79,6 +79,24 @@
     return _weigh(part, crashes, begun_lifetimes, sound_s)
 
 
+def is_identity(part):
+    """Return whether a suspect part is the identity of a whole request."""
+    return part.startswith(IDENTITY_PREFIX)
+
+
+def _is_one_by_one(part, crashes):
+    """Return whether these can't be crashes of a moment, of another cause.
+
+    A copy of a request is sent after the last one broke off.
+    """
+    if is_identity(part):
+        return bool(crashes)
+    request_ids = {crashed.suspect.request_id for crashed in crashes}
+    if len(request_ids) < REQUESTS_MIN:
+        return False
+    return crashes[-1].crashed_s - crashes[0].crashed_s >= MOMENT_S
+
+
 def new_blame_of_runner_up(part, crashed_requests, sound_s, runner_up_since_s):
     """Return the `Blame` against a part that was nearly held before.
 
--- a/greengagetrack/process/direct/decisions/crash_evidence.py
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -1,8 +1,10 @@
-"""Which parts of prompts crash the servers that answer them.
+"""Which parts of prompts, or whole requests, crash servers.
 
 Load pattern: a few requests share one part that crashes each server which
 begins an answer on it. Their other parts are sound, requests of all kinds
-break off with the server, and servers crash for other reasons as well.
+break off with the server, and servers crash for other reasons as well. Or
+one request does so and comes again and again: its identity is then one more
+part, which copies of it share.
 
 A crash blames the parts of the requests whose answer was due to begin. An
 answer that goes well on a living server clears its parts. A part is held if
@@ -121,7 +123,10 @@
         ]
 
     def record_sound(self, parts, now_s):
-        """Record that an answer on these parts went well at a server."""
+        """Record that an answer on these parts went well at a server.
+
+        Answers without any count as well: they could have cleared a part.
+        """
         self._answer_times.append(now_s)
         del self._answer_times[: -blame_module.SOUND_ANSWERS_MIN]
         changes = []
@@ -235,18 +240,25 @@
 
     def _get_unexplained(self):
         """Return the requests on servers that no held part has crashed."""
-        explained = {
-            crashed.lifetime
-            for crashed in self._crashed_by_key.values()
-            if any(
-                part in self._hold_by_part for part in crashed.suspect.parts
-            )
-        }
+        explained = set()
+        first_by_identity = {}
+        for crashed in self._crashed_by_key.values():
+            held = [
+                part
+                for part in crashed.suspect.parts
+                if part in self._hold_by_part
+            ]
+            if held:
+                explained.add(crashed.lifetime)
+            if len(held) == 1 and blame_module.is_identity(held[0]):
+                first_by_identity.setdefault(held[0], crashed)
+        # All copies of a request have the same parts: together they speak
+        # against these as much as one other request would.
         return [
             crashed
             for crashed in self._crashed_by_key.values()
             if crashed.lifetime not in explained
-        ]
+        ] + list(first_by_identity.values())
 
     def _new_blame(self, part, crashed_requests):
         sound_s = self._get_sound_s(part)
@@ -260,6 +272,25 @@
             part, crashed_requests, sound_s, self._answer_times
         )
 
+    def is_suspect(self, part):
+        """Return whether a part is blamed or held."""
+        return part in self._hold_by_part or any(
+            part in crashed.suspect.parts
+            for crashed in self._crashed_by_key.values()
+        )
+
+    def get_crash_times(self, part):
+        """Return when servers crashed under a part since it was sound.
+
+        The keys are the lifetimes of these servers.
+        """
+        sound_s = self._get_sound_s(part)
+        return {
+            crashed.lifetime: crashed.crashed_s
+            for crashed in self._crashed_by_key.values()
+            if part in crashed.suspect.parts and crashed.crashed_s > sound_s
+        }
+
     def find_held(self, parts, now_s):
         """Return the first part that is held, or None."""
         for part in parts:
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -83,6 +83,7 @@
         links,
         nursery,
         generator,
+        get_digest,
     ):
         self.settings = settings
         self.is_draining = False
@@ -119,7 +120,7 @@
             settings.budget_window_s,
             lambda: self.peers.members.count_entries(),
         )
-        guard = crash_guard.new_crash_guard(gateway, nursery)
+        guard = crash_guard.new_crash_guard(gateway, nursery, get_digest)
         self.peers = peers_module.new_peers(
             settings,
             links,
@@ -129,6 +130,7 @@
             guard,
             generator,
         )
+        guard.announce = self.peers.exchange_now
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
             gateway,
@@ -280,9 +282,26 @@
 
 
 def new_direct_entry(
-    settings, source, gateway, connection_pool, links, nursery, generator
+    settings,
+    source,
+    gateway,
+    connection_pool,
+    links,
+    nursery,
+    generator,
+    get_digest,
 ):
-    """Return an entry whose background calls run in `nursery`."""
+    """Return an entry whose background calls run in `nursery`.
+
+    `get_digest(data)` returns a keyed digest, the same at all entries.
+    """
     return DirectEntry(
-        settings, source, gateway, connection_pool, links, nursery, generator
+        settings,
+        source,
+        gateway,
+        connection_pool,
+        links,
+        nursery,
+        generator,
+        get_digest,
     )
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -1,6 +1,7 @@
 """What an entry knows of one backend server."""
 
 import logging
+import math
 
 import trio
 
@@ -26,6 +27,7 @@
     __slots__ = (
         "failure_share",
         "cached_part_times",
+        "last_success_s",
         "latency_ms",
         "limit",
         "outstanding",
@@ -45,6 +47,7 @@
         self.prefill_tokens = 0
         self.failure_share = 0.0
         self.latency_ms = None
+        self.last_success_s = -math.inf
         self.slowness = 1.0
         self.suspect_until_s = 0.0
         self.paused_until_s = 0.0
@@ -109,6 +112,7 @@
 
     def record_success(self, spent_ms):
         """Record a complete answer."""
+        self.last_success_s = trio.current_time()
         self.unreachable_count = 0
         self.failure_share *= 1 - FAILURE_WEIGHT
         if self.latency_ms is None:
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -134,6 +134,10 @@
     def announce_leaving(self):
         """Announce at once to local peers that no new work is taken."""
         self.members.is_leaving = True
+        self.exchange_now()
+
+    def exchange_now(self):
+        """Exchange digests at once with those who pass news on."""
         for peer in self.members.peer_by_address.values():
             peer.last_exchange_s = -math.inf
         self._exchange_now.set()
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -82,6 +82,11 @@
             self._attempt.is_sound = True
             self._services.crash_guard.record_sound(self._request)
 
+    def record_whole(self):
+        """Record that the answer came to its end."""
+        self.record_sound()
+        self._services.crash_guard.record_whole(self._request)
+
 
 def new_answer_reader(services, request, attempt, answer):
     """Return a reader of the answer of an attempt."""
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -39,6 +39,10 @@
         """Whether the head of the answer was received."""
         return self.begun_s is not None
 
+    def get_answer_s(self):
+        """Return the time since the head of the answer was received."""
+        return trio.current_time() - self.begun_s
+
     def begin(self):
         """Record that the head of the answer was received."""
         self.begun_s = trio.current_time()
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -11,6 +11,7 @@
 
     `headers` are those to forward. `parts` are the parts of the prompt as
     `(id, tokens)`; `piece_counts` is the number of pieces of each stage.
+    `identity` is what copies of the request share, reckoned on first use.
     """
 
     request_id: bytes
@@ -27,6 +28,7 @@
     output_tokens: int = 0
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
+    identity: str | None = None
 
     @property
     def path(self):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.process.direct.decisions import blame
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import event_relay
@@ -135,11 +136,11 @@
         while True:
             if self._graph is not None and self._graph.is_freed:
                 self._inputs = None
-            outcome = self._check_parts()
+            outcome = self._check_crashes()
             if outcome is None and self._inputs is None:
                 outcome = await self._run_stages()
-                # A part may have been found harmful meanwhile.
-                outcome = outcome or self._check_parts()
+                # It may have been found harmful meanwhile.
+                outcome = outcome or self._check_crashes()
             if outcome is None:
                 outcome = await self._try_server()
             if outcome is not None:
@@ -147,13 +148,24 @@
             if not self._may_retry():
                 return self._combine_outcome(self._new_refusal())
 
-    def _check_parts(self):
-        """Return `Refused` if a part of the prompt crashes servers."""
-        part = self._services.crash_guard.find_held(self._admitted.request)
-        if part is None:
+    def _check_crashes(self):
+        """Return `Refused` if the request crashes servers, else None."""
+        guard = self._services.crash_guard
+        request = self._admitted.request
+        part = guard.find_held(request)
+        if part is not None and not blame.is_identity(part):
+            return outcome_module.Refused(
+                _Reason.PART_CRASHES_SERVERS,
+                f"part {part}",
+                retry_after_ms=None,
+            )
+        servers = self._services.directory.get_servers(self._selector.service)
+        if part is None and not guard.is_last_at_risk(request, servers):
             return None
         return outcome_module.Refused(
-            _Reason.PART_CRASHES_SERVERS, f"part {part}", retry_after_ms=None
+            _Reason.REQUEST_CRASHES_SERVERS,
+            "held" if part else "one server is left",
+            retry_after_ms=None,
         )
 
     async def _run_stages(self):
@@ -328,9 +340,9 @@
             failure.reason is _Reason.BACKEND_FAILED
             and failure.ran is _Ran.UNKNOWN
         )
-        if is_broken and not attempt.is_sound:
+        if is_broken:
             self._services.crash_guard.record_break(
-                attempt.server, self._admitted.request, attempt.has_begun
+                attempt.server, self._admitted.request, attempt
             )
 
     async def _handle_answer(self, attempt, answer):
@@ -368,7 +380,7 @@
             return self._handle_failure(attempt, body, is_counted=True)
         attempt.record_answer(answer.status)
         if answer.status < attempt_module.SERVER_ERROR:
-            reader.record_sound()
+            reader.record_whole()
         if self._is_retry_preferred(answer.status):
             attempt.server.record_failure()
             self._last_failure = gateway.Failure(
@@ -416,7 +428,7 @@
         if problem is not None:
             return self._handle_failure(attempt, problem, is_counted=True)
         attempt.record_answer(answer.status)
-        reader.record_sound()
+        reader.record_whole()
         return direct_outcome.Relayed(answer.status)
 
     async def _relay_part(self, attempt, part):
--- a/greengagetrack/request/outcome.py
+++ b/greengagetrack/request/outcome.py
@@ -51,6 +51,7 @@
     PIPELINE_UNKNOWN = "pipeline_unknown"
     RATE_LIMIT = "rate_limit"
     RECORDS_FULL = "records_full"
+    REQUEST_CRASHES_SERVERS = "request_crashes_servers"
     SHED = "shed"
     TICKET_EXPIRED = "ticket_expired"
     TICKET_FORGED = "ticket_forged"
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -7,6 +7,7 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import framing
+from greengagetrack.connection import seal
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import budget as budget_module
@@ -25,6 +26,7 @@
 from greengagetrack.request import outcome
 from greengagetrack.version import catalog
 
+KEYS = seal.new_key_ring([b"k" * 16])
 REGIONS = {"dc-a": "north", "dc-b": "south"}
 BATCHING = catalog.Batching(
     batch_max=4,
@@ -234,7 +236,9 @@
         self.directory.apply_update(
             source_module.Update(1, servers=tuple(servers), is_complete=True)
         )
-        self.crash_guard = crash_guard.new_crash_guard(fake_gateway, nursery)
+        self.crash_guard = crash_guard.new_crash_guard(
+            fake_gateway, nursery, KEYS.get_digest
+        )
         self.budgets = budget_module.new_retry_budgets(
             0.2, 80.0, 10.0, lambda: 8
         )
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -146,7 +146,7 @@
             node.lease,
             types.SimpleNamespace(get_version=lambda: node.version),
             node.directory,
-            crash_guard.new_crash_guard(None, None),
+            crash_guard.new_crash_guard(None, None, None),
             random.Random(index),
         )
         node.pools = FakePools(centre, WAITS if index == 0 else None)
