--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -17,6 +17,8 @@
 ANSWER_TIMEOUT_S = 0.3
 # How long an owner that did not answer is not asked again.
 SILENT_OWNER_S = 1.0
+# A request that waits may be refused meanwhile, or the limit may end.
+CHECK_S = 0.1
 # Longer waits are not told exactly.
 WAIT_MAX_S = 60.0
 MS = 1000
@@ -100,7 +102,8 @@
                 if server.limit.queue is not queue:
                     # The limit has ended, or the server.
                     return permits.PermitAnswer(True, 0.0, priority)
-                await trio.sleep(queue.get_next_s(trio.current_time()))
+                next_s = queue.get_next_s(trio.current_time())
+                await trio.sleep(min(next_s, CHECK_S))
                 queue.update(trio.current_time())
         finally:
             queue.remove(ticket)
