Tests of blame by copies of a request; name the queue of permits

A part that crashes servers is still held by its fifth crash when copies of one request made the first three, and an ordinary crash beside a held request blames none of its parts. decisions/permits.py is permit_queue.py, since permits.py asks for the permits. Behaviour stays.

--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -10,7 +10,7 @@
 import trio
 
 from greengagetrack.connection import messages
-from greengagetrack.process.direct.decisions import permits
+from greengagetrack.process.direct.decisions import permit_queue
 from greengagetrack.process.direct import limit_news
 
 # The time that the owner's answer takes, beside the wait for the permit.
@@ -84,7 +84,7 @@
         if limit.per_s is None:
             return True
         if limit.turns is None:
-            limit.turns = permits.Turns(self._generator.random)
+            limit.turns = permit_queue.Turns(self._generator.random)
         return limit.turns.try_acquire(
             limit.per_s, self._members.count_entries(), trio.current_time()
         )
@@ -98,17 +98,17 @@
             trio.current_time(),
         )
         try:
-            while ticket.state is permits.TicketState.WAITING:
+            while ticket.state is permit_queue.TicketState.WAITING:
                 if server.limit.queue is not queue:
                     # The limit has ended, or the server.
-                    return permits.PermitAnswer(True, 0.0, priority)
+                    return permit_queue.PermitAnswer(True, 0.0, priority)
                 next_s = queue.get_next_s(trio.current_time())
                 await trio.sleep(min(next_s, CHECK_S))
                 queue.update(trio.current_time())
         finally:
             queue.remove(ticket)
-        return permits.PermitAnswer(
-            ticket.state is permits.TicketState.GRANTED,
+        return permit_queue.PermitAnswer(
+            ticket.state is permit_queue.TicketState.GRANTED,
             queue.get_wait_s(priority, trio.current_time()),
             priority,
         )
@@ -128,7 +128,7 @@
         if not isinstance(reply, messages.PermitReply):
             self._record_silence(owner, server)
             return None
-        return permits.PermitAnswer(
+        return permit_queue.PermitAnswer(
             reply.is_granted, reply.next_wait_ms / MS, priority
         )
 
--- a/greengagetrack/process/direct/server_limit.py
+++ b/greengagetrack/process/direct/server_limit.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from greengagetrack.process.direct.decisions import permits
+from greengagetrack.process.direct.decisions import permit_queue
 
 # How long peers are told that a limit has ended.
 ENDED_TOLD_S = 10.0
@@ -105,7 +105,9 @@
     def get_queue(self):
         """Return the `PermitQueue` of the owner, begun on first use."""
         if self.queue is None:
-            self.queue = permits.PermitQueue(self.per_s, trio.current_time())
+            self.queue = permit_queue.PermitQueue(
+                self.per_s, trio.current_time()
+            )
         return self.queue
 
     def record_answer(self, answer):
--- a/tests/direct/decisions/test_crash_evidence.py
+++ b/tests/direct/decisions/test_crash_evidence.py
@@ -61,6 +61,45 @@
     assert HARMFUL not in story.get_held(3.0 + LATER_S)
 
 
+COPY = blame.IDENTITY_PREFIX + "c0"
+
+
+def test_copies_of_a_request_are_held_and_not_its_parts():
+    story = Story()
+    for now_s in (1.0, 1.1, 1.2):
+        story.crash(now_s, (FIRST, RARE, COPY), request_id="r1")
+    story.answer(1.5, FIRST, count=3)
+    assert story.get_held(1.2 + LATER_S) == {COPY}
+    # One crash for another cause speaks no more against its parts.
+    story.crash(4.0, (FIRST, RARE, blame.IDENTITY_PREFIX + "c1"))
+    story.answer(4.5, FIRST, count=3)
+    assert story.get_held(4.0 + LATER_S) == {COPY}
+
+
+def test_harmful_part_is_held_although_copies_of_one_request_were():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (FIRST, HARMFUL, COPY))
+    story.answer(3.5, FIRST, count=3)
+    assert story.get_held(3.0 + LATER_S) == {COPY}
+    for number, now_s in enumerate((5.0, 6.0)):
+        other = f"{blame.IDENTITY_PREFIX}d{number}"
+        story.crash(now_s, (FIRST, HARMFUL, other))
+        story.answer(now_s + 0.5, FIRST, count=3)
+    # That is the fifth crash under the part.
+    assert story.get_held(6.0 + LATER_S) == {COPY, HARMFUL}
+
+
+def test_request_that_is_answered_is_no_suspect():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        story.crash(now_s, (COPY,))
+        story.evidence.add_sound(COPY, now_s + 0.2)
+    story.answer(3.5, FIRST, count=3)
+    assert story.get_held(3.0 + LATER_S) == set()
+    assert not story.evidence.get_crash_times(COPY)
+
+
 def test_two_crashes_hold_no_part():
     story = Story()
     for now_s in (1.0, 2.0):
--- a/tests/direct/decisions/test_permits.py
+++ b/tests/direct/decisions/test_permit_queue.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies
 import pytest
 
-from greengagetrack.process.direct.decisions import permits
+from greengagetrack.process.direct.decisions import permit_queue
 
 WINDOW_S = 4.0
-STATES = permits.TicketState
+STATES = permit_queue.TicketState
 
 
 def get_allowed(limit_per_s):
@@ -35,7 +35,7 @@
 )
 def test_permits_keep_to_the_limit_and_use_it(limit, demand, seed):
     generator = random.Random(seed)
-    queue = permits.PermitQueue(limit, 0.0)
+    queue = permit_queue.PermitQueue(limit, 0.0)
     now_s, granted, tickets = 0.0, [], []
     while now_s < 40.0:
         now_s += generator.expovariate(limit * demand)
@@ -52,7 +52,7 @@
 
 
 def test_urgent_request_goes_before_those_that_wait():
-    queue = permits.PermitQueue(1.0, 0.0)
+    queue = permit_queue.PermitQueue(1.0, 0.0)
     slow = queue.add(5, 3.0, 0.0)
     urgent = queue.add(0, 1.5, 0.1)
     queue.update(1.0)
@@ -62,7 +62,7 @@
 
 
 def test_request_that_would_wait_too_long_is_refused_at_once():
-    queue = permits.PermitQueue(1.0, 0.0)
+    queue = permit_queue.PermitQueue(1.0, 0.0)
     first = queue.add(1, 1.1, 0.0)
     assert queue.add(1, 1.1, 0.0).state is STATES.REFUSED
     assert queue.get_wait_s(1, 0.0) == pytest.approx(2.0)
@@ -72,18 +72,18 @@
 
 
 def test_limit_of_nothing_gives_no_permit():
-    queue = permits.PermitQueue(0.0, 0.0)
+    queue = permit_queue.PermitQueue(0.0, 0.0)
     assert queue.add(0, 50.0, 0.0).state is STATES.REFUSED
     assert not queue.try_acquire(50.0)
     assert queue.get_next_s(50.0) > 0
-    assert not permits.Turns(random.random).try_acquire(0.0, 3, 50.0)
+    assert not permit_queue.Turns(random.random).try_acquire(0.0, 3, 50.0)
 
 
 @pytest.mark.parametrize("count", [3, 68])
 @pytest.mark.parametrize("limit", [1.1, 2.0, 20.0])
 def test_entries_without_an_owner_keep_to_the_limit_together(count, limit):
     generator = random.Random(count)
-    turns = [permits.Turns(generator.random) for _entry in range(count)]
+    turns = [permit_queue.Turns(generator.random) for _entry in range(count)]
     times = [
         step / 10
         for step in range(1200)
@@ -92,5 +92,5 @@
     ]
     assert count_most(times) <= get_allowed(limit)
     # The first turn of each entry comes within a period.
-    share = limit * permits.TURN_SHARE
+    share = limit * permit_queue.TURN_SHARE
     assert len(times) >= share * 120 - 2 * count
