--- a/bench/command.py
+++ b/bench/command.py
@@ -203,6 +203,7 @@
     entries: int = 3,
     rate: float = 60.0,
     limit: float = 2.0,
+    step: int = 1,
     duration: float = 20.0,
     logs: str = "",
 ):
@@ -215,13 +216,14 @@
     :param entries: The number of entry processes, over three data centres.
     :param rate: The requests per second of all kinds together.
     :param limit: The requests per second that each engine takes.
+    :param step: One of so many engines names a limit.
     :param duration: How long the limits are named, in seconds.
     :param logs: The folder for the entries' logs; without one they are
         kept only if a limit was exceeded.
     """
     folder = logs or tempfile.mkdtemp(prefix="greengagebench-limits-")
     result = limits_module.run_limits(
-        seed, entries, rate, limit, duration, folder
+        seed, entries, rate, limit, duration, folder, step
     )
     _print_json(result)
     _keep_or_delete_logs(folder, logs, result.exceeded)
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -102,11 +102,12 @@
 class LimitRun:
     """One run: requests at a steady rate, and limits after a while."""
 
-    def __init__(self, site, seed, rate_per_s, limit_per_s):
+    def __init__(self, site, seed, rate_per_s, limit_per_s, step):
         self._site = site
         self._generator = random.Random(seed)
         self._rate_per_s = rate_per_s
         self._limit_per_s = limit_per_s
+        self._limited = list(site.engine_by_id.values())[::step]
         self._statuses = []
 
     async def run(self, seed, duration_s):
@@ -114,7 +115,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_requests, nursery, duration_s)
             await trio.sleep(WARM_UP_S)
-            for engine in self._site.engine_by_id.values():
+            for engine in self._limited:
                 engine.limit_per_s = self._limit_per_s
             start_s = trio.current_time() + SETTLING_S
             end_s = start_s - SETTLING_S + duration_s
@@ -128,7 +129,7 @@
             failed=len(statuses) - statuses.count(200) - statuses.count(503),
             engines=[
                 new_engine_use(engine, start_s, end_s)
-                for engine in self._site.engine_by_id.values()
+                for engine in self._limited
             ],
         )
 
@@ -181,13 +182,15 @@
     )
 
 
-async def _run(seed, entry_count, rate_per_s, limit_per_s, duration_s, logs):
+async def _run(
+    seed, entry_count, rate_per_s, limit_per_s, duration_s, logs, step
+):
     os.makedirs(logs, exist_ok=True)
     async with trio.open_nursery() as nursery:
         site = LimitSite(nursery, seed, logs, entry_count)
         try:
             await site.start()
-            run = LimitRun(site, seed, rate_per_s, limit_per_s)
+            run = LimitRun(site, seed, rate_per_s, limit_per_s, step)
             result = await run.run(seed, duration_s)
         finally:
             with trio.CancelScope(shield=True):
@@ -196,13 +199,23 @@
     return result
 
 
-def run_limits(seed, entry_count, rate_per_s, limit_per_s, duration_s, logs):
+def run_limits(
+    seed, entry_count, rate_per_s, limit_per_s, duration_s, logs, step=1
+):
     """Run entry processes against engines with limits.
 
-    Each engine names `limit_per_s` for the last `duration_s` of the run,
-    while `rate_per_s` requests of all kinds arrive. Return the
-    `LimitResult`; the logs are written to the folder `logs`.
+    Each engine, or with `step` one of so many, names `limit_per_s` for the
+    last `duration_s` of the run, while `rate_per_s` requests of all kinds
+    arrive. Return the `LimitResult`; the logs are written to the folder
+    `logs`.
     """
     return trio.run(
-        _run, seed, entry_count, rate_per_s, limit_per_s, duration_s, logs
+        _run,
+        seed,
+        entry_count,
+        rate_per_s,
+        limit_per_s,
+        duration_s,
+        logs,
+        step,
     )
