--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import queue_order
 from greengagetrack.process.direct import group as group_module
+from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import server_usage as server_usage_module
 from greengagetrack.request import outcome
 
@@ -21,8 +22,6 @@
 CALL_TIMEOUT_FACTOR = 4.0
 TRIES_MAX = 3
 TYPICAL_FILL_RATIO = 0.7
-FREE_DELAY_S = 0.01
-FREE_CHECK_S = 0.05
 KEEP_MARGIN_S = 0.2
 FAILURE_SHARE_MAX = 0.3
 
@@ -36,6 +35,7 @@
         "_budgets",
         "_data_centre",
         "_directory",
+        "_freer",
         "_gateway",
         "_get_catalog",
         "_nursery",
@@ -57,6 +57,9 @@
         self._permits = dependencies.permits
         self._queue = []
         self._rates = forecast.ArrivalRates()
+        self._freer = result_freer.new_result_freer(
+            dependencies, self._needs_room, self.wake
+        )
         self._usage_by_id = {}
 
     async def make_pieces(self, tasks):
@@ -340,53 +343,18 @@
         server = self._directory.server_by_id.get(server_id)
         if server is None:
             return
-        usage = self._get_usage(server)
-        is_flush_due = not usage.pending_frees
-        usage.pending_frees += handles
-        if is_flush_due:
-            self._nursery.start_soon(self._flush_frees, usage)
-
-    async def _flush_frees(self, usage):
-        # After a short delay one call frees the results of many requests.
-        await trio.sleep(FREE_DELAY_S)
-        await usage.server.wait_until_unpaused()
-        while not self._may_free(usage):
-            await trio.sleep(FREE_CHECK_S)
-            if not self._is_known(usage):
-                return
-        handles, usage.pending_frees = usage.pending_frees, []
-        is_freed = await self._gateway.free_results(
-            usage.server.published.address, handles
-        )
-        # Not before the server has freed them: a call that overtakes the
-        # request would find its memory still in use. Results that could
-        # not be freed stay in the account until the server expires them.
-        if is_freed:
-            for handle in handles:
-                usage.release(handle)
-            self.wake()
-
-    def _is_known(self, usage):
-        server = usage.server
-        return self._directory.server_by_id.get(server.server_id) is server
+        self._freer.free(self._get_usage(server), handles)
 
-    def _may_free(self, usage):
-        """Return whether results may be freed now on a limited server.
-
-        One call takes as much of its limit as one request to free results,
-        so pieces go first while there is memory for a call.
-        """
-        if usage.server.limit.per_s is None:
-            return True
+    def _needs_room(self, usage):
+        """Return whether there is no memory for the next call at a server."""
         batching = self._get_batching()
-        if batching is not None and self._queue:
-            call_bytes = self._queue[0].tasks[0].result_bytes * min(
-                self.count_waiting(), batching.batch_max
-            )
-            free_bytes = usage.get_free_bytes(batching.result_memory_bytes)
-            if free_bytes >= call_bytes:
-                return False
-        return self._permits.try_acquire(usage.server)
+        if batching is None or not self._queue:
+            return True
+        call_bytes = self._queue[0].tasks[0].result_bytes * min(
+            self.count_waiting(), batching.batch_max
+        )
+        free_bytes = usage.get_free_bytes(batching.result_memory_bytes)
+        return free_bytes < call_bytes
 
     def wake(self):
         """Dispatch again after a possible change of servers or memory."""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,9 +10,9 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.process.direct.decisions import blame
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
+from greengagetrack.request.direct import crash_check
 from greengagetrack.request.direct import event_relay
 from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import outcome as direct_outcome
@@ -150,22 +150,11 @@
 
     def _check_crashes(self):
         """Return `Refused` if the request crashes servers, else None."""
-        guard = self._services.crash_guard
-        request = self._admitted.request
-        part = guard.find_held(request)
-        if part is not None and not blame.is_identity(part):
-            return outcome_module.Refused(
-                _Reason.PART_CRASHES_SERVERS,
-                f"part {part}",
-                retry_after_ms=None,
-            )
-        servers = self._services.directory.get_servers(self._selector.service)
-        if part is None and not guard.is_last_at_risk(request, servers):
-            return None
-        return outcome_module.Refused(
-            _Reason.REQUEST_CRASHES_SERVERS,
-            "held" if part else "one server is left",
-            retry_after_ms=None,
+        services = self._services
+        return crash_check.check(
+            services.crash_guard,
+            self._admitted.request,
+            services.directory.get_servers(self._selector.service),
         )
 
     async def _run_stages(self):
