Log and count what made an answer late, by kind of request

The outcome line told neither pauses between events nor the time before a run began, so that streams late by a pause looked served in time. It names the cause now, with the time of each stage; a counter has it by route. A histogram tells how late the entry wakes for want of processor time.

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import loop_lag
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import pools as pools_module
@@ -165,6 +166,7 @@
             nursery.start_soon(self._pools.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self._drop_idle_connections)
+            nursery.start_soon(loop_lag.watch, self.metrics)
 
     async def _drop_idle_connections(self):
         while True:
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -6,13 +6,22 @@
 from greengagetrack.request.direct import outcome as direct_outcome
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+LAG_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 ROUTES_MAX = 64
 
 
 class DirectMetrics:
     """The metrics of one entry, in a registry of their own."""
 
-    __slots__ = ("_choices", "_latency", "_requests", "_routes", "registry")
+    __slots__ = (
+        "_choices",
+        "_late",
+        "_latency",
+        "_loop_lag",
+        "_requests",
+        "_routes",
+        "registry",
+    )
 
     def __init__(self, process):
         labels = {"process": process}
@@ -30,6 +39,19 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._late = aioprometheus.Counter(
+            "greengagetrack_late_answers_total",
+            "Late answers by route and what made them late.",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._loop_lag = aioprometheus.Histogram(
+            "greengagetrack_loop_lag_seconds",
+            "How late the entry wakes for want of processor time.",
+            buckets=list(LAG_BUCKETS_S),
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._latency = aioprometheus.Histogram(
             "greengagetrack_request_seconds",
             "Time of admitted requests by route and outcome.",
@@ -42,8 +64,11 @@
         """Count one choice of a backend server."""
         self._choices.inc({"service": service})
 
-    def record_outcome(self, route, outcome, spent_ms):
-        """Record the outcome and the latency of an admitted request."""
+    def record_outcome(self, route, outcome, spent_ms, late):
+        """Record the outcome and the latency of an admitted request.
+
+        `late` is the `lateness.Cause`.
+        """
         route_label = self._routes.get(route.name)
         outcome_name = direct_outcome.get_outcome_name(outcome)
         reason = str(getattr(outcome, "reason", ""))
@@ -54,6 +79,13 @@
             {"route": route_label, "outcome": outcome_name}, spent_ms / 1000
         )
 
+        if late:
+            self._late.inc({"route": route_label, "cause": str(late)})
+
+    def record_loop_lag(self, lag_s):
+        """Record how late a task was woken, in seconds."""
+        self._loop_lag.observe({}, lag_s)
+
     def count_refusal(self, reason):
         """Count a request that was not admitted."""
         labels = {"route": "", "outcome": "refused", "reason": str(reason)}
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -16,16 +16,19 @@
 
     `last_event` is the id of the last event sent, after which another
     server can resume the stream. `progress_s` is when the last event was
-    sent: bytes that complete no event are no progress.
+    sent: bytes that complete no event are no progress. `longest_pause_s` is
+    the longest time between two of them.
     """
 
     __slots__ = (
         "_framing",
+        "_last_sent_s",
         "_reply",
         "_reply_framing",
         "_splitter",
         "first_event_s",
         "last_event",
+        "longest_pause_s",
         "progress_s",
     )
 
@@ -36,6 +39,8 @@
         self._splitter = None
         self.first_event_s = None
         self.last_event = None
+        self._last_sent_s = None
+        self.longest_pause_s = 0.0
         self.progress_s = trio.current_time()
 
     async def start(self, answer):
@@ -59,11 +64,19 @@
         forwarded, problem = self._check(self._splitter.feed(data))
         if forwarded:
             await self._reply.send_part(b"".join(forwarded))
-            self.progress_s = trio.current_time()
+            self._record_sent()
         if problem is None and self._splitter.is_too_long():
             problem = _new_problem("event exceeds the size limit")
         return problem
 
+    def _record_sent(self):
+        now = trio.current_time()
+        if self._last_sent_s is not None:
+            pause_s = now - self._last_sent_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_sent_s = now
+        self.progress_s = now
+
     def _check(self, complete_events):
         """Return the events in sequence, and a `Failure` for the next."""
         forwarded = []
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -35,6 +35,7 @@
         "_generation_s",
         "_is_resumed",
         "_pools",
+        "_seconds_by_stage",
         "_tasks",
         "is_freed",
     )
@@ -48,6 +49,7 @@
         self._failure = None
         self._free_scope = trio.CancelScope()
         self._done = {}
+        self._seconds_by_stage = {}
         self.is_freed = False
 
     def _count_pieces(self, index):
@@ -144,9 +146,19 @@
         for dependency in stage.after or self._get_start_dependencies(index):
             await self._done[dependency].wait()
         if self._failure is None and self._count_pieces(index):
+            started_s = trio.current_time()
             await self._make_pieces(index, stage)
+            spent_s = trio.current_time() - started_s
+            self._seconds_by_stage[index] = spent_s
         self._done[index].set()
 
+    def get_stage_times(self):
+        """Return the seconds that each stage took, 0 if it has no pieces."""
+        return tuple(
+            self._seconds_by_stage.get(index, 0.0)
+            for index in range(len(self._admitted.route.stages))
+        )
+
     def _get_start_dependencies(self, index):
         """Return the stages that a stage without inputs waits for.
 
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -53,18 +53,6 @@
     )
 
 
-class RunTimes(msgspec.Struct, frozen=True):
-    """How long a run took, in seconds from its start.
-
-    `stages_s` is the time in its stages, `first_event_s` is None if it had
-    no event.
-    """
-
-    spent_s: float
-    stages_s: float
-    first_event_s: float | None
-
-
 class AnswerEnd(msgspec.Struct, frozen=True):
     """Where the last answer of a request ended.
 
@@ -76,8 +64,8 @@
     partial_event_bytes: int = 0
 
 
-def log_outcome(admitted, sends, times, end, outcome):
-    """Log the outcome of a request."""
+def log_outcome(admitted, sends, times, late, end, outcome):
+    """Log the outcome of a request; `late` is why it was, if it was."""
     is_whole = isinstance(outcome, direct_outcome.Relayed)
     level = logging.INFO if is_whole else logging.WARNING
     _log.log(
@@ -91,9 +79,13 @@
             "reason": getattr(outcome, "reason", ""),
             "detail": getattr(outcome, "detail", ""),
             "status": getattr(outcome, "status", 0),
-            "spent_ms": round(times.spent_s * 1000, 1),
-            "stages_ms": round(times.stages_s * 1000, 1),
-            "first_event_ms": round((times.first_event_s or 0) * 1000, 1),
+            "late": late,
+            "spent_ms": _to_ms(times.spent_s),
+            "queued_ms": _to_ms(times.queued_s),
+            "stages_ms": _to_ms(times.stages_s),
+            "stage_times_ms": [_to_ms(time) for time in times.stage_times_s],
+            "first_event_ms": _to_ms(times.first_event_s or 0.0),
+            "pause_ms": _to_ms(times.pause_s),
             "priority": admitted.priority,
             "framing": end.framing,
             "partial_event_bytes": end.partial_event_bytes,
@@ -102,3 +94,7 @@
             "catalog_version": admitted.catalog_version,
         },
     )
+
+
+def _to_ms(seconds):
+    return round(seconds * 1000, 1)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -15,6 +15,7 @@
 from greengagetrack.request.direct import crash_check
 from greengagetrack.request.direct import event_relay
 from greengagetrack.request.direct import graph as graph_module
+from greengagetrack.request.direct import lateness
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import request_log
 from greengagetrack.request.direct import server_selector
@@ -462,16 +463,31 @@
         )
 
     def _record_outcome(self, outcome):
-        spent_s = trio.current_time() - self._started_s
+        route = self._admitted.route
+        times = self._get_times()
+        late = lateness.find_cause(
+            times, route.target_ms / 1000, route.target_gap_ms / 1000
+        )
         self._services.metrics.record_outcome(
-            self._admitted.route, outcome, spent_s * 1000
+            route, outcome, times.spent_s * 1000, late
+        )
+        request_log.log_outcome(
+            self._admitted, self._sends, times, late, self._answer_end, outcome
         )
+
+    def _get_times(self):
         first_event_s = self._relay.first_event_s
         if first_event_s is not None:
             first_event_s -= self._started_s
-        times = request_log.RunTimes(spent_s, self._stages_s, first_event_s)
-        request_log.log_outcome(
-            self._admitted, self._sends, times, self._answer_end, outcome
+        return lateness.RunTimes(
+            spent_s=trio.current_time() - self._started_s,
+            queued_s=self._started_s - self._admitted.request.received_s,
+            stages_s=self._stages_s,
+            stage_times_s=(
+                () if self._graph is None else self._graph.get_stage_times()
+            ),
+            first_event_s=first_event_s,
+            pause_s=self._relay.longest_pause_s,
         )
 
 
