Test of a kind that asks for little beside bursts, failing

A kind that asks for a tenth of what the servers can do is served in time in an eighth of its requests while two others ask for twice the capacity.

--- a/tests/direct/decisions/test_burst.py
+++ b/tests/direct/decisions/test_burst.py
@@ -21,6 +21,7 @@
 BURST_S = 8.0
 TARGET_S = 1.2
 DEADLINE_S = 6.0
+SEEDS = range(6)
 SERVERS = (
     fakes.new_server("e1", slots=64),
     fakes.new_server("p1", "first"),
@@ -53,6 +54,7 @@
 ROUTE_BY_KIND = {
     "urgent": _new_route("urgent", 0),
     "other": _new_route("o", 2),
+    "rare": _new_route("rare", 3),
 }
 
 
@@ -91,7 +93,7 @@
         return results
 
 
-def _replay(rate_by_kind):
+def _replay(rate_by_kind, seed=5):
     """Return all `Served` and the share of results that were not used."""
     served = []
     wasted = []
@@ -120,7 +122,7 @@
         fake_gateway = BurstGateway()
         current = fakes.new_catalog(services=SERVICES)
         fake_entry = fakes.FakeEntry(nursery, fake_gateway, SERVERS, current)
-        generator = random.Random(5)
+        generator = random.Random(seed)
         async with trio.open_nursery() as requests:
             for kind in rate_by_kind:
                 requests.start_soon(
@@ -167,3 +169,28 @@
     assert waits[-1] < TARGET_S
     for one in refused:
         assert 200 <= one.outcome.retry_after_ms < DEADLINE_S * 1000
+
+
+def _replay_seeds(rate_by_kind):
+    """Return all `Served` of several bursts: a rare kind sends few."""
+    return [one for seed in SEEDS for one in _replay(rate_by_kind, seed)[0]]
+
+
+def test_a_kind_that_asks_for_little_pays_for_no_burst():
+    """The least urgent kind asks for a tenth of what the servers can do.
+
+    The others ask for twice that much together, so each of the three could
+    have a third.
+    """
+    served = _replay_seeds({"urgent": 6.0, "other": 22.0, "rare": 1.4})
+    assert _get_share_in_time(served, "rare") > 0.95
+    assert _get_share_in_time(served, "urgent") > 0.95
+    in_time = sum(one.is_in_time for one in served)
+    assert in_time > 0.8 * CAPACITY_PER_S * BURST_S * len(SEEDS)
+
+
+def test_a_kind_that_asks_for_little_waits_behind_no_urgent_burst():
+    served = _replay_seeds({"urgent": 26.0, "rare": 1.4})
+    assert _get_share_in_time(served, "rare") > 0.95
+    in_time = sum(one.is_in_time for one in served)
+    assert in_time > 0.8 * CAPACITY_PER_S * BURST_S * len(SEEDS)
