--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -268,14 +268,15 @@
     `wait_ms` holds before all known priorities, `late_ms` for work that
     can't be in time. `by_priority` has, for work that can, each priority
     with its wait in ms and the load of it and better ones in percent.
-    `first_kinds` ask for no more than their share and go before all others.
+    Only `excess_kinds`, which ask for more than their share, have these
+    priorities; all others go first.
     """
 
     service: str
     wait_ms: int
     by_priority: list[tuple[int, int, int]] = []
     late_ms: int = 0
-    first_kinds: list[str] = []
+    excess_kinds: list[str] = []
 
 
 class Member(_Message):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -117,18 +117,18 @@
             self.count_waiting(),
             self._rates,
             now,
-            self._find_first_kinds(queue_forecast),
+            self._find_excess_kinds(queue_forecast),
         )
 
-    def _find_first_kinds(self, queue_forecast):
-        """Return the kinds that ask for no more than their share."""
+    def _find_excess_kinds(self, queue_forecast):
+        """Return the kinds that ask for more than their share."""
         rate_by_kind = self._rates.get_by_kind(trio.current_time())
         for group in self._queue:
             # What still waits shows a burst sooner than the average does.
             kind = group.flow.kind
             waiting_per_s = len(group.tasks) / forecast.RATE_WINDOW_S
             rate_by_kind[kind] = rate_by_kind.get(kind, 0.0) + waiting_per_s
-        return fair_share.find_within_share(
+        return fair_share.find_excess(
             rate_by_kind, queue_forecast.pieces_per_s
         )
 
@@ -169,10 +169,10 @@
         call_s = self._get_typical_call_s()
         now = trio.current_time()
         queue_forecast = self._get_forecast(usages, batching)
-        first_kinds = self._find_first_kinds(queue_forecast)
+        excess_kinds = self._find_excess_kinds(queue_forecast)
         self._queue.sort(
             key=lambda group: queue_order.get_rank(
-                group, call_s, now, first_kinds
+                group, call_s, now, excess_kinds
             )
         )
         unreachable_groups = queue_order.find_unreachable(
--- a/greengagetrack/process/direct/decisions/forecast.py
+++ b/greengagetrack/process/direct/decisions/forecast.py
@@ -13,7 +13,7 @@
 RATE_WINDOW_S = 1.5
 WAIT_MIN_S = 0.05
 FLOWS_MAX = 128
-# The priority of kinds that ask for no more than their share of a pool.
+# Of kinds that ask for no more than their share of a pool, new ones too.
 FIRST_PRIORITY = -1
 
 
@@ -114,17 +114,18 @@
     """The waits of a pool by priority, in seconds.
 
     `base_s` holds for a priority before all known ones, `late_s` for work
-    that can't be in time any more. `first_kinds` are those that go before
-    all others::
+    that can't be in time any more. Of the `excess_kinds`, which ask for more
+    than their share, each priority has its wait; all others go before::
 
-        waits = PoolWaits(0.1, (PriorityWait(0, 0.2), PriorityWait(2, 0.9)))
-        assert waits.get(Flow("", 1)) == 0.2
+        waits = PoolWaits(0.1, (PriorityWait(0, 0.9),), 2.0, {"draft"})
+        assert waits.get(Flow("draft", 0)) == 0.9
+        assert waits.get(Flow("query", 1)) == 0.1
     """
 
     base_s: float
     by_priority: tuple[PriorityWait, ...] = ()
     late_s: float = 0.0
-    first_kinds: frozenset[str] = frozenset()
+    excess_kinds: frozenset[str] = frozenset()
 
     def get(self, flow):
         """Return the wait of a `Flow`, or of late work with `LATE`."""
@@ -134,7 +135,7 @@
         """Return the wait that new work will see after `elapsed_s`."""
         if flow == LATE:
             return self.late_s
-        priority = get_priority(flow, self.first_kinds)
+        priority = get_priority(flow, self.excess_kinds)
         wait_s, load = self.base_s, 0.0
         for known in self.by_priority:
             if known.priority <= priority:
@@ -157,20 +158,20 @@
                 for known in self.by_priority
             ),
             change(self.late_s),
-            self.first_kinds,
+            self.excess_kinds,
         )
 
 
-def get_priority(flow, first_kinds):
-    """Return the priority of a flow in a queue, given the first kinds."""
-    return FIRST_PRIORITY if flow.kind in first_kinds else flow.priority
+def get_priority(flow, excess_kinds):
+    """Return the priority of a flow in a queue, given the excess kinds."""
+    return flow.priority if flow.kind in excess_kinds else FIRST_PRIORITY
 
 
 NO_SERVER_WAITS = PoolWaits(math.inf, (), math.inf)
 
 
 def get_pool_waits(
-    forecast, on_time_by_flow, waiting, rates, now_s, first_kinds=frozenset()
+    forecast, on_time_by_flow, waiting, rates, now_s, excess_kinds
 ):
     """Return the `PoolWaits` of a queue.
 
@@ -179,7 +180,7 @@
     """
     flows_by_priority = {}
     for flow in {*rates.get_flows(), *on_time_by_flow}:
-        priority = get_priority(flow, first_kinds)
+        priority = get_priority(flow, excess_kinds)
         flows_by_priority.setdefault(priority, []).append(flow)
     ahead = 0
     arrivals = 0.0
@@ -195,5 +196,5 @@
         forecast.next_free_s,
         tuple(waits),
         forecast.get_wait_s(waiting, arrivals),
-        first_kinds,
+        excess_kinds,
     )
--- a/greengagetrack/process/direct/decisions/queue_order.py
+++ b/greengagetrack/process/direct/decisions/queue_order.py
@@ -14,27 +14,26 @@
     return now_s + call_s > due_s + LATE_SLACK_S
 
 
-def get_rank(group, call_s, now_s, first_kinds=frozenset()):
+def get_rank(group, call_s, now_s, excess_kinds):
     """Return the sort key of a group; the lowest goes first.
 
     The rest of a group that is partly in a call goes first, since its
     results only use memory until then. Kinds that ask for no more than
-    their share of the pool go before the others, by due time alone. For these
+    their share of the pool go by due time, and before the others. For these,
     a level of priority counts as much as a due time that is
-    `PRIORITY_STEP_CALLS` calls earlier: in calm the due time decides, in a
-    burst the priority. What can't be in time any more takes what is left,
-    and of that first what has used other servers already.
+    `PRIORITY_STEP_CALLS` calls earlier. What can't be in time any more takes
+    what is left, and of that first what has used other servers already.
     """
     task = group.tasks[0]
-    is_first = group.flow.kind in first_kinds
-    priority = 0 if is_first else task.priority
+    is_excess = group.flow.kind in excess_kinds
+    priority = task.priority if is_excess else 0
     is_group_late = is_late(task.due_s, call_s, now_s)
     wanted_s = task.deadline.at_s if is_group_late else task.due_s
     return (
         not group.is_started,
         is_group_late,
         is_group_late and task.inputs is None,
-        not is_first,
+        is_excess,
         wanted_s + PRIORITY_STEP_CALLS * call_s * priority,
     )
 
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -241,7 +241,7 @@
             for known in waits.by_priority
         ],
         _to_ms(waits.late_s),
-        sorted(waits.first_kinds),
+        sorted(waits.excess_kinds),
     )
 
 
@@ -254,7 +254,7 @@
             for priority, wait_ms, percent in message.by_priority
         ),
         max(message.late_ms, message.wait_ms) / 1000,
-        frozenset(message.first_kinds),
+        frozenset(message.excess_kinds),
     )
 
 
--- a/tests/direct/decisions/test_fair_share.py
+++ b/tests/direct/decisions/test_fair_share.py
@@ -13,13 +13,14 @@
     strategies.floats(0.0, 200.0),
 )
 def test_shares_are_max_min_fair(rate_by_kind, capacity):
-    within = fair_share.find_within_share(rate_by_kind, capacity)
-    beyond = rate_by_kind.keys() - within
-    left = capacity - sum(rate_by_kind[kind] for kind in within)
+    excess = fair_share.find_excess(rate_by_kind, capacity)
+    left = capacity - sum(
+        rate for kind, rate in rate_by_kind.items() if kind not in excess
+    )
     assert left >= -1e-6
-    for kind in beyond:
+    for kind in excess:
         # An equal part of what is left does not satisfy it.
-        assert rate_by_kind[kind] > left / len(beyond) - 1e-6
+        assert rate_by_kind[kind] > left / len(excess) - 1e-6
     for kind, rate in rate_by_kind.items():
         if rate * len(rate_by_kind) <= capacity:
-            assert kind in within
+            assert kind not in excess
--- a/tests/direct/decisions/test_forecast.py
+++ b/tests/direct/decisions/test_forecast.py
@@ -10,6 +10,8 @@
 # Two servers with calls of 10 pieces in 0.25 s: 80 pieces a second.
 QUEUE = forecast.QueueForecast(0.1, 20.0, 0.25)
 
+ALL_KINDS = frozenset(f"kind-{priority}" for priority in range(-1, 7))
+
 
 def _flow(priority):
     """Return the flow of a kind that has a priority of its own."""
@@ -20,7 +22,7 @@
     on_time_by_priority,
     rate_by_priority,
     waiting=None,
-    first_kinds=frozenset(),
+    excess_kinds=ALL_KINDS,
 ):
     rates = forecast.ArrivalRates()
     for priority, pieces_per_s in rate_by_priority.items():
@@ -33,7 +35,7 @@
         for priority, pieces in on_time_by_priority.items()
     }
     return forecast.get_pool_waits(
-        QUEUE, on_time_by_flow, waiting, rates, 0.0, first_kinds
+        QUEUE, on_time_by_flow, waiting, rates, 0.0, excess_kinds
     )
 
 
@@ -70,13 +72,18 @@
     assert calm.get_later(_flow(0), 9.0) == 0.0
 
 
-def test_a_first_kind_waits_for_no_better_priority():
-    first_kinds = frozenset(("kind-2",))
-    waits = _get_waits({0: 60, 2: 20}, {0: 120.0}, None, first_kinds)
+def test_a_kind_within_its_share_waits_for_no_better_priority():
+    excess_kinds = frozenset(("kind-0",))
+    waits = _get_waits({0: 60, 2: 20}, {0: 120.0}, None, excess_kinds)
     assert math.isclose(waits.get(_flow(2)), 0.1 + 0.25)
     # The others wait for it as well.
-    limit = 0.1 + 4 * 0.25
-    assert math.isclose(waits.get(_flow(0)), limit)
+    assert math.isclose(waits.get(_flow(0)), 0.1 + 4 * 0.25)
+
+
+def test_a_kind_that_is_new_goes_first():
+    """It was refused as unreachable until its first pieces had come."""
+    waits = _get_waits({0: 60}, {0: 120.0})
+    assert waits.get(forecast.Flow("new", 5)) == QUEUE.next_free_s
 
 
 def test_flows_are_bounded():
--- a/tests/direct/decisions/test_queue_order.py
+++ b/tests/direct/decisions/test_queue_order.py
@@ -21,11 +21,11 @@
     return group
 
 
-def _sort(first_kinds=frozenset(), **groups):
+def _sort(excess_kinds=frozenset(("",)), **groups):
     return sorted(
         groups,
         key=lambda name: queue_order.get_rank(
-            groups[name], CALL_S, NOW_S, first_kinds
+            groups[name], CALL_S, NOW_S, excess_kinds
         ),
     )
 
@@ -54,7 +54,7 @@
 
 def test_a_kind_within_its_share_goes_before_a_burst_of_urgent_work():
     names = _sort(
-        frozenset(("rare",)),
+        frozenset(("burst",)),
         burst=_new_group(0.4, 0, kind="burst"),
         rare=_new_group(2.0, 2, kind="rare"),
     )
@@ -63,7 +63,7 @@
 
 def test_among_kinds_within_their_shares_the_due_time_decides():
     names = _sort(
-        frozenset(("rare", "urgent")),
+        frozenset(),
         urgent=_new_group(0.9, 0, kind="urgent"),
         rare=_new_group(0.8, 2, kind="rare"),
     )
