Log the software version of servers and which stream a request takes up

The version of a published record was dropped when it was read, and a request that takes up a stream looked like any other. A record without a version is unusable now, as one without its other fields.

--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -231,7 +231,7 @@
         method = b"GET " if request.kind == "stock" else b"POST "
         return method + request.target
     return b"".join(
-        b"id: %d\ndata: %s\n\n" % (number, request.request_id)
+        site_module.new_event(number, request.request_id)
         for number in range(1, site_module.EVENT_COUNT + 1)
     )
 
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -25,6 +25,7 @@
 EVENT_COUNT = 4
 CUT_EVENT_BYTES = 8
 NOT_SENT = -1
+REQUEST_BODY = b"body"
 Framing = framing.Framing
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 
@@ -58,6 +59,10 @@
         self._item_by_key[key] = item
         self._events.append(item)
 
+    def has(self, key):
+        """Return whether a key exists."""
+        return key in self._item_by_key
+
     def delete(self, key):
         """Remove a key."""
         self.revision += 1
@@ -112,6 +117,9 @@
         self.arrival_times = []
         # Streams have no length and end inside their last event.
         self.is_breaking = False
+        # Of its software; each event names it.
+        self.version = "v1"
+        self.event_count = EVENT_COUNT
         self.work_s = REQUEST_WORK_S
         self.event_interval_s = EVENT_INTERVAL_S
 
@@ -122,6 +130,7 @@
             "address": self.address,
             "zone": self.data_centre,
             "state": state,
+            "version": self.version,
             "slots": 8,
             "born": 1,
         }
@@ -190,14 +199,21 @@
             response_headers,
             Framing.CONNECTION if is_breaking else Framing.CHUNKS,
         )
-        for number in range(int(after) + 1, EVENT_COUNT + 1):
+        last = self.event_count
+        for number in range(int(after) + 1, last + 1):
             await trio.sleep(self.event_interval_s)
-            event = b"id: %d\ndata: %s\n\n" % (number, request_id)
-            is_cut = is_breaking and number == EVENT_COUNT
+            event = new_event(number, request_id, self.version)
+            is_cut = is_breaking and number == last
             await exchange.send(event[:CUT_EVENT_BYTES] if is_cut else event)
         await exchange.finish()
 
 
+def new_event(number, request_id, version="v1"):
+    """Return the event that an engine of a software version sends."""
+    data = b"%s %s" % (request_id, version.encode())
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
 def _new_route(name, kind, service, **options):
     return {
         "name": name,
@@ -313,26 +329,31 @@
             pool.drop_connections(self._address)
 
 
-async def send_request(
-    pool, address, path, request_id, method=b"POST", key="key-1"
-):
-    """Send a request over a connection of `pool`.
-
-    Return the status, the header fields and the body. The status is
-    `NOT_SENT` if nothing was sent, and 0 if the response is incomplete.
-    """
+def new_request_head(path, request_id, method=b"POST", key="key-1"):
+    """Return the head of a request whose body is `REQUEST_BODY`."""
     headers = [
         (b"Host", b"site.example"),
         (names.REQUEST_ID, request_id),
         (names.DEADLINE_MS, b"2500"),
         (names.PIECES, b"2,3"),
         (names.PIECE_KEY, b"key"),
-        (b"Content-Length", b"4"),
+        (b"Content-Length", b"%d" % len(REQUEST_BODY)),
     ]
     if key:
         headers.append((names.API_KEY, key.encode()))
-    head = client.RequestHead(method, path.encode(), headers)
-    call = await pool.open_call(address, head, b"body")
+    return client.RequestHead(method, path.encode(), headers)
+
+
+async def send_request(
+    pool, address, path, request_id, method=b"POST", key="key-1"
+):
+    """Send a request over a connection of `pool`.
+
+    Return the status, the header fields and the body. The status is
+    `NOT_SENT` if nothing was sent, and 0 if the response is incomplete.
+    """
+    head = new_request_head(path, request_id, method, key)
+    call = await pool.open_call(address, head, REQUEST_BODY)
     if not isinstance(call, client.Call):
         is_sent = isinstance(call, client.ResponseFailure)
         return 0 if is_sent else NOT_SENT, [], call.detail.encode()
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -13,6 +13,8 @@
     """One published backend server.
 
     `incarnation` changes when the server restarts under the same id.
+    `software_version` is that of its program: what two versions write does
+    not fit into one stream.
     """
 
     server_id: str
@@ -22,6 +24,7 @@
     slots: int = 1
     is_leaving: bool = False
     incarnation: int = 0
+    software_version: str = ""
 
 
 class ServerRequest(msgspec.Struct, frozen=True):
--- a/greengagetrack/platform/callers.py
+++ b/greengagetrack/platform/callers.py
@@ -95,6 +95,8 @@
         output_tokens=tokens[1] if len(tokens) > 1 else 0,
         piece_counts=_read_numbers(_get_text(headers, names.PIECES.lower())),
         piece_key=_get_text(headers, names.PIECE_KEY.lower()),
+        resume_after=fields.get_value(headers, names.LAST_EVENT_ID.lower()),
+        resumed_id=fields.get_value(headers, names.RESUMES.lower(), b""),
     )
 
 
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -85,6 +85,7 @@
     address: str
     zone: str
     state: str
+    version: str
     slots: int = 1
     cold_left_ms: float = 0
     born: int = 0
@@ -200,4 +201,5 @@
         slots=max(entry.slots, 1),
         is_leaving=entry.state == names.DRAINING,
         incarnation=entry.born,
+        software_version=entry.version,
     )
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -292,6 +292,7 @@
                 "server": published.server_id,
                 "service": published.service,
                 "address": published.address,
+                "software_version": published.software_version,
                 "leaving": published.is_leaving,
             },
         )
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -12,6 +12,8 @@
 
     `headers` are those to forward. `parts` are the parts of the prompt as
     `(id, tokens)`; `piece_counts` is the number of pieces of each stage.
+    `resume_after` is the id of the last event of a stream that its caller
+    takes up again, and `resumed_id` that of the request that began it.
     `identity` is what copies of the request share, reckoned on first use.
     """
 
@@ -29,6 +31,8 @@
     output_tokens: int = 0
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
+    resume_after: bytes | None = None
+    resumed_id: bytes = b""
     identity: str | None = None
 
     @property
@@ -59,6 +63,18 @@
     deadline: deadline_module.Deadline
     catalog_version: int
 
+    @property
+    def is_take_up(self):
+        """Whether the caller takes up a stream that has broken off."""
+        return (
+            self.route.is_resumable and self.request.resume_after is not None
+        )
+
+    @property
+    def organisation_name(self):
+        """The name of the organisation, empty on a public route."""
+        return self.organisation.name if self.organisation else ""
+
     @property
     def priority(self):
         """The organisation's priority if it has one, else the route's."""
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -28,6 +28,7 @@
     "address": "10.0.0.1:80",
     "zone": "z",
     "state": "ready",
+    "version": "v1.2",
     "slots": 4,
     "sequence": 3,
     "born": 17,
@@ -157,6 +158,7 @@
         {"address": ":80"},
         {"state": "asleep"},
         {"state": None},
+        {"version": None},
         {"slots": "four"},
     ],
 )
@@ -168,7 +170,13 @@
 def test_entry_returns_server_with_incarnation():
     server = document.read_entry("i-1", json.dumps(ENTRY).encode())
     assert server == gateway.Server(
-        "i-1", "svc", "10.0.0.1:80", "z", slots=4, incarnation=17
+        "i-1",
+        "svc",
+        "10.0.0.1:80",
+        "z",
+        slots=4,
+        incarnation=17,
+        software_version="v1.2",
     )
 
 
