--- a/bench/command.py
+++ b/bench/command.py
@@ -1,5 +1,6 @@
 """The greengagebench program: load, faults and reports on one machine."""
 
+import itertools
 import os
 import shutil
 import sys
@@ -21,6 +22,7 @@
 from bench.soak import broken
 from bench.soak import limits as limits_module
 from bench.soak import run as soak_run
+from bench.soak import versions as versions_module
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
@@ -230,6 +232,40 @@
     sys.exit(EXIT_FAILURE if result.exceeded else 0)
 
 
+def versions(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    fault: str = "",
+    rate: float = 15.0,
+    logs: str = "",
+):
+    """Run entries on engines of several software versions at once.
+
+    Prints one JSON line per seed and fault. Exit codes: 0 the streams kept
+    to one version and went on; 1 they did not.
+
+    :param seed: The first seed of the streams.
+    :param seeds: The number of seeds, run one after the other.
+    :param fault: resets, kills or gone; without one each of them.
+    :param rate: The new streams per second.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if a run failed.
+    """
+    chosen = [fault] if fault else list(versions_module.STEPS_BY_FAULT)
+    _check_choice("--fault", fault, ("", *versions_module.STEPS_BY_FAULT))
+    failed = 0
+    for number, name in itertools.product(range(seed, seed + seeds), chosen):
+        folder = logs or tempfile.mkdtemp(prefix="greengagebench-versions-")
+        result = versions_module.run_versions(number, name, rate, folder)
+        _print_json(result)
+        for text in result.broken:
+            print(f"broken: {text}", file=sys.stderr)
+        failed += bool(result.broken)
+        _keep_or_delete_logs(folder, logs, result.broken)
+    sys.exit(EXIT_FAILURE if failed else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -308,6 +344,7 @@
             "run": run,
             "soak": soak,
             "limits": limits,
+            "versions": versions,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
