Let a stream go on only at the software version that began it

What callers saw: streams that held text of two software versions of a server, answered 200 and whole.

Cause: the version in a published record was read by nobody, and each attempt, of a run or of a caller, chose among all servers.

Change: from its first event on, a run chooses servers of the version that answered. Where several versions may have served within the longest life of a stream, its entry tells two others, of different data centres, before the first event is passed on; a take-up asks up to four. Without a record a stream goes on if one version alone can have begun it, by what entries have seen or by the history of the store after a start, else it is refused at once without a time to return. A stream that is taken up goes first in the stages.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -53,6 +53,10 @@
     "records_full": "The records are full; none is deleted early.",
     "request_crashes_servers": "Copies of the request crashed servers.",
     "shed": "The queue was full, and this had the lowest priority.",
+    "stream_version_gone": "No server of the software version that began the "
+    "stream is in service any more. Send it anew.",
+    "stream_version_unknown": "No entry knows which software version began "
+    "the stream, and there were several. Send it anew.",
     "ticket_expired": "The ticket has expired; its order may have run.",
     "ticket_forged": "The ticket's seal matches no active key.",
     "ticket_gone": "The agent process that issued the ticket has ended.",
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -466,6 +466,45 @@
     wait: PoolWait | None = None
 
 
+class BegunStream(_Message):
+    """A stream and the software version that began it.
+
+    `key` is a digest of its organisation and its request.
+    """
+
+    organisation: str
+    key: bytes
+    service: str
+    version: str
+
+
+class TellStreams(_Message, tag="tell_streams"):
+    """News of streams that have just begun; the reply says nothing."""
+
+    streams: list[BegunStream]
+
+
+class FindStream(_Message, tag="find_stream"):
+    """A question for the software version that began a stream."""
+
+    organisation: str
+    key: bytes
+    service: str
+
+
+class StreamVersion(_Message, tag="stream_version"):
+    """What an entry knows of the software version that began a stream.
+
+    `recorded` was told when the stream began. `versions` are those that
+    have served for as long as a stream may last; with `is_complete`, no
+    others have.
+    """
+
+    recorded: str | None = None
+    versions: list[str] = []
+    is_complete: bool = False
+
+
 class Rejected(_Message, tag="rejected"):
     """The reply to a message that was not accepted, with the reason."""
 
@@ -475,12 +514,13 @@
 REQUESTS = (
     Submit | Pull | Withdraw | IssueTicket | PromiseRequest | Report
     | Digest | LeaseRequest | HandOverLimits | FetchManifest | FetchDocument
-    | EntryDigest | MakePieces | FreeResults | AcquirePermit
+    | EntryDigest | MakePieces | FreeResults | AcquirePermit | TellStreams
+    | FindStream
 )  # fmt: skip
 REPLIES = (
     Chunk | WithdrawReply | Ticket | Promise | Acknowledgement | LeaseReply
     | Manifest | Document | Rejected | EntryDigestReply | MakePiecesReply
-    | PermitReply
+    | PermitReply | StreamVersion
 )  # fmt: skip
 
 _encoder = msgspec.msgpack.Encoder()
--- a/greengagetrack/connection/source.py
+++ b/greengagetrack/connection/source.py
@@ -37,6 +37,17 @@
     era: int = 0
 
 
+class History(msgspec.Struct, frozen=True):
+    """All server records published after a revision, replaced ones too.
+
+    `is_complete` is false if a server was removed of which no record is
+    among them.
+    """
+
+    servers: tuple[gateway.Server, ...] = ()
+    is_complete: bool = True
+
+
 class Source(abc.ABC):
     """A read-only source of the published catalog and servers."""
 
@@ -47,3 +58,7 @@
     @abc.abstractmethod
     async def list_changes(self, revision):
         """Return `Update`, `HistoryLost` or `Unreachable`."""
+
+    @abc.abstractmethod
+    async def list_history(self, revision):
+        """Return `History`, `HistoryLost` or `Unreachable`."""
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -86,6 +86,15 @@
         changes = answer.content
         return _read_update(changes.events, changes.current_rev, answer.era)
 
+    async def list_history(self, revision):
+        """Return `History`, `HistoryLost` or `Unreachable`."""
+        query = {"path_prefix": names.SERVERS_PREFIX}
+        query |= {"after": revision, "wait_ms": 0}
+        answer = await self._get(names.WATCH_PATH, query, _Changes)
+        if not isinstance(answer, _Dated):
+            return answer
+        return _read_history(answer.content.events)
+
     async def _get(self, path, query, response_type):
         """Return the `_Dated` content, `HistoryLost` or `Unreachable`."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
@@ -156,6 +165,22 @@
     )
 
 
+def _read_history(events):
+    servers = []
+    seen_keys = set()
+    is_complete = True
+    for item in events:
+        if item.tombstone:
+            is_complete &= item.key in seen_keys
+            continue
+        server_id = item.key[len(names.SERVERS_PREFIX) :]
+        server = _read_server(server_id, item.value)
+        if not isinstance(server, str):
+            servers.append(server)
+            seen_keys.add(item.key)
+    return source.History(tuple(servers), is_complete)
+
+
 def _read_catalog(value):
     try:
         data = base64.b64decode(value)
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -80,6 +80,32 @@
             return False
         return self._apply_update(answer, sent_s)
 
+    async def read_past(self):
+        """Learn what was published before this entry was started.
+
+        The source keeps a history of limited age; the oldest revision that
+        it still knows is found by halving.
+        """
+        known = self.revision
+        if known is None:
+            return
+        lost = -1
+        history = None
+        while known - lost > 1:
+            middle = 0 if lost < 0 else (known + lost) // 2
+            answer = await self._source.list_history(middle)
+            if isinstance(answer, source_module.Unreachable):
+                return
+            if isinstance(answer, source_module.HistoryLost):
+                lost = middle
+                continue
+            history, known = answer, middle
+            if lost < 0:
+                break
+        if history is None or history.is_complete:
+            servers = history.servers if history else ()
+            self._directory.versions.record_past(servers, trio.current_time())
+
     def _update_reachability(self, answer):
         is_reachable = not isinstance(answer, source_module.Unreachable)
         if is_reachable == self._is_source_reachable:
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -92,16 +92,20 @@
         input_bytes=None,
         priority=0,
         patience_s=math.inf,
+        software_version=None,
     ):
         """Return the `Choice` of lowest cost, or None without candidates.
 
         `input_bytes` maps each data centre to the bytes of the request's
         inputs that are stored there. A server at its limit is a candidate
-        if a request of the priority gets a permit within `patience_s`.
+        if a request of the priority gets a permit within `patience_s`. With a
+        `software_version`, no others are candidates.
         """
         servers = [
             server
-            for server in self._get_candidates(service, excluded)
+            for server in self._get_candidates(
+                service, excluded, software_version
+            )
             if server.limit.get_wait_s(priority) <= patience_s
         ]
         if not servers:
@@ -183,7 +187,14 @@
             for server in servers
         )
 
-    def _get_candidates(self, service, excluded):
+    def has_servers(self, service, software_version):
+        """Return whether servers of a software version are in service."""
+        return any(
+            server.published.software_version == software_version
+            for server in self._directory.get_servers(service)
+        )
+
+    def _get_candidates(self, service, excluded, software_version=None):
         catalog = self._get_catalog()
         definition = catalog.service_by_name.get(service)
         limit = definition.connections_max if definition else CONNECTIONS_MIN
@@ -191,7 +202,9 @@
         return [
             server
             for server in self._directory.get_servers(service)
-            if server.server_id not in excluded and server.outstanding < limit
+            if server.server_id not in excluded
+            and server.outstanding < limit
+            and software_version in (None, server.published.software_version)
         ]
 
     def _predict(self, server, request, input_bytes, preferred, recent_tokens):
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -15,6 +15,7 @@
 from greengagetrack.connection import gateway
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
+from greengagetrack.process.direct import version_history
 
 REMOVAL_GRACE_S = 2.3
 GONE_SERVERS_MAX = 2000
@@ -57,6 +58,7 @@
         "announced_parts",
         "changed",
         "server_by_id",
+        "versions",
     )
 
     def __init__(self, on_removed):
@@ -66,6 +68,7 @@
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
         self._servers_by_service = {}
+        self.versions = version_history.new_version_history()
         self.announced_parts = collections.deque(maxlen=ANNOUNCED_PARTS_MAX)
 
     def start_removal_grace(self):
@@ -188,6 +191,10 @@
                 self._apply_removal(server_id)
         self._remove_due()
         self._index_by_service()
+        self.versions.record(
+            [server.published for server in self.server_by_id.values()],
+            trio.current_time(),
+        )
         event, self.changed = self.changed, trio.Event()
         event.set()
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -18,6 +18,7 @@
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import pools as pools_module
+from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request.direct import run as run_module
@@ -132,6 +133,14 @@
             generator,
         )
         guard.announce = self.peers.exchange_now
+        self.peers.streams = streams_module.new_streams(
+            self.peers.members,
+            links,
+            self.directory,
+            get_catalog,
+            self.catalog_watcher.read_past,
+            nursery,
+        )
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
             gateway,
@@ -157,6 +166,7 @@
             self.metrics,
             guard,
             self.peers.permits,
+            self.peers.streams,
         )
 
     async def run(self):
@@ -165,6 +175,7 @@
             nursery.start_soon(self.catalog_watcher.run)
             nursery.start_soon(self._pools.run)
             nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
             nursery.start_soon(loop_lag.watch, self.metrics)
 
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -220,6 +220,26 @@
         owner_name = rendezvous.get_winner(service, weight_by_name)
         return peer_by_name.get(owner_name)
 
+    def rank_by_key(self, key, count):
+        """Return up to `count` live peers that all entries rank alike.
+
+        The first are of different data centres, as far as there are some,
+        so that none of these takes all of them with it.
+        """
+        peers = [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.is_alive(self.is_local(peer))
+        ]
+        peers.sort(key=lambda peer: rendezvous.get_score(key, peer.name))
+        data_centres = set()
+        first, others = [], []
+        for peer in peers:
+            is_new = peer.data_centre not in data_centres
+            data_centres.add(peer.data_centre)
+            (first if is_new else others).append(peer)
+        return (first + others)[:count]
+
     def is_delegate(self):
         """Return whether this entry is the delegate of its data centre."""
         if self.is_leaving:
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -47,6 +47,7 @@
         "members",
         "permits",
         "pools",
+        "streams",
     )
 
     def __init__(
@@ -88,6 +89,8 @@
         self._round = 0
         self._exchange_now = trio.Event()
         self.pools = None
+        # Set by the entry; answers what peers ask of streams.
+        self.streams = None
 
     def set_pools(self, pools):
         """Set the pools whose waits the digests contain."""
@@ -104,6 +107,8 @@
             return self._free_results(message)
         if isinstance(message, messages.AcquirePermit):
             return await self.permits.handle(message)
+        if isinstance(message, messages.TellStreams | messages.FindStream):
+            return self.streams.handle(message)
         return messages.Rejected("an entry does not answer this message")
 
     def _handle_digest(self, digest):
--- /dev/null
+++ b/greengagetrack/process/direct/streams.py
@@ -0,0 +1,244 @@
+"""Finds the software version that began a stream, from any entry.
+
+What two versions of a server write does not fit together, so a stream may
+only go on at the version that began it. Its caller may take it up at another
+entry, and the one that began it may be gone. Where a service may have had
+several versions, an entry tells two others of each stream before it passes
+on the first event. Where there was one version only, nothing is told.
+"""
+
+import logging
+import math
+
+import msgspec
+import trio
+
+from greengagetrack.connection import messages
+from greengagetrack.process.direct import stream_records
+
+OWNERS = 2
+# Others may rank first by now than when the stream began.
+ASKED_MAX = 4
+TIMEOUT_S = 0.4
+TOLD_MAX = 256
+LIFE_DEFAULT_S = 15.0
+LIFE_MARGIN_S = 1.0
+# How old the list of servers may be, if no peer confirms it.
+FRESH_MAX_S = 4.0
+# The history of the source may be incomplete; asked again it is the same.
+PAST_PERIOD_S = 5.0
+
+_log = logging.getLogger(__name__)
+
+
+class StreamId(msgspec.Struct, frozen=True):
+    """What identifies a stream to all entries.
+
+    `request_id` is that of the attempt that brought its first event, empty
+    if its caller does not name it.
+    """
+
+    organisation: str
+    request_id: bytes
+    service: str
+
+    @property
+    def key(self):
+        """The key of its record."""
+        return stream_records.get_key(self.organisation, self.request_id)
+
+
+class Streams:
+    """The versions of streams: records, what is told and what is asked."""
+
+    __slots__ = (
+        "_directory",
+        "_get_catalog",
+        "_links",
+        "_members",
+        "_nursery",
+        "_past_due_s",
+        "_past_lock",
+        "_read_past",
+        "_records",
+        "_unsent",
+    )
+
+    def __init__(
+        self, members, links, directory, get_catalog, read_past, nursery
+    ):
+        self._members = members
+        self._links = links
+        self._directory = directory
+        self._get_catalog = get_catalog
+        self._read_past = read_past
+        self._past_lock = trio.Lock()
+        self._past_due_s = -math.inf
+        self._nursery = nursery
+        self._records = stream_records.new_stream_records()
+        self._unsent = []
+
+    def begin(self, stream_id, version):
+        """Record a stream whose first event is passed on next.
+
+        Others are told at once, if need be: this entry may end any time.
+        """
+        now = trio.current_time()
+        record = stream_records.StreamRecord(
+            stream_id.service, version, now, is_own=True
+        )
+        organisation = stream_id.organisation
+        self._records.drop_before(now - self._get_life_s())
+        self._records.add(organisation, stream_id.key, record)
+        if self._is_told(stream_id.service):
+            self._tell(organisation, stream_id.key, record)
+
+    def _get_life_s(self):
+        """Return how long a stream may last, over all tries of a caller."""
+        catalog = self._get_catalog()
+        longest_s = catalog.longest_stream_s if catalog else 0.0
+        return (longest_s or LIFE_DEFAULT_S) + LIFE_MARGIN_S
+
+    def _is_told(self, service):
+        """Return whether several versions may have served of late."""
+        seen = self._get_seen(service)
+        return len(seen.versions) > 1 or not seen.is_complete
+
+    def _get_seen(self, service):
+        """Return the `StreamVersion` that any stream of a service gets."""
+        versions = self._directory.versions
+        since_s = trio.current_time() - self._get_life_s()
+        return messages.StreamVersion(
+            versions=sorted(versions.get_versions(service, since_s)),
+            is_complete=versions.known_since_s <= since_s,
+        )
+
+    def _tell(self, organisation, key, record):
+        record.is_told = True
+        if not self._unsent:
+            self._nursery.start_soon(self._send)
+        self._unsent.append(
+            messages.BegunStream(
+                organisation, key, record.service, record.version
+            )
+        )
+
+    async def _send(self):
+        """Tell the owners of all streams that began in this moment."""
+        unsent, self._unsent = self._unsent, []
+        streams_by_address = {}
+        for stream in unsent:
+            for address in self._get_owners(stream.key)[:OWNERS]:
+                streams_by_address.setdefault(address, []).append(stream)
+        for address, streams in streams_by_address.items():
+            for start in range(0, len(streams), TOLD_MAX):
+                message = messages.TellStreams(
+                    streams[start : start + TOLD_MAX]
+                )
+                self._nursery.start_soon(self._request, address, message)
+
+    async def _request(self, address, message):
+        link = self._links.get_link(address)
+        return await link.request(message, TIMEOUT_S)
+
+    def _get_owners(self, key):
+        """Return the addresses of those who know a stream, best first."""
+        return [
+            peer.address
+            for peer in self._members.rank_by_key(key.hex(), ASKED_MAX)
+        ]
+
+    async def run(self):
+        """Tell of running streams when a second version appears."""
+        while True:
+            await self._directory.changed.wait()
+            for service in self._directory.versions.get_services():
+                if not self._is_told(service):
+                    continue
+                for untold in self._records.get_untold(service):
+                    self._tell(*untold)
+
+    async def find_version(self, stream_id):
+        """Return the version that began a stream, or None if unknown.
+
+        A record decides. Only without one anywhere it counts that a single
+        version has served for as long as a stream may last.
+        """
+        record = self._records.find(stream_id.organisation, stream_id.key)
+        if record is not None:
+            is_same = record.service == stream_id.service
+            # Requests with the same id may have been sent to two services.
+            return record.version if is_same else None
+        answers = await self._ask(stream_id)
+        recorded = {answer.recorded for answer in answers} - {None}
+        if recorded:
+            return recorded.pop() if len(recorded) == 1 else None
+        if not (answers or self._is_fresh()):
+            # Others may use a version that this entry has not heard of.
+            return None
+        seen = self._get_seen(stream_id.service)
+        if not (seen.is_complete or any(a.is_complete for a in answers)):
+            await self._learn_past()
+            seen = self._get_seen(stream_id.service)
+        answers.append(seen)
+        versions = {v for answer in answers for v in answer.versions}
+        is_complete = any(answer.is_complete for answer in answers)
+        return versions.pop() if is_complete and len(versions) == 1 else None
+
+    async def _learn_past(self):
+        """Read what served before this entry started, not again too soon."""
+        async with self._past_lock:
+            if trio.current_time() >= self._past_due_s:
+                await self._read_past()
+                self._past_due_s = trio.current_time() + PAST_PERIOD_S
+
+    def _is_fresh(self):
+        age_s = trio.current_time() - self._directory.versions.recorded_s
+        return age_s <= FRESH_MAX_S
+
+    async def _ask(self, stream_id):
+        """Return the answers of peers; one with a record is enough."""
+        answers = []
+        key = stream_id.key
+        message = messages.FindStream(
+            stream_id.organisation, key, stream_id.service
+        )
+
+        async def ask(address):
+            reply = await self._request(address, message)
+            if isinstance(reply, messages.StreamVersion):
+                answers.append(reply)
+                if reply.recorded is not None:
+                    nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for address in self._get_owners(key):
+                nursery.start_soon(ask, address)
+        return answers
+
+    def handle(self, message):
+        """Return the reply to a message of a peer about streams."""
+        if isinstance(message, messages.FindStream):
+            return self._answer(message)
+        now = trio.current_time()
+        self._records.drop_before(now - self._get_life_s())
+        for stream in message.streams:
+            record = stream_records.StreamRecord(
+                stream.service, stream.version, now
+            )
+            self._records.add(stream.organisation, stream.key, record)
+        return messages.StreamVersion()
+
+    def _answer(self, message):
+        record = self._records.find(message.organisation, message.key)
+        if record is not None and record.service == message.service:
+            return messages.StreamVersion(recorded=record.version)
+        return self._get_seen(message.service)
+
+
+def new_streams(members, links, directory, get_catalog, read_past, nursery):
+    """Return the streams of an entry that has begun none.
+
+    `await read_past()` completes what the directory knows of versions.
+    """
+    return Streams(members, links, directory, get_catalog, read_past, nursery)
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -17,12 +17,14 @@
     `last_event` is the id of the last event sent, after which another
     server can resume the stream. `progress_s` is when the last event was
     sent: bytes that complete no event are no progress. `longest_pause_s` is
-    the longest time between two of them.
+    the longest time between two of them. `on_begin()` is called before the
+    first event is sent.
     """
 
     __slots__ = (
         "_framing",
         "_last_sent_s",
+        "_on_begin",
         "_reply",
         "_reply_framing",
         "_splitter",
@@ -32,8 +34,9 @@
         "progress_s",
     )
 
-    def __init__(self, reply):
+    def __init__(self, reply, on_begin):
         self._reply = reply
+        self._on_begin = on_begin
         self._framing = None
         self._reply_framing = None
         self._splitter = None
@@ -63,6 +66,8 @@
             self.first_event_s = trio.current_time()
         forwarded, problem = self._check(self._splitter.feed(data))
         if forwarded:
+            if self._last_sent_s is None:
+                self._on_begin()
             await self._reply.send_part(b"".join(forwarded))
             self._record_sent()
         if problem is None and self._splitter.is_too_long():
@@ -121,6 +126,6 @@
     return gateway.Failure(_Reason.BACKEND_FAILED, _Ran.UNKNOWN, detail)
 
 
-def new_event_relay(reply):
+def new_event_relay(reply, on_begin):
     """Return the relay of a stream of which nothing was sent yet."""
-    return EventRelay(reply)
+    return EventRelay(reply, on_begin)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
@@ -44,6 +45,7 @@
     metrics: object
     crash_guard: object
     permits: object
+    streams: object
 
 
 class DirectRun:
@@ -52,6 +54,7 @@
     __slots__ = (
         "_admitted",
         "_answer_end",
+        "_answering",
         "_attempts",
         "_graph",
         "_input_bytes",
@@ -72,7 +75,8 @@
         self._services = services
         self._admitted = admitted
         self._reply = reply
-        self._relay = event_relay.new_event_relay(reply)
+        self._relay = event_relay.new_event_relay(reply, self._begin_stream)
+        self._answering = None
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
         self._graph = None
         self._inputs = None
@@ -134,6 +138,9 @@
         self._services.budgets.get(
             self._selector.service
         ).count_first_attempt()
+        refused = await self._bind_take_up()
+        if refused is not None:
+            return refused
         while True:
             if self._graph is not None and self._graph.is_freed:
                 self._inputs = None
@@ -149,6 +156,57 @@
             if not self._may_retry():
                 return self._combine_outcome(self._new_refusal())
 
+    async def _bind_take_up(self):
+        """Bind a stream that is taken up to the version that began it.
+
+        Return `Refused` if it is unknown or no longer in service. No time
+        is named then: what has begun is lost.
+        """
+        if not self._admitted.is_take_up:
+            return None
+        version = await self._services.streams.find_version(
+            self._get_stream_id()
+        )
+        if version is None:
+            return outcome_module.Refused(
+                _Reason.STREAM_VERSION_UNKNOWN, retry_after_ms=None
+            )
+        self._selector.bind(version)
+        return self._check_version()
+
+    def _check_version(self):
+        """Return `Refused` if no server can go on with the stream."""
+        if self._selector.has_servers():
+            return None
+        return outcome_module.Refused(
+            _Reason.STREAM_VERSION_GONE,
+            f"version {self._selector.software_version}",
+            retry_after_ms=None,
+        )
+
+    def _get_stream_id(self):
+        request = self._admitted.request
+        return streams_module.StreamId(
+            self._admitted.organisation_name,
+            request.resumed_id or request.request_id,
+            self._selector.service,
+        )
+
+    def _begin_stream(self):
+        """Bind the stream to the version of the server that answers."""
+        server = self._answering.server
+        # If it was started again meanwhile, only the new one can answer.
+        current = self._services.directory.server_by_id.get(server.server_id)
+        version = (current or server).published.software_version
+        if self._selector.software_version is None:
+            self._services.streams.begin(self._get_stream_id(), version)
+        self._selector.bind(version)
+
+    @property
+    def _is_resumed(self):
+        """Whether the caller has a part of the answer already."""
+        return self._relay.last_event is not None or self._admitted.is_take_up
+
     def _check_crashes(self):
         """Return `Refused` if the request crashes servers, else None."""
         services = self._services
@@ -169,9 +227,9 @@
             self._services.chooser.predict_first_event_s(
                 self._selector.service, self._admitted.request
             ),
-            is_resumed=self._relay.last_event is not None,
+            is_resumed=self._is_resumed,
         )
-        if self._sends == 0:
+        if self._sends == 0 and not self._is_resumed:
             refused = self._graph.check_admission()
             if refused is not None:
                 return refused
@@ -219,10 +277,10 @@
     async def _try_server(self):
         """Send the request to one server; return None if it may be retried."""
         choice = await self._selector.choose(
-            self._input_bytes, self._relay.last_event is not None
+            self._input_bytes, self._is_resumed
         )
         if choice is None:
-            return self._new_refusal()
+            return self._check_version() or self._new_refusal()
         server = choice.server
         self._services.metrics.count_choice(self._selector.service)
         request_log.log_choice(
@@ -403,6 +461,7 @@
 
     async def _relay_events(self, attempt, answer):
         reader = self._new_reader(attempt, answer)
+        self._answering = attempt
         await self._relay.start(answer)
         # A caller that reads slowly is no sign of a server that goes on.
         attempt.begin()
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -22,6 +22,7 @@
         "_reserved",
         "_reserved_until_s",
         "service",
+        "software_version",
     )
 
     def __init__(self, chooser, permits, admitted):
@@ -32,6 +33,18 @@
         self._reserved = None
         self._reserved_until_s = 0.0
         self.service = chooser.choose_service(admitted.route)
+        # Once a stream has begun, it may go on at this version only.
+        self.software_version = None
+
+    def bind(self, software_version):
+        """Choose servers of one software version from now on."""
+        self.software_version = software_version
+
+    def has_servers(self):
+        """Return whether there may be a server of the bound version."""
+        return self.software_version is None or self._chooser.has_servers(
+            self.service, self.software_version
+        )
 
     async def reserve(self, stages_s):
         """Return whether the request may be sent to a server.
@@ -85,6 +98,7 @@
                 input_bytes,
                 priority,
                 patience_s,
+                self.software_version,
             )
             if choice is None:
                 return None
--- a/greengagetrack/request/outcome.py
+++ b/greengagetrack/request/outcome.py
@@ -53,6 +53,8 @@
     RECORDS_FULL = "records_full"
     REQUEST_CRASHES_SERVERS = "request_crashes_servers"
     SHED = "shed"
+    STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     TICKET_EXPIRED = "ticket_expired"
     TICKET_FORGED = "ticket_forged"
     TICKET_GONE = "ticket_gone"
--- a/greengagetrack/version/catalog.py
+++ b/greengagetrack/version/catalog.py
@@ -133,6 +133,7 @@
         "_routes_by_host",
         "has_organisations",
         "limits",
+        "longest_stream_s",
         "service_by_name",
         "version",
     )
@@ -149,6 +150,7 @@
         self.version = version
         self.service_by_name = service_by_name
         self.limits = limits
+        self.longest_stream_s = _get_longest_stream_s(routes_by_host)
         self.has_organisations = has_organisations
         self._routes_by_host = routes_by_host
         self._organisation_by_key = organisation_by_key
@@ -175,6 +177,17 @@
         return names
 
 
+def _get_longest_stream_s(routes_by_host):
+    """Return the longest time-out of a stream that may be resumed."""
+    timeouts_ms = [
+        route.timeout_ms
+        for routes in routes_by_host.values()
+        for route in routes
+        if route.repeat is Repeat.STREAM and route.is_resumable
+    ]
+    return max(timeouts_ms, default=0.0) / 1000
+
+
 def new_catalog(
     version, routes, services, limits, organisation_by_key, has_organisations
 ):
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -19,6 +19,7 @@
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import permits as permits_module
 from greengagetrack.process.direct import pools as pools_module
+from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import reply as reply_module
 from greengagetrack.request.direct import request as request_module
@@ -218,6 +219,9 @@
     async def list_changes(self, revision):
         return await self._answer(revision)
 
+    async def list_history(self, revision):
+        return await self._answer(("history", revision))
+
     async def _answer(self, request):
         await trio.lowlevel.checkpoint()
         self.requests.append(request)
@@ -253,6 +257,14 @@
         self.permits = permits_module.new_permits(
             peers.members, None, self.directory, "me/1", random.Random(3)
         )
+        self.streams = streams_module.new_streams(
+            peers.members,
+            None,
+            self.directory,
+            lambda: self.catalog,
+            trio.lowlevel.checkpoint,
+            nursery,
+        )
         dependencies = batcher_module.BatcherDependencies(
             self.directory,
             fake_gateway,
@@ -274,6 +286,7 @@
             metrics_module.new_direct_metrics("me"),
             self.crash_guard,
             self.permits,
+            self.streams,
         )
 
     def admit(self, route, left_s=3.0, **fields):
--- a/tests/direct/test_state.py
+++ b/tests/direct/test_state.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 import trio
 import trio.testing
 
@@ -464,3 +465,54 @@
         assert len(budget._first_attempt_times) <= 11
 
     fakes.run_with_mock_clock(check)
+
+
+def _read_past(*answers):
+    """Return the version history after reading the source's history."""
+    watched = []
+
+    async def check(_nursery):
+        directory = directory_module.new_directory(lambda server: None)
+        watcher = catalog_watcher.new_catalog_watcher(
+            fakes.FakeSource(*answers),
+            directory,
+            freshness.new_freshness_lease(5.0),
+            2.5,
+            random.Random(1),
+        )
+        watcher.revision = 4
+        await watcher.read_past()
+        watched.append(directory.versions)
+
+    fakes.run_with_mock_clock(check)
+    return watched[0]
+
+
+def _new_history(*versions, is_complete=True):
+    servers = tuple(
+        fakes.new_server(version, software_version=version)
+        for version in versions
+    )
+    return source_module.History(servers, is_complete)
+
+
+def test_versions_that_left_before_the_start_are_learned_from_history():
+    versions = _read_past(
+        source_module.HistoryLost(),
+        _new_history("v2"),
+        _new_history("v1", "v2"),
+    )
+    assert versions.get_versions("svc", 0.0) == {"v1", "v2"}
+    assert versions.known_since_s < 0
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [
+        (_new_history("v2", is_complete=False),),
+        (source_module.Unreachable(),),
+        (source_module.HistoryLost(), source_module.Unreachable()),
+    ],
+)
+def test_history_with_a_gap_tells_nothing(answers):
+    assert _read_past(*answers).known_since_s > 0
--- /dev/null
+++ b/tests/direct/test_streams.py
@@ -0,0 +1,259 @@
+"""Streams that are taken up at any entry, as a state machine.
+
+Entries learn of servers late, lose messages and are killed, some or all at
+once, while versions come and go. A stream may be refused; it never goes on at
+another version than the one that began it.
+"""
+
+import types
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import trio
+import trio.testing
+
+from greengagetrack.connection import gateway
+from greengagetrack.connection import messages
+from greengagetrack.connection import source
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import streams as streams_module
+
+LIFE_S = 5.0
+ENTRIES = 4
+SERVICE = "model"
+indexes = strategies.integers(0, ENTRIES - 1)
+
+
+class Link:
+    """A link to another entry of a fleet; it may lose what is sent."""
+
+    def __init__(self, fleet, address):
+        self._fleet = fleet
+        self._address = address
+
+    async def request(self, message, _timeout_s):
+        await trio.lowlevel.checkpoint()
+        entry = self._fleet.entry_by_address[self._address]
+        if self._fleet.is_losing:
+            return None
+        encoded = messages.encode(message)
+        reply = entry.streams.handle(messages.decode_request(encoded))
+        return messages.decode_reply(messages.encode(reply))
+
+
+class Fleet:
+    """Entries that share a list of published versions."""
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.is_losing = False
+        self.published = {"v1"}
+        self.entry_by_address = {}
+        for index in range(ENTRIES):
+            self.start(index)
+
+    def start(self, index):
+        """Start an entry, or start it again with no memory."""
+        name = f"entry-{index}"
+        members = members_module.new_members(name, name, "dc", 1.0, ())
+        directory = directory_module.new_directory(lambda server: None)
+        entry = types.SimpleNamespace(members=members, directory=directory)
+        entry.streams = streams_module.new_streams(
+            members,
+            types.SimpleNamespace(get_link=lambda a: Link(self, a)),
+            directory,
+            lambda: types.SimpleNamespace(longest_stream_s=LIFE_S),
+            trio.lowlevel.checkpoint,
+            self._nursery,
+        )
+        self._nursery.start_soon(entry.streams.run)
+        self.entry_by_address[name] = entry
+        self.poll(index)
+
+    def poll(self, index):
+        """Have an entry read the published list and meet its peers."""
+        entry = self.entry_by_address[f"entry-{index}"]
+        servers = tuple(
+            gateway.Server(version, SERVICE, "a:1", "dc", 1, False, 1, version)
+            for version in self.published
+        )
+        entry.directory.apply_update(
+            source.Update(1, servers=servers, is_complete=True)
+        )
+        for other in self.entry_by_address:
+            if other != f"entry-{index}":
+                member = messages.Member(name=other, address=other)
+                entry.members.update_peer(member, "dc", trio.current_time())
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Rules on a fleet, run one after the other on a mock clock."""
+
+    def __init__(self):
+        super().__init__()
+        self._steps = []
+
+    @stateful.rule(index=indexes)
+    def poll(self, index):
+        self._steps.append(("poll", index))
+
+    @stateful.rule(index=indexes, choice=strategies.integers(0, 9))
+    def begin(self, index, choice):
+        self._steps.append(("begin", index, choice))
+
+    @stateful.rule(index=indexes, choice=strategies.integers(0, 9))
+    def take_up(self, index, choice):
+        self._steps.append(("take_up", index, choice))
+
+    @stateful.rule(killed=strategies.sets(indexes, min_size=1))
+    def kill(self, killed):
+        self._steps.append(("kill", sorted(killed)))
+
+    @stateful.rule(number=strategies.integers(1, 3))
+    def publish(self, number):
+        self._steps.append(("publish", f"v{number}"))
+
+    @stateful.rule(number=strategies.integers(1, 3))
+    def withdraw(self, number):
+        self._steps.append(("withdraw", f"v{number}"))
+
+    @stateful.rule(is_losing=strategies.booleans())
+    def lose(self, is_losing):
+        self._steps.append(("lose", is_losing))
+
+    @stateful.rule(seconds=strategies.sampled_from((0.2, 1.0, LIFE_S + 2.0)))
+    def wait(self, seconds):
+        self._steps.append(("wait", seconds))
+
+    def teardown(self):
+        _replay(self._steps)
+
+
+def _replay(steps):
+    """Play the steps and check each stream that is taken up."""
+    begun = []
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            for step in steps:
+                await _play(fleet, begun, *step)
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def _play(fleet, begun, action, *arguments):
+    if action == "poll":
+        fleet.poll(*arguments)
+    elif action == "kill":
+        for index in arguments[0]:
+            fleet.start(index)
+    elif action == "publish":
+        fleet.published.add(*arguments)
+        # As the entries do, all read the list within a second or two.
+        await _poll_all(fleet)
+    elif action == "withdraw":
+        fleet.published.discard(*arguments)
+        await _poll_all(fleet)
+    elif action == "lose":
+        fleet.is_losing = arguments[0]
+    elif action == "wait":
+        for _second in range(max(int(arguments[0]), 1)):
+            await trio.sleep(min(arguments[0], 1.0))
+            await _poll_all(fleet)
+    elif action == "begin":
+        _begin(fleet, begun, *arguments)
+    else:
+        await _take_up(fleet, begun, *arguments)
+
+
+async def _poll_all(fleet):
+    for index in range(ENTRIES):
+        fleet.poll(index)
+        await trio.sleep(0.1)
+
+
+def _begin(fleet, begun, index, choice):
+    entry = fleet.entry_by_address[f"entry-{index}"]
+    versions = sorted(
+        server.published.software_version
+        for server in entry.directory.get_servers(SERVICE)
+    )
+    if versions:
+        version = versions[choice % len(versions)]
+        stream_id = streams_module.StreamId("org", b"%d" % len(begun), SERVICE)
+        entry.streams.begin(stream_id, version)
+        begun.append((stream_id, version, trio.current_time()))
+
+
+async def _take_up(fleet, begun, index, choice):
+    live = [
+        stream for stream in begun if trio.current_time() - stream[2] < LIFE_S
+    ]
+    if live:
+        stream_id, version, _begun_s = live[choice % len(live)]
+        entry = fleet.entry_by_address[f"entry-{index}"]
+        found = await entry.streams.find_version(stream_id)
+        assert found in (version, None)
+
+
+TestStreams = StreamMachine.TestCase
+TestStreams.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=25, deadline=None
+)
+
+
+def test_a_stream_is_found_when_the_entry_that_began_it_is_killed():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.published.add("v2")
+            await _poll_all(fleet)
+            begun = []
+            for number in range(10):
+                _begin(fleet, begun, 0, number)
+            await trio.sleep(0.01)
+            fleet.start(0)
+            for index in range(ENTRIES):
+                for stream_id, version, _begun_s in begun:
+                    entry = fleet.entry_by_address[f"entry-{index}"]
+                    found = await entry.streams.find_version(stream_id)
+                    assert found == version
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_in_calm_a_stream_goes_on_without_a_record():
+    """One version has served for longer than a stream may last."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            await _play(fleet, [], "wait", LIFE_S + 2.0)
+            fleet.start(1)
+            entry = fleet.entry_by_address["entry-1"]
+            stream_id = streams_module.StreamId("org", b"", SERVICE)
+            assert await entry.streams.find_version(stream_id) == "v1"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_without_any_memory_the_version_is_unknown():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            begun = []
+            _begin(fleet, begun, 0, 0)
+            for index in range(ENTRIES):
+                fleet.start(index)
+            entry = fleet.entry_by_address["entry-2"]
+            assert await entry.streams.find_version(begun[0][0]) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
