Skip a copy of an earlier answer before that to a request with a body

An engine that writes an earlier refusal once more on a kept connection ended the entry: the copy is skipped by a new protocol state, which was told of a request without its body (LocalProtocolError). All callers of the entry lost their connections. The state is told of the whole request now. The test failed before with that error. A copy never passes as the answer of another request: the id that it echoes is another one.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -113,6 +113,7 @@
     """One request on one connection, and its response."""
 
     __slots__ = (
+        "_body",
         "_connection",
         "_has_received",
         "_is_eof",
@@ -129,6 +130,7 @@
         self._pool = pool
         self._connection = connection
         self._request = request
+        self._body = b""
         self._protocol = h11.Connection(h11.CLIENT)
         self._is_eof = False
         self._is_sent = False
@@ -139,7 +141,8 @@
 
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
-        data = self._encode_request(body)
+        self._body = body
+        data = self._encode_request()
         self._connection.request_count += 1
         if len(data) <= INLINE_SEND_MAX_BYTES:
             return await self._send_all(data)
@@ -148,7 +151,7 @@
         nursery.start_soon(self._send_in_background, data)
         return None
 
-    def _encode_request(self, body):
+    def _encode_request(self):
         request = h11.Request(
             method=self._request.method,
             target=self._request.target,
@@ -156,8 +159,8 @@
         )
         protocol = self._protocol
         data = protocol.send(request)
-        if body:
-            data += protocol.send(h11.Data(data=body))
+        if self._body:
+            data += protocol.send(h11.Data(data=self._body))
         return data + protocol.send(h11.EndOfMessage())
 
     async def _send_all(self, data):
@@ -221,7 +224,8 @@
             )
         self.is_complete = False
         self._protocol = h11.Connection(h11.CLIENT)
-        self._encode_request(b"")
+        # The protocol has to know again that the request was sent.
+        self._encode_request()
         if trailing_data:
             self._protocol.receive_data(trailing_data)
         return None
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -93,6 +93,27 @@
     _run(check, RESPONSE % (b"other", b"no") + RESPONSE % (b"mine", b"cd"))
 
 
+# An earlier refusal, written once more, ended the entry.
+def test_copy_of_earlier_refusal_is_skipped_for_request_with_body():
+    head = client.RequestHead(
+        b"POST", b"/x", [*REQUEST.headers, (b"Content-Length", b"4")]
+    )
+    refusal = (
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: earlier\r\n"
+        b"X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    async def check(pool, address):
+        call = await pool.open_call(address, head, b"body")
+        try:
+            assert await _receive_all(call) == (200, b"cd")
+        finally:
+            call.finish()
+        assert pool.count_idle(address) == 1
+
+    _run(check, refusal + RESPONSE % (b"mine", b"cd"))
+
+
 def test_truncated_response_is_failure():
     async def check(pool, address):
         result = await _call(pool, address)
