Leave out entries of the store whose values are out of range

One odd entry among those of the engines ended every entry process that read the list, and again after each start: values nested too deeply raise an error of the interpreter that nothing caught, a port of 99999 or of 30 digits, one of digits that are no ASCII ones or an address with a null character fail when a connection is opened, and an integer of 300 digits when it is told to peers. The reader checks each field's range and names the entry unusable; the others are served.

--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -1,5 +1,8 @@
 """Parsers of the published configuration and server entries."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from greengagetrack.connection import gateway
@@ -80,17 +83,25 @@
     tenants: list[_Tenant] | None = None
 
 
+_Name = Annotated[str, msgspec.Meta(max_length=1000)]
+# What a 64-bit field of a message to another entry can hold.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    version: str
-    slots: int = 1
+    service: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
+    version: _Name
+    slots: _Count = 1
     cold_left_ms: float = 0
-    born: int = 0
+    born: _Count = 0
 
 
+PORT_MAX = 65535
+# Values that are nested too deeply raise an error of the interpreter.
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 _BYTES_PER_MB = 1_000_000
 _REPEAT_BY_KIND = {
     "safe": catalog.Repeat.SAFE,
@@ -104,7 +115,7 @@
     try:
         config = msgspec.json.decode(data, type=_Config)
         return _translate(config)
-    except (msgspec.MsgspecError, KeyError, UnicodeError) as error:
+    except (KeyError, *DECODING_ERRORS) as error:
         return f"{names.CONFIG_KEY}: {error}"
 
 
@@ -182,14 +193,24 @@
     )
 
 
+def _is_address(text):
+    """Return whether a text is an IPv4 address and a port to connect to."""
+    host, _separator, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return is_number and 0 < int(port) <= PORT_MAX
+
+
 def read_entry(server_id, data):
     """Return the `Server` of an entry, or an error text."""
     try:
         entry = msgspec.json.decode(data, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except DECODING_ERRORS as error:
         return f"{names.SERVERS_PREFIX}{server_id}: {error}"
-    host, separator, port = entry.address.rpartition(":")
-    if not (separator and host and port.isdigit()):
+    if not _is_address(entry.address):
         return f"{names.SERVERS_PREFIX}{server_id}: invalid address"
     if entry.state not in (names.READY, names.DRAINING):
         return f"{names.SERVERS_PREFIX}{server_id}: unknown state"
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -8,6 +8,7 @@
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.platform import document
 from greengagetrack.platform import names
 from greengagetrack.request import outcome
 
@@ -282,7 +283,7 @@
 def _decode_made_items(data, count):
     try:
         items = msgspec.json.decode(data, type=_MadeItems).items
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except document.DECODING_ERRORS as error:
         return gateway.Failure(
             _Reason.BACKEND_FAILED,
             _Ran.UNKNOWN,
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -107,7 +107,7 @@
             return source.Unreachable(f"{status} {body[:80]!r}")
         try:
             return _Dated(era, msgspec.json.decode(body, type=response_type))
-        except (msgspec.MsgspecError, UnicodeError) as error:
+        except document.DECODING_ERRORS as error:
             return source.Unreachable(f"invalid response: {error}")
 
     async def _call(self, target):
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 import trio
 
@@ -167,6 +169,73 @@
     assert isinstance(document.read_entry("i-1", data), str)
 
 
+# Such an entry ended every entry process that read the list.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:" + "8" * 30},
+        {"address": "10.0.0.1:\u0668\u0660"},
+        {"address": "10.0.0.1\0:80"},
+        {"address": "localhost:80"},
+        {"address": "10.0.0.256:80"},
+        {"slots": 10**300},
+        {"slots": -1},
+        {"born": 10**300},
+        {"born": -1},
+        {"version": "v" * 5000},
+        {"service": "s" * 5000},
+        {"zone": "z" * 5000},
+    ],
+)
+def test_entry_with_values_out_of_range_returns_error_text(change):
+    data = json.dumps({**ENTRY, **change}).encode()
+    assert isinstance(document.read_entry("i-1", data), str)
+
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        DEEP,
+        b'{"service": %s}' % DEEP,
+        b'{"other": %s}' % DEEP,
+        b"\xff\xfe",
+        b"1e999999",
+        b'{"slots": 1e999999}',
+    ],
+)
+def test_entry_of_any_bytes_returns_error_text(data):
+    assert isinstance(document.read_entry("i-1", data), str)
+    assert isinstance(document.read_config(data), str)
+
+
+@hypothesis.given(strategies.binary(max_size=200), strategies.text())
+def test_no_bytes_of_an_entry_raise(data, server_id):
+    assert isinstance(document.read_entry(server_id, data), str)
+
+
+def test_odd_entry_leaves_the_others_in_service():
+    page = {
+        "items": [
+            _new_item("servers/i-1", ENTRY),
+            _new_item("servers/i-2", DEEP),
+            _new_item("servers/i-3", {**ENTRY, "born": 10**300}),
+        ],
+        "current_rev": 7,
+    }
+
+    async def check(source, _targets):
+        update = await source.list_all()
+        assert [s.server_id for s in update.servers] == ["i-1"]
+        assert len(update.problems) == 2
+
+    _run_with_store([(200, page)], check)
+
+
 def test_entry_returns_server_with_incarnation():
     server = document.read_entry("i-1", json.dumps(ENTRY).encode())
     assert server == gateway.Server(
