Keep the service of a stream with its version; a module for the binding

A route may be split over services, and a take-up drew one anew: a record of another service then said that nothing was known. A stream's origin is its service and version now, and on a split route it is always told. The binding of a run is a module of its own.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -495,14 +495,15 @@
 class StreamVersion(_Message, tag="stream_version"):
     """What an entry knows of the software version that began a stream.
 
-    `recorded` was told when the stream began. `versions` are those that
-    have served for as long as a stream may last; with `is_complete`, no
-    others have.
+    `recorded` was told when the stream began, with its `service`.
+    `versions` are those of the service asked for that have served for as
+    long as a stream may last; with `is_complete`, no others have.
     """
 
     recorded: str | None = None
     versions: list[str] = []
     is_complete: bool = False
+    service: str = ""
 
 
 class Rejected(_Message, tag="rejected"):
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -40,7 +40,6 @@
 
     organisation: str
     request_id: bytes
-    service: str
 
     @property
     def key(self):
@@ -48,6 +47,13 @@
         return stream_records.get_key(self.organisation, self.request_id)
 
 
+class Origin(msgspec.Struct, frozen=True):
+    """The service and the software version that began a stream."""
+
+    service: str
+    version: str
+
+
 class Streams:
     """The versions of streams: records, what is told and what is asked."""
 
@@ -78,19 +84,20 @@
         self._records = stream_records.new_stream_records()
         self._unsent = []
 
-    def begin(self, stream_id, version):
+    def begin(self, stream_id, origin, services):
         """Record a stream whose first event is passed on next.
 
-        Others are told at once, if need be: this entry may end any time.
+        Others are told at once, if there are several `services` or versions
+        that it could be of: this entry may end any time.
         """
         now = trio.current_time()
         record = stream_records.StreamRecord(
-            stream_id.service, version, now, is_own=True
+            origin.service, origin.version, now, is_own=True
         )
         organisation = stream_id.organisation
         self._records.drop_before(now - self._get_life_s())
         self._records.add(organisation, stream_id.key, record)
-        if self._is_told(stream_id.service):
+        if len(services) > 1 or self._is_told(origin.service):
             self._tell(organisation, stream_id.key, record)
 
     def _get_life_s(self):
@@ -158,32 +165,45 @@
                 for untold in self._records.get_untold(service):
                     self._tell(*untold)
 
-    async def find_version(self, stream_id):
-        """Return the version that began a stream, or None if unknown.
+    async def find_origin(self, stream_id, services):
+        """Return the `Origin` of a stream, or None if it is unknown.
 
-        A record decides. Only without one anywhere it counts that a single
-        version has served for as long as a stream may last.
+        A record decides. Only without one anywhere it counts that of the
+        `services` that the stream may be of there is one, and that a single
+        version of it has served for as long as a stream may last.
         """
         record = self._records.find(stream_id.organisation, stream_id.key)
         if record is not None:
-            is_same = record.service == stream_id.service
-            # Requests with the same id may have been sent to two services.
-            return record.version if is_same else None
-        answers = await self._ask(stream_id)
-        recorded = {answer.recorded for answer in answers} - {None}
-        if recorded:
-            return recorded.pop() if len(recorded) == 1 else None
-        if not (answers or self._is_fresh()):
+            origins = {Origin(record.service, record.version)}
+        else:
+            answers = await self._ask(stream_id, services)
+            origins = {
+                Origin(answer.service, answer.recorded)
+                for answer in answers
+                if answer.recorded is not None
+            }
+            origins = origins or await self._infer(services, answers)
+        # Two requests with the same id are nothing that can be told apart.
+        origin = origins.pop() if len(origins) == 1 else None
+        return origin if origin and origin.service in services else None
+
+    async def _infer(self, services, answers):
+        """Return the origins that are possible, none if that is unknown."""
+        if len(services) > 1 or not (answers or self._is_fresh()):
             # Others may use a version that this entry has not heard of.
-            return None
-        seen = self._get_seen(stream_id.service)
+            return set()
+        seen = self._get_seen(services[0])
         if not (seen.is_complete or any(a.is_complete for a in answers)):
             await self._learn_past()
-            seen = self._get_seen(stream_id.service)
-        answers.append(seen)
-        versions = {v for answer in answers for v in answer.versions}
-        is_complete = any(answer.is_complete for answer in answers)
-        return versions.pop() if is_complete and len(versions) == 1 else None
+            seen = self._get_seen(services[0])
+        answers = [*answers, seen]
+        if not any(answer.is_complete for answer in answers):
+            return set()
+        return {
+            Origin(services[0], version)
+            for answer in answers
+            for version in answer.versions
+        }
 
     async def _learn_past(self):
         """Read what served before this entry started, not again too soon."""
@@ -196,13 +216,11 @@
         age_s = trio.current_time() - self._directory.versions.recorded_s
         return age_s <= FRESH_MAX_S
 
-    async def _ask(self, stream_id):
+    async def _ask(self, stream_id, services):
         """Return the answers of peers; one with a record is enough."""
         answers = []
         key = stream_id.key
-        message = messages.FindStream(
-            stream_id.organisation, key, stream_id.service
-        )
+        message = messages.FindStream(stream_id.organisation, key, services[0])
 
         async def ask(address):
             reply = await self._request(address, message)
@@ -231,9 +249,11 @@
 
     def _answer(self, message):
         record = self._records.find(message.organisation, message.key)
-        if record is not None and record.service == message.service:
-            return messages.StreamVersion(recorded=record.version)
-        return self._get_seen(message.service)
+        if record is None:
+            return self._get_seen(message.service)
+        return messages.StreamVersion(
+            recorded=record.version, service=record.service
+        )
 
 
 def new_streams(members, links, directory, get_catalog, read_past, nursery):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,7 +10,6 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
@@ -20,6 +19,7 @@
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import request_log
 from greengagetrack.request.direct import server_selector
+from greengagetrack.request.direct import stream_binding
 from greengagetrack.request import outcome as outcome_module
 
 SENDS_OVER_ATTEMPTS_MAX = 1
@@ -56,6 +56,7 @@
         "_answer_end",
         "_answering",
         "_attempts",
+        "_binding",
         "_graph",
         "_input_bytes",
         "_inputs",
@@ -84,6 +85,9 @@
         self._selector = server_selector.new_server_selector(
             services.chooser, services.permits, admitted
         )
+        self._binding = stream_binding.new_stream_binding(
+            services, admitted, self._selector
+        )
         self._sends = 0
         self._attempts = 0
         self._may_have_run = False
@@ -138,7 +142,7 @@
         self._services.budgets.get(
             self._selector.service
         ).count_first_attempt()
-        refused = await self._bind_take_up()
+        refused = await self._binding.bind_take_up()
         if refused is not None:
             return refused
         while True:
@@ -156,51 +160,8 @@
             if not self._may_retry():
                 return self._combine_outcome(self._new_refusal())
 
-    async def _bind_take_up(self):
-        """Bind a stream that is taken up to the version that began it.
-
-        Return `Refused` if it is unknown or no longer in service. No time
-        is named then: what has begun is lost.
-        """
-        if not self._admitted.is_take_up:
-            return None
-        version = await self._services.streams.find_version(
-            self._get_stream_id()
-        )
-        if version is None:
-            return outcome_module.Refused(
-                _Reason.STREAM_VERSION_UNKNOWN, retry_after_ms=None
-            )
-        self._selector.bind(version)
-        return self._check_version()
-
-    def _check_version(self):
-        """Return `Refused` if no server can go on with the stream."""
-        if self._selector.has_servers():
-            return None
-        return outcome_module.Refused(
-            _Reason.STREAM_VERSION_GONE,
-            f"version {self._selector.software_version}",
-            retry_after_ms=None,
-        )
-
-    def _get_stream_id(self):
-        request = self._admitted.request
-        return streams_module.StreamId(
-            self._admitted.organisation_name,
-            request.resumed_id or request.request_id,
-            self._selector.service,
-        )
-
     def _begin_stream(self):
-        """Bind the stream to the version of the server that answers."""
-        server = self._answering.server
-        # If it was started again meanwhile, only the new one can answer.
-        current = self._services.directory.server_by_id.get(server.server_id)
-        version = (current or server).published.software_version
-        if self._selector.software_version is None:
-            self._services.streams.begin(self._get_stream_id(), version)
-        self._selector.bind(version)
+        self._binding.begin(self._answering.server)
 
     @property
     def _is_resumed(self):
@@ -280,7 +241,7 @@
             self._input_bytes, self._is_resumed
         )
         if choice is None:
-            return self._check_version() or self._new_refusal()
+            return self._binding.check() or self._new_refusal()
         server = choice.server
         self._services.metrics.count_choice(self._selector.service)
         request_log.log_choice(
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -36,9 +36,10 @@
         # Once a stream has begun, it may go on at this version only.
         self.software_version = None
 
-    def bind(self, software_version):
-        """Choose servers of one software version from now on."""
-        self.software_version = software_version
+    def bind(self, origin):
+        """Choose servers like the one of a stream's `Origin` from now on."""
+        self.service = origin.service
+        self.software_version = origin.version
 
     def has_servers(self):
         """Return whether there may be a server of the bound version."""
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -185,8 +185,9 @@
     )
     if versions:
         version = versions[choice % len(versions)]
-        stream_id = streams_module.StreamId("org", b"%d" % len(begun), SERVICE)
-        entry.streams.begin(stream_id, version)
+        stream_id = streams_module.StreamId("org", b"%d" % len(begun))
+        origin = streams_module.Origin(SERVICE, version)
+        entry.streams.begin(stream_id, origin, [SERVICE])
         begun.append((stream_id, version, trio.current_time()))
 
 
@@ -197,10 +198,15 @@
     if live:
         stream_id, version, _begun_s = live[choice % len(live)]
         entry = fleet.entry_by_address[f"entry-{index}"]
-        found = await entry.streams.find_version(stream_id)
+        found = await _find_version(entry, stream_id)
         assert found in (version, None)
 
 
+async def _find_version(entry, stream_id):
+    origin = await entry.streams.find_origin(stream_id, [SERVICE])
+    return origin and origin.version
+
+
 TestStreams = StreamMachine.TestCase
 TestStreams.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=25, deadline=None
@@ -221,7 +227,7 @@
             for index in range(ENTRIES):
                 for stream_id, version, _begun_s in begun:
                     entry = fleet.entry_by_address[f"entry-{index}"]
-                    found = await entry.streams.find_version(stream_id)
+                    found = await _find_version(entry, stream_id)
                     assert found == version
             nursery.cancel_scope.cancel()
 
@@ -237,8 +243,8 @@
             await _play(fleet, [], "wait", LIFE_S + 2.0)
             fleet.start(1)
             entry = fleet.entry_by_address["entry-1"]
-            stream_id = streams_module.StreamId("org", b"", SERVICE)
-            assert await entry.streams.find_version(stream_id) == "v1"
+            stream_id = streams_module.StreamId("org", b"")
+            assert await _find_version(entry, stream_id) == "v1"
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -253,7 +259,31 @@
             for index in range(ENTRIES):
                 fleet.start(index)
             entry = fleet.entry_by_address["entry-2"]
-            assert await entry.streams.find_version(begun[0][0]) is None
+            assert await _find_version(entry, begun[0][0]) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            await _poll_all(fleet)
+            stream_id = streams_module.StreamId("org", b"1")
+            origin = streams_module.Origin("other", "v1")
+            services = [SERVICE, "other"]
+            first = fleet.entry_by_address["entry-0"]
+            first.streams.begin(stream_id, origin, services)
+            await trio.sleep(0.01)
+            fleet.start(0)
+            for entry in fleet.entry_by_address.values():
+                found = await entry.streams.find_origin(stream_id, services)
+                assert found == origin
+                # The route has moved away from that service.
+                assert not await entry.streams.find_origin(
+                    stream_id, [SERVICE]
+                )
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
