--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -31,7 +31,6 @@
 TAKE_UPS_MIN = 12
 JOINED_MAX = 2
 SHARE_FACTOR = 0.5
-RESUMES = b"Resumes"
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -68,14 +67,16 @@
 class StreamRecord(msgspec.Struct):
     """One stream over all tries of its caller.
 
-    `events` are the ids and versions of its events. `resumes_s` is when it
-    was first taken up and `has_gone_on` whether that brought an event.
+    `events` are the ids and versions of its events. `is_stable` says that
+    it was sent, and `is_taken_up` that it was first taken up, while all
+    entries had run for a while; the latter only counts while servers of its
+    version are in service. `has_gone_on` says that a take-up brought events.
     """
 
-    sent_s: float
+    is_stable: bool
     first_id: bytes = b""
     events: list[tuple[int, str]] = []
-    taken_up_s: float | None = None
+    is_taken_up: bool | None = None
     has_gone_on: bool = False
 
     @property
@@ -168,8 +169,8 @@
                 await trio.sleep_until(started_s + step.at_s)
                 await self._apply(step)
         records = self._records
-        stable = [record for record in records if record.sent_s]
-        taken_up = [record for record in records if record.taken_up_s]
+        stable = [record for record in records if record.is_stable]
+        taken_up = [record for record in records if record.is_taken_up]
         return VersionResult(
             seed=seed,
             fault=fault,
@@ -209,15 +210,15 @@
 
     async def _send_stream(self):
         """Send one stream, and take it up again while it is incomplete."""
-        now = trio.current_time() if self._is_stable() else 0.0
-        record = StreamRecord(now)
+        record = StreamRecord(self._is_stable())
         self._records.append(record)
         for number in range(TRIES_MAX):
             if number:
                 await trio.sleep(self._generator.uniform(*RETURN_S))
-            if record.events and record.taken_up_s is None:
-                is_counted = self._is_stable() and self._is_served(record)
-                record.taken_up_s = trio.current_time() * is_counted
+            if record.events and record.is_taken_up is None:
+                record.is_taken_up = self._is_stable() and self._is_served(
+                    record
+                )
             count = len(record.events)
             await self._try_once(record, is_lost=number == 0)
             record.has_gone_on |= 0 < count < len(record.events)
@@ -225,16 +226,8 @@
                 return
 
     def _is_served(self, record):
-        """Return whether engines of the version of a stream still serve."""
+        """Return whether servers of the version of a stream are published."""
         version = record.events[0][1]
-        ended = {
-            step.version
-            for step in self._steps
-            if step.action == "end" and not self._is_published(step.version)
-        }
-        return version not in ended
-
-    def _is_published(self, version):
         return any(
             self._site.store.has(names.SERVERS_PREFIX + engine.engine_id)
             for engine in self._site.engine_by_id.values()
@@ -249,7 +242,7 @@
         if record.events:
             last_number = record.events[-1][0]
             head.headers.append((names.LAST_EVENT_ID, b"%d" % last_number))
-            head.headers.append((RESUMES, record.first_id))
+            head.headers.append((names.RESUMES, record.first_id))
         events_max = EVENT_COUNT
         if is_lost and self._generator.random() < LOST_SHARE:
             events_max = self._generator.randrange(1, EVENT_COUNT)
