Tell why callers' connections end, and which lose a request

Nothing told an entry that ends by itself from a connection that ends by an error of its own, from one that the entry chose to close, and from an answer that was given up. Each end of a caller's connection has a reason now, counted; one with a request that may have been sent to a server and that got no whole answer is logged with its id. An entry that ends by an error logs that with its trace.

No logic of requests changes. The exchange moved to a module of its own.

--- a/greengagetrack/command/node.py
+++ b/greengagetrack/command/node.py
@@ -1,6 +1,7 @@
 """The daemon on a node of the users' platform: an entry in direct mode."""
 
 import gc
+import logging
 import os
 import sys
 
@@ -16,6 +17,8 @@
 METRICS_PORT = 9464
 GC_THRESHOLD = 20000
 
+_log = logging.getLogger(__name__)
+
 
 def run_node(path):
     """Run the entry that the node file at `path` describes."""
@@ -28,7 +31,13 @@
     logs.set_up_bounded(adapter.get_settings().name, "INFO")
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    return trio.run(
-        stop_module.run_until_stopped,
-        lambda stop: daemon.run(adapter, peer_keys, stop),
-    )
+    try:
+        return trio.run(
+            stop_module.run_until_stopped,
+            lambda stop: daemon.run(adapter, peer_keys, stop),
+        )
+    except Exception:
+        _log.critical(
+            "ended by an error", exc_info=True, extra={"decision": "stop"}
+        )
+        raise
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -14,6 +14,8 @@
 import h11
 import trio
 
+from greengagetrack.connection.http import closing
+from greengagetrack.connection.http import exchange as exchange_module
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing as framing_module
 
@@ -27,83 +29,11 @@
 _LINGER_OFF = struct.pack("ii", 0, 0)
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _Framing = framing_module.Framing
+_CloseReason = closing.CloseReason
 
 _log = logging.getLogger(__name__)
 
 
-class Exchange:
-    """A request of a caller, with the methods that send its response.
-
-    A response is sent either by `answer` alone, or by `start`, any number
-    of calls of `send`, and `finish`. With `Framing.CONNECTION` its end is
-    that of the connection, which is reset if the response isn't finished.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_is_closing",
-        "body",
-        "headers",
-        "is_finished",
-        "is_started",
-        "method",
-        "received_s",
-        "target",
-    )
-
-    def __init__(self, connection, request, body):
-        self._connection = connection
-        self._is_closing = False
-        self.method = bytes(request.method)
-        self.target = bytes(request.target)
-        self.headers = list(request.headers.raw_items())
-        self.body = body
-        self.received_s = trio.current_time()
-        self.is_started = False
-        self.is_finished = False
-
-    async def answer(self, status, headers, body=b"", framing=_Framing.LENGTH):
-        """Send a complete response."""
-        if framing is _Framing.CONNECTION:
-            await self.start(status, headers, framing)
-            await self.send(body)
-            await self.finish()
-            return
-        length = [(b"Content-Length", b"%d" % len(body))]
-        data = self._encode_head(status, list(headers) + length)
-        protocol = self._connection.protocol
-        if body and self.method != b"HEAD":
-            data += protocol.send(h11.Data(data=body))
-        self.is_started = True
-        await self._connection.send(data + protocol.send(h11.EndOfMessage()))
-        self.is_finished = True
-
-    async def start(self, status, headers, framing=_Framing.CHUNKS):
-        """Send the head of a response of unknown length."""
-        # Without Content-Length, h11 uses chunked transfer encoding.
-        self.is_started = True
-        self._connection.begin_body(framing)
-        await self._connection.send(self._encode_head(status, headers))
-
-    async def send(self, data):
-        """Send a part of the body."""
-        event = h11.Data(data=data)
-        await self._connection.send(self._connection.protocol.send(event))
-
-    async def finish(self):
-        """Send the end of the body, which completes the response."""
-        event = h11.EndOfMessage()
-        await self._connection.send(self._connection.protocol.send(event))
-        await self._connection.end_body()
-        self.is_finished = True
-
-    def _encode_head(self, status, headers):
-        if self._connection.is_draining():
-            headers = list(headers) + [(b"Connection", b"close")]
-        response = h11.Response(status_code=status, headers=headers)
-        return self._connection.protocol.send(response)
-
-
 # Raised by a send if the caller disconnected or reads nothing.
 _DISCONNECT_ERRORS = (
     trio.BrokenResourceError,
@@ -127,6 +57,8 @@
     """A connection of a caller, which serves its requests in order."""
 
     __slots__ = (
+        "_exchange",
+        "_has_caller_left",
         "_is_body_ended_by_close",
         "_server",
         "_stream",
@@ -137,6 +69,8 @@
     def __init__(self, server, stream):
         self._server = server
         self._stream = stream
+        self._exchange = None
+        self._has_caller_left = False
         self._is_body_ended_by_close = False
         self.protocol = self._new_protocol()
         self.request_count = 0
@@ -193,50 +127,89 @@
 
     async def serve(self):
         """Serve requests until the connection closes."""
+        # What holds if this task is cancelled.
+        reason = _CloseReason.STOPPED
+        try:
+            reason = await self._serve_requests()
+        except Exception:
+            reason = _CloseReason.ERROR
+            raise
+        finally:
+            self._server.observer.record_close(self._describe_end(reason))
+
+    def _describe_end(self, reason):
+        exchange = self._exchange
+        if exchange is None:
+            return closing.ClosedConnection(reason)
+        return closing.ClosedConnection(
+            reason,
+            exchange.request_id,
+            exchange.is_passed_on,
+            exchange.is_finished,
+        )
+
+    async def _serve_requests(self):
+        """Serve requests in order; return why no other one is read."""
         try:
-            while await self._serve_next():
+            while True:
+                reason = await self._serve_next()
+                if reason is not None:
+                    return reason
                 self.protocol.start_next_cycle()
         except _RequestError as error:
-            await self._send_error_response(error.status)
+            await self._reject(error.status)
+            return _CloseReason.REQUEST_INVALID
         except _DISCONNECT_ERRORS:
-            # The caller disconnected, and its handler was cancelled.
-            pass
+            return _CloseReason.CALLER_LEFT
 
     async def _serve_next(self):
-        """Serve one request; return whether the connection is reusable."""
+        """Serve one request; return None if the connection is reusable."""
+        self._exchange = None
         request = await self._read_head()
-        if request is None:
-            return False
+        if isinstance(request, _CloseReason):
+            return request
         body = await self._read_body()
-        exchange = Exchange(self, request, body)
+        exchange = exchange_module.Exchange(self, request, body)
+        self._exchange = exchange
         self.request_count += 1
         self._server.in_progress += 1
         try:
-            await self._run_handler(exchange)
+            reason = await self._run_handler(exchange)
         finally:
             self._server.in_progress -= 1
         if not exchange.is_finished:
-            return False
+            return reason
+        return await self._find_reason_to_close()
+
+    async def _find_reason_to_close(self):
+        """Return why the connection ends after a whole answer, or None."""
         if self._is_body_ended_by_close:
             await self._wait_for_close()
-            return False
-        if self.protocol.our_state is not h11.DONE:
-            return False
-        return self.protocol.their_state is h11.DONE
+            return _CloseReason.NOT_KEPT
+        protocol = self.protocol
+        if protocol.our_state is protocol.their_state is h11.DONE:
+            return None
+        if self.is_draining():
+            return _CloseReason.DRAINING
+        return _CloseReason.NOT_KEPT
 
     async def _run_handler(self, exchange):
+        """Run the handler; return why an unfinished answer ends."""
+        reason = _CloseReason.ANSWER_UNFINISHED
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._cancel_on_disconnect, nursery.cancel_scope
             )
+            # Caught inside the nursery, which would wrap it in an exception
+            # group. The unfinished response then closes the connection.
             try:
                 await self._server.handle(exchange)
-            except* _DISCONNECT_ERRORS:
-                # Caught inside the nursery, which would wrap it in an
-                # exception group. The unfinished response then closes the
-                # connection.
-                pass
+            except* trio.TooSlowError:
+                reason = _CloseReason.CALLER_SLOW
+            except* (trio.BrokenResourceError, trio.ClosedResourceError):
+                reason = _CloseReason.CALLER_LEFT
             nursery.cancel_scope.cancel()
+        return _CloseReason.CALLER_LEFT if self._has_caller_left else reason
 
     async def _cancel_on_disconnect(self, scope):
         """Cancel the handler when the caller disconnects."""
@@ -247,6 +220,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
+                self._has_caller_left = True
                 scope.cancel()
                 return
             # Pipelined requests are buffered until this one is answered.
@@ -254,22 +228,23 @@
             self.protocol.receive_data(data)
 
     async def _read_head(self):
-        """Return the head of the next request, or None if there is none."""
+        """Return the head of the next request, or why there is none."""
         event = self._next_event()
         if event is h11.NEED_DATA and not self._has_buffered_data():
-            if not await self._wait_for_request():
-                return None
+            reason = await self._wait_for_request()
+            if reason is not None:
+                return reason
             event = self._next_event()
         limits = self._server.get_limits()
         with trio.move_on_after(limits.header_timeout_s):
             while event is h11.NEED_DATA:
                 if not await self._receive_data():
-                    return None
+                    return _CloseReason.CALLER_CLOSED
                 event = self._next_event()
         if event is h11.NEED_DATA:
             raise _RequestError(408)
         if not isinstance(event, h11.Request):
-            return None
+            return _CloseReason.CALLER_CLOSED
         self._check_head(event, limits)
         return event
 
@@ -277,7 +252,7 @@
         return bool(self.protocol.trailing_data[0])
 
     async def _wait_for_request(self):
-        """Wait for data; return whether any came before the idle timeout.
+        """Wait for data; return why none will be read, or None.
 
         The timeout is read repeatedly, since a new catalog may change it.
         """
@@ -285,10 +260,14 @@
         while True:
             timeout_s = self._server.get_limits().idle_timeout_s + IDLE_SLACK_S
             remaining_s = start_s + timeout_s - trio.current_time()
-            if remaining_s <= 0 or self._server.is_closing:
-                return False
+            if self._server.is_closing:
+                return _CloseReason.DRAINING
+            if remaining_s <= 0:
+                return _CloseReason.IDLE
             with trio.move_on_after(min(remaining_s, IDLE_SLACK_S)):
-                return await self._receive_data()
+                if await self._receive_data():
+                    return None
+                return _CloseReason.CALLER_CLOSED
 
     async def _receive_data(self):
         data = await self._stream.receive_some(RECEIVE_BYTES)
@@ -343,12 +322,15 @@
                     "caller disconnected within the request body"
                 )
 
-    async def _send_error_response(self, status):
-        """Send an error response and EOF, unless a response was begun."""
+    async def _reject(self, status):
         _log.info(
             "request rejected by the HTTP server",
             extra={"decision": "refuse", "status": status},
         )
+        await self._send_error_response(status)
+
+    async def _send_error_response(self, status):
+        """Send an error response and EOF, unless a response was begun."""
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         response = h11.Response(
@@ -376,11 +358,13 @@
         "in_progress",
         "is_closing",
         "is_draining",
+        "observer",
     )
 
-    def __init__(self, address, handle, get_limits):
+    def __init__(self, address, handle, get_limits, observer):
         self._address = address
         self.handle = handle
+        self.observer = observer
         self.get_limits = get_limits
         self.in_progress = 0
         self.is_draining = False
@@ -404,9 +388,12 @@
             stream.socket.close()
 
 
-def new_server(address, handle, get_limits):
+def new_server(address, handle, get_limits, observer=None):
     """Return a server that awaits `handle` for each `Exchange`.
 
-    `get_limits()` returns the `catalog.CallerLimits` in force.
+    `get_limits()` returns the `catalog.CallerLimits` in force. `observer` is
+    the `ConnectionObserver`; without one, losses are only logged.
     """
-    return Server(address, handle, get_limits)
+    return Server(
+        address, handle, get_limits, observer or closing.LoggingObserver()
+    )
--- a/greengagetrack/platform/callers.py
+++ b/greengagetrack/platform/callers.py
@@ -30,6 +30,10 @@
         """Whether part of the response was sent."""
         return self._exchange.is_started
 
+    def record_passed_on(self):
+        """Record that the request may be sent to a server from now on."""
+        self._exchange.is_passed_on = True
+
     async def send_whole(self, status, headers, body, framing):
         """Send a complete response."""
         await self._exchange.answer(status, headers, body, framing)
@@ -50,6 +54,7 @@
 async def serve_exchange(entry, exchange):
     """Serve one HTTP exchange of a caller with `entry`."""
     request = read_request(exchange)
+    exchange.request_id = request.log_id
     outcome = await entry.serve(request, HttpReply(exchange))
     if exchange.is_started:
         return
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -114,6 +114,7 @@
         adapter.get_caller_address(),
         lambda exchange: adapter.serve_exchange(entry, exchange),
         entry.get_limits,
+        entry.metrics,
     )
     readiness_server = server_module.new_server(
         adapter.get_readiness_address(),
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -2,6 +2,7 @@
 
 import aioprometheus
 
+from greengagetrack.connection.http import closing
 from greengagetrack.process import metrics as metrics_module
 from greengagetrack.request.direct import outcome as direct_outcome
 
@@ -10,11 +11,12 @@
 ROUTES_MAX = 64
 
 
-class DirectMetrics:
+class DirectMetrics(closing.LoggingObserver):
     """The metrics of one entry, in a registry of their own."""
 
     __slots__ = (
         "_choices",
+        "_closed_connections",
         "_late",
         "_latency",
         "_loop_lag",
@@ -39,6 +41,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._closed_connections = aioprometheus.Counter(
+            "greengagetrack_closed_connections_total",
+            "Closed connections of callers by reason, and lost requests.",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._late = aioprometheus.Counter(
             "greengagetrack_late_answers_total",
             "Late answers by route and what made them late.",
@@ -64,6 +72,12 @@
         """Count one choice of a backend server."""
         self._choices.inc({"service": service})
 
+    def record_close(self, closed):
+        """Count a connection of a caller that ended, and log a loss."""
+        super().record_close(closed)
+        lost = "yes" if closed.has_lost_request else "no"
+        self._closed_connections.inc({"reason": closed.reason, "lost": lost})
+
     def record_outcome(self, route, outcome, spent_ms, late):
         """Record the outcome and the latency of an admitted request.
 
--- a/greengagetrack/request/direct/reply.py
+++ b/greengagetrack/request/direct/reply.py
@@ -13,6 +13,10 @@
 
     is_started = False
 
+    @abc.abstractmethod
+    def record_passed_on(self):
+        """Record that the request may be sent to a server from now on."""
+
     @abc.abstractmethod
     async def send_whole(self, status, headers, body, framing):
         """Send a complete answer."""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -273,6 +273,7 @@
         # await below. Reset if the server provably did not run the request.
         may_have_run_before = self._may_have_run
         self._may_have_run = True
+        self._reply.record_passed_on()
         with trio.move_on_after(timeout_s) as scope:
             answer = await self._services.gateway.open_answer(
                 server.published, self._new_server_request()
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -189,6 +189,10 @@
         self.is_whole = False
         self.status = None
         self.body = b""
+        self.is_passed_on = False
+
+    def record_passed_on(self):
+        self.is_passed_on = True
 
     async def send_whole(self, status, headers, body, framing):
         self.is_started = self.is_whole = True
