Let what others write end its own exchange, not the entry

What callers saw: requests on kept connections had run at sound servers, and the connections closed without an answer, whenever one other answer, or one other caller, sent bytes that nobody had foreseen.

Cause: bytes from outside raised (int and float for digits, h11 for what can't stand in a head) in a task whose failure ends the process.

Fix, by the three fences. Where a value is decoded it is checked once: ids of events and handles of results are bounded text that fits a head, an odd one is a broken answer of that server; numbers of callers are ASCII digits with a bound; a caller can't name Host or the fields of the platform in Connection; X-Pieces that can't be read gets 400. The writer of heads returns a failure for its call. An error that is still unforeseen ends its exchange with 502, is logged with its trace and counted; a test fails if one is contained that it doesn't expect.

--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -14,6 +14,7 @@
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing
+from greengagetrack.connection.http import numbers
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.platform import names
 from greengagetrack.version import catalog
@@ -191,7 +192,13 @@
             body = exchange.method + b" " + exchange.target
             await exchange.answer(200, response_headers, body)
             return
-        after = fields.get_value(headers, names.LAST_EVENT_ID.lower(), b"0")
+        after = numbers.read_count(
+            fields.get_value(headers, names.LAST_EVENT_ID.lower(), b"0"),
+            self.event_count,
+        )
+        if after is None:
+            await exchange.answer(400, response_headers)
+            return
         response_headers.append((b"Content-Type", names.EVENT_STREAM))
         is_breaking = self.is_breaking
         await exchange.start(
@@ -200,7 +207,7 @@
             Framing.CONNECTION if is_breaking else Framing.CHUNKS,
         )
         last = self.event_count
-        for number in range(int(after) + 1, last + 1):
+        for number in range(after + 1, last + 1):
             await trio.sleep(self.event_interval_s)
             event = new_event(number, request_id, self.version)
             is_cut = is_breaking and number == last
--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -47,6 +47,12 @@
     is_refused: bool = False
 
 
+class InvalidRequest(msgspec.Struct, frozen=True):
+    """A request that can't be written; no byte of it was sent."""
+
+    detail: str = ""
+
+
 class ResponseFailure(msgspec.Struct, frozen=True):
     """A request that may have been sent without a valid response.
 
@@ -142,7 +148,10 @@
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
         self._body = body
-        data = self._encode_request()
+        try:
+            data = self._encode_request()
+        except h11.LocalProtocolError as error:
+            return InvalidRequest(str(error))
         self._connection.request_count += 1
         if len(data) <= INLINE_SEND_MAX_BYTES:
             return await self._send_all(data)
@@ -357,8 +366,9 @@
     async def open_call(
         self, address, request, body, needs_fresh_connection=False
     ):
-        """Send a request; return a `Call`, `NotSent` or `ResponseFailure`.
+        """Send a request; return a `Call` or a failure.
 
+        The failure is `NotSent`, `InvalidRequest` or `ResponseFailure`.
         `needs_fresh_connection` limits the choice to a new connection or
         one idle for at most `FRESH_IDLE_MAX_S`, which the server is
         unlikely to be closing.
--- a/greengagetrack/connection/http/closing.py
+++ b/greengagetrack/connection/http/closing.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from greengagetrack.connection import contained_error
+
 _log = logging.getLogger(__name__)
 
 
@@ -47,8 +49,8 @@
         return self.is_passed_on and not self.is_answered
 
 
-class ConnectionObserver(abc.ABC):
-    """Is told how the connections of callers end."""
+class ConnectionObserver(contained_error.ErrorObserver):
+    """Is told how the connections of callers end, and of errors in them."""
 
     @abc.abstractmethod
     def record_close(self, closed):
@@ -60,6 +62,9 @@
 
     __slots__ = ()
 
+    def count_contained_error(self, boundary):
+        """Count nothing; the error was logged."""
+
     def record_close(self, closed):
         """Log a connection if a request lost its answer with it."""
         if not closed.has_lost_request:
--- a/greengagetrack/connection/http/events.py
+++ b/greengagetrack/connection/http/events.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from greengagetrack.connection.http import fields
 
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 # Two line ends in sequence, of the same kind or not.
@@ -11,13 +12,19 @@
 
 # A longer event is taken for bytes that are no stream.
 EVENT_MAX_BYTES = 1024 * 1024
+EVENT_ID_MAX_BYTES = 256
 
 
 class Event(msgspec.Struct, frozen=True):
-    """The raw bytes of one event with its terminator, and its id."""
+    """The raw bytes of one event with its terminator, and its id.
+
+    An id is an opaque value that fits into a field of a head. `has_odd_id`
+    says that the event names another one.
+    """
 
     data: bytes
     event_id: bytes | None = None
+    has_odd_id: bool = False
 
 
 class EventSplitter:
@@ -40,7 +47,7 @@
                 return events
             event = self._rest[: end.end()]
             self._rest = self._rest[end.end() :]
-            events.append(Event(event, _read_id(event)))
+            events.append(_new_event(event))
 
     def is_too_long(self):
         """Return whether the incomplete event exceeds the size limit."""
@@ -55,8 +62,9 @@
         return self._rest
 
 
-def _read_id(data):
+def _new_event(data):
     for line in _LINE_END.split(data):
         if line[:3].lower() == b"id:":
-            return line[3:].strip()
-    return None
+            event_id = fields.read_value(line[3:].strip(), EVENT_ID_MAX_BYTES)
+            return Event(data, event_id, has_odd_id=event_id is None)
+    return Event(data)
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from greengagetrack.connection import contained_error
 from greengagetrack.connection.http import closing
 from greengagetrack.connection.http import exchange as exchange_module
 from greengagetrack.connection.http import fields
@@ -133,7 +134,7 @@
             reason = await self._serve_requests()
         except Exception:
             reason = _CloseReason.ERROR
-            raise
+            contained_error.record(self._server.observer, "connection")
         finally:
             self._server.observer.record_close(self._describe_end(reason))
 
@@ -177,7 +178,7 @@
             reason = await self._run_handler(exchange)
         finally:
             self._server.in_progress -= 1
-        if not exchange.is_finished:
+        if reason is not None:
             return reason
         return await self._find_reason_to_close()
 
@@ -194,8 +195,8 @@
         return _CloseReason.NOT_KEPT
 
     async def _run_handler(self, exchange):
-        """Run the handler; return why an unfinished answer ends."""
-        reason = _CloseReason.ANSWER_UNFINISHED
+        """Run the handler; return why its answer isn't whole, or None."""
+        reason = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._cancel_on_disconnect, nursery.cancel_scope
@@ -208,8 +209,24 @@
                 reason = _CloseReason.CALLER_SLOW
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
                 reason = _CloseReason.CALLER_LEFT
+            except* Exception:
+                reason = _CloseReason.ERROR
+                self._record_error(exchange)
             nursery.cancel_scope.cancel()
-        return _CloseReason.CALLER_LEFT if self._has_caller_left else reason
+        if self._has_caller_left:
+            return _CloseReason.CALLER_LEFT
+        if reason is None and not exchange.is_finished:
+            return _CloseReason.ANSWER_UNFINISHED
+        if reason is _CloseReason.ERROR and not exchange.is_started:
+            # The request may have run; this status promises nothing.
+            await self._send_error_response(502)
+            exchange.is_finished = True
+        return reason
+
+    def _record_error(self, exchange):
+        contained_error.record(
+            self._server.observer, "exchange", request=exchange.request_id
+        )
 
     async def _cancel_on_disconnect(self, scope):
         """Cancel the handler when the caller disconnects."""
--- a/greengagetrack/platform/callers.py
+++ b/greengagetrack/platform/callers.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface: requests, responses and statuses."""
 
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import names
 from greengagetrack.request.direct import reply as reply_module
 from greengagetrack.request.direct import request as request_module
@@ -8,6 +9,11 @@
 
 RETRY_AFTER = b"Retry-After"
 
+# Beyond these, values in the head of a request are not read.
+DEADLINE_MAX_MS = 86_400_000
+TOKENS_MAX = 1_000_000_000
+PIECES_MAX = 4096
+
 _Reason = outcome_module.Reason
 
 _STATUS_BY_REASON = {
@@ -84,13 +90,15 @@
     headers = exchange.headers
     host = _get_text(headers, b"host").partition(":")[0].lower()
     parts = _read_parts(_get_text(headers, names.PROMPT_PREFIX.lower()))
-    tokens = _read_numbers(_get_text(headers, names.TOKEN_COUNTS.lower()))
+    tokens = _read_counts(headers, names.TOKEN_COUNTS, TOKENS_MAX) or ()
     return request_module.DirectRequest(
         request_id=fields.get_value(headers, names.REQUEST_ID.lower(), b""),
         method=exchange.method,
         target=exchange.target,
         host=host,
-        headers=fields.keep_end_to_end(headers, names.NOT_FORWARDED),
+        headers=fields.keep_end_to_end(
+            headers, names.NOT_FORWARDED, names.ALWAYS_FORWARDED
+        ),
         body=exchange.body,
         received_s=exchange.received_s,
         deadline_ms=_read_deadline(headers),
@@ -98,7 +106,7 @@
         parts=parts,
         prompt_tokens=tokens[0] if tokens else 0,
         output_tokens=tokens[1] if len(tokens) > 1 else 0,
-        piece_counts=_read_numbers(_get_text(headers, names.PIECES.lower())),
+        piece_counts=_read_counts(headers, names.PIECES, PIECES_MAX),
         piece_key=_get_text(headers, names.PIECE_KEY.lower()),
         resume_after=fields.get_value(headers, names.LAST_EVENT_ID.lower()),
         resumed_id=fields.get_value(headers, names.RESUMES.lower(), b""),
@@ -111,21 +119,27 @@
 
 def _read_deadline(headers):
     text = _get_text(headers, names.DEADLINE_MS.lower())
-    return float(text) if text.isdigit() else None
+    deadline_ms = numbers.read_count(text, DEADLINE_MAX_MS)
+    return None if deadline_ms is None else float(deadline_ms)
 
 
-def _read_numbers(text):
-    words = [word.strip() for word in text.split(",")]
-    if not all(word.isdigit() for word in words):
+def _read_counts(headers, name, maximum):
+    """Return the numbers of a list, or None if one can't be read."""
+    text = _get_text(headers, name.lower())
+    if not text:
         return ()
-    return tuple(int(word) for word in words)
+    counts = [
+        numbers.read_count(word.strip(), maximum) for word in text.split(",")
+    ]
+    return None if None in counts else tuple(counts)
 
 
 def _read_parts(text):
     parts = []
     for word in text.split(","):
-        part_id, separator, tokens = word.strip().partition(":")
-        if not (separator and tokens.isdigit()):
+        part_id, _separator, tokens_text = word.strip().partition(":")
+        tokens = numbers.read_count(tokens_text, TOKENS_MAX)
+        if tokens is None:
             return ()
-        parts.append((part_id, int(tokens)))
+        parts.append((part_id, tokens))
     return tuple(parts)
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -1,6 +1,7 @@
 """The gateway to the platform's engines, over HTTP."""
 
 import math
+import re
 
 import msgspec
 import trio
@@ -16,6 +17,8 @@
 # A server that asks for a longer pause is asked again after this.
 PAUSE_MAX_S = 60.0
 INPUT_GONE_STATUS = 409
+# Handles go into a list in a field of a head.
+_HANDLE = re.compile(r"[!-+\--~]{1,256}", re.ASCII)
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
@@ -74,7 +77,9 @@
         self._call = call
         self.status = head.status
         self.framing = head.framing
-        self.headers = fields.keep_end_to_end(head.headers)
+        self.headers = fields.keep_end_to_end(
+            head.headers, kept=names.ALWAYS_RETURNED
+        )
         self.is_not_run = _is_not_run(head)
         self.is_other_server = head.status == MISDIRECTED_STATUS
         self.is_input_gone = head.status == INPUT_GONE_STATUS
@@ -107,6 +112,8 @@
             failure.detail,
             is_connection_failure=True,
         )
+    if isinstance(failure, client.InvalidRequest):
+        return gateway.Failure(_Reason.BODY_INVALID, _Ran.NO, failure.detail)
     return gateway.Failure(
         _Reason.BACKEND_FAILED,
         _Ran.UNKNOWN,
@@ -293,11 +300,16 @@
         return gateway.Failure(
             _Reason.BACKEND_FAILED, _Ran.UNKNOWN, "unexpected number of pieces"
         )
-    return [
-        item.handle
-        or _FAILURE_BY_REASON.get(item.reason, gateway.PieceFailure.ERROR)
-        for item in items
-    ]
+    return [_read_made(item) for item in items]
+
+
+def _read_made(item):
+    """Return the handle of a piece, or why it was not made."""
+    if not item.handle:
+        return _FAILURE_BY_REASON.get(item.reason, gateway.PieceFailure.ERROR)
+    if _HANDLE.fullmatch(item.handle):
+        return item.handle
+    return gateway.PieceFailure.ERROR
 
 
 def _new_headers(server, request):
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -39,6 +39,23 @@
     )
 )
 
+# What servers run and what callers get must not depend on fields that a
+# sender names in Connection.
+ALWAYS_FORWARDED = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        PROMPT_PREFIX,
+        TOKEN_COUNTS,
+        LAST_EVENT_ID,
+        RESUMES,
+        PIECES,
+        PIECE_KEY,
+        b"X-Model",
+    )
+)
+ALWAYS_RETURNED = frozenset(name.lower() for name in (REQUEST_ID, SEAL))
+
 READY_PATH = b"/api/readyz"
 STAGE_RUN_PATH = b"/api/stage-run"
 STAGE_FREE_PATH = b"/api/stage-free"
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -229,6 +229,10 @@
         route = catalog.find_route(request.host, request.path)
         if route is None:
             return self._refuse_unknown(_Reason.PIPELINE_UNKNOWN)
+        if route.stages and request.piece_counts is None:
+            return outcome.Refused(
+                _Reason.BODY_INVALID, "the numbers of pieces can't be read"
+            )
         organisation = None
         if catalog.has_organisations and not route.is_public:
             # The caller sent the request before now. If the catalog is
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -86,6 +86,8 @@
         """Return the events in sequence, and a `Failure` for the next."""
         forwarded = []
         for event in complete_events:
+            if event.has_odd_id:
+                return forwarded, _new_problem("odd id of an event")
             if not self._is_in_sequence(event):
                 return forwarded, _new_problem(
                     f"event {event.event_id!r} after {self.last_event!r}"
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -11,7 +11,8 @@
     """One request as its caller sent it.
 
     `headers` are those to forward. `parts` are the parts of the prompt as
-    `(id, tokens)`; `piece_counts` is the number of pieces of each stage.
+    `(id, tokens)`; `piece_counts` is the number of pieces of each stage,
+    None if it can't be read.
     `resume_after` is the id of the last event of a stream that its caller
     takes up again, and `resumed_id` that of the request that began it.
     `identity` is what copies of the request share, reckoned on first use.
@@ -29,7 +30,7 @@
     parts: tuple = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
-    piece_counts: tuple[int, ...] = ()
+    piece_counts: tuple[int, ...] | None = ()
     piece_key: str = ""
     resume_after: bytes | None = None
     resumed_id: bytes = b""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -285,6 +285,9 @@
         if isinstance(answer, gateway.Failure):
             if answer.ran is _Ran.NO:
                 self._may_have_run = may_have_run_before
+            if answer.reason is _Reason.BODY_INVALID:
+                # No server could be sent this request.
+                return outcome_module.Refused(answer.reason, answer.detail)
             return self._handle_failure(attempt, answer)
         self._sends += 1
         if answer.is_not_run:
--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -18,12 +18,16 @@
 
     def __init__(self):
         self.closed = []
+        self.errors = []
         self.changed = trio.Event()
 
     def record_close(self, closed):
         self.closed.append(closed)
         self.changed.set()
 
+    def count_contained_error(self, boundary):
+        self.errors.append(boundary)
+
 
 async def answer_whole(exchange):
     exchange.is_passed_on = True
--- a/tests/direct/test_entry_survives.py
+++ b/tests/direct/test_entry_survives.py
@@ -1,6 +1,7 @@
 """What others write ends no entry, and so no request of their neighbours."""
 
 import msgspec
+import pytest
 import trio
 
 from bench.standins import site as site_module
@@ -70,7 +71,9 @@
 def test_a_head_that_cant_be_written_fails_its_call_only():
     async def main():
         async with trio.open_nursery() as nursery:
-            address = await loopback.start_raw_server(nursery, trio.aclose)
+            address = await loopback.start_raw_server(
+                nursery, trio.aclose_forcefully
+            )
             pool = client.new_pool(nursery)
             head = client.RequestHead(
                 b"GET", b"/", [(b"Host", b"h"), (b"X-Odd", b"a\0")]
@@ -92,6 +95,7 @@
     assert made == ["h:1/a"] + [gateway.PieceFailure.ERROR] * 5
 
 
+@pytest.mark.contains_error
 def test_an_unforeseen_error_ends_its_exchange_only():
     async def handle(exchange):
         if exchange.target == b"/odd":
