--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -15,6 +15,7 @@
 
     __slots__ = (
         "_choices",
+        "_contained_errors",
         "_late",
         "_latency",
         "_loop_lag",
@@ -39,6 +40,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._contained_errors = aioprometheus.Counter(
+            "greengagetrack_contained_errors_total",
+            "Unforeseen errors that ended one unit of work, by boundary.",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._late = aioprometheus.Counter(
             "greengagetrack_late_answers_total",
             "Late answers by route and what made them late.",
@@ -64,6 +71,14 @@
         """Count one choice of a backend server."""
         self._choices.inc({"service": service})
 
+    def count_contained_error(self, boundary):
+        """Count an unforeseen error that ended one unit of work.
+
+        `boundary` names the kind of unit, such as "peer_message". Each
+        error is a fault of this program.
+        """
+        self._contained_errors.inc({"boundary": boundary})
+
     def record_outcome(self, route, outcome, spent_ms, late):
         """Record the outcome and the latency of an admitted request.
 
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -1,6 +1,7 @@
 """Bounds on the number of label values, whatever callers send."""
 
 from greengagetrack.process import admission
+from greengagetrack.process.direct import metrics as direct_metrics
 from greengagetrack.process import metrics as metrics_module
 from greengagetrack.request import outcome
 
@@ -38,3 +39,17 @@
         if line.startswith("greengagetrack_engine_seconds_total{")
     ]
     assert len(lines) == metrics_module.ORGANISATIONS_MAX + 1
+
+
+def test_contained_errors_are_counted_by_boundary():
+    metrics = direct_metrics.new_direct_metrics("e")
+    metrics.count_contained_error("peer_message")
+    metrics.count_contained_error("peer_message")
+    lines = [
+        line
+        for line in _render(metrics).splitlines()
+        if line.startswith("greengagetrack_contained_errors_total{")
+    ]
+    assert len(lines) == 1
+    assert 'boundary="peer_message"' in lines[0]
+    assert lines[0].endswith(" 2")
