--- a/greengagetrack/process/direct/decisions/batch.py
+++ b/greengagetrack/process/direct/decisions/batch.py
@@ -56,6 +56,8 @@
 def count_fitting(group, free_bytes):
     """Return how many results of a group fit into `free_bytes`."""
     result_bytes = group.tasks[0].result_bytes
-    if not result_bytes:
-        return len(group.tasks)
-    return min(max(int(free_bytes / result_bytes), 0), len(group.tasks))
+    count = len(group.tasks)
+    # `free_bytes` is infinite for a service that publishes no memory.
+    if not result_bytes or free_bytes >= count * result_bytes:
+        return count
+    return max(int(free_bytes / result_bytes), 0)
--- a/tests/direct/decisions/test_batch.py
+++ b/tests/direct/decisions/test_batch.py
@@ -1,5 +1,7 @@
 """Tests of which pieces go into the next call."""
 
+import math
+
 from greengagetrack.process.direct.decisions import batch
 from greengagetrack.process.direct import group as group_module
 from greengagetrack.request.direct import piece as piece_module
@@ -25,3 +27,9 @@
     assert [task.result_bytes for task in popped] == [300, 300, 10, 10, 10]
     assert len(large.tasks) == 2
     assert large.is_started
+
+
+def test_memory_without_a_limit_raises_nothing():
+    group = _new_group(3)
+    assert batch.count_fitting(group, math.inf) == 3
+    assert len(batch.pop_batch([group], 10, math.inf)) == 3
