Read the pages of the store item by item, with bounded numbers

A Store-Era of over 4,300 digits raised ValueError in the loop that reads the store and ended the entry, and every other one, as all read the same answer. One item with a wrong field made the whole page unreadable: no server and no configuration, although their own items were sound. And a revision of 300 digits was accepted. An item that can't be read leaves a history incomplete: it may be any server.

--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -1,6 +1,7 @@
 """A source that reads the platform's key-value store by polling."""
 
 import base64
+from typing import Annotated
 import urllib.parse
 
 import msgspec
@@ -8,6 +9,7 @@
 
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import numbers
 from greengagetrack.connection import source
 from greengagetrack.platform import document
 from greengagetrack.platform import names
@@ -16,22 +18,28 @@
 PAGES_MAX = 200
 
 
+KEY_MAX_CHARS = 1000
+COUNT_MAX = 2**63 - 1
+_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+
+
 class _Item(msgspec.Struct):
-    key: str
-    revision: int
+    key: Annotated[str, msgspec.Meta(max_length=KEY_MAX_CHARS)]
+    revision: _Count
     value: str = ""
     tombstone: bool = False
 
 
 class _Page(msgspec.Struct):
-    items: list[_Item]
-    current_rev: int
+    # Decoded one by one, so that an odd item leaves the others.
+    items: list[msgspec.Raw]
+    current_rev: _Count
     has_more: bool = False
 
 
 class _Changes(msgspec.Struct):
-    events: list[_Item]
-    current_rev: int
+    events: list[msgspec.Raw]
+    current_rev: _Count
 
 
 class _Dated(msgspec.Struct):
@@ -52,7 +60,7 @@
 
     async def list_all(self):
         """Return a complete `Update`, or `Unreachable`."""
-        items = []
+        items, problems = [], []
         first = None
         query = {"path_prefix": ""}
         for _page in range(PAGES_MAX):
@@ -63,18 +71,21 @@
             if answer.era != first.era:
                 return source.Unreachable("restored between two pages")
             page = answer.content
-            items += page.items
-            if not page.has_more or not page.items:
+            page_items, page_problems = _read_items(page.items)
+            items += page_items
+            problems += page_problems
+            if not page.has_more or not page_items:
                 # Pages are not a snapshot: a later call of `list_changes`
                 # with the first page's revision returns what changed
                 # meanwhile.
                 return _read_update(
                     items,
+                    problems,
                     first.content.current_rev,
                     first.era,
                     is_complete=True,
                 )
-            query["after"] = page.items[-1].key
+            query["after"] = page_items[-1].key
         return source.Unreachable("too many pages")
 
     async def list_changes(self, revision):
@@ -83,8 +94,10 @@
         answer = await self._get(names.WATCH_PATH, query, _Changes)
         if not isinstance(answer, _Dated):
             return answer
-        changes = answer.content
-        return _read_update(changes.events, changes.current_rev, answer.era)
+        items, problems = _read_items(answer.content.events)
+        return _read_update(
+            items, problems, answer.content.current_rev, answer.era
+        )
 
     async def list_history(self, revision):
         """Return `History`, `HistoryLost` or `Unreachable`."""
@@ -129,13 +142,25 @@
 
 def _read_era(headers):
     text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
-    return int(text) if text.isdigit() else 0
+    return numbers.read_count(text, COUNT_MAX) or 0
+
+
+def _read_items(raw_items):
+    """Return the items, and the problems of those that are unreadable."""
+    items, problems = [], []
+    for raw in raw_items:
+        try:
+            items.append(msgspec.json.decode(raw, type=_Item))
+        except document.DECODING_ERRORS as error:
+            problems.append(f"item {bytes(raw)[:80]!r}: {error}")
+    return items, problems
 
 
-def _read_update(items, revision, era, is_complete=False):
+def _read_update(items, problems, revision, era, is_complete=False):
     """Return an `Update` with the last item of each key in `items`."""
     item_by_key = {item.key: item for item in items}
-    servers, removed, problems = [], [], []
+    servers, removed = [], []
+    problems = list(problems)
     catalog = None
     for key, item in item_by_key.items():
         if key == names.CONFIG_KEY and not item.tombstone:
@@ -166,10 +191,12 @@
 
 
 def _read_history(events):
+    items, problems = _read_items(events)
     servers = []
     seen_keys = set()
-    is_complete = True
-    for item in events:
+    # What can't be read may be a server of any version.
+    is_complete = not problems
+    for item in items:
         if item.tombstone:
             is_complete &= item.key in seen_keys
             continue
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -236,6 +236,58 @@
     _run_with_store([(200, page)], check)
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        None,
+        7,
+        {},
+        {"key": 7, "revision": 1},
+        {"key": "servers/i-2", "revision": "x"},
+        {"key": "servers/i-2", "revision": 10**300},
+        {"key": "servers/i-2", "revision": 1, "value": 7},
+        {"key": "k" * 5000, "revision": 1},
+    ],
+)
+def test_odd_item_of_a_page_leaves_the_others_in_service(odd):
+    sound = _new_item("servers/i-1", ENTRY)
+    page = {"items": [odd, sound], "current_rev": 7}
+    changes = {"events": [odd, sound], "current_rev": 8}
+
+    async def check(source, _targets):
+        for update in (await source.list_all(), await source.list_changes(7)):
+            assert [s.server_id for s in update.servers] == ["i-1"]
+            assert len(update.problems) == 1
+        history = await source.list_history(7)
+        assert [s.server_id for s in history.servers] == ["i-1"]
+        assert not history.is_complete
+
+    _run_with_store([(200, page), (200, changes), (200, changes)], check)
+
+
+@pytest.mark.parametrize("current_rev", [-1, 10**300, "7", None, 1.5])
+def test_page_with_an_odd_revision_is_unreachable(current_rev):
+    body = {"items": [], "current_rev": current_rev}
+
+    async def check(source, _targets):
+        answer = await source.list_all()
+        assert isinstance(answer, source_module.Unreachable)
+
+    _run_with_store([(200, body)], check)
+
+
+@pytest.mark.parametrize("era", [b"9" * 5000, b"\xb2", b"-1", b"1_0", b""])
+def test_odd_era_of_the_store_ends_nothing(era):
+    page = {"items": [], "current_rev": 7}
+
+    async def check(source, _targets):
+        update = await source.list_all()
+        assert update.revision == 7
+        assert update.era == 0
+
+    _run_with_store([(200, page, (b"Store-Era", era))], check)
+
+
 def test_entry_returns_server_with_incarnation():
     server = document.read_entry("i-1", json.dumps(ENTRY).encode())
     assert server == gateway.Server(
@@ -267,7 +319,8 @@
         status, body, *headers = remaining.pop(0)
         if status is None:
             await trio.sleep_forever()
-        await exchange.answer(status, headers, json.dumps(body).encode())
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        await exchange.answer(status, headers, data)
 
     async def main():
         async with trio.open_nursery() as nursery:
