Check the range of every value of the configuration and of entry ids

Numbers that the operator's document may hold raised where they were used, in tasks whose failure ends the entry: a headroom of 1e308 MB (infinite bytes), batches of 0 pieces (division by zero), a version or a priority of 300 digits (fits no message to a peer), stages that wait for an unknown stage or for themselves (IndexError, or never). A tenant's name or an entry's id with control characters fits no header.

--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -1,6 +1,7 @@
 """Parsers of the published configuration and server entries."""
 
 import ipaddress
+import re
 from typing import Annotated
 
 import msgspec
@@ -10,84 +11,97 @@
 from greengagetrack.version import catalog
 
 
+# What a 64-bit field of a message to another entry can hold.
+COUNT_MAX = 2**63 - 1
+SMALL_MAX = 2**31 - 1
+AMOUNT_MAX = 1e15
+TIME_MAX_MS = 1e12
+# Neither control characters, which fit no header, nor space around the text.
+_HEADER_TEXT = re.compile(
+    r"(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?"
+)
+_Name = Annotated[str, msgspec.Meta(max_length=1000)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+_SmallCount = Annotated[int, msgspec.Meta(ge=0, le=SMALL_MAX)]
+_SmallCountFromOne = Annotated[int, msgspec.Meta(ge=1, le=SMALL_MAX)]
+_Rank = Annotated[int, msgspec.Meta(ge=-SMALL_MAX, le=SMALL_MAX)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
+_TimeMs = Annotated[float, msgspec.Meta(ge=0, le=TIME_MAX_MS)]
+
+
 class _Share(msgspec.Struct):
-    service: str
-    weight: float = 1
+    service: _Name
+    weight: _Amount = 1
 
 
 class _Stage(msgspec.Struct):
-    service: str
-    after: list[int] = []
-    bytes: float = 0
+    service: _Name
+    after: list[_SmallCount] = []
+    bytes: _Amount = 0
 
 
 class _Route(msgspec.Struct):
-    name: str
-    host: str
+    name: _Name
+    host: _Name
     path_prefix: str
     kind: str
-    timeout_ms: float
-    goal_ms: float = 0
-    priority: int = 0
-    service: str | None = None
+    timeout_ms: _TimeMs
+    goal_ms: _TimeMs = 0
+    priority: _Rank = 0
+    service: _Name | None = None
     backends: list[_Share] | None = None
-    attempts: int = 1
+    attempts: _Rank = 1
     stages: list[_Stage] | None = None
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0
+    gap_aim_ms: _TimeMs = 0
 
 
 class _Pieces(msgspec.Struct):
-    batch: int
-    call_ms: float
-    item_ms: float
-    slots: int = 1
-    queue: int = 0
-    headroom_mb: float = 0
-    handle_s: float = 0
+    batch: _SmallCountFromOne
+    call_ms: _TimeMs
+    item_ms: _TimeMs
+    slots: _SmallCount = 1
+    queue: _SmallCount = 0
+    headroom_mb: _Amount = 0
+    handle_s: _TimeMs = 0
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity: float = 0
-    stride: int = 1
+    slots: _SmallCount = 1
+    kv_capacity: _Amount = 0
+    stride: _SmallCountFromOne = 1
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: _Name
     health_path: str = ""
-    max_conns: int = 64
+    max_conns: _SmallCount = 64
     pieces: _Pieces | None = None
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 5000
-    idle_timeout_ms: float = 60000
+    max_header_bytes: _SmallCount = 16384
+    max_body_bytes: _Count = 4194304
+    header_timeout_ms: _TimeMs = 5000
+    idle_timeout_ms: _TimeMs = 60000
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: _Name
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Rank | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] | None = None
 
 
-_Name = Annotated[str, msgspec.Meta(max_length=1000)]
-# What a 64-bit field of a message to another entry can hold.
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-
-
 class _Entry(msgspec.Struct):
     service: _Name
     address: _Name
@@ -100,9 +114,12 @@
 
 
 PORT_MAX = 65535
+ID_MAX_CHARS = 1000
 # Values that are nested too deeply raise an error of the interpreter.
 DECODING_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 _BYTES_PER_MB = 1_000_000
+# A call that takes no time would make any number of pieces.
+_CALL_MIN_MS = 0.1
 _REPEAT_BY_KIND = {
     "safe": catalog.Repeat.SAFE,
     "unsafe": catalog.Repeat.UNSAFE,
@@ -114,9 +131,45 @@
     """Return the `Catalog` of a document, or an error text."""
     try:
         config = msgspec.json.decode(data, type=_Config)
-        return _translate(config)
-    except (KeyError, *DECODING_ERRORS) as error:
+    except DECODING_ERRORS as error:
         return f"{names.CONFIG_KEY}: {error}"
+    problem = _find_problem(config)
+    if problem:
+        return f"{names.CONFIG_KEY}: {problem}"
+    return _translate(config)
+
+
+def _find_problem(config):
+    """Return what the types of the fields don't say, or ""."""
+    for tenant in config.tenants or ():
+        if not _HEADER_TEXT.fullmatch(tenant.name):
+            return f"the tenant's name {tenant.name[:80]!r} fits no header"
+    for route in config.routes:
+        where = f"route '{route.name[:80]}'"
+        if route.kind not in _REPEAT_BY_KIND:
+            return f"{where}: unknown kind {route.kind[:80]!r}"
+        if not _have_order([stage.after for stage in route.stages or ()]):
+            return f"{where}: stages without an order"
+    return ""
+
+
+def _have_order(after_by_stage):
+    """Return whether stages can run one after the other.
+
+    A stage that waits for itself or for an unknown one never would.
+    """
+    waiting = dict(enumerate(after_by_stage))
+    done = set()
+    while waiting:
+        ready = [
+            index for index, after in waiting.items() if done.issuperset(after)
+        ]
+        if not ready:
+            return False
+        for index in ready:
+            del waiting[index]
+        done.update(ready)
+    return True
 
 
 def _translate(config):
@@ -172,7 +225,7 @@
         pieces = service.pieces
         batching = catalog.Batching(
             batch_max=pieces.batch,
-            call_ms=pieces.call_ms,
+            call_ms=max(pieces.call_ms, _CALL_MIN_MS),
             piece_ms=pieces.item_ms,
             slots=pieces.slots,
             queue_max=pieces.queue,
@@ -210,6 +263,10 @@
         entry = msgspec.json.decode(data, type=_Entry)
     except DECODING_ERRORS as error:
         return f"{names.SERVERS_PREFIX}{server_id}: {error}"
+    if not 0 < len(server_id) <= ID_MAX_CHARS or not _HEADER_TEXT.fullmatch(
+        server_id
+    ):
+        return f"{names.SERVERS_PREFIX}{server_id[:80]!r}: invalid id"
     if not _is_address(entry.address):
         return f"{names.SERVERS_PREFIX}{server_id}: invalid address"
     if entry.state not in (names.READY, names.DRAINING):
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -194,6 +194,66 @@
     assert isinstance(document.read_entry("i-1", data), str)
 
 
+def _change(path, value):
+    """Return `CONFIG` as bytes, with the value at a path replaced."""
+    config = json.loads(json.dumps(CONFIG))
+    *parents, last = path
+    place = config
+    for key in parents:
+        place = place[key]
+    place[last] = value
+    return json.dumps(config).encode()
+
+
+# Each is a number that raises where it is used, or that fits no message.
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        (("version",), 10**300),
+        (("version",), -1),
+        (("routes", 0, "timeout_ms"), -1),
+        (("routes", 0, "timeout_ms"), 1e300),
+        (("routes", 0, "goal_ms"), -1),
+        (("routes", 0, "priority"), 10**300),
+        (("routes", 0, "attempts"), 10**300),
+        (("routes", 0, "name"), "n" * 5000),
+        (("routes", 0, "backends", 0, "weight"), -1),
+        (("routes", 0, "backends", 0, "weight"), 1e308),
+        (("routes", 0, "stages", 0, "bytes"), -1),
+        (("routes", 0, "stages", 0, "bytes"), 1e308),
+        (("routes", 0, "stages", 1, "after"), [-1]),
+        (("routes", 0, "stages", 1, "after"), [1]),
+        (("routes", 0, "stages", 1, "after"), [2]),
+        (("routes", 0, "stages", 1, "after"), [10**300]),
+        (("services", 1, "pieces", "batch"), 0),
+        (("services", 1, "pieces", "batch"), -1),
+        (("services", 1, "pieces", "call_ms"), -1),
+        (("services", 1, "pieces", "slots"), -1),
+        (("services", 1, "pieces", "headroom_mb"), 1e308),
+        (("services", 1, "pieces", "headroom_mb"), -1),
+        (("services", 1, "pieces", "handle_s"), -1),
+        (("services", 0, "max_conns"), 10**300),
+        (("services", 0, "engine"), {"stride": 0}),
+        (("services", 0, "engine"), {"kv_capacity": 1e308}),
+        (("limits",), {"idle_timeout_ms": -1}),
+        (("limits",), {"idle_timeout_ms": 1e308}),
+        (("limits",), {"max_header_bytes": -1}),
+        (("tenants", 0, "name"), "a\nb"),
+        (("tenants", 0, "name"), "a\0"),
+        (("tenants", 0, "name"), " a"),
+        (("tenants", 0, "priority"), 10**300),
+    ],
+)
+def test_config_with_values_out_of_range_returns_error_text(path, value):
+    assert isinstance(document.read_config(_change(path, value)), str)
+
+
+@pytest.mark.parametrize("server_id", ["", "a\nb", "a\0", " a", "i" * 5000])
+def test_entry_whose_id_fits_no_header_returns_error_text(server_id):
+    data = json.dumps(ENTRY).encode()
+    assert isinstance(document.read_entry(server_id, data), str)
+
+
 DEEP = b"[" * 100_000 + b"]" * 100_000
 
 
