--- a/greengagetrack/process/direct/decisions/permit_queue.py
+++ b/greengagetrack/process/direct/decisions/permit_queue.py
@@ -25,6 +25,7 @@
 # limit all turns take: at times that are drawn, some fall together.
 TURN_MAX_S = 0.5
 TURN_SHARE = 0.5
+PERIOD_MIN_S = 1e-6
 # With a limit of nothing there is no next permit.
 NEXT_MAX_S = 1.0
 # Added to times that are reckoned, so that rounding moves no grant.
@@ -170,12 +171,15 @@
         """Return whether a request may be sent now."""
         if limit_per_s <= 0:
             return False
-        period_s = entry_count / (limit_per_s * TURN_SHARE)
+        turns_per_s = max(limit_per_s * TURN_SHARE, TOLERANCE)
+        period_s = max(entry_count / turns_per_s, PERIOD_MIN_S)
         turn_s = min(TURN_MAX_S, period_s)
         if self._next_s is None:
             self._next_s = now_s + self._draw() * period_s
-        while self._next_s + turn_s <= now_s:
-            self._next_s += period_s
+        missed_s = now_s - turn_s - self._next_s
+        if missed_s >= 0:
+            # A server may name a limit with millions of turns between.
+            self._next_s += (missed_s // period_s + 1) * period_s
         if now_s < self._next_s:
             return False
         self._next_s += period_s
--- a/tests/direct/decisions/test_permit_queue.py
+++ b/tests/direct/decisions/test_permit_queue.py
@@ -1,6 +1,7 @@
 """Tests of the permits for a server that names a limit."""
 
 import random
+import time
 
 import hypothesis
 from hypothesis import strategies
@@ -94,3 +95,15 @@
     # The first turn of each entry comes within a period.
     share = limit * permit_queue.TURN_SHARE
     assert len(times) >= share * 120 - 2 * count
+
+
+@pytest.mark.parametrize("limit", [5e-324, 1e-300, 1e7, 1e15, 1e300])
+def test_limit_of_any_size_costs_no_time_and_raises_nothing(limit):
+    turns = permit_queue.Turns(lambda: 0.5)
+    queue = permit_queue.PermitQueue(limit, 0.0)
+    started_s = time.perf_counter()
+    for now_s in (0.0, 3.0, 1e6):
+        turns.try_acquire(limit, 68, now_s)
+        queue.try_acquire(now_s)
+        assert queue.get_next_s(now_s) >= 0
+    assert time.perf_counter() - started_s < 0.5
