Check the range of every number in the messages of other entries

A peer's number was passed on or reckoned with as it came. An age of 2**64-1 ms (of a hold, of a limit) gave a number that fits no message, so the next digest to anybody raised OverflowError in a task whose failure ends the entry; a limit that is no number made trio.sleep raise; a request for no pieces raised IndexError; a time in the future stayed the last that was believed. The types of the fields now bound each number, so such a message is malformed: the peer gets a rejection, and the rest goes on.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -5,9 +5,27 @@
 that it does not define. A rolling restart needs no more than that.
 """
 
+from typing import Annotated
+
 import msgspec
 
 MESSAGE_MAX_BYTES = 2 * 1024 * 1024
+COUNT_MAX = 2**63 - 1
+# No sum and no time reckoned from such numbers leaves 64 bits.
+AMOUNT_MAX = 2**53
+TIME_MAX_MS = 2**40
+LIMIT_MAX_PER_S = 1e9
+_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
+_Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+# A time in the future would make news the last that is believed.
+_AgeMs = Annotated[int, msgspec.Meta(ge=0, le=TIME_MAX_MS)]
+_TimeMs = Annotated[int, msgspec.Meta(ge=-TIME_MAX_MS, le=TIME_MAX_MS)]
+# These bounds also exclude numbers that are not finite.
+_AgeS = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_LimitPerS = Annotated[float, msgspec.Meta(ge=0, le=LIMIT_MAX_PER_S)]
+_Load = tuple[str, _Amount, _Amount]
 
 
 class _Message(msgspec.Struct, array_like=True):
@@ -273,9 +291,9 @@
     """
 
     service: str
-    wait_ms: int
-    by_priority: list[tuple[int, int, int]] = []
-    late_ms: int = 0
+    wait_ms: _TimeMs
+    by_priority: list[tuple[_Rank, _TimeMs, _TimeMs]] = []
+    late_ms: _TimeMs = 0
     excess_kinds: list[str] = []
 
 
@@ -288,10 +306,10 @@
 
     name: str
     address: str
-    age_ms: int = 0
-    catalog_version: int = 0
+    age_ms: _AgeMs = 0
+    catalog_version: _Count = 0
     is_leaving: bool = False
-    weight: float = 1.0
+    weight: _Weight = 1.0
 
 
 class CentreDigest(_Message):
@@ -302,10 +320,10 @@
     """
 
     data_centre: str
-    age_ms: int
+    age_ms: _AgeMs
     members: list[Member] = []
     waits: list[PoolWait] = []
-    loads: list[tuple[str, int, int]] = []
+    loads: list[_Load] = []
 
 
 class CrashedRequest(_Message):
@@ -315,7 +333,7 @@
     """
 
     lifetime: str
-    age_ms: int
+    age_ms: _AgeMs
     request_id: str
     parts: list[str]
     has_begun: bool
@@ -328,15 +346,15 @@
     """
 
     part: str
-    since_age_ms: int
-    seen_age_ms: int
+    since_age_ms: _AgeMs
+    seen_age_ms: _AgeMs
 
 
 class SoundPart(_Message):
     """A part on which an answer went well, `age_ms` ago."""
 
     part: str
-    age_ms: int
+    age_ms: _AgeMs
 
 
 class CrashNews(_Message):
@@ -355,11 +373,11 @@
     """
 
     server_id: str
-    incarnation: int
-    limit_per_s: float | None
-    age_ms: int
+    incarnation: _Count
+    limit_per_s: _LimitPerS | None
+    age_ms: _AgeMs
     observer: str
-    number: int
+    number: _Count
 
 
 class EntryDigest(_Message, tag="entry_digest"):
@@ -377,16 +395,16 @@
     name: str
     address: str
     data_centre: str
-    catalog_version: int = 0
-    freshness_age_s: float = -1.0
+    catalog_version: _Count = 0
+    freshness_age_s: _AgeS = -1.0
     is_leaving: bool = False
-    weight: float = 1.0
-    peers_known: int = 0
+    weight: _Weight = 1.0
+    peers_known: _Count = 0
     peers: list[str] = []
     waits: list[PoolWait] = []
     parts: list[tuple[str, str]] = []
     far_parts: list[tuple[str, str]] = []
-    loads: list[tuple[str, int, int]] = []
+    loads: list[_Load] = []
     centres: list[CentreDigest] = []
     crash_news: CrashNews | None = None
     limits: list[ServerLimit] = []
@@ -405,15 +423,15 @@
     """
 
     limit: ServerLimit
-    priority: int
-    patience_ms: int
+    priority: _Rank
+    patience_ms: _TimeMs
 
 
 class PermitReply(_Message, tag="permit"):
     """The reply to `AcquirePermit`, and the wait of one that asks next."""
 
     is_granted: bool
-    next_wait_ms: int = 0
+    next_wait_ms: _TimeMs = 0
 
 
 class MakePieces(_Message, tag="make_pieces"):
@@ -429,12 +447,12 @@
     service: str
     data_centre: str
     request_id: str
-    stage: int
-    numbers: list[int]
-    due_ms: int
-    left_ms: int
-    priority: int = 0
-    result_bytes: int = 0
+    stage: _Amount
+    numbers: Annotated[list[_Amount], msgspec.Meta(min_length=1)]
+    due_ms: _TimeMs
+    left_ms: _TimeMs
+    priority: _Rank = 0
+    result_bytes: _Amount = 0
     key: str = ""
     inputs: tuple[str, ...] | None = None
     is_first: bool = False
@@ -462,7 +480,7 @@
     """The reply to `MakePieces`, with its pieces in the same order."""
 
     pieces: list[PieceResult]
-    wait_ms: int = 0
+    wait_ms: _TimeMs = 0
     wait: PoolWait | None = None
 
 
--- a/greengagetrack/process/direct/limit_news.py
+++ b/greengagetrack/process/direct/limit_news.py
@@ -15,10 +15,13 @@
 def new_message(server, own_name):
     """Return the message about the last observation of a server's limit."""
     named = server.limit.named
+    limit_per_s = named.limit_per_s
+    if limit_per_s is not None:
+        limit_per_s = min(limit_per_s, messages.LIMIT_MAX_PER_S)
     return messages.ServerLimit(
         server.server_id,
         server.published.incarnation,
-        named.limit_per_s,
+        limit_per_s,
         max(int((trio.current_time() - named.observed_s) * MS), 0),
         named.observer or own_name,
         named.number,
--- /dev/null
+++ b/tests/direct/test_odd_messages.py
@@ -0,0 +1,137 @@
+"""What odd messages of peers leave of an entry that reads them."""
+
+import math
+
+import msgspec
+import pytest
+
+from greengagetrack.connection import messages
+from greengagetrack.connection import source
+from tests.direct import fakes
+from tests.direct import test_peers
+
+HUGE = 2**64 - 1
+LIMIT = messages.ServerLimit("s1", 0, 2.0, 0, "other/1", 1)
+MEMBER = messages.Member("b-1", "b-1:1")
+CENTRE = messages.CentreDigest("b", 0, [MEMBER])
+HOLD = messages.PartHold("p", 0, 0)
+CRASHED = messages.CrashedRequest("s1/0", 0, "r", ["p"], True)
+SOUND = messages.SoundPart("p", 0)
+ODD_DIGESTS = [
+    {"weight": math.nan},
+    {"weight": math.inf},
+    {"weight": -1.0},
+    {"freshness_age_s": math.nan},
+    {"freshness_age_s": math.inf},
+    {"freshness_age_s": 1e300},
+    {"catalog_version": -1},
+    {"catalog_version": HUGE},
+    {"peers_known": HUGE},
+    {"loads": [("s1", HUGE, 0)]},
+    {"loads": [("s1", -1, 0)]},
+    {"loads": [("s1", 1, HUGE)]},
+    {"waits": [messages.PoolWait("s", HUGE)]},
+    {"waits": [messages.PoolWait("s", 0, [(HUGE, 0, 0)])]},
+] + [
+    {field: [msgspec.structs.replace(sound, **{name: value})]}
+    for field, sound, name, value in (
+        ("limits", LIMIT, "limit_per_s", math.nan),
+        ("limits", LIMIT, "limit_per_s", math.inf),
+        ("limits", LIMIT, "limit_per_s", -1.0),
+        ("limits", LIMIT, "limit_per_s", 1e300),
+        ("limits", LIMIT, "age_ms", HUGE),
+        ("limits", LIMIT, "age_ms", -1000),
+        ("limits", LIMIT, "number", HUGE),
+        ("centres", CENTRE, "age_ms", -1000),
+        ("centres", CENTRE, "age_ms", HUGE),
+        (
+            "centres",
+            CENTRE,
+            "members",
+            [messages.Member("b", "b:1", age_ms=-1)],
+        ),
+        (
+            "centres",
+            CENTRE,
+            "members",
+            [messages.Member("b", "b:1", weight=math.nan)],
+        ),
+        ("centres", CENTRE, "loads", [("s1", HUGE, 0)]),
+    )
+]
+ODD_NEWS = [
+    messages.CrashNews(holds=[messages.PartHold("p", HUGE, 0)]),
+    messages.CrashNews(holds=[messages.PartHold("p", 0, -1)]),
+    messages.CrashNews(sound=[messages.SoundPart("p", -1)]),
+    messages.CrashNews(
+        crashed=[messages.CrashedRequest("s1/0", -1, "r", ["p"], True)]
+    ),
+]
+ODD_PIECES = [
+    {"numbers": []},
+    {"numbers": [-1]},
+    {"result_bytes": -1},
+    {"left_ms": HUGE},
+    {"due_ms": HUGE},
+    {"priority": HUGE},
+]
+
+
+def _check_peers(check):
+    """Run `check(peers, pools)` with an entry of two, on a mock clock."""
+
+    async def main(_nursery):
+        fleet = test_peers.Fleet(("a",), 2)
+        node = fleet.node_by_address["a-0:1"]
+        servers = (fakes.new_server("s1"),)
+        node.directory.apply_update(
+            source.Update(1, servers=servers, is_complete=True)
+        )
+        check(node)
+
+    fakes.run_with_mock_clock(main)
+
+
+def _new_digest(**fields):
+    return messages.EntryDigest("a-1", "a-1:1", "a", **fields)
+
+
+def _pass(node, digest):
+    """Return whether an entry takes a digest, as it reads it."""
+    decoded = messages.decode_request(messages.encode(digest))
+    if isinstance(decoded, messages.Malformed):
+        return False
+    reply = node.peers._handle_digest(decoded)
+    # What is passed on must fit the next message.
+    messages.encode(reply)
+    return True
+
+
+@pytest.mark.parametrize(
+    "fields", ODD_DIGESTS + [{"crash_news": news} for news in ODD_NEWS]
+)
+def test_odd_digest_is_refused_and_the_next_one_read(fields):
+    def check(node):
+        assert not _pass(node, _new_digest(**fields))
+        sound = messages.CrashNews([CRASHED], [HOLD], [SOUND])
+        assert _pass(
+            node,
+            _new_digest(
+                limits=[LIMIT],
+                centres=[CENTRE],
+                crash_news=sound,
+                freshness_age_s=-1.0,
+                loads=[("s1", 3, 2000)],
+            ),
+        )
+
+    _check_peers(check)
+
+
+@pytest.mark.parametrize("fields", ODD_PIECES)
+def test_odd_request_for_pieces_is_refused(fields):
+    sound = messages.MakePieces("s", "a", "r", 0, [0], 100, 100)
+    odd = msgspec.structs.replace(sound, **fields)
+    assert messages.decode_request(messages.encode(sound)) == sound
+    decoded = messages.decode_request(messages.encode(odd))
+    assert isinstance(decoded, messages.Malformed)
