--- a/greengagetrack/connection/base.py
+++ b/greengagetrack/connection/base.py
@@ -1,9 +1,21 @@
 """The interface of links between processes, for any transport."""
 
 import abc
+import re
 
 import msgspec
 
+PORT_MAX = 65535
+_ADDRESS = re.compile(
+    r"(?:[A-Za-z0-9.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]):([0-9]{1,5})"
+)
+
+
+def is_address(text):
+    """Return whether a text is `HOST:PORT`, to connect to."""
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match[1]) <= PORT_MAX
+
 
 class NotSent(msgspec.Struct, frozen=True):
     """The request was certainly not sent."""
--- a/greengagetrack/connection/nng.py
+++ b/greengagetrack/connection/nng.py
@@ -86,7 +86,10 @@
         self._key_ring = key_ring
 
     def open_link(self, address):
-        """Return a link to `address`, such as `127.0.0.1:7000`."""
+        """Return a link to `address`, such as `127.0.0.1:7000`.
+
+        A link to what is no address is never up.
+        """
         socket = pynng.Req0(resend_time=RESEND_MS)
         socket.reconnect_time_min = RECONNECT_MIN_MS
         socket.reconnect_time_max = RECONNECT_MAX_MS
@@ -94,7 +97,13 @@
         link = NngLink(socket, self._key_ring)
         socket.add_post_pipe_connect_cb(link._on_connect)
         socket.add_post_pipe_remove_cb(link._on_remove)
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except (pynng.NNGException, UnicodeError) as error:
+            _log.warning(
+                "could not dial a peer",
+                extra={"peer": ascii(address[:80]), "detail": str(error)},
+            )
         return link
 
 
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -4,8 +4,11 @@
 
 import msgspec
 import pytest
+import trio
 
+from greengagetrack.connection import base
 from greengagetrack.connection import messages
+from greengagetrack.connection import nng
 from greengagetrack.connection import source
 from tests.direct import fakes
 from tests.direct import test_peers
@@ -67,6 +70,19 @@
         crashed=[messages.CrashedRequest("s1/0", -1, "r", ["p"], True)]
     ),
 ]
+ODD_ADDRESSES = [
+    "",
+    "x",
+    ":1",
+    "h:0",
+    "h:99999",
+    "h:\u0663",
+    "h:" + "1" * 5000,
+    "h\0:1",
+    "a b:1",
+    "h:1/x",
+    "h" * 5000 + ":1",
+]
 ODD_PIECES = [
     {"numbers": []},
     {"numbers": [-1]},
@@ -128,6 +144,27 @@
     _check_peers(check)
 
 
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_odd_address_of_a_peer_is_never_dialled(address):
+    def check(node):
+        assert _pass(node, _new_digest(peers=[address, "a-9:1"]))
+        assert address not in node.peers.members.peer_by_address
+        assert "a-9:1" in node.peers.members.peer_by_address
+
+    _check_peers(check)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_link_to_an_odd_address_is_down_and_raises_nothing(address):
+    async def main():
+        link = nng.new_link_factory(fakes.KEYS).open_link(address)
+        reply = await link.request(messages.FetchManifest(), 0.1)
+        assert isinstance(reply, base.NotSent)
+        link.close()
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize("fields", ODD_PIECES)
 def test_odd_request_for_pieces_is_refused(fields):
     sound = messages.MakePieces("s", "a", "r", 0, [0], 100, 100)
