Take no handle from a pool owner that fits no header

The handle of a result came from another entry as it was, and went into the head of the next call: with a line feed or a null character that raised in the request's task, with a comma it named two results.

--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -6,6 +6,7 @@
 
 import logging
 import math
+import re
 
 import trio
 
@@ -30,6 +31,9 @@
 MISSED_REPLIES_MAX = 3
 LINK_CHECK_S = 0.1
 
+# Handles are sent on in a header, with commas between them.
+_HANDLE = re.compile(r"[!-+\--~]{1,1000}")
+
 _log = logging.getLogger(__name__)
 
 
@@ -289,7 +293,7 @@
 
     def _apply_reply(self, tasks, reply):
         for task, piece in zip(tasks, reply.pieces, strict=False):
-            if piece.failure or not piece.handle:
+            if piece.failure or not _HANDLE.fullmatch(piece.handle):
                 task.complete(_parse_failure(piece.failure))
             else:
                 server = self._directory.server_by_id.get(piece.server_id)
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -7,9 +7,11 @@
 import trio
 
 from greengagetrack.connection import base
+from greengagetrack.connection import gateway
 from greengagetrack.connection import messages
 from greengagetrack.connection import nng
 from greengagetrack.connection import source
+from greengagetrack.request.direct import piece as piece_module
 from tests.direct import fakes
 from tests.direct import test_peers
 
@@ -172,3 +174,23 @@
     assert messages.decode_request(messages.encode(sound)) == sound
     decoded = messages.decode_request(messages.encode(odd))
     assert isinstance(decoded, messages.Malformed)
+
+
+@pytest.mark.parametrize("handle", ["a\nb", "a\0", "a,b", " a", "h" * 5000])
+def test_piece_with_a_handle_that_fits_no_header_has_failed(handle):
+    def check(node):
+        tasks = [
+            piece_module.PieceTask("r", 0, number, "k", None)
+            for number in range(2)
+        ]
+        reply = messages.MakePiecesReply(
+            [
+                messages.PieceResult(handle, "s1"),
+                messages.PieceResult("10.0.0.1:80/7f", "s1"),
+            ]
+        )
+        node.peers._apply_reply(tasks, reply)
+        assert tasks[0].result is gateway.PieceFailure.ERROR
+        assert tasks[1].result == "10.0.0.1:80/7f"
+
+    _check_peers(check)
