Refuse a node file with values out of range, and name it

A node file that nests too deeply raised RecursionError where it is read again on SIGHUP, and ended a running entry; addresses that are none, times below zero and the like were taken at the start and raised later, without a word on the file.

--- a/greengagetrack/platform/settings.py
+++ b/greengagetrack/platform/settings.py
@@ -1,7 +1,18 @@
 """The settings file that the platform writes for a node."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
+from greengagetrack.connection import base
+from greengagetrack.platform import document
+
+FILE_MAX_BYTES = 1024 * 1024
+_Name = Annotated[str, msgspec.Meta(max_length=1000)]
+_Time = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+
 
 class Listen(msgspec.Struct):
     """The addresses on which the role listens."""
@@ -14,13 +25,13 @@
 class Bounds(msgspec.Struct):
     """The time limits and the retry budget that apply on the node."""
 
-    revoke_ms: float = 5000
-    drain_ms: float = 2500
-    config_apply_ms: float = 2500
-    grace_s: float = 8
-    budget_ratio: float = 0.2
-    budget_window_s: float = 10
-    budget_slack: float = 0
+    revoke_ms: _Time = 5000
+    drain_ms: _Time = 2500
+    config_apply_ms: _Time = 2500
+    grace_s: _Time = 8
+    budget_ratio: _Amount = 0.2
+    budget_window_s: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 10
+    budget_slack: _Time = 0
 
 
 class Provider(msgspec.Struct):
@@ -32,8 +43,8 @@
 class MachineLimits(msgspec.Struct):
     """The resources of the machine that a process may use."""
 
-    cpu_share: float = 1.0
-    cores: float = 1.0
+    cpu_share: _Amount = 1.0
+    cores: _Amount = 1.0
     memory_mb: float = 256
     max_fds: int = 4096
 
@@ -41,11 +52,11 @@
 class NodeFile(msgspec.Struct):
     """The settings of a node; unknown fields are ignored."""
 
-    node: str
-    role: str
-    ip: str
-    zone: str
-    region: str
+    node: _Name
+    role: _Name
+    ip: _Name
+    zone: _Name
+    region: _Name
     provider: Provider
     zones: dict[str, str] = {}
     listen: Listen = msgspec.field(default_factory=Listen)
@@ -60,12 +71,37 @@
     """Return the `NodeFile` at `path`, or raise `ValueError`."""
     try:
         with open(path, "rb") as file:
-            return msgspec.json.decode(file.read(), type=NodeFile)
-    except OSError as error:
+            data = file.read(FILE_MAX_BYTES + 1)
+    except (OSError, ValueError) as error:
+        detail = getattr(error, "strerror", None) or error
         raise ValueError(
-            f"The node file '{path}' can't be read: {error.strerror}."
-        ) from None
-    except msgspec.MsgspecError as error:
-        raise ValueError(
-            f"The node file '{path}' is invalid: {error}."
+            f"The node file '{path}' can't be read: {detail}."
         ) from None
+    problem = f"it has over {FILE_MAX_BYTES} bytes"
+    if len(data) <= FILE_MAX_BYTES:
+        try:
+            node = msgspec.json.decode(data, type=NodeFile)
+            problem = _find_problem(node)
+        except document.DECODING_ERRORS as error:
+            problem = str(error)
+    if problem:
+        raise ValueError(f"The node file '{path}' is invalid: {problem}.")
+    return node
+
+
+def _find_problem(node):
+    """Return what the types of the fields don't say, or ""."""
+    try:
+        ipaddress.ip_address(node.ip)
+    except ValueError:
+        return f"'ip' must be an IP address, not {node.ip[:80]!r}"
+    addresses = {
+        "provider.address": node.provider.address,
+        "listen.front": node.listen.front,
+        "listen.ready": node.listen.ready,
+        "listen.control": node.listen.control,
+    }
+    for name, address in addresses.items():
+        if not base.is_address(address):
+            return f"'{name}' must be HOST:PORT, not {address[:80]!r}"
+    return ""
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -14,6 +14,7 @@
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import source as source_module
+from greengagetrack.platform import adapter as adapter_module
 from greengagetrack.platform import callers
 from greengagetrack.platform import document
 from greengagetrack.platform import engines
@@ -682,3 +683,68 @@
     path.write_text('{"node": 1}')
     with pytest.raises(ValueError, match="is invalid"):
         settings_module.read_node_file(str(path))
+
+
+NODE = {
+    "node": "front-1",
+    "role": "front",
+    "ip": "127.0.0.1",
+    "zone": "z",
+    "region": "n",
+    "provider": {"address": "127.0.0.1:7"},
+    "listen": {
+        "front": "127.0.0.1:1",
+        "ready": "127.0.0.1:2",
+        "control": "127.0.0.1:3",
+    },
+    "bounds": {"revoke_ms": 4000},
+}
+ODD_NODE_FILES = [
+    b"",
+    b"\xff\xfe",
+    DEEP,
+    b'{"later": %s}' % DEEP,
+    b"9" * 5000,
+    b" " * 2_000_000,
+] + [
+    json.dumps({**NODE, **change}).encode()
+    for change in (
+        {"ip": "localhost"},
+        {"listen": {}},
+        {"listen": {**NODE["listen"], "front": "127.0.0.1:99999"}},
+        {"listen": {**NODE["listen"], "ready": "127.0.0.1"}},
+        {"listen": {**NODE["listen"], "control": "a\0:1"}},
+        {"provider": {"address": "nowhere"}},
+        {"bounds": {"revoke_ms": -1}},
+        {"bounds": {"revoke_ms": 1e300}},
+        {"bounds": {"grace_s": -1}},
+        {"bounds": {"budget_window_s": 0}},
+        {"limits": {"cores": -1}},
+        {"limits": {"cpu_share": 1e308, "cores": 1e308}},
+        {"node": "n" * 5000},
+    )
+]
+
+
+@pytest.mark.parametrize("data", ODD_NODE_FILES)
+def test_odd_node_file_is_named_and_the_settings_in_force_stay(tmp_path, data):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(NODE))
+    adapter = adapter_module.new_adapter(str(path), 9464)
+    settings = adapter.get_settings()
+    path.write_bytes(data)
+    with pytest.raises(ValueError, match="node.json' "):
+        adapter_module.new_adapter(str(path), 9464)
+    assert "node.json' " in adapter.reload()
+    assert adapter.get_settings() == settings
+    assert adapter.get_grace_s() == 8
+    path.write_text(json.dumps({**NODE, "bounds": {"grace_s": 5}}))
+    assert adapter.reload().startswith("changed")
+    assert adapter.get_grace_s() == 5
+
+
+def test_node_file_that_is_no_file_is_named(tmp_path):
+    with pytest.raises(ValueError, match="can't be read"):
+        settings_module.read_node_file(str(tmp_path))
+    with pytest.raises(ValueError, match="can't be read"):
+        settings_module.read_node_file(str(tmp_path / "a\0b"))
