--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -139,12 +139,17 @@
 
 async def _reload_on_sighup(adapter):
     with trio.open_signal_receiver(signal.SIGHUP) as received:
+        # What came before was ignored.
+        _reload(adapter)
         async for _signal in received:
-            result = adapter.reload()
-            _log.info(
-                "settings reload",
-                extra={"decision": "reload", "outcome": result},
-            )
+            _reload(adapter)
+
+
+def _reload(adapter):
+    result = adapter.reload()
+    _log.info(
+        "settings reload", extra={"decision": "reload", "outcome": result}
+    )
 
 
 async def _drain(entry, caller_server, grace_s, stop):
--- /dev/null
+++ b/tests/direct/test_node_signals.py
@@ -0,0 +1,60 @@
+"""Signals that reach a node's process while it starts."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+import trio
+
+from greengagetrack.process.direct import daemon
+from tests.direct import fakes
+
+EXIT_SETTINGS = 2
+
+
+class FakeAdapter:
+    """Counts how often the settings were read again."""
+
+    def __init__(self):
+        self.reload_count = 0
+
+    def reload(self):
+        """Count."""
+        self.reload_count += 1
+        return "unchanged"
+
+
+def test_sighup_at_the_start_does_not_end_the_process(tmp_path):
+    path = tmp_path / "node.json"
+    # The process waits in the first read of its settings.
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "greengagetrack.command.greengagetrackd"],
+        env={**os.environ, "GREENGAGETRACK_NODE_FILE": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    with open(path, "wb") as file:
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+        file.write(b"{}")
+    _output, errors = process.communicate(timeout=20)
+    assert process.returncode == EXIT_SETTINGS, errors
+    assert b"node.json" in errors
+
+
+@pytest.mark.parametrize("signals", [0, 1])
+def test_settings_changed_while_starting_are_read_again(signals):
+    adapter = FakeAdapter()
+
+    async def check(nursery):
+        nursery.start_soon(daemon._reload_on_sighup, adapter)
+        await trio.sleep(0.1)
+        for _signal in range(signals):
+            os.kill(os.getpid(), signal.SIGHUP)
+        await trio.sleep(0.1)
+        assert adapter.reload_count == 1 + signals
+
+    fakes.run_with_mock_clock(check)
