--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -14,6 +14,7 @@
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import source as source_module
+from greengagetrack.platform import adapter as adapter_module
 from greengagetrack.platform import callers
 from greengagetrack.platform import document
 from greengagetrack.platform import engines
@@ -194,6 +195,66 @@
     assert isinstance(document.read_entry("i-1", data), str)
 
 
+def _change(path, value):
+    """Return `CONFIG` as bytes, with the value at a path replaced."""
+    config = json.loads(json.dumps(CONFIG))
+    *parents, last = path
+    place = config
+    for key in parents:
+        place = place[key]
+    place[last] = value
+    return json.dumps(config).encode()
+
+
+# Each is a number that raises where it is used, or that fits no message.
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        (("version",), 10**300),
+        (("version",), -1),
+        (("routes", 0, "timeout_ms"), -1),
+        (("routes", 0, "timeout_ms"), 1e300),
+        (("routes", 0, "goal_ms"), -1),
+        (("routes", 0, "priority"), 10**300),
+        (("routes", 0, "attempts"), 10**300),
+        (("routes", 0, "name"), "n" * 5000),
+        (("routes", 0, "backends", 0, "weight"), -1),
+        (("routes", 0, "backends", 0, "weight"), 1e308),
+        (("routes", 0, "stages", 0, "bytes"), -1),
+        (("routes", 0, "stages", 0, "bytes"), 1e308),
+        (("routes", 0, "stages", 1, "after"), [-1]),
+        (("routes", 0, "stages", 1, "after"), [1]),
+        (("routes", 0, "stages", 1, "after"), [2]),
+        (("routes", 0, "stages", 1, "after"), [10**300]),
+        (("services", 1, "pieces", "batch"), 0),
+        (("services", 1, "pieces", "batch"), -1),
+        (("services", 1, "pieces", "call_ms"), -1),
+        (("services", 1, "pieces", "slots"), -1),
+        (("services", 1, "pieces", "headroom_mb"), 1e308),
+        (("services", 1, "pieces", "headroom_mb"), -1),
+        (("services", 1, "pieces", "handle_s"), -1),
+        (("services", 0, "max_conns"), 10**300),
+        (("services", 0, "engine"), {"stride": 0}),
+        (("services", 0, "engine"), {"kv_capacity": 1e308}),
+        (("limits",), {"idle_timeout_ms": -1}),
+        (("limits",), {"idle_timeout_ms": 1e308}),
+        (("limits",), {"max_header_bytes": -1}),
+        (("tenants", 0, "name"), "a\nb"),
+        (("tenants", 0, "name"), "a\0"),
+        (("tenants", 0, "name"), " a"),
+        (("tenants", 0, "priority"), 10**300),
+    ],
+)
+def test_config_with_values_out_of_range_returns_error_text(path, value):
+    assert isinstance(document.read_config(_change(path, value)), str)
+
+
+@pytest.mark.parametrize("server_id", ["", "a\nb", "a\0", " a", "i" * 5000])
+def test_entry_whose_id_fits_no_header_returns_error_text(server_id):
+    data = json.dumps(ENTRY).encode()
+    assert isinstance(document.read_entry(server_id, data), str)
+
+
 DEEP = b"[" * 100_000 + b"]" * 100_000
 
 
@@ -236,6 +297,58 @@
     _run_with_store([(200, page)], check)
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        None,
+        7,
+        {},
+        {"key": 7, "revision": 1},
+        {"key": "servers/i-2", "revision": "x"},
+        {"key": "servers/i-2", "revision": 10**300},
+        {"key": "servers/i-2", "revision": 1, "value": 7},
+        {"key": "k" * 5000, "revision": 1},
+    ],
+)
+def test_odd_item_of_a_page_leaves_the_others_in_service(odd):
+    sound = _new_item("servers/i-1", ENTRY)
+    page = {"items": [odd, sound], "current_rev": 7}
+    changes = {"events": [odd, sound], "current_rev": 8}
+
+    async def check(source, _targets):
+        for update in (await source.list_all(), await source.list_changes(7)):
+            assert [s.server_id for s in update.servers] == ["i-1"]
+            assert len(update.problems) == 1
+        history = await source.list_history(7)
+        assert [s.server_id for s in history.servers] == ["i-1"]
+        assert not history.is_complete
+
+    _run_with_store([(200, page), (200, changes), (200, changes)], check)
+
+
+@pytest.mark.parametrize("current_rev", [-1, 10**300, "7", None, 1.5])
+def test_page_with_an_odd_revision_is_unreachable(current_rev):
+    body = {"items": [], "current_rev": current_rev}
+
+    async def check(source, _targets):
+        answer = await source.list_all()
+        assert isinstance(answer, source_module.Unreachable)
+
+    _run_with_store([(200, body)], check)
+
+
+@pytest.mark.parametrize("era", [b"9" * 5000, b"\xb2", b"-1", b"1_0", b""])
+def test_odd_era_of_the_store_ends_nothing(era):
+    page = {"items": [], "current_rev": 7}
+
+    async def check(source, _targets):
+        update = await source.list_all()
+        assert update.revision == 7
+        assert update.era == 0
+
+    _run_with_store([(200, page, (b"Store-Era", era))], check)
+
+
 def test_entry_returns_server_with_incarnation():
     server = document.read_entry("i-1", json.dumps(ENTRY).encode())
     assert server == gateway.Server(
@@ -267,7 +380,8 @@
         status, body, *headers = remaining.pop(0)
         if status is None:
             await trio.sleep_forever()
-        await exchange.answer(status, headers, json.dumps(body).encode())
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        await exchange.answer(status, headers, data)
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -569,3 +683,68 @@
     path.write_text('{"node": 1}')
     with pytest.raises(ValueError, match="is invalid"):
         settings_module.read_node_file(str(path))
+
+
+NODE = {
+    "node": "front-1",
+    "role": "front",
+    "ip": "127.0.0.1",
+    "zone": "z",
+    "region": "n",
+    "provider": {"address": "127.0.0.1:7"},
+    "listen": {
+        "front": "127.0.0.1:1",
+        "ready": "127.0.0.1:2",
+        "control": "127.0.0.1:3",
+    },
+    "bounds": {"revoke_ms": 4000},
+}
+ODD_NODE_FILES = [
+    b"",
+    b"\xff\xfe",
+    DEEP,
+    b'{"later": %s}' % DEEP,
+    b"9" * 5000,
+    b" " * 2_000_000,
+] + [
+    json.dumps({**NODE, **change}).encode()
+    for change in (
+        {"ip": "localhost"},
+        {"listen": {}},
+        {"listen": {**NODE["listen"], "front": "127.0.0.1:99999"}},
+        {"listen": {**NODE["listen"], "ready": "127.0.0.1"}},
+        {"listen": {**NODE["listen"], "control": "a\0:1"}},
+        {"provider": {"address": "nowhere"}},
+        {"bounds": {"revoke_ms": -1}},
+        {"bounds": {"revoke_ms": 1e300}},
+        {"bounds": {"grace_s": -1}},
+        {"bounds": {"budget_window_s": 0}},
+        {"limits": {"cores": -1}},
+        {"limits": {"cpu_share": 1e308, "cores": 1e308}},
+        {"node": "n" * 5000},
+    )
+]
+
+
+@pytest.mark.parametrize("data", ODD_NODE_FILES)
+def test_odd_node_file_is_named_and_the_settings_in_force_stay(tmp_path, data):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(NODE))
+    adapter = adapter_module.new_adapter(str(path), 9464)
+    settings = adapter.get_settings()
+    path.write_bytes(data)
+    with pytest.raises(ValueError, match="node.json' "):
+        adapter_module.new_adapter(str(path), 9464)
+    assert "node.json' " in adapter.reload()
+    assert adapter.get_settings() == settings
+    assert adapter.get_grace_s() == 8
+    path.write_text(json.dumps({**NODE, "bounds": {"grace_s": 5}}))
+    assert adapter.reload().startswith("changed")
+    assert adapter.get_grace_s() == 5
+
+
+def test_node_file_that_is_no_file_is_named(tmp_path):
+    with pytest.raises(ValueError, match="can't be read"):
+        settings_module.read_node_file(str(tmp_path))
+    with pytest.raises(ValueError, match="can't be read"):
+        settings_module.read_node_file(str(tmp_path / "a\0b"))
