Take the store's word for keys only after the peers were asked

Cause: an entry without memory took the word of a restored store that its old catalog was the newest; the newer version that living peers told in each digest wasn't asked for. So did an entry that had stood still or been cut off while the version was published.

Now each digest says which version is the newest that its sender knows of, and the first era in which it was published. No confirmation, of the store or of a peer, is taken for an older version; one that was given in a later era than that of the news is taken back. After a start, and when the era rises, peers are asked before a confirmation is taken, for a second at most. Public requests go on.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -372,6 +372,9 @@
     and omitted where `centres` has them. `peers` has the addresses of all
     entries, for a receiver that knows fewer than `peers_known`. `crash_news`
     and `limits` are repeated in each digest, so that a lost one does no harm.
+    `newest_version` is the newest that the sender knows of, which may be one
+    that it doesn't hold, and `newest_era` the first era of the source in
+    which it was there. `confirmed_era` is the era of the confirmation.
     """
 
     name: str
@@ -390,6 +393,9 @@
     centres: list[CentreDigest] = []
     crash_news: CrashNews | None = None
     limits: list[ServerLimit] = []
+    newest_version: int = 0
+    newest_era: int = 0
+    confirmed_era: int = 0
 
 
 class EntryDigestReply(_Message, tag="entry_heard"):
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -9,6 +9,7 @@
 import trio
 
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import newest_version
 
 # The poll period as a fraction of the bound on applying a change.
 POLL_PERIOD_RATIO = 0.44
@@ -31,6 +32,7 @@
         "catalog_changed",
         "era",
         "lease",
+        "newest",
         "revision",
     )
 
@@ -42,6 +44,7 @@
         self._is_source_behind = False
         self._is_source_reachable = None
         self.lease = lease
+        self.newest = newest_version.new_newest_version(lease)
         self.catalog = None
         self.revision = None
         self.era = 0
@@ -163,8 +166,10 @@
             )
         # At the start, everything that is listed is new.
         is_restored = is_restored and self.catalog is not None
+        if is_restored:
+            self.newest.start_asking()
         self._directory.apply_update(update, is_restored)
-        self._apply_catalog(update.catalog)
+        self._apply_catalog(update.catalog, update.era)
         self.revision = update.revision
         self.era = update.era
         listed = update.catalog
@@ -172,14 +177,15 @@
             # A restored source may lack the version that is in force.
             self._is_source_behind = listed.version < self.get_version()
         if self.catalog is not None and not self._is_source_behind:
-            self.lease.confirm(sent_s)
+            self.newest.confirm(sent_s, update.era, self.get_version())
         return True
 
-    def _apply_catalog(self, catalog):
+    def _apply_catalog(self, catalog, era):
         if catalog is None or catalog.version <= self.get_version():
             return
         before = self.get_version()
         self.catalog = catalog
+        self.newest.hold(catalog.version, era)
         event, self.catalog_changed = self.catalog_changed, trio.Event()
         event.set()
         _log.info(
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -102,6 +102,7 @@
 
     def _new_common_digest(self):
         age_s = self._lease.get_age_s()
+        newest = self._catalog_watcher.newest
         return messages.EntryDigest(
             name=self._members.name,
             address=self._own_address,
@@ -116,6 +117,9 @@
                 limit_news.new_message(server, self.observer)
                 for server in self._directory.get_limited()
             ],
+            newest_version=newest.version,
+            newest_era=newest.era,
+            confirmed_era=newest.confirmed_era,
         )
 
     def _new_centre(self):
@@ -166,6 +170,10 @@
         if peer is None:
             return None
         peer.peers_known = digest.peers_known
+        peer.is_informed = 0 <= digest.freshness_age_s < self._lease.bound_s
+        self._catalog_watcher.newest.hear(
+            digest.newest_version, digest.newest_era
+        )
         for address in digest.peers:
             self._members.get_or_add(address)
         self._apply_parts(peer, digest)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -132,6 +132,8 @@
             guard,
             generator,
         )
+        if self.peers.members.peer_by_address:
+            self.catalog_watcher.newest.start_asking()
         guard.announce = self.peers.exchange_now
         self.peers.streams = streams_module.new_streams(
             self.peers.members,
--- a/greengagetrack/process/direct/freshness.py
+++ b/greengagetrack/process/direct/freshness.py
@@ -36,6 +36,10 @@
         if self._confirmed_s is None or sent_s > self._confirmed_s:
             self._confirmed_s = sent_s
 
+    def lapse(self):
+        """Take back all confirmations."""
+        self._confirmed_s = None
+
     def get_age_s(self):
         """Return the age of the last confirmation, or None without one."""
         if self._confirmed_s is None:
--- /dev/null
+++ b/greengagetrack/process/direct/inquiry.py
@@ -0,0 +1,97 @@
+"""Asks the peers which version of the catalog is the newest."""
+
+import logging
+
+import trio
+
+ROUND_S = 0.1
+# Peers of other regions may answer later than the first one.
+ROUNDS_MIN = 3
+ROUNDS_MAX = 10
+PEERS_MAX = 8
+
+_log = logging.getLogger(__name__)
+
+
+class Inquiry:
+    """The questions of one start, or of one return of the source.
+
+    They end once a peer has answered that knows the newest version itself,
+    and the others had a moment to answer, or after `ROUNDS_MAX` rounds.
+    Rounds are counted and not seconds, as the entry may stand still.
+    """
+
+    __slots__ = ("_asked", "_exchange", "_links", "_members", "_started_s")
+
+    def __init__(self, members, links, exchange):
+        self._members = members
+        self._links = links
+        self._exchange = exchange
+        self._asked = set()
+        self._started_s = trio.current_time()
+
+    async def run(self):
+        """Ask until there is an answer or the rounds are over."""
+        await self._run_rounds()
+        answered = [
+            peer for peer in self._choose() if self._has_answered(peer)
+        ]
+        _log.info(
+            "peers asked for the newest version",
+            extra={
+                "decision": "ask",
+                "peers": len(self._choose()),
+                "answered": len(answered),
+                "informed": sum(peer.is_informed for peer in answered),
+                "spent_s": round(trio.current_time() - self._started_s, 2),
+            },
+        )
+
+    async def _run_rounds(self):
+        async with trio.open_nursery() as nursery:
+            for number in range(1, ROUNDS_MAX + 1):
+                for peer in self._choose():
+                    if peer.address not in self._asked:
+                        nursery.start_soon(self._ask, peer)
+                if not self._choose():
+                    break
+                await trio.sleep(ROUND_S)
+                if self._is_over(number):
+                    break
+            nursery.cancel_scope.cancel()
+
+    def _choose(self):
+        """Return the peers to ask: the seeds, then those they know."""
+        peers = list(self._members.peer_by_address.values())
+        peers.sort(key=lambda peer: peer.address not in self._members.seeds)
+        return peers[:PEERS_MAX]
+
+    async def _ask(self, peer):
+        # Links open in the background; a question needs an open one.
+        if not self._links.get_link(peer.address).is_up():
+            return
+        self._asked.add(peer.address)
+        await self._exchange(peer)
+        if not self._has_answered(peer):
+            self._asked.discard(peer.address)
+
+    def _has_answered(self, peer):
+        return peer.last_exchange_s >= self._started_s
+
+    def _is_over(self, number):
+        peers = self._choose()
+        answered = [peer for peer in peers if self._has_answered(peer)]
+        if not any(peer.is_informed for peer in answered):
+            return False
+        return len(answered) == len(peers) or number >= ROUNDS_MIN
+
+
+async def run_whenever_due(newest, members, links, exchange):
+    """Ask the peers whenever `newest` waits for them, until cancelled.
+
+    `await exchange(peer)` exchanges digests with one peer.
+    """
+    while True:
+        await newest.wait_asking()
+        await Inquiry(members, links, exchange).run()
+        newest.end_asking()
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -35,7 +35,8 @@
     `last_contact_s` is when it was last known to be alive, `last_exchange_s`
     when the last exchange of digests with it ended, and `last_used_s` when it
     last made pieces for this entry. `last_sent_part` is the number of the
-    last announced prompt part that was sent to it.
+    last announced prompt part that was sent to it. `is_informed` says that
+    its last digest had a recent confirmation of its catalog.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "catalog_version",
         "centres_sent_s",
         "data_centre",
+        "is_informed",
         "is_leaving",
         "last_contact_s",
         "last_exchange_s",
@@ -63,6 +65,7 @@
         self.last_exchange_s = -math.inf
         self.last_used_s = -math.inf
         self.missed_replies = 0
+        self.is_informed = False
         self.is_leaving = False
         self.was_lost = False
         self.catalog_version = 0
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -12,6 +12,7 @@
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import permits as permits_module
 from greengagetrack.request import deadline as deadline_module
@@ -123,6 +124,13 @@
     async def run(self):
         """Exchange digests with the peers until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                inquiry.run_whenever_due,
+                self._catalog_watcher.newest,
+                self.members,
+                self._links,
+                self._exchange,
+            )
             while True:
                 chosen = self._choose_remote()
                 for peer in list(self.members.peer_by_address.values()):
@@ -201,17 +209,15 @@
         self._digests.apply(reply.digest)
         self._open_links()
         age_s = reply.digest.freshness_age_s
-        is_up_to_date = (
-            reply.digest.catalog_version <= self._catalog_watcher.get_version()
-        )
-        if (
-            age_s >= 0
-            and is_up_to_date
-            and self._catalog_watcher.get_version()
-        ):
+        version = self._catalog_watcher.get_version()
+        if age_s >= 0 and version >= max(reply.digest.catalog_version, 1):
             # The peer computed its age after this request was sent, so this
             # time is never later than the confirmation that it reports.
-            self._lease.confirm(sent_s - age_s)
+            self._catalog_watcher.newest.confirm(
+                sent_s - age_s,
+                reply.digest.confirmed_era,
+                reply.digest.catalog_version,
+            )
 
     def _count_missed_reply(self, peer):
         """Open a new link to a peer after several missed replies."""
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -15,6 +15,7 @@
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import newest_version
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import rendezvous
 from greengagetrack.request import deadline as deadline_module
@@ -145,7 +146,10 @@
             settings,
             base.new_links(factory),
             node.lease,
-            types.SimpleNamespace(get_version=lambda: node.version),
+            types.SimpleNamespace(
+                get_version=lambda: node.version,
+                newest=newest_version.new_newest_version(node.lease),
+            ),
             node.directory,
             crash_guard.new_crash_guard(None, None, None),
             random.Random(index),
