Match each call of this process to its own answer

Cause: a server wrote the answer to a call for pieces once more, where the answer to the next call on that connection was due. Call.receive_response took any response, and the calls bore no id.

Now each call for pieces or to free results bears an id of its own, and a response with another id is skipped. An answer without id and without results (a refusal, only failures) proves nothing and ends its connection; so does a connection's 257th answer without id, and the answer to a caller's request without id. Answers to frees are all alike and get connections of their own. Answers of the store must come after what was asked for; else they are rejected and their connection is closed. One result twice in an answer is a failure.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -23,6 +23,7 @@
 
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing as framing_module
+from greengagetrack.connection.http import matching
 
 CONNECT_TIMEOUT_S = 0.4
 RECEIVE_BYTES = 65536
@@ -78,19 +79,26 @@
 
 
 class Connection:
-    """A connection to a server, with its idle time and request count."""
+    """A connection to a server, with its idle time and request count.
+
+    Only requests of one `lane` are sent over it.
+    """
 
     __slots__ = (
         "address",
         "idle_max_s",
         "idle_since_s",
+        "lane",
+        "matcher",
         "request_count",
         "stream",
     )
 
-    def __init__(self, address, stream):
+    def __init__(self, address, lane, stream):
         self.address = address
+        self.lane = lane
         self.stream = stream
+        self.matcher = matching.new_matcher()
         self.idle_since_s = trio.current_time()
         self.idle_max_s = DEFAULT_IDLE_MAX_S
         self.request_count = 0
@@ -117,6 +125,7 @@
         "_connection",
         "_has_received",
         "_is_eof",
+        "_is_last",
         "_is_sent",
         "_pool",
         "_protocol",
@@ -133,6 +142,7 @@
         self._body = b""
         self._protocol = h11.Connection(h11.CLIENT)
         self._is_eof = False
+        self._is_last = False
         self._is_sent = False
         self._has_received = False
         self._send_scope = None
@@ -217,6 +227,10 @@
         body = await self._receive_body()
         if isinstance(body, ResponseFailure):
             return ResponseFailure("incomplete response to another request")
+        return self._expect_next()
+
+    def _expect_next(self):
+        """Expect one more response; return a failure or None."""
         trailing_data, is_closed = self._protocol.trailing_data
         if is_closed or self._protocol.their_state is h11.MUST_CLOSE:
             return ResponseFailure(
@@ -244,15 +258,31 @@
             f"{type(event).__name__} within the response body"
         )
 
-    async def receive_response(self):
+    async def receive_response(self, identify):
         """Return the `ResponseHead` and the body, or `ResponseFailure`.
 
-        For requests of this process itself; any response is accepted.
+        For requests of this process itself. `identify(head, body)` returns
+        the `matching.Identity` of a response; those to other requests are
+        skipped.
         """
+        for _try in range(STALE_RESPONSES_MAX + 1):
+            response = await self._receive_any_response()
+            if isinstance(response, ResponseFailure):
+                return response
+            match = self._connection.matcher.match(identify(*response))
+            if match is not matching.Match.OTHER:
+                self._is_last = match is matching.Match.UNPROVEN
+                self.update_idle_limit(response[0].headers)
+                return response
+            failure = self._expect_next()
+            if failure is not None:
+                return failure
+        return ResponseFailure("only responses to other requests")
+
+    async def _receive_any_response(self):
         head = await self.receive_head(lambda _head: True)
         if isinstance(head, ResponseFailure):
             return head
-        self.update_idle_limit(head.headers)
         body = await self._receive_body()
         return body if isinstance(body, ResponseFailure) else (head, body)
 
@@ -312,9 +342,17 @@
         else:
             self._pool.drop(self._connection)
 
+    def end_connection(self):
+        """Let this be the last request over its connection."""
+        self._is_last = True
+
     def _is_reusable(self):
         protocol = self._protocol
-        if self._is_eof or not (self.is_complete and self._is_sent):
+        if (
+            self._is_last
+            or self._is_eof
+            or not (self.is_complete and self._is_sent)
+        ):
             return False
         if protocol.our_state is not h11.DONE:
             return False
@@ -331,10 +369,10 @@
 
 
 class Pool:
-    """The connections to all servers, by address."""
+    """The connections to all servers, by address and lane."""
 
     __slots__ = (
-        "_idle_by_address",
+        "_idle_by_key",
         "_nursery",
         "count_by_address",
         "opened_count",
@@ -342,7 +380,7 @@
 
     def __init__(self, nursery):
         self._nursery = nursery
-        self._idle_by_address = {}
+        self._idle_by_key = {}
         self.count_by_address = {}
         self.opened_count = 0
 
@@ -352,23 +390,28 @@
 
     def count_idle(self, address):
         """Return how many connections to `address` are idle."""
-        return len(self._idle_by_address.get(address, ()))
+        return sum(
+            len(idle)
+            for key, idle in self._idle_by_key.items()
+            if key[0] == address
+        )
 
     async def open_call(
-        self, address, request, body, needs_fresh_connection=False
+        self, address, request, body, needs_fresh_connection=False, lane=b""
     ):
         """Send a request; return a `Call`, `NotSent` or `ResponseFailure`.
 
         `needs_fresh_connection` limits the choice to a new connection or
         one idle for at most `FRESH_IDLE_MAX_S`, which the server is
-        unlikely to be closing.
+        unlikely to be closing. Requests of different lanes share no
+        connection.
         """
         idle_max_s = (
             FRESH_IDLE_MAX_S if needs_fresh_connection else DEFAULT_IDLE_MAX_S
         )
-        connection = self._pop_idle(address, idle_max_s)
+        connection = self._pop_idle((address, lane), idle_max_s)
         if connection is None:
-            connection = await self._connect(address)
+            connection = await self._connect(address, lane)
         if isinstance(connection, NotSent):
             return connection
         call = Call(self, connection, request)
@@ -381,8 +424,8 @@
                 self.drop(connection)
         return call if is_started else failure
 
-    def _pop_idle(self, address, idle_max_s):
-        idle = self._idle_by_address.get(address, [])
+    def _pop_idle(self, key, idle_max_s):
+        idle = self._idle_by_key.get(key, [])
         while idle:
             connection = idle.pop()
             if connection.is_usable(idle_max_s):
@@ -404,7 +447,7 @@
         self.release(connection)
         return False
 
-    async def _connect(self, address):
+    async def _connect(self, address, lane=b""):
         host, _separator, port = address.rpartition(":")
         self.count_by_address[address] = self.count(address) + 1
         is_open = False
@@ -421,13 +464,13 @@
         if not is_open:
             return NotSent("connection timed out")
         self.opened_count += 1
-        return Connection(address, stream)
+        return Connection(address, lane, stream)
 
     def release(self, connection):
         """Return a reusable connection to the pool."""
         connection.idle_since_s = trio.current_time()
-        idle = self._idle_by_address.setdefault(connection.address, [])
-        idle.append(connection)
+        key = connection.address, connection.lane
+        self._idle_by_key.setdefault(key, []).append(connection)
 
     def drop(self, connection):
         """Close a connection and remove it from the count."""
@@ -443,7 +486,7 @@
 
     def drop_expired(self):
         """Close the idle connections that can't be reused."""
-        for address, idle in list(self._idle_by_address.items()):
+        for key, idle in list(self._idle_by_key.items()):
             usable = []
             for connection in idle:
                 if connection.is_usable(connection.idle_max_s):
@@ -451,14 +494,16 @@
                 else:
                     self.drop(connection)
             if usable:
-                self._idle_by_address[address] = usable
+                self._idle_by_key[key] = usable
             else:
-                del self._idle_by_address[address]
+                del self._idle_by_key[key]
 
     def drop_connections(self, address):
         """Close the idle connections to a server that was removed."""
-        for connection in self._idle_by_address.pop(address, ()):
-            self.drop(connection)
+        for key in list(self._idle_by_key):
+            if key[0] == address:
+                for connection in self._idle_by_key.pop(key):
+                    self.drop(connection)
 
 
 async def open_stream(host, port):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -1,5 +1,6 @@
 """The gateway to the platform's engines, over HTTP."""
 
+import itertools
 import math
 
 import msgspec
@@ -8,6 +9,7 @@
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import matching
 from greengagetrack.platform import document
 from greengagetrack.platform import names
 from greengagetrack.request import outcome
@@ -118,10 +120,11 @@
 class EngineGateway(gateway.Gateway):
     """A gateway that calls engines over persistent connections."""
 
-    __slots__ = ("_observer", "_pool")
+    __slots__ = ("_call_numbers", "_observer", "_pool")
 
     def __init__(self, pool):
         self._pool = pool
+        self._call_numbers = itertools.count(1)
         self._observer = None
 
     def set_observer(self, observer):
@@ -169,6 +172,9 @@
             if isinstance(response_head, client.ResponseFailure):
                 return _convert_failure(response_head)
             call.update_idle_limit(response_head.headers)
+            if _get_id(response_head) is None:
+                # A copy of it could not be told from the next answer.
+                call.end_connection()
             self._observe(server, response_head)
             answer = EngineAnswer(call, response_head)
             return answer
@@ -204,14 +210,18 @@
         response = None
         with trio.move_on_after(FREE_TIMEOUT_S):
             response = await self._exchange(
-                address, names.STAGE_FREE_PATH, _Handles(handles), []
+                address,
+                names.STAGE_FREE_PATH,
+                _Handles(handles),
+                [],
+                _identify_freed,
             )
         return isinstance(response, tuple) and response[0].status == 200
 
     async def _post(self, server, path, body):
         instance_header = (names.EXPECT_INSTANCE, server.server_id.encode())
         response = await self._exchange(
-            server.address, path, body, [instance_header]
+            server.address, path, body, [instance_header], _identify_made
         )
         if isinstance(response, gateway.Failure):
             return response
@@ -226,8 +236,12 @@
             is_other_server=head.status == MISDIRECTED_STATUS,
         )
 
-    async def _exchange(self, address, path, body, headers):
-        """Return the head and the body of a response, or a `Failure`."""
+    async def _exchange(self, address, path, body, headers, identify):
+        """Return the head and the body of a response, or a `Failure`.
+
+        Each path has connections of its own, see `_identify_freed`.
+        """
+        call_id = b"call-%x" % next(self._call_numbers)
         data = msgspec.json.encode(body)
         head = client.RequestHead(
             b"POST",
@@ -236,14 +250,17 @@
                 (b"Host", address.encode()),
                 (b"Content-Type", b"application/json"),
                 (b"Content-Length", b"%d" % len(data)),
+                (names.REQUEST_ID, call_id),
                 *headers,
             ],
         )
-        call = await self._pool.open_call(address, head, data)
+        call = await self._pool.open_call(address, head, data, lane=path)
         if not isinstance(call, client.Call):
             return _convert_failure(call)
         try:
-            response = await call.receive_response()
+            response = await call.receive_response(
+                lambda head, body: identify(call_id, head, body)
+            )
         finally:
             call.finish()
         if isinstance(response, client.ResponseFailure):
@@ -275,23 +292,60 @@
     return limit_per_s if is_valid else None
 
 
+def _get_id(head):
+    return fields.get_value(head.headers, names.REQUEST_ID.lower())
+
+
 def _is_response_to(head, request_id):
-    echoed = fields.get_value(head.headers, names.REQUEST_ID.lower())
-    return echoed is None or echoed == request_id
+    return _get_id(head) in (None, request_id)
 
 
-def _decode_made_items(data, count):
+def _identify_made(call_id, head, body):
+    """Return the `Identity` of the answer to a call for pieces.
+
+    Many servers don't repeat the id of such a call. Then the results, each
+    of which is made only once, mark the answer.
+    """
+    echoed = _get_id(head)
+    if echoed is not None:
+        return matching.Identity(echoed == call_id)
+    items = _read_made_items(body) if head.status == 200 else ()
+    if isinstance(items, gateway.Failure):
+        items = ()
+    handles = tuple(item.handle for item in items if item.handle)
+    return matching.Identity(None, handles)
+
+
+def _identify_freed(call_id, head, _body):
+    """Return the `Identity` of the answer to a request to free results.
+
+    All such answers are alike. One without an id is taken for the own one:
+    at worst the results are freed a moment later than it says.
+    """
+    return matching.Identity(_is_response_to(head, call_id))
+
+
+def _read_made_items(data):
     try:
-        items = msgspec.json.decode(data, type=_MadeItems).items
+        return msgspec.json.decode(data, type=_MadeItems).items
     except document.DECODING_ERRORS as error:
         return gateway.Failure(
             _Reason.BACKEND_FAILED,
             _Ran.UNKNOWN,
             f"invalid list of pieces: {error}",
         )
-    if len(items) != count:
+
+
+def _decode_made_items(data, count):
+    items = _read_made_items(data)
+    if isinstance(items, gateway.Failure):
+        return items
+    handles = [item.handle for item in items if item.handle]
+    if len(items) != count or len(set(handles)) != len(handles):
         return gateway.Failure(
-            _Reason.BACKEND_FAILED, _Ran.UNKNOWN, "unexpected number of pieces"
+            _Reason.BACKEND_FAILED,
+            _Ran.UNKNOWN,
+            "unexpected number of pieces, or one result twice",
         )
     return [
         item.handle
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -8,6 +8,7 @@
 
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import matching
 from greengagetrack.connection import source
 from greengagetrack.platform import document
 from greengagetrack.platform import names
@@ -28,11 +29,24 @@
     current_rev: int
     has_more: bool = False
 
+    def is_answer_to(self, query):
+        """Return whether all items come after those of the page before."""
+        after = query.get("after", "")
+        return all(item.key > after for item in self.items)
+
 
 class _Changes(msgspec.Struct):
     events: list[_Item]
     current_rev: int
 
+    def is_answer_to(self, query):
+        """Return whether this is what was asked for, no earlier changes."""
+        return all(
+            event.revision > query["after"]
+            and event.key.startswith(query["path_prefix"])
+            for event in self.events
+        )
+
 
 class _Dated(msgspec.Struct):
     """The content of an answer and the era that it belongs to."""
@@ -106,9 +120,17 @@
         if status != 200:
             return source.Unreachable(f"{status} {body[:80]!r}")
         try:
-            return _Dated(era, msgspec.json.decode(body, type=response_type))
+            content = msgspec.json.decode(body, type=response_type)
         except document.DECODING_ERRORS as error:
-            return source.Unreachable(f"invalid response: {error}")
+            return self._reject(f"invalid response: {error}")
+        if not content.is_answer_to(query):
+            return self._reject("response to another request")
+        return _Dated(era, content)
+
+    def _reject(self, detail):
+        """Return `Unreachable`; the own response may still be under way."""
+        self._pool.drop_connections(self._address)
+        return source.Unreachable(detail)
 
     async def _call(self, target):
         """Return status, body and era; status 0 means no response."""
@@ -118,7 +140,7 @@
         if not isinstance(call, client.Call):
             return 0, call.detail.encode(), 0
         try:
-            response = await call.receive_response()
+            response = await call.receive_response(_identify)
         finally:
             call.finish()
         if isinstance(response, client.ResponseFailure):
@@ -127,6 +149,14 @@
         return head.status, body, _read_era(head.headers)
 
 
+def _identify(_head, _body):
+    """Return an `Identity`: the store repeats no id.
+
+    `is_answer_to` judges the content.
+    """
+    return matching.Identity(is_own=True)
+
+
 def _read_era(headers):
     text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
     return int(text) if text.isdigit() else 0
