--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -9,6 +9,7 @@
 
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import matching
 from greengagetrack.connection.http import numbers
 from greengagetrack.connection import source
 from greengagetrack.platform import document
@@ -36,17 +37,45 @@
     current_rev: _Count
     has_more: bool = False
 
+    def get_raw_items(self):
+        """Return what is decoded one by one."""
+        return self.items
+
+    @staticmethod
+    def is_answer_to(query, items):
+        """Return whether all items come after those of the page before."""
+        after = query.get("after", "")
+        return all(item.key > after for item in items)
+
 
 class _Changes(msgspec.Struct):
     events: list[msgspec.Raw]
     current_rev: _Count
 
+    def get_raw_items(self):
+        """Return what is decoded one by one."""
+        return self.events
+
+    @staticmethod
+    def is_answer_to(query, items):
+        """Return whether this is what was asked for, no earlier changes."""
+        return all(
+            item.revision > query["after"]
+            and item.key.startswith(query["path_prefix"])
+            for item in items
+        )
+
 
 class _Dated(msgspec.Struct):
-    """The content of an answer and the era that it belongs to."""
+    """The content of an answer and the era that it belongs to.
+
+    `problems` tells which of its items can't be read.
+    """
 
     era: int
     content: _Page | _Changes
+    items: list[_Item]
+    problems: list[str]
 
 
 class StoreSource(source.Source):
@@ -71,10 +100,9 @@
             if answer.era != first.era:
                 return source.Unreachable("restored between two pages")
             page = answer.content
-            page_items, page_problems = _read_items(page.items)
-            items += page_items
-            problems += page_problems
-            if not page.has_more or not page_items:
+            items += answer.items
+            problems += answer.problems
+            if not page.has_more or not answer.items:
                 # Pages are not a snapshot: a later call of `list_changes`
                 # with the first page's revision returns what changed
                 # meanwhile.
@@ -85,7 +113,7 @@
                     first.era,
                     is_complete=True,
                 )
-            query["after"] = page_items[-1].key
+            query["after"] = answer.items[-1].key
         return source.Unreachable("too many pages")
 
     async def list_changes(self, revision):
@@ -94,9 +122,11 @@
         answer = await self._get(names.WATCH_PATH, query, _Changes)
         if not isinstance(answer, _Dated):
             return answer
-        items, problems = _read_items(answer.content.events)
         return _read_update(
-            items, problems, answer.content.current_rev, answer.era
+            answer.items,
+            answer.problems,
+            answer.content.current_rev,
+            answer.era,
         )
 
     async def list_history(self, revision):
@@ -106,7 +136,7 @@
         answer = await self._get(names.WATCH_PATH, query, _Changes)
         if not isinstance(answer, _Dated):
             return answer
-        return _read_history(answer.content.events)
+        return _read_history(answer.items, answer.problems)
 
     async def _get(self, path, query, response_type):
         """Return the `_Dated` content, `HistoryLost` or `Unreachable`."""
@@ -119,9 +149,18 @@
         if status != 200:
             return source.Unreachable(f"{status} {body[:80]!r}")
         try:
-            return _Dated(era, msgspec.json.decode(body, type=response_type))
+            content = msgspec.json.decode(body, type=response_type)
         except document.DECODING_ERRORS as error:
-            return source.Unreachable(f"invalid response: {error}")
+            return self._reject(f"invalid response: {error}")
+        items, problems = _read_items(content.get_raw_items())
+        if not content.is_answer_to(query, items):
+            return self._reject("response to another request")
+        return _Dated(era, content, items, problems)
+
+    def _reject(self, detail):
+        """Return `Unreachable`; the own response may still be under way."""
+        self._pool.drop_connections(self._address)
+        return source.Unreachable(detail)
 
     async def _call(self, target):
         """Return status, body and era; status 0 means no response."""
@@ -131,7 +170,7 @@
         if not isinstance(call, client.Call):
             return 0, call.detail.encode(), 0
         try:
-            response = await call.receive_response()
+            response = await call.receive_response(_identify)
         finally:
             call.finish()
         if isinstance(response, client.ResponseFailure):
@@ -140,6 +179,14 @@
         return head.status, body, _read_era(head.headers)
 
 
+def _identify(_head, _body):
+    """Return an `Identity`: the store repeats no id.
+
+    `is_answer_to` judges the content.
+    """
+    return matching.Identity(is_own=True)
+
+
 def _read_era(headers):
     text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
     return numbers.read_count(text, COUNT_MAX) or 0
@@ -190,8 +237,7 @@
     )
 
 
-def _read_history(events):
-    items, problems = _read_items(events)
+def _read_history(items, problems):
     servers = []
     seen_keys = set()
     # What can't be read may be a server of any version.
