Pass on the line ends after a stream's last event

At the end of a sound stream these bytes are line ends only, as find_stream_problem has checked; they are now sent before the end. Those of a stream that broke off are still dropped: what a resuming server sends then follows a complete event.

test_line_ends_after_the_last_event_reach_the_caller failed in all four cases before and passes now.

--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -118,6 +118,10 @@
         )
         if problem:
             return _new_problem(problem)
+        # Line ends, such as the LF after a CR that ended the last event.
+        rest = self._splitter.get_rest()
+        if rest:
+            await self._reply.send_part(rest)
         await self._reply.finish()
         return None
 
