Let a resumed stream go on only with an event that shows it does

A stream had begun and broke off, and another server was asked to go on after event n (or from the start, if only the head had been sent).

Cause: the relay judged a later answer as it does a first one. A proven end says that the *answer* is whole, not that it is the rest of the stream.

Now a later answer has to begin with an event that has an id, the next one where ids are numbers. Comments and `retry` before it are that answer's own and are left out. Otherwise it has failed: the next server is asked, within the attempts and the retry budget, and if none goes on the caller's stream is broken off.

What can't be told apart: a first server that had sent its last event and lost only the end also leads to an empty, whole answer. Nothing in either answer shows which.

--- a/greengagetrack/connection/http/events.py
+++ b/greengagetrack/connection/http/events.py
@@ -20,6 +20,13 @@
     data: bytes
     event_id: bytes | None = None
 
+    def is_silent(self):
+        """Return whether it has only comments and reconnection times."""
+        return all(
+            not line or line.startswith((b":", b"retry:"))
+            for line in _LINE_END.split(self.data)
+        )
+
 
 class EventSplitter:
     """Splits a body into events and buffers an incomplete event."""
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -19,10 +19,15 @@
     sent: bytes that complete no event are no progress. `longest_pause_s` is
     the longest time between two of them. `on_begin()` is called before the
     first event is sent.
+
+    An answer that goes on with that of another server has to begin with an
+    event whose id shows that it does. An error that looks like an event has
+    none, and an answer without events doesn't prove that none was left.
     """
 
     __slots__ = (
         "_framing",
+        "_is_join_open",
         "_last_sent_s",
         "_on_begin",
         "_reply",
@@ -38,6 +43,7 @@
         self._reply = reply
         self._on_begin = on_begin
         self._framing = None
+        self._is_join_open = False
         self._reply_framing = None
         self._splitter = None
         self.first_event_s = None
@@ -48,6 +54,7 @@
 
     async def start(self, answer):
         """Start to relay the answer of a server, the first or a later one."""
+        self._is_join_open = self._reply.is_started
         if not self._reply.is_started:
             await self._reply.start(
                 answer.status, answer.headers, answer.framing
@@ -86,17 +93,23 @@
         """Return the events in sequence, and a `Failure` for the next."""
         forwarded = []
         for event in complete_events:
+            if self._is_join_open and event.is_silent():
+                # The begin of a later answer is no part of the first one.
+                continue
             if not self._is_in_sequence(event):
                 return forwarded, _new_problem(
                     f"event {event.event_id!r} after {self.last_event!r}"
                 )
+            self._is_join_open = False
             if event.event_id is not None:
                 self.last_event = event.event_id
             forwarded.append(event.data)
         return forwarded, None
 
     def _is_in_sequence(self, event):
-        if event.event_id is None or self.last_event is None:
+        if event.event_id is None:
+            return not self._is_join_open
+        if self.last_event is None:
             return True
         if not (event.event_id.isdigit() and self.last_event.isdigit()):
             return True
@@ -116,6 +129,8 @@
         ) or answer_end.find_framing_problem(
             self._framing, self._reply_framing
         )
+        if self._is_join_open:
+            problem = problem or "a later answer brought no event"
         if problem:
             return _new_problem(problem)
         # Line ends, such as the LF after a CR that ended the last event.
