Resume no stream whose last bytes would come twice

A server of a resumable route sent something without an event id, such as an error's text, and broke off.

Cause: a resume names the last id that was sent, but not everything that was sent had one. The relay now knows whether it had: if the last thing sent, comments and `retry` aside, carries no id, the stream can't be resumed and is broken off. Since nobody could go on with it, it also isn't given up for a pause between its events any more.

--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -17,7 +17,8 @@
     `last_event` is the id of the last event sent, after which another
     server can resume the stream. `progress_s` is when the last event was
     sent: bytes that complete no event are no progress. `longest_pause_s` is
-    the longest time between two of them. `on_begin()` is called before the
+    the longest time between two of them. `is_resumable` is false if what was
+    sent after that event would come twice. `on_begin()` is called before the
     first event is sent.
 
     An answer that goes on with that of another server has to begin with an
@@ -34,6 +35,7 @@
         "_reply_framing",
         "_splitter",
         "first_event_s",
+        "is_resumable",
         "last_event",
         "longest_pause_s",
         "progress_s",
@@ -47,6 +49,7 @@
         self._reply_framing = None
         self._splitter = None
         self.first_event_s = None
+        self.is_resumable = True
         self.last_event = None
         self._last_sent_s = None
         self.longest_pause_s = 0.0
@@ -103,6 +106,9 @@
             self._is_join_open = False
             if event.event_id is not None:
                 self.last_event = event.event_id
+                self.is_resumable = True
+            elif not event.is_silent():
+                self.is_resumable = False
             forwarded.append(event.data)
         return forwarded, None
 
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -221,7 +221,7 @@
     def _may_retry(self):
         """Return whether the request may be sent to one more server."""
         route = self._admitted.route
-        if self._last_failure is None:
+        if self._last_failure is None or not self._relay.is_resumable:
             return False
         if self._admitted.deadline.get_left_ms() < RETRY_LEFT_MIN_MS:
             return False
@@ -463,7 +463,8 @@
     def _get_event_end_s(self):
         """Return when to give up on the next event of a server."""
         route = self._admitted.route
-        if not route.is_resumable or self._attempts >= route.attempts_max:
+        is_resumable = route.is_resumable and self._relay.is_resumable
+        if not is_resumable or self._attempts >= route.attempts_max:
             # No other server could go on, so the deadline ends the stream.
             return self._admitted.deadline.at_s + 1.0
         if self._relay.last_event is None:
--- a/tests/direct/test_joined_streams.py
+++ b/tests/direct/test_joined_streams.py
@@ -130,6 +130,34 @@
     assert (reply.body, reply.is_whole) == (sent, False)
 
 
+@pytest.mark.parametrize("sent", [b"", EVENT_1])
+@pytest.mark.parametrize("error", ERRORS)
+def test_stream_does_not_go_on_after_an_error_that_was_sent(sent, error):
+    """The next server began again, or went on behind the error's text."""
+    outcome, reply, gateway = _serve(
+        RESUMABLE, _break_off(sent, error), _new_stream(EVENT_1, EVENT_2)
+    )
+    assert isinstance(outcome, direct_outcome.Cut)
+    assert (reply.body, reply.is_whole) == (sent + error, False)
+    assert len(gateway.sent) == 1
+
+
+def test_slow_stream_without_ids_is_not_cut():
+    """Nobody could go on with it."""
+    parts = (b"data: x\n\n", 2.0, b"data: y\n\n")
+    outcome, reply, _gateway = _serve(RESUMABLE, _new_stream(*parts))
+    assert outcome == direct_outcome.Relayed(200)
+    assert reply.body == parts[0] + parts[2]
+
+
+def test_stream_goes_on_after_a_comment():
+    outcome, reply, _gateway = _serve(
+        RESUMABLE, _break_off(EVENT_1, b": wait\n\n"), _new_stream(EVENT_2)
+    )
+    assert outcome == direct_outcome.Relayed(200)
+    assert reply.body == EVENT_1 + b": wait\n\n" + EVENT_2
+
+
 @pytest.mark.parametrize("sent", [b"", EVENT_1])
 @pytest.mark.parametrize("is_events", [False, True])
 @pytest.mark.parametrize("status", [200, 204, 206, 301, 304, 404, 500, 503])
