--- a/tests/direct/loopback.py
+++ b/tests/direct/loopback.py
@@ -1,5 +1,7 @@
 """Raw TCP peers on loopback for tests of the HTTP protocol."""
 
+import struct
+
 import trio
 
 LIMIT_S = 5.0
@@ -43,3 +45,12 @@
     """Return a TCP stream to an address."""
     host, _separator, port = address.rpartition(":")
     return await trio.open_tcp_stream(host, int(port))
+
+
+def reset(stream):
+    """Close a stream with a reset instead of an orderly end."""
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(
+        trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
+    )
+    stream.socket.close()
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -1,7 +1,6 @@
 """Answers that were broken off never reach their caller as complete."""
 
 import enum
-import struct
 
 import pytest
 import trio
@@ -52,14 +51,6 @@
     return b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n" + body
 
 
-def _reset(stream):
-    linger = struct.pack("ii", 1, 0)
-    stream.socket.setsockopt(
-        trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
-    )
-    stream.socket.close()
-
-
 async def _start_server(nursery, handle, scope_by_port):
     """Start a server; cancelling the scope of its port closes its listener."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -124,7 +115,7 @@
                 scope_by_port[port].cancel()
                 await trio.sleep(0.05)
             if number in resets:
-                _reset(stream)
+                loopback.reset(stream)
             else:
                 await stream.aclose()
 
