--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -91,12 +91,15 @@
     return head, body, end
 
 
-def _ask(route, *answers, resets=(), crashes=(), version=b"1.1"):
+def _ask(
+    route, *answers, resets=(), crashes=(), version=b"1.1", is_trouble=False
+):
     """Send one request to an entry whose servers give `answers`.
 
     A server closes the connection after its answer, or resets it if the
     number of the answer is in `resets`. It no longer listens then if the
-    number is in `crashes`. Return what the caller received.
+    number is in `crashes`. With `is_trouble` later answers come byte by byte
+    while the entry stops. Return what the caller received.
     """
     results = []
 
@@ -108,7 +111,10 @@
             if not await loopback.read_until(stream, b"\r\n\r\n"):
                 return
             number, data = remaining.pop(0)
-            await stream.send_all(data)
+            server.is_draining = is_trouble and number > 0
+            size = 1 if server.is_draining else len(data)
+            for begin in range(0, len(data), size):
+                await stream.send_all(data[begin : begin + size])
             await trio.sleep(0.05)
             if number in crashes:
                 _host, port = stream.socket.getsockname()
@@ -176,6 +182,34 @@
     assert [body.count(b"id: %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
 
 
+@pytest.mark.parametrize("sent", [b"", _new_event(1)], ids=["head", "event"])
+@pytest.mark.parametrize("error_framing", [LENGTH, CHUNKS, CONNECTION])
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CONNECTION])
+def test_no_error_of_a_later_server_reaches_the_caller_of_a_stream(
+    framing, error_framing, sent
+):
+    """It comes in pieces, beside a planned stop, or as an event stream."""
+    broken = _new_answer(framing, sent + b"id: 9\nda")
+    text = b"event: error\ndata: no memory\n\n"
+    error = _new_answer(error_framing, text)
+    errors = [
+        error,
+        error.replace(b"200 OK", b"500 Oops"),
+        error.replace(b"200 OK", b"404 Oops").replace(EVENTS, b""),
+        error.replace(EVENTS, b""),
+        _new_answer(error_framing, b""),
+        b"HTTP/1.1 102 Go\r\n\r\n" + error,
+        b"HTTP/1.1 204 No\r\n%s\r\n" % EVENTS,
+        text,
+    ]
+    for answer in errors:
+        _head, body, end = _ask(RESUMABLE, broken, answer, is_trouble=True)
+        assert end in (End.CUT, End.RESET), answer
+        assert (sent in body) and b"HTTP" not in body
+        assert body.count(b"\n\n") == bool(sent)
+        assert b"error" not in body and b"memory" not in body
+
+
 def test_stream_without_length_is_not_relayed_with_a_stronger_framing():
     answer = _new_answer(CONNECTION, _new_event(1) + _new_event(2))
     head, body, end = _ask(STREAM, answer)
