--- a/greengagetrack/connection/http/events.py
+++ b/greengagetrack/connection/http/events.py
@@ -9,6 +9,7 @@
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 # Two line ends in sequence, of the same kind or not.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
+_EVENT_END_MAX_BYTES = 4
 
 # A longer event is taken for bytes that are no stream.
 EVENT_MAX_BYTES = 1024 * 1024
@@ -26,6 +27,13 @@
     event_id: bytes | None = None
     has_odd_id: bool = False
 
+    def is_silent(self):
+        """Return whether it has only comments and reconnection times."""
+        return all(
+            not line or line.startswith((b":", b"retry:"))
+            for line in _LINE_END.split(self.data)
+        )
+
 
 class EventSplitter:
     """Splits a body into events and buffers an incomplete event."""
@@ -38,16 +46,18 @@
 
     def feed(self, data):
         """Return the events that `data` completes."""
-        self._rest += data
+        # The earlier bytes end no event, but one may end across the border.
+        search_from = max(len(self._rest) - _EVENT_END_MAX_BYTES, 0)
+        received = self._rest + data
+        begin = 0
         events = []
-        while True:
-            end = _EVENT_END.search(self._rest)
-            if end is None:
-                self.event_count += len(events)
-                return events
-            event = self._rest[: end.end()]
-            self._rest = self._rest[end.end() :]
+        for end in _EVENT_END.finditer(received, search_from):
+            event = received[begin : end.end()]
+            begin = end.end()
             events.append(_new_event(event))
+        self._rest = received[begin:]
+        self.event_count += len(events)
+        return events
 
     def is_too_long(self):
         """Return whether the incomplete event exceeds the size limit."""
@@ -63,6 +73,8 @@
 
 
 def _new_event(data):
+    if not data.strip(b"\r\n"):
+        return Event(data)
     for line in _LINE_END.split(data):
         if line[:3].lower() == b"id:":
             event_id = fields.read_value(line[3:].strip(), EVENT_ID_MAX_BYTES)
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -17,18 +17,25 @@
     `last_event` is the id of the last event sent, after which another
     server can resume the stream. `progress_s` is when the last event was
     sent: bytes that complete no event are no progress. `longest_pause_s` is
-    the longest time between two of them. `on_begin()` is called before the
+    the longest time between two of them. `is_resumable` is false if what was
+    sent after that event would come twice. `on_begin()` is called before the
     first event is sent.
+
+    An answer that goes on with that of another server has to begin with an
+    event whose id shows that it does. An error that looks like an event has
+    none, and an answer without events doesn't prove that none was left.
     """
 
     __slots__ = (
         "_framing",
+        "_is_join_open",
         "_last_sent_s",
         "_on_begin",
         "_reply",
         "_reply_framing",
         "_splitter",
         "first_event_s",
+        "is_resumable",
         "last_event",
         "longest_pause_s",
         "progress_s",
@@ -38,9 +45,11 @@
         self._reply = reply
         self._on_begin = on_begin
         self._framing = None
+        self._is_join_open = False
         self._reply_framing = None
         self._splitter = None
         self.first_event_s = None
+        self.is_resumable = True
         self.last_event = None
         self._last_sent_s = None
         self.longest_pause_s = 0.0
@@ -48,6 +57,7 @@
 
     async def start(self, answer):
         """Start to relay the answer of a server, the first or a later one."""
+        self._is_join_open = self._reply.is_started
         if not self._reply.is_started:
             await self._reply.start(
                 answer.status, answer.headers, answer.framing
@@ -88,17 +98,26 @@
         for event in complete_events:
             if event.has_odd_id:
                 return forwarded, _new_problem("odd id of an event")
+            if self._is_join_open and event.is_silent():
+                # The begin of a later answer is no part of the first one.
+                continue
             if not self._is_in_sequence(event):
                 return forwarded, _new_problem(
                     f"event {event.event_id!r} after {self.last_event!r}"
                 )
+            self._is_join_open = False
             if event.event_id is not None:
                 self.last_event = event.event_id
+                self.is_resumable = True
+            elif not event.is_silent():
+                self.is_resumable = False
             forwarded.append(event.data)
         return forwarded, None
 
     def _is_in_sequence(self, event):
-        if event.event_id is None or self.last_event is None:
+        if event.event_id is None:
+            return not self._is_join_open
+        if self.last_event is None:
             return True
         if not (event.event_id.isdigit() and self.last_event.isdigit()):
             return True
@@ -118,8 +137,14 @@
         ) or answer_end.find_framing_problem(
             self._framing, self._reply_framing
         )
+        if self._is_join_open:
+            problem = problem or "a later answer brought no event"
         if problem:
             return _new_problem(problem)
+        # Line ends, such as the LF after a CR that ended the last event.
+        rest = self._splitter.get_rest()
+        if rest:
+            await self._reply.send_part(rest)
         await self._reply.finish()
         return None
 
