Infer a stream's version only from a list read after its take-up

What callers saw: an entry that was cut off from the others, or stood still, while servers of a second software version joined, took up streams of that version and let them go on at the version that it knew.

Cause: without a record of the stream anywhere, the entry inferred that a single version has served all the time from a list up to four seconds old.

Now it reads the source first, in a call sent after the take-up came. All take-ups that wait share one poll, at most one in 0.4 s. If the source doesn't answer, the answers of peers decide as before; without those either, the version is unknown and the take-up is refused.

Evidence: test_an_entry_out_of_step_infers_nothing_from_its_old_list fails in both forms if the entry doesn't wait for the source. The state machine of streams has entries that stand still and a source that can't be reached.

--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 
 import trio
 
@@ -13,6 +14,9 @@
 # The poll period as a fraction of the bound on applying a change.
 POLL_PERIOD_RATIO = 0.44
 RETRY_S = 0.25
+# Between two polls out of turn.
+REFRESH_PERIOD_S = 0.4
+REFRESH_TIMEOUT_S = 0.8
 
 _log = logging.getLogger(__name__)
 
@@ -24,8 +28,11 @@
         "_directory",
         "_is_source_behind",
         "_is_source_reachable",
+        "_poll_lock",
         "_poll_period_s",
         "_random",
+        "_read_s",
+        "_sent_s",
         "_source",
         "catalog",
         "catalog_changed",
@@ -41,6 +48,9 @@
         self._random = generator
         self._is_source_behind = False
         self._is_source_reachable = None
+        self._poll_lock = trio.Lock()
+        # When the last poll was sent, and the last one that was answered.
+        self._sent_s = self._read_s = -math.inf
         self.lease = lease
         self.catalog = None
         self.revision = None
@@ -58,14 +68,30 @@
     async def run(self):
         """Poll the source until cancelled."""
         while True:
-            if await self._poll_once():
+            async with self._poll_lock:
+                is_answered = await self._poll_once()
+            if is_answered:
                 pause_s = self._poll_period_s * self._random.uniform(0.85, 1.0)
                 await trio.sleep(pause_s)
             else:
                 await trio.sleep(RETRY_S * self._random.uniform(0.8, 1.2))
 
+    async def refresh(self):
+        """Return whether the source, asked from now on, has answered.
+
+        All who wait for that share one poll.
+        """
+        asked_s = trio.current_time()
+        with trio.move_on_after(REFRESH_TIMEOUT_S):
+            async with self._poll_lock:
+                if self._sent_s < asked_s:
+                    await trio.sleep_until(self._sent_s + REFRESH_PERIOD_S)
+                    await self._poll_once()
+        return self._read_s >= asked_s
+
     async def _poll_once(self):
         """Poll the source once; return whether it answered."""
+        self._sent_s = trio.current_time()
         sent_s = self.lease.now_s()
         if self.revision is None:
             answer = await self._source.list_all()
@@ -167,6 +193,7 @@
         self._apply_catalog(update.catalog)
         self.revision = update.revision
         self.era = update.era
+        self._read_s = self._sent_s
         listed = update.catalog
         if listed is not None:
             # A restored source may lack the version that is in force.
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -138,7 +138,7 @@
             links,
             self.directory,
             get_catalog,
-            self.catalog_watcher.read_past,
+            self.catalog_watcher,
             nursery,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -23,8 +23,6 @@
 TOLD_MAX = 256
 LIFE_DEFAULT_S = 15.0
 LIFE_MARGIN_S = 1.0
-# How old the list of servers may be, if no peer confirms it.
-FRESH_MAX_S = 4.0
 # The history of the source may be incomplete; asked again it is the same.
 PAST_PERIOD_S = 5.0
 
@@ -65,19 +63,19 @@
         "_nursery",
         "_past_due_s",
         "_past_lock",
-        "_read_past",
         "_records",
+        "_source_reader",
         "_unsent",
     )
 
     def __init__(
-        self, members, links, directory, get_catalog, read_past, nursery
+        self, members, links, directory, get_catalog, source_reader, nursery
     ):
         self._members = members
         self._links = links
         self._directory = directory
         self._get_catalog = get_catalog
-        self._read_past = read_past
+        self._source_reader = source_reader
         self._past_lock = trio.Lock()
         self._past_due_s = -math.inf
         self._nursery = nursery
@@ -189,8 +187,11 @@
 
     async def _infer(self, services, answers):
         """Return the origins that are possible, none if that is unknown."""
-        if len(services) > 1 or not (answers or self._is_fresh()):
-            # Others may use a version that this entry has not heard of.
+        if len(services) > 1:
+            return set()
+        # The stream has begun by now. An entry that was cut off or stood
+        # still may not have heard of the version that began it.
+        if not (await self._source_reader.refresh() or answers):
             return set()
         seen = self._get_seen(services[0])
         if not (seen.is_complete or any(a.is_complete for a in answers)):
@@ -209,13 +210,9 @@
         """Read what served before this entry started, not again too soon."""
         async with self._past_lock:
             if trio.current_time() >= self._past_due_s:
-                await self._read_past()
+                await self._source_reader.read_past()
                 self._past_due_s = trio.current_time() + PAST_PERIOD_S
 
-    def _is_fresh(self):
-        age_s = trio.current_time() - self._directory.versions.recorded_s
-        return age_s <= FRESH_MAX_S
-
     async def _ask(self, stream_id, services):
         """Return the answers of peers; one with a record is enough."""
         answers = []
@@ -256,9 +253,14 @@
         )
 
 
-def new_streams(members, links, directory, get_catalog, read_past, nursery):
+def new_streams(
+    members, links, directory, get_catalog, source_reader, nursery
+):
     """Return the streams of an entry that has begun none.
 
-    `await read_past()` completes what the directory knows of versions.
+    The `source_reader` is a `CatalogWatcher`: `read_past()` and `refresh()`
+    complete what the directory knows of versions, until now.
     """
-    return Streams(members, links, directory, get_catalog, read_past, nursery)
+    return Streams(
+        members, links, directory, get_catalog, source_reader, nursery
+    )
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -230,6 +230,20 @@
         return self.answers.pop(0)
 
 
+class FakeSourceReader:
+    """A reader of a source that confirms what is known."""
+
+    def __init__(self):
+        self.is_reachable = True
+
+    async def read_past(self):
+        await trio.lowlevel.checkpoint()
+
+    async def refresh(self):
+        await trio.lowlevel.checkpoint()
+        return self.is_reachable
+
+
 class FakeEntry:
     """The components of a direct entry around a fake gateway."""
 
@@ -254,6 +268,7 @@
             random.Random(1),
         )
         peers = FakePeers()
+        self.source_reader = FakeSourceReader()
         self.permits = permits_module.new_permits(
             peers.members, None, self.directory, "me/1", random.Random(3)
         )
@@ -262,7 +277,7 @@
             None,
             self.directory,
             lambda: self.catalog,
-            trio.lowlevel.checkpoint,
+            self.source_reader,
             nursery,
         )
         dependencies = batcher_module.BatcherDependencies(
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -10,6 +10,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 import trio
 import trio.testing
 
@@ -43,12 +44,33 @@
         return messages.decode_reply(messages.encode(reply))
 
 
+class SourceReader:
+    """Reads the list that a fleet shares."""
+
+    def __init__(self, fleet, index):
+        self._fleet = fleet
+        self._index = index
+
+    async def read_past(self):
+        await trio.lowlevel.checkpoint()
+
+    async def refresh(self):
+        await trio.lowlevel.checkpoint()
+        if not self._fleet.is_reachable:
+            return False
+        self._fleet.poll(self._index)
+        return True
+
+
 class Fleet:
     """Entries that share a list of published versions."""
 
     def __init__(self, nursery):
         self._nursery = nursery
         self.is_losing = False
+        self.is_reachable = True
+        # The entry that doesn't read the list at present.
+        self.still = None
         self.published = {"v1"}
         self.entry_by_address = {}
         for index in range(ENTRIES):
@@ -65,12 +87,13 @@
             types.SimpleNamespace(get_link=lambda a: Link(self, a)),
             directory,
             lambda: types.SimpleNamespace(longest_stream_s=LIFE_S),
-            trio.lowlevel.checkpoint,
+            SourceReader(self, index),
             self._nursery,
         )
         self._nursery.start_soon(entry.streams.run)
         self.entry_by_address[name] = entry
-        self.poll(index)
+        if self.is_reachable:
+            self.poll(index)
 
     def poll(self, index):
         """Have an entry read the published list and meet its peers."""
@@ -107,6 +130,14 @@
     def take_up(self, index, choice):
         self._steps.append(("take_up", index, choice))
 
+    @stateful.rule(index=indexes)
+    def stand_still(self, index):
+        self._steps.append(("stand_still", index))
+
+    @stateful.rule(is_reachable=strategies.booleans())
+    def reach(self, is_reachable):
+        self._steps.append(("reach", is_reachable))
+
     @stateful.rule(killed=strategies.sets(indexes, min_size=1))
     def kill(self, killed):
         self._steps.append(("kill", sorted(killed)))
@@ -159,6 +190,10 @@
     elif action == "withdraw":
         fleet.published.discard(*arguments)
         await _poll_all(fleet)
+    elif action == "stand_still":
+        fleet.still = arguments[0]
+    elif action == "reach":
+        fleet.is_reachable = arguments[0]
     elif action == "lose":
         fleet.is_losing = arguments[0]
     elif action == "wait":
@@ -173,7 +208,8 @@
 
 async def _poll_all(fleet):
     for index in range(ENTRIES):
-        fleet.poll(index)
+        if fleet.is_reachable and index != fleet.still:
+            fleet.poll(index)
         await trio.sleep(0.1)
 
 
@@ -250,6 +286,29 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@pytest.mark.parametrize("is_reachable", [True, False])
+def test_an_entry_out_of_step_infers_nothing_from_its_old_list(is_reachable):
+    """It was cut off from its peers while a second version came."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            await _play(fleet, [], "wait", LIFE_S + 2.0)
+            begun = []
+            fleet.still = 1
+            await _play(fleet, begun, "publish", "v2")
+            _begin(fleet, begun, 0, 1)
+            assert begun[0][1] == "v2"
+            await trio.sleep(0.01)
+            fleet.is_losing = True
+            fleet.is_reachable = is_reachable
+            entry = fleet.entry_by_address["entry-1"]
+            assert await _find_version(entry, begun[0][0]) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_without_any_memory_the_version_is_unknown():
     async def main():
         async with trio.open_nursery() as nursery:
