Let a stream go on only at the lifetime of a server that is known

What callers saw: a server crashed and came back under its id and address with another software version.

Cause: the last published version was taken for that of whoever answers at the address.

What is known of a server's lifetime is now one type, which alone says whether a stream that has begun may go on there. A connection that was opened before a confirmation was asked for leads to that lifetime or to one that no longer answers. So before such a request is sent, a newer connection makes the entry ask the server itself (GET /api/report, `born`), once for all who wait; if the server doesn't say it, the source is read. Without an answer the request isn't sent. A new stream waits for that only if there is doubt: after a failed call, or when the entry has stood still. What began a stream is the version of the lifetime that answered, None if that is unknown; a take-up of such a stream is refused.

Without the check, five of the tests in test_lifetimes.py fail; with the published version as that of the answer, one more does.

--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -119,6 +119,8 @@
         self.is_breaking = False
         # Of its software; each event names it.
         self.version = "v1"
+        # Changes when it starts again.
+        self.born = 1
         self.event_count = EVENT_COUNT
         self.work_s = REQUEST_WORK_S
         self.event_interval_s = EVENT_INTERVAL_S
@@ -132,7 +134,7 @@
             "state": state,
             "version": self.version,
             "slots": 8,
-            "born": 1,
+            "born": self.born,
         }
 
     async def handle(self, exchange):
@@ -142,6 +144,9 @@
         expected_id = fields.get_value(headers, names.EXPECT_INSTANCE.lower())
         if expected_id is not None and expected_id != self.engine_id.encode():
             await exchange.answer(421, [(names.NOT_RUN, b"1")])
+        elif exchange.target == names.REPORT_PATH:
+            body = msgspec.json.encode({"born": self.born})
+            await exchange.answer(200, JSON_HEADERS, body)
         elif exchange.target == names.STAGE_RUN_PATH:
             await self._make_pieces(exchange)
         elif exchange.target == names.STAGE_FREE_PATH:
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -32,7 +32,9 @@
 
     `headers` are the forwarded headers of the caller. `left_ms` is the
     time that the server may take. `resume_after` is the id of the last event
-    that the caller has received, if a stream is resumed.
+    that the caller has received, if a stream is resumed. With a `check`, it
+    is only sent if `await check(opened_s)` allows a connection that was
+    opened at that time; else the call fails and has not run.
     """
 
     request_id: bytes
@@ -46,6 +48,7 @@
     inputs: tuple[str, ...] = ()
     resume_after: bytes | None = None
     needs_fresh_connection: bool = False
+    check: object = None
 
 
 class Failure(msgspec.Struct, frozen=True):
@@ -69,7 +72,10 @@
 
 
 class Answer(abc.ABC):
-    """The answer of a backend server, after its head was received."""
+    """The answer of a backend server, after its head was received.
+
+    `opened_s` is when the connection that it came over was opened.
+    """
 
     status: int
     headers: list
@@ -78,6 +84,7 @@
     is_other_server: bool
     is_input_gone: bool
     is_events: bool
+    opened_s: float
 
     @abc.abstractmethod
     async def receive_part(self):
@@ -140,6 +147,13 @@
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
 
+    @abc.abstractmethod
+    async def ask_incarnation(self, server):
+        """Return the incarnation that a server says it is, or a `Failure`.
+
+        None if it doesn't say it.
+        """
+
     @abc.abstractmethod
     async def run_pieces(self, server, pieces):
         """Make pieces in one call.
--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -84,6 +84,7 @@
         "address",
         "idle_max_s",
         "idle_since_s",
+        "opened_s",
         "request_count",
         "stream",
     )
@@ -91,7 +92,7 @@
     def __init__(self, address, stream):
         self.address = address
         self.stream = stream
-        self.idle_since_s = trio.current_time()
+        self.opened_s = self.idle_since_s = trio.current_time()
         self.idle_max_s = DEFAULT_IDLE_MAX_S
         self.request_count = 0
 
@@ -139,6 +140,11 @@
         self._sending = None
         self.is_complete = False
 
+    @property
+    def opened_s(self):
+        """Return when its connection was opened."""
+        return self._connection.opened_s
+
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
         self._body = body
@@ -214,7 +220,7 @@
 
     async def _skip_response(self):
         """Skip the response to another request; return a failure or None."""
-        body = await self._receive_body()
+        body = await self.receive_body()
         if isinstance(body, ResponseFailure):
             return ResponseFailure("incomplete response to another request")
         trailing_data, is_closed = self._protocol.trailing_data
@@ -253,10 +259,10 @@
         if isinstance(head, ResponseFailure):
             return head
         self.update_idle_limit(head.headers)
-        body = await self._receive_body()
+        body = await self.receive_body()
         return body if isinstance(body, ResponseFailure) else (head, body)
 
-    async def _receive_body(self):
+    async def receive_body(self):
         """Return the whole body, or `ResponseFailure` if it is too long."""
         parts, size = [], 0
         while size <= RESPONSE_MAX_BYTES:
@@ -355,10 +361,18 @@
         return len(self._idle_by_address.get(address, ()))
 
     async def open_call(
-        self, address, request, body, needs_fresh_connection=False
+        self,
+        address,
+        request,
+        body,
+        needs_fresh_connection=False,
+        check=None,
     ):
         """Send a request; return a `Call`, `NotSent` or `ResponseFailure`.
 
+        `await check(opened_s)` returns whether the request may go over a
+        connection that was opened at that time.
+
         `needs_fresh_connection` limits the choice to a new connection or
         one idle for at most `FRESH_IDLE_MAX_S`, which the server is
         unlikely to be closing.
@@ -374,6 +388,8 @@
         call = Call(self, connection, request)
         is_started = False
         try:
+            if check is not None and not await check(connection.opened_s):
+                return NotSent("the server may have started again")
             failure = await call.send(body, self._nursery)
             is_started = failure is None
         finally:
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -475,7 +475,7 @@
     organisation: str
     key: bytes
     service: str
-    version: str
+    version: str | None
 
 
 class TellStreams(_Message, tag="tell_streams"):
@@ -495,7 +495,8 @@
 class StreamVersion(_Message, tag="stream_version"):
     """What an entry knows of the software version that began a stream.
 
-    `recorded` was told when the stream began, with its `service`.
+    `recorded` was told when the stream began, with its `service`. It is None
+    if it was unknown then; without a record the service is empty.
     `versions` are those of the service asked for that have served for as
     long as a stream may last; with `is_complete`, no others have.
     """
@@ -505,6 +506,11 @@
     is_complete: bool = False
     service: str = ""
 
+    @property
+    def is_recorded(self):
+        """Return whether the stream is known, if not its version."""
+        return self.service != ""
+
 
 class Rejected(_Message, tag="rejected"):
     """The reply to a message that was not accepted, with the reason."""
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -85,7 +85,7 @@
 
 _Name = Annotated[str, msgspec.Meta(max_length=1000)]
 # What a 64-bit field of a message to another entry can hold.
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Entry(msgspec.Struct):
@@ -94,9 +94,9 @@
     zone: _Name
     state: _Name
     version: _Name
-    slots: _Count = 1
+    slots: Count = 1
     cold_left_ms: float = 0
-    born: _Count = 0
+    born: Count = 0
 
 
 PORT_MAX = 65535
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -10,6 +10,7 @@
 from greengagetrack.connection.http import fields
 from greengagetrack.platform import document
 from greengagetrack.platform import names
+from greengagetrack.platform import reports
 from greengagetrack.request import outcome
 
 FREE_TIMEOUT_S = 1.0
@@ -67,6 +68,7 @@
         "is_input_gone",
         "is_not_run",
         "is_other_server",
+        "opened_s",
         "status",
     )
 
@@ -74,6 +76,7 @@
         self._call = call
         self.status = head.status
         self.framing = head.framing
+        self.opened_s = call.opened_s
         self.headers = fields.keep_end_to_end(head.headers)
         self.is_not_run = _is_not_run(head)
         self.is_other_server = head.status == MISDIRECTED_STATUS
@@ -151,13 +154,27 @@
         """Return whether a server refuses connections, as after a crash."""
         return await self._pool.is_refusing(server.address)
 
+    async def ask_incarnation(self, server):
+        """Return the incarnation that a server says it is, or a `Failure`.
+
+        None if it doesn't say it.
+        """
+        incarnation = await reports.ask_incarnation(self._pool, server.address)
+        if isinstance(incarnation, client.NotSent | client.ResponseFailure):
+            return _convert_failure(incarnation)
+        return incarnation
+
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
         head = client.RequestHead(
             request.method, request.target, _new_headers(server, request)
         )
         call = await self._pool.open_call(
-            server.address, head, request.body, request.needs_fresh_connection
+            server.address,
+            head,
+            request.body,
+            request.needs_fresh_connection,
+            request.check,
         )
         if not isinstance(call, client.Call):
             return _convert_failure(call)
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -40,6 +40,7 @@
 )
 
 READY_PATH = b"/api/readyz"
+REPORT_PATH = b"/api/report"
 STAGE_RUN_PATH = b"/api/stage-run"
 STAGE_FREE_PATH = b"/api/stage-free"
 
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -190,7 +190,7 @@
     def has_servers(self, service, software_version):
         """Return whether servers of a software version are in service."""
         return any(
-            server.published.software_version == software_version
+            server.lifetime.may_go_on(software_version)
             for server in self._directory.get_servers(service)
         )
 
@@ -204,7 +204,10 @@
             for server in self._directory.get_servers(service)
             if server.server_id not in excluded
             and server.outstanding < limit
-            and software_version in (None, server.published.software_version)
+            and (
+                software_version is None
+                or server.lifetime.may_go_on(software_version)
+            )
         ]
 
     def _predict(self, server, request, input_bytes, preferred, recent_tokens):
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -253,6 +253,24 @@
         while len(self._gone_by_id) > GONE_SERVERS_MAX:
             self._gone_by_id.pop(next(iter(self._gone_by_id)))
 
+    def doubt_all(self):
+        """Record that any server may have started again unnoticed."""
+        for server in self.server_by_id.values():
+            server.lifetime.doubt()
+
+    def get_answering_version(self, server, opened_s):
+        """Return the software version that answers, None if unknown.
+
+        The answer of the `KnownServer` comes over a connection that was
+        opened at `opened_s`. It may have started again since it was chosen.
+        """
+        current = self.server_by_id.get(server.server_id, server)
+        if current is server:
+            return server.lifetime.get_answering_version(opened_s)
+        if current.lifetime.is_reached_by(opened_s):
+            return current.lifetime.software_version
+        return None
+
     def record_leaving(self, published):
         """Record that a server says itself that it is leaving."""
         server = self._get_same(published)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import loop_lag
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
@@ -167,6 +168,9 @@
             guard,
             self.peers.permits,
             self.peers.streams,
+            lifetime_check.new_lifetime_checks(
+                self.directory, gateway, self.catalog_watcher.refresh
+            ),
         )
 
     async def run(self):
@@ -177,7 +181,9 @@
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
-            nursery.start_soon(loop_lag.watch, self.metrics)
+            nursery.start_soon(
+                loop_lag.watch, self.metrics, self.directory.doubt_all
+            )
 
     async def _drop_idle_connections(self):
         while True:
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -5,7 +5,9 @@
 
 import trio
 
+from greengagetrack.process.direct import lifetime as lifetime_module
 from greengagetrack.process.direct import server_limit
+from greengagetrack.request import outcome
 
 SUSPECT_STEP_S = 1.0
 SUSPECT_MAX_S = 4.0
@@ -29,6 +31,7 @@
         "cached_part_times",
         "last_success_s",
         "latency_ms",
+        "lifetime",
         "limit",
         "outstanding",
         "paused_until_s",
@@ -43,6 +46,7 @@
 
     def __init__(self, published):
         self.published = published
+        self.lifetime = lifetime_module.new_lifetime(published)
         self.outstanding = 0
         self.prefill_tokens = 0
         self.failure_share = 0.0
@@ -131,6 +135,8 @@
 
     def record_failed_call(self, failure):
         """Record a call that returned no usable answer."""
+        if failure.is_unreachable() or failure.ran is outcome.Ran.UNKNOWN:
+            self.lifetime.doubt()
         if failure.is_unreachable():
             self.record_unreachable()
         else:
--- a/greengagetrack/process/direct/stream_records.py
+++ b/greengagetrack/process/direct/stream_records.py
@@ -9,13 +9,13 @@
 
 
 class StreamRecord(msgspec.Struct):
-    """The version that began a stream, and what is told of it.
+    """The version that began a stream, None if unknown, and what is told.
 
     `is_own` says that this entry relayed its first event.
     """
 
     service: str
-    version: str
+    version: str | None
     begun_s: float
     is_own: bool = False
     is_told: bool = False
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -46,10 +46,13 @@
 
 
 class Origin(msgspec.Struct, frozen=True):
-    """The service and the software version that began a stream."""
+    """The service and the software version that began a stream.
+
+    The version is None if it is unknown which one has answered.
+    """
 
     service: str
-    version: str
+    version: str | None
 
 
 class Streams:
@@ -95,7 +98,8 @@
         organisation = stream_id.organisation
         self._records.drop_before(now - self._get_life_s())
         self._records.add(organisation, stream_id.key, record)
-        if len(services) > 1 or self._is_told(origin.service):
+        is_unknown = origin.version is None
+        if is_unknown or len(services) > 1 or self._is_told(origin.service):
             self._tell(organisation, stream_id.key, record)
 
     def _get_life_s(self):
@@ -178,12 +182,14 @@
             origins = {
                 Origin(answer.service, answer.recorded)
                 for answer in answers
-                if answer.recorded is not None
+                if answer.is_recorded
             }
             origins = origins or await self._infer(services, answers)
         # Two requests with the same id are nothing that can be told apart.
         origin = origins.pop() if len(origins) == 1 else None
-        return origin if origin and origin.service in services else None
+        if origin is None or origin.version is None:
+            return None
+        return origin if origin.service in services else None
 
     async def _infer(self, services, answers):
         """Return the origins that are possible, none if that is unknown."""
@@ -223,7 +229,7 @@
             reply = await self._request(address, message)
             if isinstance(reply, messages.StreamVersion):
                 answers.append(reply)
-                if reply.recorded is not None:
+                if reply.is_recorded:
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -46,6 +46,7 @@
     crash_guard: object
     permits: object
     streams: object
+    lifetime_checks: object
 
 
 class DirectRun:
@@ -161,7 +162,8 @@
                 return self._combine_outcome(self._new_refusal())
 
     def _begin_stream(self):
-        self._binding.begin(self._answering.server)
+        attempt, opened_s = self._answering
+        self._binding.begin(attempt.server, opened_s)
 
     @property
     def _is_resumed(self):
@@ -275,7 +277,7 @@
         self._may_have_run = True
         with trio.move_on_after(timeout_s) as scope:
             answer = await self._services.gateway.open_answer(
-                server.published, self._new_server_request()
+                server.published, self._new_server_request(server)
             )
         if scope.cancelled_caught:
             answer = gateway.Failure(
@@ -307,7 +309,7 @@
         target_s = route.target_ms / 1000
         return max(FIRST_EVENT_TIMEOUT_MIN_S, target_s)
 
-    def _new_server_request(self):
+    def _new_server_request(self, server):
         admitted = self._admitted
         request = admitted.request
         return gateway.ServerRequest(
@@ -324,6 +326,14 @@
             inputs=self._inputs,
             resume_after=self._relay.last_event,
             needs_fresh_connection=not admitted.route.is_idempotent,
+            check=self._get_lifetime_check(server),
+        )
+
+    def _get_lifetime_check(self, server):
+        if not self._admitted.route.is_resumable:
+            return None
+        return self._services.lifetime_checks.get_check(
+            server, self._selector.is_bound
         )
 
     def _handle_failure(self, attempt, failure, is_counted=False):
@@ -422,7 +432,7 @@
 
     async def _relay_events(self, attempt, answer):
         reader = self._new_reader(attempt, answer)
-        self._answering = attempt
+        self._answering = attempt, answer.opened_s
         await self._relay.start(answer)
         # A caller that reads slowly is no sign of a server that goes on.
         attempt.begin()
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -18,11 +18,11 @@
         "_admitted",
         "_chooser",
         "_excluded",
+        "_origin",
         "_permits",
         "_reserved",
         "_reserved_until_s",
         "service",
-        "software_version",
     )
 
     def __init__(self, chooser, permits, admitted):
@@ -34,16 +34,26 @@
         self._reserved_until_s = 0.0
         self.service = chooser.choose_service(admitted.route)
         # Once a stream has begun, it may go on at this version only.
-        self.software_version = None
+        self._origin = None
+
+    @property
+    def is_bound(self):
+        """Return whether the stream has begun."""
+        return self._origin is not None
+
+    @property
+    def software_version(self):
+        """Return the version that began the stream, None if unknown."""
+        return self._origin and self._origin.version
 
     def bind(self, origin):
         """Choose servers like the one of a stream's `Origin` from now on."""
         self.service = origin.service
-        self.software_version = origin.version
+        self._origin = origin
 
     def has_servers(self):
         """Return whether there may be a server of the bound version."""
-        return self.software_version is None or self._chooser.has_servers(
+        return not self.is_bound or self._chooser.has_servers(
             self.service, self.software_version
         )
 
@@ -90,6 +100,8 @@
 
     async def _choose(self, input_bytes, patience_s, priority):
         """Return a `Choice` whose server may get the request now."""
+        if self.is_bound and self.software_version is None:
+            return None
         without_permit = set()
         while True:
             choice = self._chooser.choose_server(
--- a/greengagetrack/request/direct/stream_binding.py
+++ b/greengagetrack/request/direct/stream_binding.py
@@ -43,19 +43,24 @@
         """Return `Refused` if no server can go on with the stream."""
         if self._selector.has_servers():
             return None
+        if self._selector.software_version is None:
+            return outcome.Refused(
+                _Reason.STREAM_VERSION_UNKNOWN, retry_after_ms=None
+            )
         return outcome.Refused(
             _Reason.STREAM_VERSION_GONE,
             f"version {self._selector.software_version}",
             retry_after_ms=None,
         )
 
-    def begin(self, server):
-        """Bind the stream to the `KnownServer` whose answer begins."""
-        if self._selector.software_version is not None:
+    def begin(self, server, opened_s):
+        """Bind the stream to the `KnownServer` whose answer begins.
+
+        It comes over a connection that was opened at `opened_s`.
+        """
+        if self._selector.is_bound:
             return
-        # If it was started again meanwhile, only the new one can answer.
-        current = self._directory.server_by_id.get(server.server_id)
-        version = (current or server).published.software_version
+        version = self._directory.get_answering_version(server, opened_s)
         origin = streams_module.Origin(self._selector.service, version)
         self._streams.begin(
             self._get_stream_id(), origin, self._get_services()
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -15,6 +15,7 @@
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time as fetch_time_module
+from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import permits as permits_module
@@ -103,6 +104,7 @@
         self.is_other_server = flags.get("is_other_server", False)
         self.is_input_gone = flags.get("is_input_gone", False)
         self.is_events = flags.get("is_events", False)
+        self.opened_s = 0.0
         self.is_finished = False
         self._parts = list(parts)
 
@@ -124,6 +126,8 @@
 
     `call_handler`, if set, returns the results of `run_pieces`. A free
     request takes `free_s` and is confirmed unless `is_free_lost` is set.
+    Each call opens a connection. `incarnation_by_id` has what servers say
+    of themselves, if it isn't what is published.
     """
 
     def __init__(self, script=()):
@@ -134,17 +138,33 @@
         self.call_handler = None
         self.free_s = 0.0
         self.is_free_lost = False
+        self.incarnation_by_id = {}
+        self.asked = []
 
     def set_observer(self, observer):
         self.observer = observer
 
+    async def ask_incarnation(self, server):
+        await trio.lowlevel.checkpoint()
+        self.asked.append(server.server_id)
+        return self.incarnation_by_id.get(server.server_id, server.incarnation)
+
     async def open_answer(self, server, request):
+        opened_s = trio.current_time()
+        if request.check is not None and not await request.check(opened_s):
+            return gateway.Failure(
+                outcome.Reason.LINK_DOWN,
+                outcome.Ran.NO,
+                is_connection_failure=True,
+            )
         self.sent.append((server.server_id, request))
         answer = self.script.pop(0) if self.script else ScriptedAnswer()
         if isinstance(answer, tuple):
             pause_s, answer = answer
             await trio.sleep(pause_s)
         await trio.lowlevel.checkpoint()
+        if isinstance(answer, ScriptedAnswer):
+            answer.opened_s = opened_s
         return answer
 
     async def run_pieces(self, server, pieces):
@@ -302,6 +322,9 @@
             self.crash_guard,
             self.permits,
             self.streams,
+            lifetime_check.new_lifetime_checks(
+                self.directory, fake_gateway, self.source_reader.refresh
+            ),
         )
 
     def admit(self, route, left_s=3.0, **fields):
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -100,6 +100,12 @@
     return head, body, end
 
 
+REPORT = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    b'Content-Length: 10\r\n\r\n{"born":0}'
+)
+
+
 def _ask(route, *answers, resets=(), crashes=(), version=b"1.1"):
     """Send one request to an entry whose servers give `answers`.
 
@@ -114,7 +120,11 @@
         scope_by_port = {}
 
         async def answer(stream):
-            if not await loopback.read_until(stream, b"\r\n\r\n"):
+            head = await loopback.read_until(stream, b"\r\n\r\n")
+            if not head:
+                return
+            if head.startswith(b"GET /api/report "):
+                await stream.send_all(REPORT)
                 return
             number, data = remaining.pop(0)
             await stream.send_all(data)
