--- /dev/null
+++ b/tests/direct/test_reports.py
@@ -0,0 +1,70 @@
+"""What engines say of their lifetime, well-formed or not."""
+
+import pytest
+import trio
+
+from greengagetrack.connection.http import client
+from greengagetrack.platform import reports
+from tests.direct import loopback
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n"
+
+
+def _ask(response):
+    """Return what is read from an engine that sends `response`."""
+    results = []
+
+    async def main():
+        async def handle(stream):
+            await loopback.read_until(stream, b"\r\n\r\n")
+            await stream.send_all(response)
+            await stream.aclose()
+
+        async with trio.open_nursery() as nursery:
+            pool = client.new_pool(nursery)
+            address = await loopback.start_raw_server(nursery, handle)
+            with trio.fail_after(loopback.LIMIT_S):
+                results.append(await reports.ask_incarnation(pool, address))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return results[0]
+
+
+def _new_response(body, content_type=b"application/json"):
+    return HEAD % (content_type, len(body)) + body
+
+
+def test_a_report_names_the_incarnation():
+    assert _ask(_new_response(b'{"stage":"mixed","born":1764923}')) == 1764923
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{}",
+        b"[1]",
+        b'{"born":"1"}',
+        b'{"born":-1}',
+        b'{"born":1e3000}',
+        b'{"born":%s}' % (b"9" * 5000),
+        b'{"born":%s}' % (b"[" * 5000),
+        b'{"born":\xff}',
+    ],
+)
+def test_an_odd_report_names_none(body):
+    assert _ask(_new_response(body)) is None
+
+
+def test_an_answer_that_is_no_report_names_none():
+    assert _ask(_new_response(b'{"born":1}', b"text/event-stream")) is None
+    assert _ask(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n") is None
+
+
+@pytest.mark.parametrize(
+    "response",
+    [b"", b"\x00\x00\r\n\r\n", _new_response(b'{"born":1}')[:-1]],
+)
+def test_a_broken_report_is_a_failure(response):
+    assert isinstance(_ask(response), client.ResponseFailure)
