--- a/bench/command.py
+++ b/bench/command.py
@@ -247,7 +247,7 @@
 
     :param seed: The first seed of the streams.
     :param seeds: The number of seeds, run one after the other.
-    :param fault: resets, kills or gone; without one each of them.
+    :param fault: resets, kills, gone or swaps; without one each of them.
     :param rate: The new streams per second.
     :param logs: The folder for the entries' logs; without one they are
         kept only if a run failed.
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -36,8 +36,9 @@
 class Step(msgspec.Struct, frozen=True):
     """What happens at a time, in seconds from the first stream.
 
-    `action` is `start` or `end` of all engines of a version, or `kill` of
-    all entries at once.
+    `action` is `start` or `end` of all engines of a version, `swap` for all
+    engines to be back at once with the versions exchanged, or `kill` of all
+    entries at once.
     """
 
     at_s: float
@@ -60,6 +61,10 @@
         Step(13.0, "start", "v3"),
         Step(15.0, "end", "v2"),
     ),
+    "swaps": (
+        Step(1.0, "start", "v2"),
+        *(Step(at_s, "swap") for at_s in range(3, 20, 2)),
+    ),
 }
 DURATION_S = 20.0
 
@@ -147,6 +152,19 @@
                 proxy.inject("cut")
                 proxy.reset()
 
+    def swap_versions(self):
+        """Start all model engines again, each as one of the other version.
+
+        They keep their ids and addresses.
+        """
+        engines = [e for e in self.engine_by_id.values() if e.is_stream]
+        versions = [engine.version for engine in engines]
+        for engine, version in zip(engines, reversed(versions), strict=True):
+            self.proxy_by_engine[engine.engine_id].reset()
+            engine.version = version
+            engine.born += 1
+            self.publish(engine)
+
 
 class VersionRun:
     """One run: streams at a steady rate while versions and entries change."""
@@ -189,6 +207,8 @@
             await self._site.start_version(step.version)
         elif step.action == "end":
             self._site.end_version(step.version)
+        elif step.action == "swap":
+            self._site.swap_versions()
         else:
             await self._kill_entries()
 
