Doubt a server that has closed an idle connection

Likely cause (not traced): an entry whose connections to a server were all idle saw no call fail when the server started again, and recorded new streams there with the version before.

Now an idle connection that is found closed puts the lifetime in doubt, and the doubt is looked at once the connection is open.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -103,7 +103,11 @@
             return False
         # Data or an EOF that arrives between requests belongs to none of
         # them, so the connection can't be reused.
-        return not self.stream.socket.is_readable()
+        return not self.is_readable()
+
+    def is_readable(self):
+        """Return whether data or an EOF has arrived."""
+        return self.stream.socket.is_readable()
 
     def close(self):
         """Close the socket at once, without a graceful shutdown."""
@@ -343,6 +347,7 @@
         "_idle_by_address",
         "_nursery",
         "count_by_address",
+        "on_idle_closed",
         "opened_count",
     )
 
@@ -351,6 +356,8 @@
         self._idle_by_address = {}
         self.count_by_address = {}
         self.opened_count = 0
+        # Called with the address if the server has closed idle connections.
+        self.on_idle_closed = None
 
     def count(self, address):
         """Return how many connections to `address` are open or opening."""
@@ -406,9 +413,14 @@
             if connection.is_usable(connection.idle_max_s):
                 idle.insert(0, connection)
                 return None
-            self.drop(connection)
+            self._drop_idle(connection)
         return None
 
+    def _drop_idle(self, connection):
+        if self.on_idle_closed is not None and connection.is_readable():
+            self.on_idle_closed(connection.address)
+        self.drop(connection)
+
     async def is_refusing(self, address):
         """Return whether connections to `address` are refused.
 
@@ -465,7 +477,7 @@
                 if connection.is_usable(connection.idle_max_s):
                     usable.append(connection)
                 else:
-                    self.drop(connection)
+                    self._drop_idle(connection)
             if usable:
                 self._idle_by_address[address] = usable
             else:
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -258,6 +258,12 @@
         for server in self.server_by_id.values():
             server.lifetime.doubt()
 
+    def doubt_address(self, address):
+        """Record that the server at an address may have started again."""
+        for server in self.server_by_id.values():
+            if server.published.address == address:
+                server.lifetime.doubt()
+
     def get_answering_version(self, server, opened_s):
         """Return the software version that answers, None if unknown.
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -102,6 +102,7 @@
             lambda server: gateway.drop_connections(server.published)
         )
         gateway.set_observer(self.directory)
+        connection_pool.on_idle_closed = self.directory.doubt_address
         self.catalog_watcher = catalog_watcher.new_catalog_watcher(
             source,
             self.directory,
--- a/greengagetrack/process/direct/lifetime_check.py
+++ b/greengagetrack/process/direct/lifetime_check.py
@@ -28,19 +28,19 @@
         self._refresh = refresh
 
     def get_check(self, server, is_bound):
-        """Return the check of a request to a server, None if it needs none.
+        """Return the check of the connection of a request to a server.
 
         What is bound to a software version goes only to the lifetime that
         is known. A new stream may go to any, but where there is doubt the
         server is asked, so that its version is known.
         """
-        if not is_bound and not server.lifetime.is_doubted():
-            return None
         return functools.partial(self._check, server, is_bound)
 
     async def _check(self, server, is_bound, opened_s):
         """Return whether a request may go over a connection."""
         lifetime = server.lifetime
+        if not is_bound and not lifetime.is_doubted():
+            return True
         called_s = trio.current_time()
         async with lifetime.lock:
             # All who wait share one question, an unanswered one too.
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -281,3 +281,16 @@
     chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     _run(check, head + chunk * 200)
+
+
+# A server that had started again was not noticed.
+def test_idle_connection_that_its_server_closed_is_reported():
+    async def check(pool, address):
+        closed = []
+        pool.on_idle_closed = closed.append
+        assert await _call(pool, address) == (200, b"ab")
+        await trio.sleep(0.05)
+        pool.drop_expired()
+        assert closed == [address]
+
+    _run(check, RESPONSE % (b"mine", b"ab"), is_closing=True)
