--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -96,6 +96,7 @@
         "idle_since_s",
         "lane",
         "matcher",
+        "opened_s",
         "request_count",
         "stream",
     )
@@ -105,7 +106,7 @@
         self.lane = lane
         self.stream = stream
         self.matcher = matching.new_matcher()
-        self.idle_since_s = trio.current_time()
+        self.opened_s = self.idle_since_s = trio.current_time()
         self.idle_max_s = DEFAULT_IDLE_MAX_S
         self.request_count = 0
 
@@ -116,7 +117,11 @@
             return False
         # Data or an EOF that arrives between requests belongs to none of
         # them, so the connection can't be reused.
-        return not self.stream.socket.is_readable()
+        return not self.is_readable()
+
+    def is_readable(self):
+        """Return whether data or an EOF has arrived."""
+        return self.stream.socket.is_readable()
 
     def close(self):
         """Close the socket at once, without a graceful shutdown."""
@@ -155,6 +160,11 @@
         self._sending = None
         self.is_complete = False
 
+    @property
+    def opened_s(self):
+        """Return when its connection was opened."""
+        return self._connection.opened_s
+
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
         self._body = body
@@ -233,7 +243,7 @@
 
     async def _skip_response(self):
         """Skip the response to another request; return a failure or None."""
-        body = await self._receive_body()
+        body = await self.receive_body()
         if isinstance(body, ResponseFailure):
             return ResponseFailure("incomplete response to another request")
         return self._expect_next()
@@ -292,10 +302,10 @@
         head = await self.receive_head(lambda _head: True)
         if isinstance(head, ResponseFailure):
             return head
-        body = await self._receive_body()
+        body = await self.receive_body()
         return body if isinstance(body, ResponseFailure) else (head, body)
 
-    async def _receive_body(self):
+    async def receive_body(self):
         """Return the whole body, or `ResponseFailure` if it is too long."""
         parts, size = [], 0
         while size <= RESPONSE_MAX_BYTES:
@@ -384,6 +394,7 @@
         "_idle_by_key",
         "_nursery",
         "count_by_address",
+        "on_idle_closed",
         "opened_count",
     )
 
@@ -392,6 +403,8 @@
         self._idle_by_key = {}
         self.count_by_address = {}
         self.opened_count = 0
+        # Called with the address if the server has closed idle connections.
+        self.on_idle_closed = None
 
     def count(self, address):
         """Return how many connections to `address` are open or opening."""
@@ -406,11 +419,21 @@
         )
 
     async def open_call(
-        self, address, request, body, needs_fresh_connection=False, lane=b""
+        self,
+        address,
+        request,
+        body,
+        needs_fresh_connection=False,
+        lane=b"",
+        check=None,
     ):
         """Send a request; return a `Call` or a failure.
 
         The failure is `NotSent`, `InvalidRequest` or `ResponseFailure`.
+
+        `await check(opened_s)` returns whether the request may go over a
+        connection that was opened at that time.
+
         `needs_fresh_connection` limits the choice to a new connection or
         one idle for at most `FRESH_IDLE_MAX_S`, which the server is
         unlikely to be closing. Requests of different lanes share no
@@ -427,6 +450,8 @@
         call = Call(self, connection, request)
         is_started = False
         try:
+            if check is not None and not await check(connection.opened_s):
+                return NotSent("the server may have started again")
             failure = await call.send(body, self._nursery)
             is_started = failure is None
         finally:
@@ -443,9 +468,14 @@
             if connection.is_usable(connection.idle_max_s):
                 idle.insert(0, connection)
                 return None
-            self.drop(connection)
+            self._drop_idle(connection)
         return None
 
+    def _drop_idle(self, connection):
+        if self.on_idle_closed is not None and connection.is_readable():
+            self.on_idle_closed(connection.address)
+        self.drop(connection)
+
     async def is_refusing(self, address):
         """Return whether connections to `address` are refused.
 
@@ -502,7 +532,7 @@
                 if connection.is_usable(connection.idle_max_s):
                     usable.append(connection)
                 else:
-                    self.drop(connection)
+                    self._drop_idle(connection)
             if usable:
                 self._idle_by_key[key] = usable
             else:
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -21,7 +21,7 @@
     r"(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?"
 )
 _Name = Annotated[str, msgspec.Meta(max_length=1000)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 _SmallCount = Annotated[int, msgspec.Meta(ge=0, le=SMALL_MAX)]
 _SmallCountFromOne = Annotated[int, msgspec.Meta(ge=1, le=SMALL_MAX)]
 _Rank = Annotated[int, msgspec.Meta(ge=-SMALL_MAX, le=SMALL_MAX)]
@@ -83,7 +83,7 @@
 
 class _Limits(msgspec.Struct):
     max_header_bytes: _SmallCount = 16384
-    max_body_bytes: _Count = 4194304
+    max_body_bytes: Count = 4194304
     header_timeout_ms: _TimeMs = 5000
     idle_timeout_ms: _TimeMs = 60000
 
@@ -95,7 +95,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: _Count
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -108,9 +108,9 @@
     zone: _Name
     state: _Name
     version: _Name
-    slots: _Count = 1
+    slots: Count = 1
     cold_left_ms: float = 0
-    born: _Count = 0
+    born: Count = 0
 
 
 PORT_MAX = 65535
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -57,6 +57,7 @@
 ALWAYS_RETURNED = frozenset(name.lower() for name in (REQUEST_ID, SEAL))
 
 READY_PATH = b"/api/readyz"
+REPORT_PATH = b"/api/report"
 STAGE_RUN_PATH = b"/api/stage-run"
 STAGE_FREE_PATH = b"/api/stage-free"
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import loop_lag
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
@@ -101,6 +102,7 @@
             lambda server: gateway.drop_connections(server.published)
         )
         gateway.set_observer(self.directory)
+        connection_pool.on_idle_closed = self.directory.doubt_address
         self.catalog_watcher = catalog_watcher.new_catalog_watcher(
             source,
             self.directory,
@@ -140,7 +142,7 @@
             links,
             self.directory,
             get_catalog,
-            self.catalog_watcher.read_past,
+            self.catalog_watcher,
             nursery,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
@@ -169,6 +171,9 @@
             guard,
             self.peers.permits,
             self.peers.streams,
+            lifetime_check.new_lifetime_checks(
+                self.directory, gateway, self.catalog_watcher.refresh
+            ),
         )
 
     async def run(self):
@@ -179,7 +184,9 @@
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
-            nursery.start_soon(loop_lag.watch, self.metrics)
+            nursery.start_soon(
+                loop_lag.watch, self.metrics, self.directory.doubt_all
+            )
 
     async def _drop_idle_connections(self):
         while True:
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -23,8 +23,6 @@
 TOLD_MAX = 256
 LIFE_DEFAULT_S = 15.0
 LIFE_MARGIN_S = 1.0
-# How old the list of servers may be, if no peer confirms it.
-FRESH_MAX_S = 4.0
 # The history of the source may be incomplete; asked again it is the same.
 PAST_PERIOD_S = 5.0
 
@@ -48,10 +46,13 @@
 
 
 class Origin(msgspec.Struct, frozen=True):
-    """The service and the software version that began a stream."""
+    """The service and the software version that began a stream.
+
+    The version is None if it is unknown which one has answered.
+    """
 
     service: str
-    version: str
+    version: str | None
 
 
 class Streams:
@@ -65,19 +66,19 @@
         "_nursery",
         "_past_due_s",
         "_past_lock",
-        "_read_past",
         "_records",
+        "_source_reader",
         "_unsent",
     )
 
     def __init__(
-        self, members, links, directory, get_catalog, read_past, nursery
+        self, members, links, directory, get_catalog, source_reader, nursery
     ):
         self._members = members
         self._links = links
         self._directory = directory
         self._get_catalog = get_catalog
-        self._read_past = read_past
+        self._source_reader = source_reader
         self._past_lock = trio.Lock()
         self._past_due_s = -math.inf
         self._nursery = nursery
@@ -97,7 +98,8 @@
         organisation = stream_id.organisation
         self._records.drop_before(now - self._get_life_s())
         self._records.add(organisation, stream_id.key, record)
-        if len(services) > 1 or self._is_told(origin.service):
+        is_unknown = origin.version is None
+        if is_unknown or len(services) > 1 or self._is_told(origin.service):
             self._tell(organisation, stream_id.key, record)
 
     def _get_life_s(self):
@@ -180,17 +182,22 @@
             origins = {
                 Origin(answer.service, answer.recorded)
                 for answer in answers
-                if answer.recorded is not None
+                if answer.is_recorded
             }
             origins = origins or await self._infer(services, answers)
         # Two requests with the same id are nothing that can be told apart.
         origin = origins.pop() if len(origins) == 1 else None
-        return origin if origin and origin.service in services else None
+        if origin is None or origin.version is None:
+            return None
+        return origin if origin.service in services else None
 
     async def _infer(self, services, answers):
         """Return the origins that are possible, none if that is unknown."""
-        if len(services) > 1 or not (answers or self._is_fresh()):
-            # Others may use a version that this entry has not heard of.
+        if len(services) > 1:
+            return set()
+        # The stream has begun by now. An entry that was cut off or stood
+        # still may not have heard of the version that began it.
+        if not (await self._source_reader.refresh() or answers):
             return set()
         seen = self._get_seen(services[0])
         if not (seen.is_complete or any(a.is_complete for a in answers)):
@@ -209,13 +216,9 @@
         """Read what served before this entry started, not again too soon."""
         async with self._past_lock:
             if trio.current_time() >= self._past_due_s:
-                await self._read_past()
+                await self._source_reader.read_past()
                 self._past_due_s = trio.current_time() + PAST_PERIOD_S
 
-    def _is_fresh(self):
-        age_s = trio.current_time() - self._directory.versions.recorded_s
-        return age_s <= FRESH_MAX_S
-
     async def _ask(self, stream_id, services):
         """Return the answers of peers; one with a record is enough."""
         answers = []
@@ -226,7 +229,7 @@
             reply = await self._request(address, message)
             if isinstance(reply, messages.StreamVersion):
                 answers.append(reply)
-                if reply.recorded is not None:
+                if reply.is_recorded:
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
@@ -256,9 +259,14 @@
         )
 
 
-def new_streams(members, links, directory, get_catalog, read_past, nursery):
+def new_streams(
+    members, links, directory, get_catalog, source_reader, nursery
+):
     """Return the streams of an entry that has begun none.
 
-    `await read_past()` completes what the directory knows of versions.
+    The `source_reader` is a `CatalogWatcher`: `read_past()` and `refresh()`
+    complete what the directory knows of versions, until now.
     """
-    return Streams(members, links, directory, get_catalog, read_past, nursery)
+    return Streams(
+        members, links, directory, get_catalog, source_reader, nursery
+    )
