End one message, one exchange or one poll on an unforeseen error

An error in a message of a peer, in an exchange of digests, in a poll of the store or in a background call (pieces, results freed, crashes confirmed, streams told) ended the entry with all its callers. Where each poll fails, the lease ends and so does readiness. Cancellation passes. Start-up and the loops themselves still end loudly.

--- a/greengagetrack/connection/nng.py
+++ b/greengagetrack/connection/nng.py
@@ -114,11 +114,12 @@
     opened as needed, up to `CONTEXTS_MAX`.
     """
 
-    __slots__ = ("_address", "_key_ring", "_limiter")
+    __slots__ = ("_address", "_contain", "_key_ring", "_limiter")
 
-    def __init__(self, address, key_ring):
+    def __init__(self, address, key_ring, contain):
         self._address = address
         self._key_ring = key_ring
+        self._contain = contain
         self._limiter = trio.CapacityLimiter(CONTEXTS_MAX)
 
     async def serve(self, handler, task_status=trio.TASK_STATUS_IGNORED):
@@ -148,12 +149,12 @@
 
     async def _answer_request(self, context, sealed_request, handler):
         try:
-            reply = await self._get_reply(sealed_request, handler)
+            reply = messages.encode(messages.Rejected("unforeseen error"))
+            with self._contain("peer_message"):
+                reply = await self._get_reply(sealed_request, handler)
             if reply is not None:
                 request_code = seal.get_code(sealed_request)
-                sealed_reply = self._key_ring.seal(
-                    messages.encode(reply), request_code
-                )
+                sealed_reply = self._key_ring.seal(reply, request_code)
                 await context.asend(sealed_reply)
         except pynng.NNGException as error:
             # The peer has disconnected; it retries if it needs the reply.
@@ -166,6 +167,7 @@
             self._limiter.release_on_behalf_of(context)
 
     async def _get_reply(self, sealed_request, handler):
+        """Return the encoded reply, or None for a message of nobody."""
         body = self._key_ring.open(sealed_request)
         if body is None:
             _log.warning("message from a peer failed authentication")
@@ -176,8 +178,8 @@
                 "message from a peer could not be decoded",
                 extra=_get_log_extra(message),
             )
-            return messages.Rejected(message.detail)
-        return await handler(message)
+            return messages.encode(messages.Rejected(message.detail))
+        return messages.encode(await handler(message))
 
 
 def _get_log_extra(malformed):
@@ -189,6 +191,10 @@
     return NngLinkFactory(key_ring)
 
 
-def new_server(address, key_ring):
-    """Return a server that listens on `address` over TCP."""
-    return NngServer(address, key_ring)
+def new_server(address, key_ring, contain=contextlib.nullcontext):
+    """Return a server that listens on `address` over TCP.
+
+    Each request is handled within the context `contain(boundary)`, which
+    may keep an unforeseen error from ending the server.
+    """
+    return NngServer(address, key_ring, contain)
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -9,6 +9,7 @@
 import trio
 
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import containment
 
 # The poll period as a fraction of the bound on applying a change.
 POLL_PERIOD_RATIO = 0.44
@@ -22,6 +23,7 @@
 
     __slots__ = (
         "_directory",
+        "_fence",
         "_is_source_behind",
         "_is_source_reachable",
         "_poll_period_s",
@@ -34,8 +36,11 @@
         "revision",
     )
 
-    def __init__(self, source, directory, lease, change_bound_s, generator):
+    def __init__(
+        self, source, directory, lease, change_bound_s, generator, fence
+    ):
         self._source = source
+        self._fence = fence
         self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
         self._directory = directory
         self._random = generator
@@ -58,7 +63,11 @@
     async def run(self):
         """Poll the source until cancelled."""
         while True:
-            if await self._poll_once():
+            is_read = False
+            # Where each poll fails, the lease ends, and so does readiness.
+            with self._fence.contain("poll"):
+                is_read = await self._poll_once()
+            if is_read:
                 pause_s = self._poll_period_s * self._random.uniform(0.85, 1.0)
                 await trio.sleep(pause_s)
             else:
@@ -192,9 +201,14 @@
         )
 
 
-def new_catalog_watcher(source, directory, lease, change_bound_s, generator):
+def new_catalog_watcher(
+    source, directory, lease, change_bound_s, generator, fence=None
+):
     """Return a watcher without a catalog.
 
     `change_bound_s` is the time within which a change must be in force.
     """
-    return CatalogWatcher(source, directory, lease, change_bound_s, generator)
+    fence = fence or containment.new_fence()
+    return CatalogWatcher(
+        source, directory, lease, change_bound_s, generator, fence
+    )
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -82,7 +82,6 @@
     async with trio.open_nursery() as nursery:
         connection_pool = client.new_pool(nursery)
         links = link_base.new_links(nng.new_link_factory(peer_keys))
-        peer_server = nng.new_server(settings.peer_address, peer_keys)
         entry = entry_module.new_direct_entry(
             settings,
             adapter.new_source(connection_pool),
@@ -93,6 +92,9 @@
             random.Random(settings.name),
             peer_keys.get_digest,
         )
+        peer_server = nng.new_server(
+            settings.peer_address, peer_keys, entry.fence.contain
+        )
         await nursery.start(peer_server.serve, entry.peers.handle)
         caller_server = await _start_servers(nursery, adapter, entry)
         nursery.start_soon(entry.run)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -10,6 +10,7 @@
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import containment
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
@@ -69,6 +70,7 @@
         "_services",
         "catalog_watcher",
         "directory",
+        "fence",
         "is_draining",
         "lease",
         "metrics",
@@ -94,6 +96,10 @@
         self._runs = set()
         self._connection_pool = connection_pool
         self.metrics = metrics_module.new_direct_metrics(settings.name)
+        self.fence = containment.new_fence(self.metrics.count_contained_error)
+        nursery = containment.new_fenced_nursery(
+            nursery, self.fence, "background"
+        )
         self.lease = freshness.new_freshness_lease(
             settings.key_bound_s - FRESHNESS_MARGIN_S
         )
@@ -107,6 +113,7 @@
             self.lease,
             settings.change_bound_s,
             generator,
+            self.fence,
         )
         get_catalog = self.catalog_watcher.get_catalog
         chooser = chooser_module.new_chooser(
@@ -131,6 +138,7 @@
             self.directory,
             guard,
             generator,
+            self.fence,
         )
         guard.announce = self.peers.exchange_now
         self.peers.streams = streams_module.new_streams(
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -12,6 +12,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import messages
+from greengagetrack.process.direct import containment
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import permits as permits_module
@@ -45,6 +46,7 @@
         "_digests",
         "_directory",
         "_exchange_now",
+        "_fence",
         "_lease",
         "_links",
         "_round",
@@ -63,7 +65,9 @@
         directory,
         crash_guard,
         generator,
+        fence,
     ):
+        self._fence = fence
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -127,11 +131,14 @@
     async def run(self):
         """Exchange digests with the peers until cancelled."""
         async with trio.open_nursery() as nursery:
+            exchanges = containment.new_fenced_nursery(
+                nursery, self._fence, "peer_exchange"
+            )
             while True:
                 chosen = self._choose_remote()
                 for peer in list(self.members.peer_by_address.values()):
                     if self._is_due(peer, chosen):
-                        nursery.start_soon(self._exchange, peer)
+                        exchanges.start_soon(self._exchange, peer)
                 self.members.log_changes()
                 self.members.remove_expired()
                 self._links.keep_only(self.members.peer_by_address)
@@ -384,6 +391,7 @@
     directory,
     crash_guard,
     generator,
+    fence=None,
 ):
     """Return the peers of an entry: at first only its seeds."""
     return Peers(
@@ -394,4 +402,5 @@
         directory,
         crash_guard,
         generator,
+        fence or containment.new_fence(),
     )
--- /dev/null
+++ b/tests/direct/test_containment.py
@@ -0,0 +1,159 @@
+"""Tests that an unforeseen error ends one unit of work and no more."""
+
+import logging
+import random
+
+import pytest
+import trio
+
+from bench import ports
+from greengagetrack.connection import base
+from greengagetrack.connection import messages
+from greengagetrack.connection import nng
+from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import catalog_watcher
+from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import freshness
+from tests.direct import fakes
+from tests.direct import test_peers
+
+
+async def _fail():
+    await trio.lowlevel.checkpoint()
+    raise ZeroDivisionError("unforeseen")
+
+
+async def _fail_in_nursery():
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_fail)
+        nursery.start_soon(trio.sleep_forever)
+
+
+@pytest.mark.parametrize("function", [_fail, _fail_in_nursery])
+def test_failed_task_leaves_its_neighbours_and_is_logged(function, caplog):
+    boundaries = []
+    ended = []
+
+    async def end():
+        await trio.sleep(1)
+        ended.append(True)
+
+    async def check(nursery):
+        fence = containment.new_fence(boundaries.append)
+        fenced = containment.new_fenced_nursery(nursery, fence, "background")
+        fenced.start_soon(function)
+        fenced.start_soon(end)
+        await trio.sleep(2)
+
+    with caplog.at_level(logging.ERROR):
+        fakes.run_with_mock_clock(check)
+    assert ended == [True]
+    assert boundaries == ["background"]
+    assert "ZeroDivisionError: unforeseen" in caplog.text
+
+
+def test_cancellation_passes_the_fence():
+    boundaries = []
+
+    async def check(_nursery):
+        fence = containment.new_fence(boundaries.append)
+        with trio.move_on_after(1) as scope:
+            await fence.run("background", trio.sleep_forever)
+        assert scope.cancelled_caught
+
+    fakes.run_with_mock_clock(check)
+    assert boundaries == []
+
+
+def test_failed_poll_of_the_source_is_repeated():
+    boundaries = []
+    update = source_module.Update(
+        1, fakes.new_catalog(), (fakes.new_server("s1"),), is_complete=True
+    )
+
+    class Source(fakes.FakeSource):
+        async def list_all(self):
+            if not self.requests:
+                self.requests.append("all")
+                await _fail()
+            return update
+
+        async def list_changes(self, revision):
+            return update
+
+    async def check(nursery):
+        lease = freshness.new_freshness_lease(4.0, trio.current_time)
+        watcher = catalog_watcher.new_catalog_watcher(
+            Source(),
+            directory_module.new_directory(lambda server: None),
+            lease,
+            2.5,
+            random.Random(1),
+            containment.new_fence(boundaries.append),
+        )
+        nursery.start_soon(watcher.run)
+        await trio.sleep(0.1)
+        assert watcher.get_version() == 0
+        assert not lease.is_fresh()
+        await trio.sleep(1)
+        assert watcher.get_version() == 1
+        assert lease.is_fresh()
+
+    fakes.run_with_mock_clock(check)
+    assert boundaries == ["poll"]
+
+
+def test_failed_exchange_with_a_peer_leaves_the_others(caplog, monkeypatch):
+    apply = digests_module.Digests.apply
+
+    def fail_for_one(digests, digest):
+        if (digests._members.name, digest.name) == ("a-0", "a-1"):
+            raise ZeroDivisionError("unforeseen")
+        return apply(digests, digest)
+
+    monkeypatch.setattr(digests_module.Digests, "apply", fail_for_one)
+
+    async def check(nursery):
+        fleet = test_peers.Fleet(("a",), 3)
+        peers = fleet.node_by_address["a-0:1"].peers
+        fleet.start(nursery)
+        await trio.sleep(3)
+        live = peers.members.get_live_peers("a")
+        assert [peer.name for peer in live] == ["a-2"]
+
+    fakes.run_with_mock_clock(check)
+    assert {record.boundary for record in caplog.records} == {"peer_exchange"}
+
+
+def test_message_whose_handler_fails_leaves_the_link_in_use():
+    boundaries = []
+    (port,) = ports.find_free_ports(1)
+    address = f"127.0.0.1:{port}"
+
+    async def handle(message):
+        if isinstance(message, messages.FetchManifest):
+            raise ZeroDivisionError("unforeseen")
+        return messages.PermitReply(True)
+
+    async def main():
+        fence = containment.new_fence(boundaries.append)
+        server = nng.new_server(address, fakes.KEYS, fence.contain)
+        link = nng.new_link_factory(fakes.KEYS).open_link(address)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve, handle)
+            with trio.fail_after(5):
+                while not link.is_up():
+                    await trio.sleep(0.01)
+            failed = await link.request(messages.FetchManifest(), 1.0)
+            assert failed == base.Lost("unforeseen error")
+            answered = await link.request(
+                messages.FetchDocument("k", "d"), 1.0
+            )
+            assert answered == messages.PermitReply(True)
+            link.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert boundaries == ["peer_message"]
