End the pieces and the suspects of a background call that failed

With the fence alone, an unforeseen error in a call for pieces left these without an end until their deadline, and one in a crash check left its suspects behind, so that this server's crash was never confirmed. The call now ends as one without an answer (its pieces are made elsewhere, within the retry budget), and the suspects are dropped.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -254,28 +254,38 @@
         return batch
 
     async def _run_call(self, usage, batch, batching):
-        server = usage.server
-        started_s = trio.current_time()
         work_s = batching.get_call_s(len(batch))
-        server.outstanding += 1
+        started_s = trio.current_time()
+        usage.server.outstanding += 1
         results = gateway_module.Failure(
             outcome.Reason.AGENT_SILENT,
             outcome.Ran.UNKNOWN,
             "no answer in time",
         )
+        error = None
         try:
             with trio.move_on_after(
                 work_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_S
             ):
                 results = await self._gateway.run_pieces(
-                    server.published, [task.to_piece() for task in batch]
+                    usage.server.published, [task.to_piece() for task in batch]
                 )
+        except Exception as raised:
+            # The pieces still need an end, before the fence logs it.
+            error = raised
         finally:
-            server.outstanding -= 1
+            usage.server.outstanding -= 1
             usage.calls_in_flight -= 1
+        self._end_call(usage, batching, batch, results, started_s)
+        if error is not None:
+            raise error
+
+    def _end_call(self, usage, batching, batch, results, started_s):
+        """Complete the pieces of a call, or have them made again."""
         spent_ms = (trio.current_time() - started_s) * 1000
+        work_s = batching.get_call_s(len(batch))
         usage.busy_until_s = 0.0
-        self._record_call(server, batch, results, spent_ms, work_s)
+        self._record_call(usage.server, batch, results, spent_ms, work_s)
         if not isinstance(results, list):
             failure = gateway_module.PieceFailure.ERROR
             if results.ran is outcome.Ran.NO:
--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -142,9 +142,11 @@
 
     async def _confirm_crash(self, published, lifetime):
         """Blame the suspects if their server no longer listens."""
-        await trio.sleep(COLLECT_S)
-        is_refusing = await self._gateway.is_refusing(published)
-        suspects = self._suspects_by_lifetime.pop(lifetime)
+        try:
+            await trio.sleep(COLLECT_S)
+            is_refusing = await self._gateway.is_refusing(published)
+        finally:
+            suspects = self._suspects_by_lifetime.pop(lifetime)
         if is_refusing:
             now_s = trio.current_time()
             self._log_changes(
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import types
 
 import pytest
 import trio
@@ -17,6 +18,7 @@
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
 from tests.direct import fakes
+from tests.direct import test_batcher
 from tests.direct import test_peers
 
 
@@ -157,3 +159,53 @@
 
     trio.run(main)
     assert boundaries == ["peer_message"]
+
+
+def _run_fenced(check):
+    """Run `check(fake_entry)`; background errors are contained."""
+
+    async def main(nursery):
+        fenced = containment.new_fenced_nursery(
+            nursery, containment.new_fence(), "background"
+        )
+        fake_gateway = fakes.FakeGateway()
+        servers = [fakes.new_server(name, "pool") for name in ("p1", "p2")]
+        await check(fakes.FakeEntry(fenced, fake_gateway, servers))
+
+    fakes.run_with_mock_clock(main)
+
+
+def test_pieces_of_a_failed_call_are_made_by_the_next_one():
+    def fail_once(_server, _pieces):
+        fake_gateway = fail_once.gateway
+        fake_gateway.call_handler = None
+        raise ZeroDivisionError("unforeseen")
+
+    async def check(fake_entry):
+        fail_once.gateway = fake_entry.gateway
+        fake_entry.gateway.call_handler = fail_once
+        batcher = fake_entry.pools.get_pool("pool", "dc-a").batcher
+        tasks = test_batcher._new_tasks("r", 2)
+        with trio.fail_after(2):
+            await batcher.make_pieces(tasks)
+        # The server of the failed call counts as silent.
+        assert [task.server.server_id for task in tasks] == ["p2", "p2"]
+
+    _run_fenced(check)
+
+
+def test_suspects_of_a_failed_check_are_forgotten():
+    async def fail(_server):
+        await _fail()
+
+    async def check(fake_entry):
+        fake_entry.gateway.is_refusing = fail
+        guard = fake_entry.crash_guard
+        server = fake_entry.directory.server_by_id["p1"]
+        request = fake_entry.admit(fakes.new_route()).request
+        attempt = types.SimpleNamespace(is_sound=False, has_begun=False)
+        guard.record_break(server, request, attempt)
+        await trio.sleep(1)
+        assert guard._suspects_by_lifetime == {}
+
+    _run_fenced(check)
