--- a/greengagetrack/connection/contained_error.py
+++ b/greengagetrack/connection/contained_error.py
@@ -26,6 +26,15 @@
         """Count an error; `boundary` names the kind of unit that ended."""
 
 
+class UncountedErrors(ErrorObserver):
+    """Leaves the errors to the log."""
+
+    __slots__ = ()
+
+    def count_contained_error(self, boundary):
+        """Count nothing."""
+
+
 def record(observer, boundary, **fields):
     """Log the error that is being handled, with its trace, and count it."""
     _log.exception(
--- a/greengagetrack/connection/http/closing.py
+++ b/greengagetrack/connection/http/closing.py
@@ -57,14 +57,11 @@
         """Record a `ClosedConnection`."""
 
 
-class LoggingObserver(ConnectionObserver):
+class LoggingObserver(contained_error.UncountedErrors, ConnectionObserver):
     """Logs each connection that ended with a request unanswered."""
 
     __slots__ = ()
 
-    def count_contained_error(self, boundary):
-        """Count nothing; the error was logged."""
-
     def record_close(self, closed):
         """Log a connection if a request lost its answer with it."""
         if not closed.has_lost_request:
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -4,6 +4,7 @@
 If a peer is lost, the pieces requested from it are made by this entry.
 """
 
+import functools
 import logging
 import math
 import re
@@ -12,6 +13,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import messages
+from greengagetrack.process.direct import containment
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import members as members_module
@@ -46,6 +48,7 @@
         "_digests",
         "_directory",
         "_exchange_now",
+        "_fence",
         "_lease",
         "_links",
         "_round",
@@ -64,7 +67,9 @@
         directory,
         crash_guard,
         generator,
+        fence,
     ):
+        self._fence = fence
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -133,13 +138,18 @@
                 self._catalog_watcher.newest,
                 self.members,
                 self._links,
-                self._exchange,
+                functools.partial(
+                    self._fence.run, "peer_exchange", self._exchange
+                ),
+            )
+            exchanges = containment.new_fenced_nursery(
+                nursery, self._fence, "peer_exchange"
             )
             while True:
                 chosen = self._choose_remote()
                 for peer in list(self.members.peer_by_address.values()):
                     if self._is_due(peer, chosen):
-                        nursery.start_soon(self._exchange, peer)
+                        exchanges.start_soon(self._exchange, peer)
                 self.members.log_changes()
                 self.members.remove_expired()
                 self._links.keep_only(self.members.peer_by_address)
@@ -390,6 +400,7 @@
     directory,
     crash_guard,
     generator,
+    fence=None,
 ):
     """Return the peers of an entry: at first only its seeds."""
     return Peers(
@@ -400,4 +411,5 @@
         directory,
         crash_guard,
         generator,
+        fence or containment.new_fence(),
     )
--- /dev/null
+++ b/tests/direct/test_containment.py
@@ -0,0 +1,228 @@
+"""Tests that an unforeseen error ends one unit of work and no more."""
+
+import logging
+import random
+import types
+
+import pytest
+import trio
+
+from bench import ports
+from greengagetrack.connection import base
+from greengagetrack.connection import contained_error
+from greengagetrack.connection import messages
+from greengagetrack.connection import nng
+from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import catalog_watcher
+from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import freshness
+from tests.direct import fakes
+from tests.direct import test_batcher
+from tests.direct import test_peers
+
+
+class Observer(contained_error.ErrorObserver):
+    """Keeps the boundaries at which errors were contained."""
+
+    def __init__(self, boundaries):
+        self._boundaries = boundaries
+
+    def count_contained_error(self, boundary):
+        self._boundaries.append(boundary)
+
+
+async def _fail():
+    await trio.lowlevel.checkpoint()
+    raise ZeroDivisionError("unforeseen")
+
+
+async def _fail_in_nursery():
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_fail)
+        nursery.start_soon(trio.sleep_forever)
+
+
+@pytest.mark.contains_error
+@pytest.mark.parametrize("function", [_fail, _fail_in_nursery])
+def test_failed_task_leaves_its_neighbours_and_is_logged(function, caplog):
+    boundaries = []
+    ended = []
+
+    async def end():
+        await trio.sleep(1)
+        ended.append(True)
+
+    async def check(nursery):
+        fence = containment.new_fence(Observer(boundaries))
+        fenced = containment.new_fenced_nursery(nursery, fence, "background")
+        fenced.start_soon(function)
+        fenced.start_soon(end)
+        await trio.sleep(2)
+
+    with caplog.at_level(logging.ERROR):
+        fakes.run_with_mock_clock(check)
+    assert ended == [True]
+    assert boundaries == ["background"]
+    assert "ZeroDivisionError: unforeseen" in caplog.text
+
+
+def test_cancellation_passes_the_fence():
+    boundaries = []
+
+    async def check(_nursery):
+        fence = containment.new_fence(Observer(boundaries))
+        with trio.move_on_after(1) as scope:
+            await fence.run("background", trio.sleep_forever)
+        assert scope.cancelled_caught
+
+    fakes.run_with_mock_clock(check)
+    assert boundaries == []
+
+
+@pytest.mark.contains_error
+def test_failed_poll_of_the_source_is_repeated():
+    boundaries = []
+    update = source_module.Update(
+        1, fakes.new_catalog(), (fakes.new_server("s1"),), is_complete=True
+    )
+
+    class Source(fakes.FakeSource):
+        async def list_all(self):
+            if not self.requests:
+                self.requests.append("all")
+                await _fail()
+            return update
+
+        async def list_changes(self, revision):
+            return update
+
+    async def check(nursery):
+        lease = freshness.new_freshness_lease(4.0, trio.current_time)
+        watcher = catalog_watcher.new_catalog_watcher(
+            Source(),
+            directory_module.new_directory(lambda server: None),
+            lease,
+            2.5,
+            random.Random(1),
+            containment.new_fence(Observer(boundaries)),
+        )
+        nursery.start_soon(watcher.run)
+        await trio.sleep(0.1)
+        assert watcher.get_version() == 0
+        assert not lease.is_fresh()
+        await trio.sleep(1)
+        assert watcher.get_version() == 1
+        assert lease.is_fresh()
+
+    fakes.run_with_mock_clock(check)
+    assert boundaries == ["poll"]
+
+
+@pytest.mark.contains_error
+def test_failed_exchange_with_a_peer_leaves_the_others(caplog, monkeypatch):
+    apply = digests_module.Digests.apply
+
+    def fail_for_one(digests, digest):
+        if (digests._members.name, digest.name) == ("a-0", "a-1"):
+            raise ZeroDivisionError("unforeseen")
+        return apply(digests, digest)
+
+    monkeypatch.setattr(digests_module.Digests, "apply", fail_for_one)
+
+    async def check(nursery):
+        fleet = test_peers.Fleet(("a",), 3)
+        peers = fleet.node_by_address["a-0:1"].peers
+        fleet.start(nursery)
+        await trio.sleep(3)
+        live = peers.members.get_live_peers("a")
+        assert [peer.name for peer in live] == ["a-2"]
+
+    fakes.run_with_mock_clock(check)
+    assert {record.boundary for record in caplog.records} == {"peer_exchange"}
+
+
+@pytest.mark.contains_error
+def test_message_whose_handler_fails_leaves_the_link_in_use():
+    boundaries = []
+    (port,) = ports.find_free_ports(1)
+    address = f"127.0.0.1:{port}"
+
+    async def handle(message):
+        if isinstance(message, messages.FetchManifest):
+            raise ZeroDivisionError("unforeseen")
+        return messages.PermitReply(True)
+
+    async def main():
+        fence = containment.new_fence(Observer(boundaries))
+        server = nng.new_server(address, fakes.KEYS, fence.contain)
+        link = nng.new_link_factory(fakes.KEYS).open_link(address)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve, handle)
+            with trio.fail_after(5):
+                while not link.is_up():
+                    await trio.sleep(0.01)
+            failed = await link.request(messages.FetchManifest(), 1.0)
+            assert failed == base.Lost("unforeseen error")
+            answered = await link.request(
+                messages.FetchDocument("k", "d"), 1.0
+            )
+            assert answered == messages.PermitReply(True)
+            link.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert boundaries == ["peer_message"]
+
+
+def _run_fenced(check):
+    """Run `check(fake_entry)`; background errors are contained."""
+
+    async def main(nursery):
+        fenced = containment.new_fenced_nursery(
+            nursery, containment.new_fence(), "background"
+        )
+        fake_gateway = fakes.FakeGateway()
+        servers = [fakes.new_server(name, "pool") for name in ("p1", "p2")]
+        await check(fakes.FakeEntry(fenced, fake_gateway, servers))
+
+    fakes.run_with_mock_clock(main)
+
+
+@pytest.mark.contains_error
+def test_pieces_of_a_failed_call_are_made_by_the_next_one():
+    def fail_once(_server, _pieces):
+        fake_gateway = fail_once.gateway
+        fake_gateway.call_handler = None
+        raise ZeroDivisionError("unforeseen")
+
+    async def check(fake_entry):
+        fail_once.gateway = fake_entry.gateway
+        fake_entry.gateway.call_handler = fail_once
+        batcher = fake_entry.pools.get_pool("pool", "dc-a").batcher
+        tasks = test_batcher._new_tasks("r", 2)
+        with trio.fail_after(2):
+            await batcher.make_pieces(tasks)
+        # The server of the failed call counts as silent.
+        assert [task.server.server_id for task in tasks] == ["p2", "p2"]
+
+    _run_fenced(check)
+
+
+@pytest.mark.contains_error
+def test_suspects_of_a_failed_check_are_forgotten():
+    async def fail(_server):
+        await _fail()
+
+    async def check(fake_entry):
+        fake_entry.gateway.is_refusing = fail
+        guard = fake_entry.crash_guard
+        server = fake_entry.directory.server_by_id["p1"]
+        request = fake_entry.admit(fakes.new_route()).request
+        attempt = types.SimpleNamespace(is_sound=False, has_begun=False)
+        guard.record_break(server, request, attempt)
+        await trio.sleep(1)
+        assert guard._suspects_by_lifetime == {}
+
+    _run_fenced(check)
