--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -423,6 +423,7 @@
         address,
         request,
         body,
+        *,
         needs_fresh_connection=False,
         lane=b"",
         check=None,
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -183,8 +183,8 @@
             server.address,
             head,
             request.body,
-            request.needs_fresh_connection,
-            request.check,
+            needs_fresh_connection=request.needs_fresh_connection,
+            check=request.check,
         )
         if not isinstance(call, client.Call):
             return _convert_failure(call)
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -61,7 +61,12 @@
 
 
 async def _call(pool, address, needs_fresh_connection=False):
-    call = await pool.open_call(address, REQUEST, b"", needs_fresh_connection)
+    call = await pool.open_call(
+        address,
+        REQUEST,
+        b"",
+        needs_fresh_connection=needs_fresh_connection,
+    )
     try:
         return await _receive_all(call)
     finally:
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -748,3 +748,48 @@
         settings_module.read_node_file(str(tmp_path))
     with pytest.raises(ValueError, match="can't be read"):
         settings_module.read_node_file(str(tmp_path / "a\0b"))
+
+
+@pytest.mark.parametrize("is_allowed", [True, False])
+def test_request_goes_only_over_a_connection_that_its_check_allows(is_allowed):
+    exchanges = []
+    opened = []
+
+    async def handle(exchange):
+        exchanges.append(exchange)
+        await exchange.answer(200, [(b"X-Request-Id", b"rid")], b"ok")
+
+    async def check(opened_s):
+        await trio.lowlevel.checkpoint()
+        opened.append(opened_s)
+        return is_allowed
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = server_module.new_server("", handle, catalog.CallerLimits)
+            address = await loopback.start_raw_server(
+                nursery, server.serve_connection
+            )
+            engine_gateway = engines.new_engine_gateway(
+                client.new_pool(nursery)
+            )
+            answer = await engine_gateway.open_answer(
+                gateway.Server("i-1", "svc", address, "z"),
+                gateway.ServerRequest(
+                    b"rid",
+                    b"GET",
+                    b"/",
+                    [(b"Host", b"h")],
+                    b"",
+                    500,
+                    check=check,
+                ),
+            )
+            assert isinstance(answer, gateway.Answer) is is_allowed
+            if not is_allowed:
+                assert answer.ran is outcome.Ran.NO
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(exchanges) == is_allowed
+    assert len(opened) == 1
