--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -157,6 +157,22 @@
     assert requests == [(0, run), (0, free), (1, run), (1, free)]
 
 
+def test_copy_of_an_earlier_answer_confirms_no_free():
+    first = []
+
+    def answer(number, request):
+        status = BUSY if number == 1 else OK
+        response = _new_response(b"{}", request, True, status)
+        first.append(response)
+        return first[0] + response if number == 1 else response
+
+    async def check(gateway, server, _pool):
+        assert await gateway.free_results(server.address, ["s/a"])
+        assert not await gateway.free_results(server.address, ["s/b"])
+
+    _run(check, answer)
+
+
 @pytest.mark.parametrize("is_echoing", [True, False])
 def test_answer_without_id_ends_its_connection(is_echoing):
     async def check(gateway, server, pool):
