Answer reports in the test of cut heads; play the review by make

A stream goes on only after its server was asked whether it has started again: the raw server of the test answers that, and the cut answers are those to the requests, as before.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 STAMP := $(VENV)/.installed
 DEMO_STAMP := $(VENV)/.installed-demo
 
-.PHONY: demo test lint format clean
+REVIEW_CASES := 1 2 3 4 5 more/takeup more/history
+
+.PHONY: demo test lint format review clean
 
 $(STAMP): pyproject.toml requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -32,5 +34,16 @@
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
 
+target/deps: deploy/requirements.txt
+	$(PYTHON) -m pip install --quiet --upgrade --target $@ \
+		--requirement $<
+	touch $@
+
+# Plays each case of the review on real entries, and prints a line for it.
+review: target/deps
+	@for case in $(REVIEW_CASES); do \
+		printf '%s: ' $$case; bash review/$$case/run.sh | sed -n 1p; \
+	done
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/tests/direct/loopback.py
+++ b/tests/direct/loopback.py
@@ -5,6 +5,11 @@
 import trio
 
 LIMIT_S = 5.0
+# What a server says of itself before a stream goes on there.
+REPORT = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    b'Content-Length: 10\r\n\r\n{"born":0}'
+)
 
 
 async def read_until(stream, end):
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -91,12 +91,6 @@
     return head, body, end
 
 
-REPORT = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-    b'Content-Length: 10\r\n\r\n{"born":0}'
-)
-
-
 def _ask(
     route, *answers, resets=(), crashes=(), version=b"1.1", is_trouble=False
 ):
@@ -118,7 +112,7 @@
             if not head:
                 return
             if head.startswith(b"GET /api/report "):
-                await stream.send_all(REPORT)
+                await stream.send_all(loopback.REPORT)
                 return
             number, data = remaining.pop(0)
             server.is_draining = is_trouble and number > 0
--- a/tests/direct/test_cut_heads.py
+++ b/tests/direct/test_cut_heads.py
@@ -59,7 +59,11 @@
         remaining = [*first, answer[:offset]]
 
         async def serve(stream):
-            if not await loopback.read_until(stream, request_end):
+            head = await loopback.read_until(stream, request_end)
+            if not head:
+                return
+            if head.startswith(b"GET /api/report "):
+                await stream.send_all(loopback.REPORT)
                 return
             await stream.send_all(remaining.pop(0))
             if is_reset:
