Take the answer of a piece that was made again under its handle

The review of the merged code found that a server which bears no ids and names the same handle for a piece made again wasn't believed: the call waited until its timeout. A mark is now known with the piece that it was given for: a known handle of another piece is a copy, one of the same piece is taken and ends its connection. The copied test makes other pieces in each call, as calls do; pieces made again have their own test. MARKS_MAX counts all handles of a connection, not one of each answer.

--- a/greengagetrack/connection/http/matching.py
+++ b/greengagetrack/connection/http/matching.py
@@ -12,7 +12,7 @@
 import msgspec
 
 # More on one connection would take memory without end.
-MARKS_MAX = 256
+MARKS_MAX = 4096
 
 
 class Match(enum.Enum):
@@ -30,31 +30,35 @@
 class Identity(msgspec.Struct, frozen=True):
     """What a response says of the request it belongs to.
 
-    `is_own` is None if it bears no id.
+    `is_own` is None if it bears no id. `purpose_by_mark` tells for what each
+    of its marks was asked for.
     """
 
     is_own: bool | None
-    marks: tuple[str, ...] = ()
+    purpose_by_mark: dict[str, object] = {}
 
 
 class Matcher:
     """The marks of the responses without an id on one connection."""
 
-    __slots__ = ("_marks",)
+    __slots__ = ("_purpose_by_mark",)
 
     def __init__(self):
-        self._marks = set()
+        self._purpose_by_mark = {}
 
     def match(self, identity):
-        """Return whose the next response is, and remember its mark."""
+        """Return whose the next response is, and remember its marks."""
         if identity.is_own is not None:
             return Match.OWN if identity.is_own else Match.OTHER
-        if not self._marks.isdisjoint(identity.marks):
+        marks = identity.purpose_by_mark
+        known = self._purpose_by_mark.keys() & marks.keys()
+        # The same may be made twice, under the same mark or another one.
+        if any(self._purpose_by_mark[mark] != marks[mark] for mark in known):
             return Match.OTHER
-        if not identity.marks or len(self._marks) >= MARKS_MAX:
+        self._purpose_by_mark.update(marks)
+        is_full = len(self._purpose_by_mark) > MARKS_MAX
+        if known or not marks or is_full:
             return Match.UNPROVEN
-        # A copy of this response has its first mark too.
-        self._marks.add(identity.marks[0])
         return Match.OWN
 
 
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -1,5 +1,6 @@
 """The gateway to the platform's engines, over HTTP."""
 
+import functools
 import itertools
 import math
 import re
@@ -223,7 +224,10 @@
             for piece in pieces
         ]
         response = await self._post(
-            server, names.STAGE_RUN_PATH, _Items(items)
+            server,
+            names.STAGE_RUN_PATH,
+            _Items(items),
+            functools.partial(_identify_made, items),
         )
         if isinstance(response, gateway.Failure):
             return response
@@ -242,10 +246,10 @@
             )
         return isinstance(response, tuple) and response[0].status == 200
 
-    async def _post(self, server, path, body):
+    async def _post(self, server, path, body, identify):
         instance_header = (names.EXPECT_INSTANCE, server.server_id.encode())
         response = await self._exchange(
-            server.address, path, body, [instance_header], _identify_made
+            server.address, path, body, [instance_header], identify
         )
         if isinstance(response, gateway.Failure):
             return response
@@ -324,11 +328,11 @@
     return _get_id(head) in (None, request_id)
 
 
-def _identify_made(call_id, head, body):
+def _identify_made(asked_items, call_id, head, body):
     """Return the `Identity` of the answer to a call for pieces.
 
-    Many servers don't repeat the id of such a call. Then the results, each
-    of which is made only once, mark the answer.
+    Many servers don't repeat the id of such a call. Then the results mark
+    the answer: none of them is that of two pieces.
     """
     echoed = _get_id(head)
     if echoed is not None:
@@ -336,8 +340,15 @@
     items = _read_made_items(body) if head.status == 200 else ()
     if isinstance(items, gateway.Failure):
         items = ()
-    handles = tuple(item.handle for item in items if item.handle)
-    return matching.Identity(None, handles)
+    pieces = [(item.id, item.stage, item.piece) for item in asked_items]
+    return matching.Identity(
+        None,
+        {
+            item.handle: piece
+            for item, piece in zip(items, pieces, strict=False)
+            if item.handle
+        },
+    )
 
 
 def _identify_freed(call_id, head, _body):
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -24,7 +24,12 @@
         b"GET", names.REPORT_PATH, [(b"Host", address.encode())]
     )
     call = await pool.open_call(
-        address, head, b"", needs_fresh_connection=True
+        address,
+        head,
+        b"",
+        needs_fresh_connection=True,
+        # A late copy bears no id, so none may meet a caller's request.
+        lane=names.REPORT_PATH,
     )
     if not isinstance(call, client.Call):
         return call
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -82,9 +82,10 @@
     return answer
 
 
-async def _make_pieces(gateway, server):
+async def _make_pieces(gateway, server, request_id="r"):
     pieces = [
-        gateway_module.Piece("r", 0, number, 100, "key") for number in (0, 1)
+        gateway_module.Piece(request_id, 0, number, 100, "key")
+        for number in (0, 1)
     ]
     return await gateway.run_pieces(server, pieces)
 
@@ -93,7 +94,7 @@
 def test_copy_of_earlier_results_is_not_given_to_the_next_call(is_echoing):
     async def check(gateway, server, pool):
         for number in range(3):
-            made = await _make_pieces(gateway, server)
+            made = await _make_pieces(gateway, server, f"r{number}")
             assert made == [f"s/{number}a", f"s/{number}b"]
         assert pool.opened_count == 1
 
@@ -104,11 +105,13 @@
     matcher = matching.new_matcher()
 
     def match(number):
-        return matcher.match(matching.Identity(None, (f"s/{number}",)))
+        identity = matching.Identity(None, {f"s/{number}": number})
+        return matcher.match(identity)
 
     for number in range(matching.MARKS_MAX):
         assert match(number) is matching.Match.OWN
-    assert match(0) is matching.Match.OTHER
+    copy = matching.Identity(None, {"s/0": "another"})
+    assert matcher.match(copy) is matching.Match.OTHER
     assert match(matching.MARKS_MAX) is matching.Match.UNPROVEN
 
 
@@ -244,3 +247,42 @@
     event = {"key": "op/config", "revision": 5, "tombstone": True}
     changes = {"events": [event], "current_rev": 5}
     _run_store(check, changes, changes)
+
+
+def test_a_piece_made_again_may_have_the_same_handle():
+    # Its answer may also be a copy of the first, so nothing follows it.
+    async def check(gateway, server, pool):
+        for _call in range(2):
+            assert await _make_pieces(gateway, server) == ["s/a", "s/b"]
+        assert pool.opened_count == 1
+        await _make_pieces(gateway, server)
+        assert pool.opened_count == 2
+
+    _run(
+        check, lambda _number, _request: _new_response(_new_made("s/a", "s/b"))
+    )
+
+
+def test_a_late_copy_of_a_report_answers_no_request():
+    report = _new_response(b'{"born":7}').replace(
+        b"Content-Length", b"Content-Type: application/json\r\nContent-Length"
+    )
+
+    def answer(number, request):
+        if request.startswith(b"GET /api/report"):
+            return report
+        # The copy is written where the next answer is due.
+        own = _new_response(b"ok", request, is_echoing=True)
+        return report * number + own
+
+    async def check(gateway, server, _pool):
+        assert await gateway.ask_incarnation(server) == 7
+        headers = [(b"Host", b"h"), (b"X-Request-Id", b"r")]
+        request = gateway_module.ServerRequest(
+            b"r", b"GET", b"/", headers, b"", 500
+        )
+        answered = await gateway.open_answer(server, request)
+        answered.finish()
+        assert answered.headers == [(b"X-Request-Id", b"r")]
+
+    _run(check, answer)
