Let those who wait ask again when the one who asked has left

A caller that left while its entry asked a server for its lifetime left the question counted as asked: take-ups of its neighbours were refused. The test failed before.

--- a/greengagetrack/process/direct/lifetime_check.py
+++ b/greengagetrack/process/direct/lifetime_check.py
@@ -7,6 +7,7 @@
 
 import functools
 import logging
+import math
 
 import trio
 
@@ -50,6 +51,16 @@
 
     async def _ask(self, server):
         asked_s = server.lifetime.asked_s = trio.current_time()
+        is_over = False
+        try:
+            await self._ask_since(server, asked_s)
+            is_over = True
+        finally:
+            if not is_over:
+                # Cancelled: those who wait have to ask themselves.
+                server.lifetime.asked_s = -math.inf
+
+    async def _ask_since(self, server, asked_s):
         incarnation = None
         with trio.move_on_after(ASK_TIMEOUT_S) as scope:
             incarnation = await self._gateway.ask_incarnation(server.published)
--- a/tests/direct/test_lifetimes.py
+++ b/tests/direct/test_lifetimes.py
@@ -3,6 +3,7 @@
 import trio
 
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request import outcome as outcome_module
@@ -155,3 +156,40 @@
         assert entry.gateway.asked == []
 
     _play(check, [OLD], *[_new_stream(1) for _number in range(3)])
+
+
+def test_who_leaves_while_asking_leaves_the_question_to_the_next():
+    checked = {}
+
+    async def check(entry):
+        server = entry.directory.server_by_id["s1"]
+        server.lifetime.doubt()
+        answers = [fakes.new_failure(UNKNOWN), None, 1]
+
+        async def ask(_published):
+            answer = answers.pop(0)
+            await trio.sleep(0.2)
+            return answer
+
+        entry.gateway.ask_incarnation = ask
+        opened_s = trio.current_time()
+        await trio.sleep(0.01)
+        may_go = lifetime_check.new_lifetime_checks(
+            entry.directory, entry.gateway, trio.sleep_forever
+        ).get_check(server, is_bound=True)
+
+        async def go(name, patience_s):
+            with trio.move_on_after(patience_s):
+                checked[name] = await may_go(opened_s)
+
+        async with trio.open_nursery() as nursery:
+            for name, patience_s in (
+                ("fails", 5),
+                ("leaves", 0.25),
+                ("stays", 5),
+            ):
+                nursery.start_soon(go, name, patience_s)
+                await trio.sleep(0.01)
+
+    _play(check, [OLD])
+    assert checked == {"fails": False, "stays": True}
