Look at a connection again after its check

While the server is asked, a late copy may arrive on the connection that was found idle, or it may be closed; the request was written all the same.

--- a/greengagetrack/connection/http/client.py
+++ b/greengagetrack/connection/http/client.py
@@ -453,6 +453,8 @@
         try:
             if check is not None and not await check(connection.opened_s):
                 return NotSent("the server may have started again")
+            if connection.is_readable():
+                return NotSent("closed, or used, during the check")
             failure = await call.send(body, self._nursery)
             is_started = failure is None
         finally:
