Count an unforeseen error as answered only if its 502 was sent

Where the protocol could not write any more, the connection closed with nothing sent and counted as answered, which hid a loss. A head that can't be written no longer counts as begun, so its exchange gets a 502. Bodies in tiny chunks are collected in one buffer.

--- a/greengagetrack/connection/http/exchange.py
+++ b/greengagetrack/connection/http/exchange.py
@@ -65,9 +65,10 @@
     async def start(self, status, headers, framing=_Framing.CHUNKS):
         """Send the head of a response of unknown length."""
         # Without Content-Length, h11 uses chunked transfer encoding.
-        self.is_started = True
         self._connection.begin_body(framing)
-        await self._connection.send(self._encode_head(status, headers))
+        head = self._encode_head(status, headers)
+        self.is_started = True
+        await self._connection.send(head)
 
     async def send(self, data):
         """Send a part of the body."""
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -219,8 +219,7 @@
             return _CloseReason.ANSWER_UNFINISHED
         if reason is _CloseReason.ERROR and not exchange.is_started:
             # The request may have run; this status promises nothing.
-            await self._send_error_response(502)
-            exchange.is_finished = True
+            exchange.is_finished = await self._send_error_response(502)
         return reason
 
     def _record_error(self, exchange):
@@ -318,17 +317,16 @@
                 status_code=100, headers=[]
             )
             await self.send(self.protocol.send(informational))
-        parts = []
-        size = 0
+        # Tiny chunks would take many times their size as objects.
+        body = bytearray()
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_max_bytes:
+                body += event.data
+                if len(body) > limits.body_max_bytes:
                     raise _RequestError(413)
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             elif event is h11.NEED_DATA:
                 with trio.move_on_after(limits.idle_timeout_s) as scope:
                     await self._receive_data()
@@ -347,22 +345,28 @@
         await self._send_error_response(status)
 
     async def _send_error_response(self, status):
-        """Send an error response and EOF, unless a response was begun."""
+        """Send an error response and EOF, unless a response was begun.
+
+        Return whether it was sent.
+        """
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
+            return False
         response = h11.Response(
             status_code=status,
             headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
         )
         data = self.protocol.send(response)
         data += self.protocol.send(h11.EndOfMessage())
+        is_sent = False
         with trio.move_on_after(LINGER_S):
             try:
                 await self._stream.send_all(data)
+                is_sent = True
                 await self._stream.send_eof()
                 await self._wait_for_close()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+                return is_sent
+        return is_sent
 
 
 class Server:
