--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -411,9 +411,9 @@
     centres: list[CentreDigest] = []
     crash_news: CrashNews | None = None
     limits: list[ServerLimit] = []
-    newest_version: int = 0
-    newest_era: int = 0
-    confirmed_era: int = 0
+    newest_version: _Count = 0
+    newest_era: _Count = 0
+    confirmed_era: _Count = 0
 
 
 class EntryDigestReply(_Message, tag="entry_heard"):
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -102,6 +102,8 @@
             page = answer.content
             items += answer.items
             problems += answer.problems
+            if answer.problems and not answer.items and page.has_more:
+                return source.Unreachable("no readable item on a page")
             if not page.has_more or not answer.items:
                 # Pages are not a snapshot: a later call of `list_changes`
                 # with the first page's revision returns what changed
