--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -271,7 +271,7 @@
                     usage.server.published, [task.to_piece() for task in batch]
                 )
         except Exception as raised:
-            # The pieces still need an end, before the fence logs it.
+            # The pieces still need an end, before the error is logged.
             error = raised
         finally:
             usage.server.outstanding -= 1
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -10,7 +10,7 @@
 import trio
 
 from greengagetrack.connection import source as source_module
-from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import newest_version
 
 # The poll period as a fraction of the bound on applying a change.
@@ -28,7 +28,7 @@
 
     __slots__ = (
         "_directory",
-        "_fence",
+        "_containment",
         "_is_source_behind",
         "_is_source_reachable",
         "_poll_lock",
@@ -46,10 +46,10 @@
     )
 
     def __init__(
-        self, source, directory, lease, change_bound_s, generator, fence
+        self, source, directory, lease, change_bound_s, generator, containment
     ):
         self._source = source
-        self._fence = fence
+        self._containment = containment
         self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
         self._directory = directory
         self._random = generator
@@ -78,7 +78,7 @@
         while True:
             is_answered = False
             # Where each poll fails, the lease ends, and so does readiness.
-            with self._fence.contain("poll"):
+            with self._containment.contain("poll"):
                 async with self._poll_lock:
                     is_answered = await self._poll_once()
             if is_answered:
@@ -234,13 +234,13 @@
 
 
 def new_catalog_watcher(
-    source, directory, lease, change_bound_s, generator, fence=None
+    source, directory, lease, change_bound_s, generator, containment=None
 ):
     """Return a watcher without a catalog.
 
     `change_bound_s` is the time within which a change must be in force.
     """
-    fence = fence or containment.new_fence()
+    containment = containment or containment_module.new_containment()
     return CatalogWatcher(
-        source, directory, lease, change_bound_s, generator, fence
+        source, directory, lease, change_bound_s, generator, containment
     )
--- a/greengagetrack/process/direct/containment.py
+++ b/greengagetrack/process/direct/containment.py
@@ -1,4 +1,4 @@
-"""The fence of last resort around one unit of work.
+"""The last resort against errors, around one unit of work.
 
 What other processes write is checked where it is decoded, and raises
 nothing. An error that nobody foresaw ends one message, one exchange or one
@@ -11,7 +11,7 @@
 from greengagetrack.connection import contained_error
 
 
-class Fence:
+class Containment:
     """Contains unforeseen errors; an `ErrorObserver` counts them."""
 
     __slots__ = ("_observer",)
@@ -25,7 +25,7 @@
 
         Cancellation passes. `boundary` names the kind of unit::
 
-            with fence.contain("poll"):
+            with containment.contain("poll"):
                 is_read = await self._poll_once()
         """
         try:
@@ -34,33 +34,33 @@
             contained_error.record(self._observer, boundary)
 
     async def run(self, boundary, function, *arguments):
-        """Await a function within the fence."""
+        """Await a function contained."""
         with self.contain(boundary):
             await function(*arguments)
 
 
-class FencedNursery:
-    """Starts tasks in a nursery, each within a fence."""
+class ContainedNursery:
+    """Starts tasks in a nursery, each within a containment."""
 
-    __slots__ = ("_boundary", "_fence", "_nursery")
+    __slots__ = ("_boundary", "_containment", "_nursery")
 
-    def __init__(self, nursery, fence, boundary):
+    def __init__(self, nursery, containment, boundary):
         self._nursery = nursery
-        self._fence = fence
+        self._containment = containment
         self._boundary = boundary
 
     def start_soon(self, function, *arguments):
         """Start a task whose unforeseen error ends it alone."""
         self._nursery.start_soon(
-            self._fence.run, self._boundary, function, *arguments
+            self._containment.run, self._boundary, function, *arguments
         )
 
 
-def new_fence(observer=None):
-    """Return a fence; without an `observer` errors are only logged."""
-    return Fence(observer or contained_error.UncountedErrors())
+def new_containment(observer=None):
+    """Return a containment; without an `observer` errors are only logged."""
+    return Containment(observer or contained_error.UncountedErrors())
 
 
-def new_fenced_nursery(nursery, fence, boundary):
-    """Return what starts tasks in `nursery` within `fence`."""
-    return FencedNursery(nursery, fence, boundary)
+def new_contained_nursery(nursery, containment, boundary):
+    """Return what starts tasks in `nursery` within `containment`."""
+    return ContainedNursery(nursery, containment, boundary)
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -93,7 +93,7 @@
             peer_keys.get_digest,
         )
         peer_server = nng.new_server(
-            settings.peer_address, peer_keys, entry.fence.contain
+            settings.peer_address, peer_keys, entry.containment.contain
         )
         await nursery.start(peer_server.serve, entry.peers.handle)
         caller_server = await _start_servers(nursery, adapter, entry)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -10,7 +10,7 @@
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import chooser as chooser_module
-from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import fetch_time
@@ -71,7 +71,7 @@
         "_services",
         "catalog_watcher",
         "directory",
-        "fence",
+        "containment",
         "is_draining",
         "lease",
         "metrics",
@@ -97,9 +97,9 @@
         self._runs = set()
         self._connection_pool = connection_pool
         self.metrics = metrics_module.new_direct_metrics(settings.name)
-        self.fence = containment.new_fence(self.metrics)
-        nursery = containment.new_fenced_nursery(
-            nursery, self.fence, "background"
+        self.containment = containment_module.new_containment(self.metrics)
+        nursery = containment_module.new_contained_nursery(
+            nursery, self.containment, "background"
         )
         self.lease = freshness.new_freshness_lease(
             settings.key_bound_s - FRESHNESS_MARGIN_S
@@ -115,7 +115,7 @@
             self.lease,
             settings.change_bound_s,
             generator,
-            self.fence,
+            self.containment,
         )
         get_catalog = self.catalog_watcher.get_catalog
         chooser = chooser_module.new_chooser(
@@ -140,7 +140,7 @@
             self.directory,
             guard,
             generator,
-            self.fence,
+            self.containment,
         )
         if self.peers.members.peer_by_address:
             self.catalog_watcher.newest.start_asking()
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -13,7 +13,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import messages
-from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import members as members_module
@@ -48,7 +48,7 @@
         "_digests",
         "_directory",
         "_exchange_now",
-        "_fence",
+        "_containment",
         "_lease",
         "_links",
         "_round",
@@ -67,9 +67,9 @@
         directory,
         crash_guard,
         generator,
-        fence,
+        containment,
     ):
-        self._fence = fence
+        self._containment = containment
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -139,11 +139,11 @@
                 self.members,
                 self._links,
                 functools.partial(
-                    self._fence.run, "peer_exchange", self._exchange
+                    self._containment.run, "peer_exchange", self._exchange
                 ),
             )
-            exchanges = containment.new_fenced_nursery(
-                nursery, self._fence, "peer_exchange"
+            exchanges = containment_module.new_contained_nursery(
+                nursery, self._containment, "peer_exchange"
             )
             while True:
                 chosen = self._choose_remote()
@@ -400,7 +400,7 @@
     directory,
     crash_guard,
     generator,
-    fence=None,
+    containment=None,
 ):
     """Return the peers of an entry: at first only its seeds."""
     return Peers(
@@ -411,5 +411,5 @@
         directory,
         crash_guard,
         generator,
-        fence or containment.new_fence(),
+        containment or containment_module.new_containment(),
     )
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -14,7 +14,7 @@
 from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import catalog_watcher
-from greengagetrack.process.direct import containment
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
@@ -55,10 +55,12 @@
         ended.append(True)
 
     async def check(nursery):
-        fence = containment.new_fence(Observer(boundaries))
-        fenced = containment.new_fenced_nursery(nursery, fence, "background")
-        fenced.start_soon(function)
-        fenced.start_soon(end)
+        containment = containment_module.new_containment(Observer(boundaries))
+        contained = containment_module.new_contained_nursery(
+            nursery, containment, "background"
+        )
+        contained.start_soon(function)
+        contained.start_soon(end)
         await trio.sleep(2)
 
     with caplog.at_level(logging.ERROR):
@@ -68,13 +70,13 @@
     assert "ZeroDivisionError: unforeseen" in caplog.text
 
 
-def test_cancellation_passes_the_fence():
+def test_cancellation_passes_the_containment():
     boundaries = []
 
     async def check(_nursery):
-        fence = containment.new_fence(Observer(boundaries))
+        containment = containment_module.new_containment(Observer(boundaries))
         with trio.move_on_after(1) as scope:
-            await fence.run("background", trio.sleep_forever)
+            await containment.run("background", trio.sleep_forever)
         assert scope.cancelled_caught
 
     fakes.run_with_mock_clock(check)
@@ -106,7 +108,7 @@
             lease,
             2.5,
             random.Random(1),
-            containment.new_fence(Observer(boundaries)),
+            containment_module.new_containment(Observer(boundaries)),
         )
         nursery.start_soon(watcher.run)
         await trio.sleep(0.1)
@@ -155,8 +157,8 @@
         return messages.PermitReply(True)
 
     async def main():
-        fence = containment.new_fence(Observer(boundaries))
-        server = nng.new_server(address, fakes.KEYS, fence.contain)
+        containment = containment_module.new_containment(Observer(boundaries))
+        server = nng.new_server(address, fakes.KEYS, containment.contain)
         link = nng.new_link_factory(fakes.KEYS).open_link(address)
         async with trio.open_nursery() as nursery:
             await nursery.start(server.serve, handle)
@@ -180,12 +182,12 @@
     """Run `check(fake_entry)`; background errors are contained."""
 
     async def main(nursery):
-        fenced = containment.new_fenced_nursery(
-            nursery, containment.new_fence(), "background"
+        contained = containment_module.new_contained_nursery(
+            nursery, containment_module.new_containment(), "background"
         )
         fake_gateway = fakes.FakeGateway()
         servers = [fakes.new_server(name, "pool") for name in ("p1", "p2")]
-        await check(fakes.FakeEntry(fenced, fake_gateway, servers))
+        await check(fakes.FakeEntry(contained, fake_gateway, servers))
 
     fakes.run_with_mock_clock(main)
 
