A caller who leaves after a whole answer hasn't left a request

Cause: the task that watches for the caller's EOF may read it in the moment between the last byte of the answer and the end of the handler; the end of the exchange then looked only at that, and not at whether the answer was whole. No request was lost or counted as lost; the reason in the record was untrue.

The test has a case now whose handler goes on working after its answer, which makes the moment as long as one wants; it failed before this change in each run.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -213,7 +213,7 @@
                 reason = _CloseReason.ERROR
                 self._record_error(exchange)
             nursery.cancel_scope.cancel()
-        if self._has_caller_left:
+        if self._has_caller_left and not exchange.is_finished:
             return _CloseReason.CALLER_LEFT
         if reason is None and not exchange.is_finished:
             return _CloseReason.ANSWER_UNFINISHED
--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -34,6 +34,11 @@
     await exchange.answer(200, [], b"yes")
 
 
+async def answer_whole_and_work_on(exchange):
+    await answer_whole(exchange)
+    await trio.sleep(loopback.LIMIT_S)
+
+
 async def answer_part(exchange):
     exchange.is_passed_on = True
     await exchange.start(200, [])
@@ -109,6 +114,12 @@
     [
         (answer_whole, wait_for_end, Reason.IDLE, False),
         (answer_whole, leave_between_requests, Reason.CALLER_CLOSED, False),
+        (
+            answer_whole_and_work_on,
+            leave_between_requests,
+            Reason.CALLER_CLOSED,
+            False,
+        ),
         (answer_whole, ask_to_close, Reason.NOT_KEPT, False),
         (answer_whole, send_nonsense, Reason.REQUEST_INVALID, False),
         (answer_part, wait_for_end, Reason.ANSWER_UNFINISHED, True),
