Entries that restart at once wait only until all have answered

After a loss of power of all entries each refused every request with a key for one second: none of its peers knew the newest version, so the questions went on for all ten rounds although all peers had answered.

Once every known peer has answered, there is nobody else to ask.

--- a/greengagetrack/process/direct/inquiry.py
+++ b/greengagetrack/process/direct/inquiry.py
@@ -17,7 +17,8 @@
     """The questions of one start, or of one return of the source.
 
     They end once a peer has answered that knows the newest version itself,
-    and the others had a moment to answer, or after `ROUNDS_MAX` rounds.
+    and the others had a moment to answer; or once all peers have answered;
+    or after `ROUNDS_MAX` rounds.
     Rounds are counted and not seconds, as the entry may stand still.
     """
 
@@ -81,9 +82,10 @@
     def _is_over(self, number):
         peers = self._choose()
         answered = [peer for peer in peers if self._has_answered(peer)]
-        if not any(peer.is_informed for peer in answered):
-            return False
-        return len(answered) == len(peers) or number >= ROUNDS_MIN
+        if any(peer.is_informed for peer in answered):
+            return len(answered) == len(peers) or number >= ROUNDS_MIN
+        # Where all have started again, there is nobody else to know it.
+        return len(answered) == len(self._members.peer_by_address)
 
 
 async def run_whenever_due(newest, members, links, exchange):
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -255,6 +255,18 @@
     run_site(check)
 
 
+def test_entries_that_restart_at_once_wait_only_for_one_another():
+    async def check(site):
+        for node in site.nodes:
+            node.stop()
+        await trio.sleep(0.3)
+        site.start_all()
+        for node in site.nodes:
+            assert await node.wait_ready() < 0.2
+
+    run_site(check)
+
+
 def test_entries_that_restart_at_once_take_the_word_of_a_restored_store():
     async def check(site):
         site.store.publish(AFTER)
