Test that a connection is looked at again after its check

While a server is asked for its lifetime, a late copy may arrive on the idle connection, or the server may close it; the request was written to it all the same, and a copy could be taken for its answer.

The test does both during a slow check.

--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -1,5 +1,6 @@
 """Calls of servers with valid, malformed, repeated or no responses."""
 
+import pytest
 import trio
 
 from greengagetrack.connection.http import client
@@ -304,3 +305,42 @@
         assert closed == [address]
 
     _run(check, RESPONSE % (b"mine", b"ab"), is_closing=True)
+
+
+@pytest.mark.parametrize("late", [RESPONSE % (b"mine", b"no"), None])
+def test_connection_that_is_used_or_closed_during_its_check_is_not_used(late):
+    received = []
+    is_checking, is_ended = trio.Event(), trio.Event()
+
+    async def handle(stream):
+        await loopback.read_until(stream, b"\r\n\r\n")
+        await stream.send_all(RESPONSE % (b"mine", b"ab"))
+        await is_checking.wait()
+        if late is None:
+            await stream.send_eof()
+        else:
+            await stream.send_all(late)
+        received.append(await loopback.read_all(stream))
+        is_ended.set()
+
+    async def check_slowly(_opened_s):
+        is_checking.set()
+        await trio.sleep(0.1)
+        return True
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            pool = client.new_pool(nursery)
+            address = await loopback.start_raw_server(nursery, handle)
+            assert await _call(pool, address) == (200, b"ab")
+            call = await pool.open_call(
+                address, REQUEST, b"", check=check_slowly
+            )
+            assert isinstance(call, client.NotSent)
+            assert pool.count(address) == 0
+            with trio.fail_after(loopback.LIMIT_S):
+                await is_ended.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert received == [b""]
