Test when an unforeseen error counts as answered, and tiny chunks

An error after which nothing could be written any more counted as answered, which hid a loss from operators; a head that can't be written got no 502; a body in tiny chunks took many times its size.

--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -54,6 +54,27 @@
     await trio.sleep(loopback.LIMIT_S)
 
 
+async def answer_with_unwritable_body(exchange):
+    exchange.is_passed_on = True
+    await exchange.answer(204, [], b"which has none")
+
+
+async def start_with_unwritable_head(exchange):
+    exchange.is_passed_on = True
+    await exchange.start(200, [(b"X", b"a\nb")])
+
+
+async def wait_for_nothing(stream):
+    await stream.send_all(REQUEST)
+    assert await loopback.read_all(stream) == b""
+
+
+async def wait_for_error_status(stream):
+    await stream.send_all(REQUEST)
+    answer = await loopback.read_all(stream)
+    assert answer.startswith(b"HTTP/1.1 502 ")
+
+
 async def wait_for_end(stream):
     await stream.send_all(REQUEST)
     await loopback.read_all(stream)
@@ -132,6 +153,21 @@
     assert (closed.reason, closed.has_lost_request) == (reason, is_lost)
 
 
+@pytest.mark.contains_error
+@pytest.mark.parametrize(
+    ("handle", "call", "is_lost"),
+    [
+        (answer_with_unwritable_body, wait_for_nothing, True),
+        (start_with_unwritable_head, wait_for_error_status, False),
+    ],
+)
+def test_an_error_counts_as_answered_if_its_status_was_sent(
+    handle, call, is_lost
+):
+    closed = _run(handle, call)
+    assert (closed.reason, closed.has_lost_request) == (Reason.ERROR, is_lost)
+
+
 def test_a_planned_stop_closes_after_the_answer():
     closed = _run(answer_whole, wait_for_end, _drain)
     assert closed.reason is Reason.DRAINING
--- a/tests/direct/test_http_server.py
+++ b/tests/direct/test_http_server.py
@@ -1,6 +1,7 @@
 """Parsing of callers' requests, responses, disconnects and timeouts."""
 
 import socket
+import tracemalloc
 
 import pytest
 import trio
@@ -284,3 +285,23 @@
         assert received.startswith(b"HTTP/1.1 200 ")
 
     _run(check, answer)
+
+
+def test_body_in_tiny_chunks_is_collected_in_one_buffer():
+    size = LIMITS.body_max_bytes
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    request = head + b"2\r\nab\r\n" * (size // 2) + b"0\r\n\r\n"
+
+    async def check(handler, _server, address):
+        stream = await loopback.open_stream(address)
+        tracemalloc.start()
+        try:
+            await stream.send_all(request)
+            await loopback.read_until(stream, b"yes")
+            _current, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert handler.exchanges[0].body == b"ab" * (size // 2)
+        assert peak < 40 * size
+
+    _run(check)
