Test the bounds on told versions and the unreadable page

Versions and eras that peers tell were taken unbounded, and a page of the store with more to come, of which no item can be read, ended the list as complete, so that the servers on later pages counted as removed.

--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -64,6 +64,11 @@
         ("centres", CENTRE, "loads", [("s1", HUGE, 0)]),
     )
 ]
+ODD_VERSIONS = [
+    {field: version}
+    for field in ("newest_version", "newest_era", "confirmed_era")
+    for version in (-1, HUGE)
+]
 ODD_NEWS = [
     messages.CrashNews(holds=[messages.PartHold("p", HUGE, 0)]),
     messages.CrashNews(holds=[messages.PartHold("p", 0, -1)]),
@@ -126,7 +131,8 @@
 
 
 @pytest.mark.parametrize(
-    "fields", ODD_DIGESTS + [{"crash_news": news} for news in ODD_NEWS]
+    "fields",
+    ODD_DIGESTS + ODD_VERSIONS + [{"crash_news": news} for news in ODD_NEWS],
 )
 def test_odd_digest_is_refused_and_the_next_one_read(fields):
     def check(node):
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -326,6 +326,16 @@
     _run_with_store([(200, page), (200, changes), (200, changes)], check)
 
 
+def test_unreadable_page_does_not_end_the_list_as_complete():
+    page = {"items": [None, {}], "current_rev": 7, "has_more": True}
+
+    async def check(source, _targets):
+        answer = await source.list_all()
+        assert isinstance(answer, source_module.Unreachable)
+
+    _run_with_store([(200, page)], check)
+
+
 @pytest.mark.parametrize("current_rev", [-1, 10**300, "7", None, 1.5])
 def test_page_with_an_odd_revision_is_unreachable(current_rev):
     body = {"items": [], "current_rev": current_rev}
