Keep the rule for handles in one place

A peer's handle could have 1000 characters, a server's 256, so an entry passed on handles that its peers would have refused from the server itself. Both now read connection/handles.py, with the bound of 256. A server's handle was always held to it, so no entry can tell a longer one.

--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -3,12 +3,12 @@
 import functools
 import itertools
 import math
-import re
 
 import msgspec
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection import handles as handles_module
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
@@ -21,8 +21,6 @@
 # A server that asks for a longer pause is asked again after this.
 PAUSE_MAX_S = 60.0
 INPUT_GONE_STATUS = 409
-# Handles go into a list in a field of a head.
-_HANDLE = re.compile(r"[!-+\--~]{1,256}", re.ASCII)
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
@@ -389,7 +387,7 @@
     """Return the handle of a piece, or why it was not made."""
     if not item.handle:
         return _FAILURE_BY_REASON.get(item.reason, gateway.PieceFailure.ERROR)
-    if _HANDLE.fullmatch(item.handle):
+    if handles_module.is_handle(item.handle):
         return item.handle
     return gateway.PieceFailure.ERROR
 
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -7,11 +7,11 @@
 import functools
 import logging
 import math
-import re
 
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.connection import handles as handles_module
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
@@ -34,9 +34,6 @@
 MISSED_REPLIES_MAX = 3
 LINK_CHECK_S = 0.1
 
-# Handles are sent on in a header, with commas between them.
-_HANDLE = re.compile(r"[!-+\--~]{1,1000}")
-
 _log = logging.getLogger(__name__)
 
 
@@ -309,7 +306,7 @@
 
     def _apply_reply(self, tasks, reply):
         for task, piece in zip(tasks, reply.pieces, strict=False):
-            if piece.failure or not _HANDLE.fullmatch(piece.handle):
+            if piece.failure or not handles_module.is_handle(piece.handle):
                 task.complete(_parse_failure(piece.failure))
             else:
                 server = self._directory.server_by_id.get(piece.server_id)
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -182,7 +182,9 @@
     assert isinstance(decoded, messages.Malformed)
 
 
-@pytest.mark.parametrize("handle", ["a\nb", "a\0", "a,b", " a", "h" * 5000])
+@pytest.mark.parametrize(
+    "handle", ["a\nb", "a\0", "a,b", " a", "h" * 257, "h" * 5000]
+)
 def test_piece_with_a_handle_that_fits_no_header_has_failed(handle):
     def check(node):
         tasks = [
