Define the bound of counts from outside once

The type of a version or count that fits 64 bits stood in messages.py, document.py and store.py, each with a constant of its own, so that one could be changed without the others. All now use numbers.Count, next to the readers that have the same bound.

--- a/greengagetrack/connection/http/numbers.py
+++ b/greengagetrack/connection/http/numbers.py
@@ -1,11 +1,19 @@
 """Readers of numbers that other processes write.
 
+`Count` is the type of a field that holds a version or a number of things.
 `str.isdigit` also accepts digits that aren't ASCII ones, and `int` and
 `float` raise for some of these and for thousands of digits. These functions
 raise nothing.
 """
 
 import re
+from typing import Annotated
+
+import msgspec
+
+# What a 64-bit field of a message can hold.
+COUNT_MAX = 2**63 - 1
+Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 
 _DIGITS = re.compile(r"[0-9]+")
 _DECIMAL = re.compile(
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
+from greengagetrack.connection.http import numbers
+
 MESSAGE_MAX_BYTES = 2 * 1024 * 1024
-COUNT_MAX = 2**63 - 1
 # No sum and no time reckoned from such numbers leaves 64 bits.
 AMOUNT_MAX = 2**53
 TIME_MAX_MS = 2**40
 LIMIT_MAX_PER_S = 1e9
-_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
 _Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 # A time in the future would make news the last that is believed.
@@ -307,7 +307,7 @@
     name: str
     address: str
     age_ms: _AgeMs = 0
-    catalog_version: _Count = 0
+    catalog_version: numbers.Count = 0
     is_leaving: bool = False
     weight: _Weight = 1.0
 
@@ -373,11 +373,11 @@
     """
 
     server_id: str
-    incarnation: _Count
+    incarnation: numbers.Count
     limit_per_s: _LimitPerS | None
     age_ms: _AgeMs
     observer: str
-    number: _Count
+    number: numbers.Count
 
 
 class EntryDigest(_Message, tag="entry_digest"):
@@ -398,11 +398,11 @@
     name: str
     address: str
     data_centre: str
-    catalog_version: _Count = 0
+    catalog_version: numbers.Count = 0
     freshness_age_s: _AgeS = -1.0
     is_leaving: bool = False
     weight: _Weight = 1.0
-    peers_known: _Count = 0
+    peers_known: numbers.Count = 0
     peers: list[str] = []
     waits: list[PoolWait] = []
     parts: list[tuple[str, str]] = []
@@ -411,9 +411,9 @@
     centres: list[CentreDigest] = []
     crash_news: CrashNews | None = None
     limits: list[ServerLimit] = []
-    newest_version: _Count = 0
-    newest_era: _Count = 0
-    confirmed_era: _Count = 0
+    newest_version: numbers.Count = 0
+    newest_era: numbers.Count = 0
+    confirmed_era: numbers.Count = 0
 
 
 class EntryDigestReply(_Message, tag="entry_heard"):
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -7,12 +7,11 @@
 import msgspec
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import names
 from greengagetrack.version import catalog
 
 
-# What a 64-bit field of a message to another entry can hold.
-COUNT_MAX = 2**63 - 1
 SMALL_MAX = 2**31 - 1
 AMOUNT_MAX = 1e15
 TIME_MAX_MS = 1e12
@@ -21,7 +20,6 @@
     r"(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?"
 )
 _Name = Annotated[str, msgspec.Meta(max_length=1000)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 _SmallCount = Annotated[int, msgspec.Meta(ge=0, le=SMALL_MAX)]
 _SmallCountFromOne = Annotated[int, msgspec.Meta(ge=1, le=SMALL_MAX)]
 _Rank = Annotated[int, msgspec.Meta(ge=-SMALL_MAX, le=SMALL_MAX)]
@@ -83,7 +81,7 @@
 
 class _Limits(msgspec.Struct):
     max_header_bytes: _SmallCount = 16384
-    max_body_bytes: Count = 4194304
+    max_body_bytes: numbers.Count = 4194304
     header_timeout_ms: _TimeMs = 5000
     idle_timeout_ms: _TimeMs = 60000
 
@@ -95,7 +93,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: Count
+    version: numbers.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -108,9 +106,9 @@
     zone: _Name
     state: _Name
     version: _Name
-    slots: Count = 1
+    slots: numbers.Count = 1
     cold_left_ms: float = 0
-    born: Count = 0
+    born: numbers.Count = 0
 
 
 PORT_MAX = 65535
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -4,6 +4,7 @@
 
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import document
 from greengagetrack.platform import names
 
@@ -11,7 +12,7 @@
 
 
 class _Report(msgspec.Struct):
-    born: document.Count | None = None
+    born: numbers.Count | None = None
 
 
 async def ask_incarnation(pool, address):
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -17,16 +17,12 @@
 
 CALL_TIMEOUT_S = 1.0
 PAGES_MAX = 200
-
-
 KEY_MAX_CHARS = 1000
-COUNT_MAX = 2**63 - 1
-_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 
 
 class _Item(msgspec.Struct):
     key: Annotated[str, msgspec.Meta(max_length=KEY_MAX_CHARS)]
-    revision: _Count
+    revision: numbers.Count
     value: str = ""
     tombstone: bool = False
 
@@ -34,7 +30,7 @@
 class _Page(msgspec.Struct):
     # Decoded one by one, so that an odd item leaves the others.
     items: list[msgspec.Raw]
-    current_rev: _Count
+    current_rev: numbers.Count
     has_more: bool = False
 
     def get_raw_items(self):
@@ -50,7 +46,7 @@
 
 class _Changes(msgspec.Struct):
     events: list[msgspec.Raw]
-    current_rev: _Count
+    current_rev: numbers.Count
 
     def get_raw_items(self):
         """Return what is decoded one by one."""
@@ -191,7 +187,7 @@
 
 def _read_era(headers):
     text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
-    return numbers.read_count(text, COUNT_MAX) or 0
+    return numbers.read_count(text, numbers.COUNT_MAX) or 0
 
 
 def _read_items(raw_items):
