Check an address where it is read, by one rule

The rule for the addresses of servers had a reader of ports of its own beside the one of peers, and the list of members, which keeps peers, also judged their addresses at each look-up.

base.is_ipv4_address is now base.is_address with one more condition. A digest is checked where it is applied (its own address, peers, members of centres), seeds where the node file is read. What is refused stays the same, except that an odd seed no longer stands among the settings.

--- a/greengagetrack/connection/base.py
+++ b/greengagetrack/connection/base.py
@@ -1,6 +1,7 @@
 """The interface of links between processes, for any transport."""
 
 import abc
+import ipaddress
 import re
 
 import msgspec
@@ -17,6 +18,22 @@
     return match is not None and 0 < int(match[1]) <= PORT_MAX
 
 
+def is_ipv4_address(text):
+    """Return whether a text is `HOST:PORT` with the IPv4 address of a host.
+
+    A host's name, which would have to be looked up, is none::
+
+        assert is_ipv4_address("10.0.0.1:80")
+        assert not is_ipv4_address("localhost:80")
+    """
+    host, _separator, _port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return is_address(text)
+
+
 class NotSent(msgspec.Struct, frozen=True):
     """The request was certainly not sent."""
 
--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -1,5 +1,6 @@
 """The adapter that runs an entry in direct mode on the platform."""
 
+from greengagetrack.connection import base
 from greengagetrack.platform import callers
 from greengagetrack.platform import engines
 from greengagetrack.platform import names
@@ -26,7 +27,7 @@
             name=node.node,
             data_centre=node.zone,
             peer_address=node.listen.control,
-            seeds=tuple(node.seeds),
+            seeds=tuple(filter(base.is_address, node.seeds)),
             region_by_data_centre=node.zones,
             key_bound_s=node.bounds.revoke_ms / 1000,
             budget_ratio=node.bounds.budget_ratio,
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -1,11 +1,11 @@
 """Parsers of the published configuration and server entries."""
 
-import ipaddress
 import re
 from typing import Annotated
 
 import msgspec
 
+from greengagetrack.connection import base
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http import numbers
 from greengagetrack.platform import names
@@ -111,7 +111,6 @@
     born: numbers.Count = 0
 
 
-PORT_MAX = 65535
 ID_MAX_CHARS = 1000
 # Values that are nested too deeply raise an error of the interpreter.
 DECODING_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
@@ -244,17 +243,6 @@
     )
 
 
-def _is_address(text):
-    """Return whether a text is an IPv4 address and a port to connect to."""
-    host, _separator, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    is_number = port.isascii() and port.isdigit() and len(port) <= 5
-    return is_number and 0 < int(port) <= PORT_MAX
-
-
 def read_entry(server_id, data):
     """Return the `Server` of an entry, or an error text."""
     try:
@@ -265,7 +253,7 @@
         server_id
     ):
         return f"{names.SERVERS_PREFIX}{server_id[:80]!r}: invalid id"
-    if not _is_address(entry.address):
+    if not base.is_ipv4_address(entry.address):
         return f"{names.SERVERS_PREFIX}{server_id}: invalid address"
     if entry.state not in (names.READY, names.DRAINING):
         return f"{names.SERVERS_PREFIX}{server_id}: unknown state"
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from greengagetrack.connection import base
 from greengagetrack.connection import messages
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import freshness
@@ -165,6 +166,8 @@
 
     def apply(self, digest):
         """Apply a peer's digest; return the peer, None if not recorded."""
+        if not base.is_address(digest.address):
+            return None
         now = trio.current_time()
         peer = self._members.update_peer(digest, digest.data_centre, now)
         if peer is None:
@@ -174,7 +177,7 @@
         self._catalog_watcher.newest.hear(
             digest.newest_version, digest.newest_era
         )
-        for address in digest.peers:
+        for address in filter(base.is_address, digest.peers):
             self._members.get_or_add(address)
         self._apply_parts(peer, digest)
         self._crash_guard.apply_news(digest.crash_news)
@@ -216,13 +219,18 @@
 
     def _apply_centre(self, centre, created_s):
         name = centre.data_centre
+        members = [
+            member
+            for member in centre.members
+            if base.is_address(member.address)
+        ]
         if name == self._members.data_centre:
             # The state of local entries comes from their own digests only;
             # a remote digest contributes no more than their addresses.
-            for member in centre.members:
+            for member in members:
                 self._members.get_or_add(member.address)
             return
-        for member in centre.members:
+        for member in members:
             contact_s = created_s - member.age_ms / 1000
             self._members.update_peer(member, name, contact_s)
         last_created_s = self.get_created_s(name)
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -11,7 +11,6 @@
 
 import trio
 
-from greengagetrack.connection import base
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import rendezvous
 
@@ -120,15 +119,14 @@
     def get_or_add(self, address):
         """Return the peer at an address, added if new, or None.
 
-        The result is None for this entry's own address, for what is no
-        address, and for a new peer when `PEERS_MAX` is reached.
+        The result is None for this entry's own address, and for a new peer
+        when `PEERS_MAX` is reached. Who reads an address checks that it is
+        one.
         """
         if address == self._own_address:
             return None
         peer = self.peer_by_address.get(address)
-        if peer is not None or not base.is_address(address):
-            return peer
-        if len(self.peer_by_address) < PEERS_MAX:
+        if peer is None and len(self.peer_by_address) < PEERS_MAX:
             peer = Peer(address)
             self.peer_by_address[address] = peer
         return peer
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -162,6 +162,32 @@
     _check_peers(check)
 
 
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+@pytest.mark.parametrize("data_centre", ["a", "b"])
+def test_odd_address_in_a_centre_is_never_dialled(data_centre, address):
+    members = [messages.Member("x", address), messages.Member("y", "y:1")]
+    centre = messages.CentreDigest(data_centre, 0, members)
+
+    def check(node):
+        assert _pass(node, _new_digest(centres=[centre]))
+        assert address not in node.peers.members.peer_by_address
+        assert "y:1" in node.peers.members.peer_by_address
+
+    _check_peers(check)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_digest_from_an_odd_address_is_rejected(address):
+    def check(node):
+        digest = messages.EntryDigest("a-1", address, "a", peers=["a-9:1"])
+        reply = node.peers._handle_digest(digest)
+        assert isinstance(reply, messages.Rejected)
+        assert address not in node.peers.members.peer_by_address
+        assert "a-9:1" not in node.peers.members.peer_by_address
+
+    _check_peers(check)
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES)
 def test_link_to_an_odd_address_is_down_and_raises_nothing(address):
     async def main():
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -753,6 +753,13 @@
     assert adapter.get_grace_s() == 5
 
 
+def test_odd_seed_is_no_peer(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**NODE, "seeds": ["nowhere", "a:0", "a:1"]}))
+    settings = adapter_module.new_adapter(str(path), 9464).get_settings()
+    assert settings.seeds == ("a:1",)
+
+
 def test_node_file_that_is_no_file_is_named(tmp_path):
     with pytest.raises(ValueError, match="can't be read"):
         settings_module.read_node_file(str(tmp_path))
