Read the revision of a value with the checked reader

The configuration service's X-Revision was read with isdigit and int, which raise ValueError for a digit that isn't ASCII and for thousands of digits, instead of counting as a value that can't be read. numbers.read_count accepts ASCII digits up to 64 bits and raises nothing.

Two of the four new cases failed before (2 failed, 5 passed in test_platform_client.py): a superscript two and 5000 digits raised.

--- a/greengagetrack/connection/platform/http.py
+++ b/greengagetrack/connection/platform/http.py
@@ -5,6 +5,7 @@
 
 from greengagetrack.connection import answer_end
 from greengagetrack.connection.http import framing as framing_module
+from greengagetrack.connection.http import numbers
 from greengagetrack.connection import http_client
 from greengagetrack.connection.platform import base
 
@@ -50,10 +51,12 @@
         # The first lines of a value may be a valid value.
         if not answer_end.is_body_end_proven(framing):
             return None
-        revision = response.headers.get(REVISION_HEADER, "")
-        if not revision.isdigit() or len(response.content) > VALUE_MAX_BYTES:
+        revision = numbers.read_count(
+            response.headers.get(REVISION_HEADER, ""), numbers.COUNT_MAX
+        )
+        if revision is None or len(response.content) > VALUE_MAX_BYTES:
             return None
-        return base.Value(int(revision), response.content)
+        return base.Value(revision, response.content)
 
 
 class HttpVmListService(base.VmListService):
--- a/tests/unit/test_platform_client.py
+++ b/tests/unit/test_platform_client.py
@@ -40,3 +40,10 @@
 def test_value_without_length_is_not_taken_for_complete(size):
     """The first lines of a manifest are a valid manifest."""
     assert _read(HEAD + b"\r\n" + MANIFEST[:size]) is None
+
+
+@pytest.mark.parametrize("revision", [b"", b"-1", b"\xb2", b"9" * 5000])
+def test_value_with_an_odd_revision_is_not_read(revision):
+    head = b"HTTP/1.1 200 OK\r\nX-Revision: " + revision
+    length = b"\r\nContent-Length: %d\r\n\r\n" % len(MANIFEST)
+    assert _read(head + length + MANIFEST) is None
