Count a reset between requests as closed by the caller

A caller that resets its idle connection after a whole answer was recorded as caller_left, which stands for a request that may lose its answer; closing.py says caller_closed. The read between requests let the error of the reset through to the place that ends connections with a request in hand. It is now taken like an EOF there. Within a head it stays caller_left.

The new case failed before (1 failed, 13 passed in test_closed_connections.py), and passes in five runs of that file.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -280,9 +280,13 @@
                 return _CloseReason.DRAINING
             if remaining_s <= 0:
                 return _CloseReason.IDLE
-            with trio.move_on_after(min(remaining_s, IDLE_SLACK_S)):
-                if await self._receive_data():
-                    return None
+            try:
+                with trio.move_on_after(min(remaining_s, IDLE_SLACK_S)):
+                    if await self._receive_data():
+                        return None
+                    return _CloseReason.CALLER_CLOSED
+            except trio.BrokenResourceError:
+                # No request is in hand, so a reset loses as little as an EOF.
                 return _CloseReason.CALLER_CLOSED
 
     async def _receive_data(self):
--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -92,6 +92,19 @@
     await stream.aclose()
 
 
+async def reset_between_requests(stream):
+    await stream.send_all(REQUEST)
+    await loopback.read_until(stream, b"yes")
+    await trio.sleep(0.05)
+    loopback.reset(stream)
+
+
+async def reset_within_head(stream):
+    await stream.send_all(REQUEST[:-2])
+    await trio.sleep(0.05)
+    loopback.reset(stream)
+
+
 async def ask_to_close(stream):
     closing_request = REQUEST[:-2] + b"Connection: close\r\n\r\n"
     await stream.send_all(closing_request)
@@ -135,6 +148,8 @@
     [
         (answer_whole, wait_for_end, Reason.IDLE, False),
         (answer_whole, leave_between_requests, Reason.CALLER_CLOSED, False),
+        (answer_whole, reset_between_requests, Reason.CALLER_CLOSED, False),
+        (answer_whole, reset_within_head, Reason.CALLER_LEFT, False),
         (
             answer_whole_and_work_on,
             leave_between_requests,
