--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -1,18 +1,17 @@
 """Parsers of the published configuration and server entries."""
 
-import ipaddress
 import re
 from typing import Annotated
 
 import msgspec
 
+from greengagetrack.connection import base
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import names
 from greengagetrack.version import catalog
 
 
-# What a 64-bit field of a message to another entry can hold.
-COUNT_MAX = 2**63 - 1
 SMALL_MAX = 2**31 - 1
 AMOUNT_MAX = 1e15
 TIME_MAX_MS = 1e12
@@ -21,7 +20,6 @@
     r"(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?"
 )
 _Name = Annotated[str, msgspec.Meta(max_length=1000)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 _SmallCount = Annotated[int, msgspec.Meta(ge=0, le=SMALL_MAX)]
 _SmallCountFromOne = Annotated[int, msgspec.Meta(ge=1, le=SMALL_MAX)]
 _Rank = Annotated[int, msgspec.Meta(ge=-SMALL_MAX, le=SMALL_MAX)]
@@ -83,7 +81,7 @@
 
 class _Limits(msgspec.Struct):
     max_header_bytes: _SmallCount = 16384
-    max_body_bytes: Count = 4194304
+    max_body_bytes: numbers.Count = 4194304
     header_timeout_ms: _TimeMs = 5000
     idle_timeout_ms: _TimeMs = 60000
 
@@ -95,7 +93,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: Count
+    version: numbers.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -108,12 +106,11 @@
     zone: _Name
     state: _Name
     version: _Name
-    slots: Count = 1
+    slots: numbers.Count = 1
     cold_left_ms: float = 0
-    born: Count = 0
+    born: numbers.Count = 0
 
 
-PORT_MAX = 65535
 ID_MAX_CHARS = 1000
 # Values that are nested too deeply raise an error of the interpreter.
 DECODING_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
@@ -246,17 +243,6 @@
     )
 
 
-def _is_address(text):
-    """Return whether a text is an IPv4 address and a port to connect to."""
-    host, _separator, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    is_number = port.isascii() and port.isdigit() and len(port) <= 5
-    return is_number and 0 < int(port) <= PORT_MAX
-
-
 def read_entry(server_id, data):
     """Return the `Server` of an entry, or an error text."""
     try:
@@ -267,7 +253,7 @@
         server_id
     ):
         return f"{names.SERVERS_PREFIX}{server_id[:80]!r}: invalid id"
-    if not _is_address(entry.address):
+    if not base.is_ipv4_address(entry.address):
         return f"{names.SERVERS_PREFIX}{server_id}: invalid address"
     if entry.state not in (names.READY, names.DRAINING):
         return f"{names.SERVERS_PREFIX}{server_id}: unknown state"
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -64,6 +64,11 @@
         ("centres", CENTRE, "loads", [("s1", HUGE, 0)]),
     )
 ]
+ODD_VERSIONS = [
+    {field: version}
+    for field in ("newest_version", "newest_era", "confirmed_era")
+    for version in (-1, HUGE)
+]
 ODD_NEWS = [
     messages.CrashNews(holds=[messages.PartHold("p", HUGE, 0)]),
     messages.CrashNews(holds=[messages.PartHold("p", 0, -1)]),
@@ -126,7 +131,8 @@
 
 
 @pytest.mark.parametrize(
-    "fields", ODD_DIGESTS + [{"crash_news": news} for news in ODD_NEWS]
+    "fields",
+    ODD_DIGESTS + ODD_VERSIONS + [{"crash_news": news} for news in ODD_NEWS],
 )
 def test_odd_digest_is_refused_and_the_next_one_read(fields):
     def check(node):
@@ -156,6 +162,32 @@
     _check_peers(check)
 
 
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+@pytest.mark.parametrize("data_centre", ["a", "b"])
+def test_odd_address_in_a_centre_is_never_dialled(data_centre, address):
+    members = [messages.Member("x", address), messages.Member("y", "y:1")]
+    centre = messages.CentreDigest(data_centre, 0, members)
+
+    def check(node):
+        assert _pass(node, _new_digest(centres=[centre]))
+        assert address not in node.peers.members.peer_by_address
+        assert "y:1" in node.peers.members.peer_by_address
+
+    _check_peers(check)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_digest_from_an_odd_address_is_rejected(address):
+    def check(node):
+        digest = messages.EntryDigest("a-1", address, "a", peers=["a-9:1"])
+        reply = node.peers._handle_digest(digest)
+        assert isinstance(reply, messages.Rejected)
+        assert address not in node.peers.members.peer_by_address
+        assert "a-9:1" not in node.peers.members.peer_by_address
+
+    _check_peers(check)
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES)
 def test_link_to_an_odd_address_is_down_and_raises_nothing(address):
     async def main():
@@ -176,7 +208,9 @@
     assert isinstance(decoded, messages.Malformed)
 
 
-@pytest.mark.parametrize("handle", ["a\nb", "a\0", "a,b", " a", "h" * 5000])
+@pytest.mark.parametrize(
+    "handle", ["a\nb", "a\0", "a,b", " a", "h" * 257, "h" * 5000]
+)
 def test_piece_with_a_handle_that_fits_no_header_has_failed(handle):
     def check(node):
         tasks = [
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -326,6 +326,16 @@
     _run_with_store([(200, page), (200, changes), (200, changes)], check)
 
 
+def test_unreadable_page_does_not_end_the_list_as_complete():
+    page = {"items": [None, {}], "current_rev": 7, "has_more": True}
+
+    async def check(source, _targets):
+        answer = await source.list_all()
+        assert isinstance(answer, source_module.Unreachable)
+
+    _run_with_store([(200, page)], check)
+
+
 @pytest.mark.parametrize("current_rev", [-1, 10**300, "7", None, 1.5])
 def test_page_with_an_odd_revision_is_unreachable(current_rev):
     body = {"items": [], "current_rev": current_rev}
@@ -743,6 +753,13 @@
     assert adapter.get_grace_s() == 5
 
 
+def test_odd_seed_is_no_peer(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**NODE, "seeds": ["nowhere", "a:0", "a:1"]}))
+    settings = adapter_module.new_adapter(str(path), 9464).get_settings()
+    assert settings.seeds == ("a:1",)
+
+
 def test_node_file_that_is_no_file_is_named(tmp_path):
     with pytest.raises(ValueError, match="can't be read"):
         settings_module.read_node_file(str(tmp_path))
