An answer without a length ends with its lifetime, not with its address

Cause: the end was taken for that of the answer unless the server's address refused a connection at that moment. An entry that stood still reads the end when the server is back: under another id, or under the same with another `born`. Read in the code, not run: a process that has just ended may have a connection accepted for it, too.

Now the server is asked after the end was read, and the end counts only if the lifetime that was chosen is confirmed by that question (`LifetimeChecks.is_going_on`). What went on after the end didn't crash before it. The question is shared by all who read an end before it was sent. It carries the id that is expected; the 421 of any other server is a value of its own, `OtherServer`, and ends the lifetime. A connection of such questions is used for one id only, so that a late copy of a reply can't answer for another id.

Not needed: when the answer's connection was opened. Any question that was asked after the end is later than that.

Costs: one question for such ends only, in place of the connection that was opened for each before. A server that answers so and names no incarnation costs a read of the source besides, shared too.

--- a/greengagetrack/connection/answer_end.py
+++ b/greengagetrack/connection/answer_end.py
@@ -11,8 +11,8 @@
 def is_body_end_proven(framing):
     """Return whether the framing alone proves that a body is complete.
 
-    Without this proof the server is asked whether it still listens: one that
-    crashed has closed its connections in the same way.
+    Without this proof the server is asked whether it is still in the same
+    lifetime: one that crashed has closed its connections in the same way.
     """
     return framing is not framing_module.Framing.CONNECTION
 
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -71,6 +71,13 @@
         return self.is_connection_failure or self.is_other_server or is_silent
 
 
+class OtherServer(msgspec.Struct, frozen=True):
+    """The reply to a question that another server has answered.
+
+    The server that was asked has ended then: this one has its address.
+    """
+
+
 class Answer(abc.ABC):
     """The answer of a backend server, after its head was received.
 
@@ -151,7 +158,7 @@
     async def ask_incarnation(self, server):
         """Return the incarnation that a server says it is, or a `Failure`.
 
-        None if it doesn't say it.
+        None if it doesn't say it, `OtherServer` if another one answers.
         """
 
     @abc.abstractmethod
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -21,7 +21,6 @@
 # A server that asks for a longer pause is asked again after this.
 PAUSE_MAX_S = 60.0
 INPUT_GONE_STATUS = 409
-MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
 _Reason = outcome.Reason
@@ -85,7 +84,7 @@
         )
         self.opened_s = call.opened_s
         self.is_not_run = _is_not_run(head)
-        self.is_other_server = head.status == MISDIRECTED_STATUS
+        self.is_other_server = head.status == names.MISDIRECTED_STATUS
         self.is_input_gone = head.status == INPUT_GONE_STATUS
         content_type = fields.get_value(head.headers, b"content-type", b"")
         self.is_events = content_type.startswith(names.EVENT_STREAM)
@@ -103,7 +102,7 @@
 
 
 def _is_not_run(head):
-    if head.status == MISDIRECTED_STATUS:
+    if head.status == names.MISDIRECTED_STATUS:
         return True
     return fields.get_value(head.headers, names.NOT_RUN.lower()) is not None
 
@@ -142,7 +141,7 @@
 
     def _observe(self, server, head):
         """Tell the observer what an answer says of its server."""
-        if self._observer is None or head.status == MISDIRECTED_STATUS:
+        if self._observer is None or head.status == names.MISDIRECTED_STATUS:
             return
         if _get_text(head, names.SERVER_LEAVING) == "1":
             self._observer.record_leaving(server)
@@ -166,9 +165,11 @@
     async def ask_incarnation(self, server):
         """Return the incarnation that a server says it is, or a `Failure`.
 
-        None if it doesn't say it.
+        None if it doesn't say it, `OtherServer` if another one answers.
         """
-        incarnation = await reports.ask_incarnation(self._pool, server.address)
+        incarnation = await reports.ask_incarnation(
+            self._pool, server.address, server.server_id
+        )
         if isinstance(incarnation, client.NotSent | client.ResponseFailure):
             return _convert_failure(incarnation)
         return incarnation
@@ -259,7 +260,7 @@
             _Reason.BACKEND_REFUSED,
             _Ran.NO if _is_not_run(head) else _Ran.UNKNOWN,
             f"status {head.status}",
-            is_other_server=head.status == MISDIRECTED_STATUS,
+            is_other_server=head.status == names.MISDIRECTED_STATUS,
         )
 
     async def _exchange(self, address, path, body, headers, identify):
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -66,6 +66,9 @@
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
 
+# The status of a request that expects another engine.
+MISDIRECTED_STATUS = 421
+
 READY = "ready"
 DRAINING = "draining"
 EVENT_STREAM = b"text/event-stream"
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagetrack.connection import gateway
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import numbers
@@ -15,22 +16,28 @@
     born: numbers.Count | None = None
 
 
-async def ask_incarnation(pool, address):
-    """Return the incarnation of the engine at an address.
+async def ask_incarnation(pool, address, server_id):
+    """Return the incarnation of the engine of an id at an address.
 
-    None if it doesn't say it, `NotSent` or `ResponseFailure` if it doesn't
-    answer.
+    None if it doesn't say it, `gateway.OtherServer` if an engine of another
+    id answers, `NotSent` or `ResponseFailure` if none does.
     """
+    expected_id = server_id.encode()
     head = client.RequestHead(
-        b"GET", names.REPORT_PATH, [(b"Host", address.encode())]
+        b"GET",
+        names.REPORT_PATH,
+        [
+            (b"Host", address.encode()),
+            (names.EXPECT_INSTANCE, expected_id),
+        ],
     )
     call = await pool.open_call(
         address,
         head,
         b"",
         needs_fresh_connection=True,
-        # A late copy bears no id, so none may meet a caller's request.
-        lane=names.REPORT_PATH,
+        # A late copy bears no id, so it may only meet the same question.
+        lane=names.REPORT_PATH + b" " + expected_id,
     )
     if not isinstance(call, client.Call):
         return call
@@ -38,6 +45,8 @@
         response = await call.receive_head(lambda _head: True)
         if isinstance(response, client.ResponseFailure):
             return response
+        if response.status == names.MISDIRECTED_STATUS:
+            return gateway.OtherServer()
         content_type = fields.get_value(response.headers, b"content-type", b"")
         if response.status != 200 or not content_type.startswith(JSON_TYPE):
             return None
--- a/greengagetrack/process/direct/lifetime.py
+++ b/greengagetrack/process/direct/lifetime.py
@@ -19,10 +19,10 @@
 
     __slots__ = (
         "_doubted_s",
-        "_is_over",
         "asked_s",
         "confirmed_s",
         "incarnation",
+        "is_over",
         "lock",
         "software_version",
     )
@@ -34,7 +34,7 @@
         # Held while the server is asked.
         self.lock = trio.Lock()
         self._doubted_s = None
-        self._is_over = False
+        self.is_over = False
 
     def doubt(self):
         """Record a sign that the server may have started again."""
@@ -46,25 +46,25 @@
 
     def end(self):
         """Record that the server has started again."""
-        self._is_over = True
+        self.is_over = True
 
     def is_doubted(self):
         """Return whether a new connection may lead to another lifetime."""
         is_doubted = self._doubted_s is not None
-        return self._is_over or (
+        return self.is_over or (
             is_doubted and self._doubted_s >= self.confirmed_s
         )
 
     def is_reached_by(self, opened_s):
         """Return whether a connection opened at a time leads here."""
-        return not self._is_over and opened_s <= self.confirmed_s
+        return not self.is_over and opened_s <= self.confirmed_s
 
     def may_go_on(self, software_version):
         """Return whether a stream of a version may go on here.
 
         The call has to go over a connection that leads to this lifetime.
         """
-        return not self._is_over and self.software_version == software_version
+        return not self.is_over and self.software_version == software_version
 
     def get_answering_version(self, opened_s):
         """Return the version that answers, None if that is unknown.
--- a/greengagetrack/process/direct/lifetime_check.py
+++ b/greengagetrack/process/direct/lifetime_check.py
@@ -3,6 +3,9 @@
 The server itself is asked, once for all connections that were opened
 before. Only if it doesn't say its incarnation, the source is read: a server
 publishes itself when it starts, but maybe a little later.
+
+The same question tells a server that ended an answer from one that crashed:
+only the first is still in the lifetime in which it answered.
 """
 
 import functools
@@ -49,6 +52,18 @@
                 await self._ask(server)
         return not is_bound or lifetime.is_reached_by(opened_s)
 
+    async def is_going_on(self, server):
+        """Return whether a server, asked from now on, is in its lifetime.
+
+        All who wait share one question. One that fails confirms nothing.
+        """
+        lifetime = server.lifetime
+        called_s = trio.current_time()
+        async with lifetime.lock:
+            if not lifetime.is_over and lifetime.asked_s < called_s:
+                await self._ask(server)
+        return lifetime.is_reached_by(called_s)
+
     async def _ask(self, server):
         asked_s = server.lifetime.asked_s = trio.current_time()
         is_over = False
@@ -67,6 +82,8 @@
         is_failed = isinstance(incarnation, gateway_module.Failure)
         if scope.cancelled_caught or is_failed:
             server.lifetime.doubt()
+        elif isinstance(incarnation, gateway_module.OtherServer):
+            await self._end(server, "another server has the address")
         elif incarnation is None:
             await self._ask_source(server, asked_s)
         elif incarnation == server.lifetime.incarnation:
@@ -84,15 +101,19 @@
 
     async def _replace(self, server, incarnation, asked_s):
         """Record that a server has started again, and as what."""
+        await self._end(server, "server has started again")
+        current = self._directory.get_same(server.server_id, incarnation)
+        if current is not None:
+            current.lifetime.confirm(asked_s)
+
+    async def _end(self, server, message):
+        """Record the end of a lifetime; learn what came after it."""
         server.lifetime.end()
         _log.info(
-            "server has started again",
+            message,
             extra={"decision": "directory", "server": server.server_id},
         )
         await self._refresh()
-        current = self._directory.get_same(server.server_id, incarnation)
-        if current is not None:
-            current.lifetime.confirm(asked_s)
 
 
 def new_lifetime_checks(directory, gateway, refresh):
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -62,13 +62,13 @@
         """Return a `Failure` if the end of the answer may be a crash."""
         if answer_end.is_body_end_proven(self._answer.framing):
             return None
-        server = self._attempt.server.published
-        if not await self._services.gateway.is_refusing(server):
+        checks = self._services.lifetime_checks
+        if await checks.is_going_on(self._attempt.server):
             return None
         return gateway.Failure(
             _Reason.BACKEND_FAILED,
             _Ran.UNKNOWN,
-            "the connection closed and the server is gone",
+            "the connection closed and the server may have crashed",
         )
 
     def record_progress(self, progress_s):
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -21,6 +21,7 @@
     repeat=catalog.Repeat.STREAM, is_resumable=True, target_gap_ms=100.0
 )
 SAFE = fakes.new_route(attempts_max=1)
+OTHER_SERVER = b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
 
 
 class End(enum.Enum):
@@ -92,13 +93,20 @@
 
 
 def _ask(
-    route, *answers, resets=(), crashes=(), version=b"1.1", is_trouble=False
+    route,
+    *answers,
+    resets=(),
+    crashes=(),
+    restarts=(),
+    version=b"1.1",
+    is_trouble=False,
 ):
     """Send one request to an entry whose servers give `answers`.
 
     A server closes the connection after its answer, or resets it if the
     number of the answer is in `resets`. It no longer listens then if the
-    number is in `crashes`. With `is_trouble` later answers come byte by byte
+    number is in `crashes`, or is back under another id if it is in
+    `restarts`. With `is_trouble` later answers come byte by byte
     while the entry stops. Return what the caller received.
     """
     results = []
@@ -106,13 +114,17 @@
     async def main():
         remaining = list(enumerate(answers))
         scope_by_port = {}
+        restarted = set()
 
         async def answer(stream):
             head = await loopback.read_until(stream, b"\r\n\r\n")
             if not head:
                 return
             if head.startswith(b"GET /api/report "):
-                await stream.send_all(loopback.REPORT)
+                is_restarted = stream.socket.getsockname() in restarted
+                await stream.send_all(
+                    OTHER_SERVER if is_restarted else loopback.REPORT
+                )
                 return
             number, data = remaining.pop(0)
             server.is_draining = is_trouble and number > 0
@@ -124,6 +136,8 @@
                 _host, port = stream.socket.getsockname()
                 scope_by_port[port].cancel()
                 await trio.sleep(0.05)
+            if number in restarts:
+                restarted.add(stream.socket.getsockname())
             if number in resets:
                 loopback.reset(stream)
             else:
@@ -297,6 +311,13 @@
     assert b" 502 " in head
 
 
+def test_stream_whose_server_is_back_with_another_id_is_not_complete():
+    """The entry reads the end late, when the address accepts again."""
+    answer = _new_answer(CONNECTION, _new_event(1) + _new_event(2))
+    _head, _body, end = _ask(STREAM, answer, restarts=(0,))
+    assert end in (End.CUT, End.RESET)
+
+
 @pytest.mark.parametrize("size", [0, 10, 30, 40])
 def test_cut_result_of_a_stage_without_length_is_a_failure(size):
     body = b'{"items":[{"handle":"a"},{"handle":"b"}]}'
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -286,3 +286,25 @@
         assert answered.headers == [(b"X-Request-Id", b"r")]
 
     _run(check, answer)
+
+
+def test_a_late_copy_of_a_report_does_not_answer_for_another_id():
+    """The address has gone to a server that names no incarnation."""
+    report = _new_response(b"{}").replace(
+        b"Content-Length", b"Content-Type: application/json\r\nContent-Length"
+    )
+
+    def answer(number, request):
+        # The copy is written where the next answer is due.
+        copies = report * number
+        if b"X-Expect-Instance: t\r\n" in request:
+            return copies + report
+        return copies + _new_response(b"", status=b"421 Misdirected Request")
+
+    async def check(gateway, server, _pool):
+        now_there = fakes.new_server("t", address=server.address)
+        assert await gateway.ask_incarnation(now_there) is None
+        other = gateway_module.OtherServer()
+        assert await gateway.ask_incarnation(server) == other
+
+    _run(check, answer)
--- a/tests/direct/test_reports.py
+++ b/tests/direct/test_reports.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from greengagetrack.connection import gateway
 from greengagetrack.connection.http import client
 from greengagetrack.platform import reports
 from tests.direct import loopback
@@ -24,7 +25,9 @@
             pool = client.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             with trio.fail_after(loopback.LIMIT_S):
-                results.append(await reports.ask_incarnation(pool, address))
+                results.append(
+                    await reports.ask_incarnation(pool, address, "s")
+                )
             nursery.cancel_scope.cancel()
 
     trio.run(main)
@@ -68,3 +71,8 @@
 )
 def test_a_broken_report_is_a_failure(response):
     assert isinstance(_ask(response), client.ResponseFailure)
+
+
+def test_a_report_of_another_server_is_none_of_the_one_that_was_asked():
+    answer = _ask(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
+    assert answer == gateway.OtherServer()
