A pool that can't be woken no longer ends its entry

Pools.run wakes the batcher of each pool every 0.1 s, in a task of the entry's own nursery. An unforeseen error in one of them ended the task, with it the entry, and every request in hand lost its answer. No bytes from outside are known that raise there.

Each pool is now woken within the containment, boundary `pool`: the error is logged and counted, the other pools and the next rounds go on. The wait of 0.1 s precedes each round, so a failing pool makes no busy loop; the test counts ten rounds in 1.05 s.

Before: test_pool_that_is_not_woken_leaves_the_others_in_use failed, ZeroDivisionError came out of the nursery of Pools.run. Run: pytest tests/direct/test_containment.py. After: it passes, with tests/direct/test_batcher.py (30 passed).

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -166,6 +166,7 @@
             batcher_dependencies,
             self.peers,
             generator,
+            self.containment,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -11,6 +11,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.process.direct import batcher as batcher_module
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import placement
 
@@ -88,6 +89,7 @@
     """All pools; routes the pieces of requests to them."""
 
     __slots__ = (
+        "_containment",
         "_data_centre",
         "_dependencies",
         "_directory",
@@ -97,7 +99,10 @@
         "generator",
     )
 
-    def __init__(self, data_centre, dependencies, peers, generator):
+    def __init__(
+        self, data_centre, dependencies, peers, generator, containment
+    ):
+        self._containment = containment
         self._data_centre = data_centre
         self._dependencies = dependencies
         self._directory = dependencies.directory
@@ -336,9 +341,16 @@
             with trio.move_on_after(WAKE_INTERVAL_S):
                 await self._directory.changed.wait()
             for pool in self._pool_by_key.values():
-                pool.batcher.wake()
+                with self._containment.contain("pool"):
+                    pool.batcher.wake()
 
 
-def new_pools(data_centre, dependencies, peers, generator):
+def new_pools(data_centre, dependencies, peers, generator, containment=None):
     """Return the pools of an entry in `data_centre`."""
-    return Pools(data_centre, dependencies, peers, generator)
+    return Pools(
+        data_centre,
+        dependencies,
+        peers,
+        generator,
+        containment or containment_module.new_containment(),
+    )
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -13,6 +13,7 @@
 from greengagetrack.connection import messages
 from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
@@ -228,3 +229,27 @@
         assert guard._suspects_by_lifetime == {}
 
     _run_fenced(check)
+
+
+@pytest.mark.contains_error
+def test_pool_that_is_not_woken_leaves_the_others_in_use(monkeypatch):
+    woken = []
+
+    def wake(batcher):
+        woken.append(batcher.service)
+        if batcher.service == "bad":
+            raise ZeroDivisionError("unforeseen")
+
+    monkeypatch.setattr(batcher_module.Batcher, "wake", wake)
+
+    async def check(fake_entry):
+        for service in ("bad", "pool"):
+            fake_entry.pools.get_pool(service, "dc-a")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fake_entry.pools.run)
+            await trio.sleep(1.05)
+            nursery.cancel_scope.cancel()
+
+    _run_fenced(check)
+    # One round each 0.1 s, of both.
+    assert woken == ["bad", "pool"] * 10
