A stream that can't be told no longer ends its entry

When a second version of a service appears, Streams.run tells two others of each running stream. An unforeseen error in one of them ended the task, with it the entry and the requests in hand. The stream also counted as told from then on, since `is_told` was set before the message was built, so a take-up at another entry would not have found its version.

One service and one stream at a time are now contained, boundary `stream`. `is_told` is set last: a stream that failed is told at the next change of the servers. Each round still begins with the wait for such a change, so no busy loop results.

Before: test_stream_that_is_not_told_leaves_the_others_and_is_told_later failed, ZeroDivisionError came out of the nursery of Streams.run.

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -152,6 +152,7 @@
             get_catalog,
             self.catalog_watcher,
             nursery,
+            self.containment,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -14,6 +14,7 @@
 import trio
 
 from greengagetrack.connection import messages
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import stream_records
 
 OWNERS = 2
@@ -59,6 +60,7 @@
     """The versions of streams: records, what is told and what is asked."""
 
     __slots__ = (
+        "_containment",
         "_directory",
         "_get_catalog",
         "_links",
@@ -72,8 +74,16 @@
     )
 
     def __init__(
-        self, members, links, directory, get_catalog, source_reader, nursery
+        self,
+        members,
+        links,
+        directory,
+        get_catalog,
+        source_reader,
+        nursery,
+        containment,
     ):
+        self._containment = containment
         self._members = members
         self._links = links
         self._directory = directory
@@ -123,14 +133,13 @@
         )
 
     def _tell(self, organisation, key, record):
-        record.is_told = True
+        begun = messages.BegunStream(
+            organisation, key, record.service, record.version
+        )
         if not self._unsent:
             self._nursery.start_soon(self._send)
-        self._unsent.append(
-            messages.BegunStream(
-                organisation, key, record.service, record.version
-            )
-        )
+        self._unsent.append(begun)
+        record.is_told = True
 
     async def _send(self):
         """Tell the owners of all streams that began in this moment."""
@@ -162,10 +171,16 @@
         while True:
             await self._directory.changed.wait()
             for service in self._directory.versions.get_services():
-                if not self._is_told(service):
-                    continue
-                for untold in self._records.get_untold(service):
-                    self._tell(*untold)
+                with self._containment.contain("stream"):
+                    self._tell_running(service)
+
+    def _tell_running(self, service):
+        if not self._is_told(service):
+            return
+        for untold in self._records.get_untold(service):
+            # One that fails stays untold, until the servers change again.
+            with self._containment.contain("stream"):
+                self._tell(*untold)
 
     async def find_origin(self, stream_id, services):
         """Return the `Origin` of a stream, or None if it is unknown.
@@ -260,7 +275,13 @@
 
 
 def new_streams(
-    members, links, directory, get_catalog, source_reader, nursery
+    members,
+    links,
+    directory,
+    get_catalog,
+    source_reader,
+    nursery,
+    containment=None,
 ):
     """Return the streams of an entry that has begun none.
 
@@ -268,5 +289,11 @@
     complete what the directory knows of versions, until now.
     """
     return Streams(
-        members, links, directory, get_catalog, source_reader, nursery
+        members,
+        links,
+        directory,
+        get_catalog,
+        source_reader,
+        nursery,
+        containment or containment_module.new_containment(),
     )
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -19,6 +19,7 @@
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import streams as streams_module
 from tests.direct import fakes
 from tests.direct import test_batcher
 from tests.direct import test_peers
@@ -253,3 +254,49 @@
     _run_fenced(check)
     # One round each 0.1 s, of both.
     assert woken == ["bad", "pool"] * 10
+
+
+@pytest.mark.contains_error
+def test_stream_that_is_not_told_leaves_the_others_and_is_told_later(
+    monkeypatch,
+):
+    told = []
+    new_begun_stream = messages.BegunStream
+
+    def fail_first(organisation, key, *rest):
+        told.append(key)
+        if len(told) == 1:
+            raise ZeroDivisionError("unforeseen")
+        return new_begun_stream(organisation, key, *rest)
+
+    monkeypatch.setattr(messages, "BegunStream", fail_first)
+
+    async def check(fake_entry):
+        servers = [fakes.new_server("s1", software_version="v1")]
+        streams = fake_entry.streams
+        keys = []
+
+        async def publish():
+            update = source_module.Update(1, servers=tuple(servers))
+            fake_entry.directory.apply_update(update)
+            await trio.sleep(1)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(streams.run)
+            fake_entry.directory.versions.record_past((), 0.0)
+            await publish()
+            for request_id in (b"1", b"2"):
+                stream_id = streams_module.StreamId("org", request_id)
+                keys.append(stream_id.key)
+                origin = streams_module.Origin("svc", "v1")
+                streams.begin(stream_id, origin, ["svc"])
+            assert told == []
+            for version in ("v2", "v3"):
+                servers.append(
+                    fakes.new_server(version, software_version=version)
+                )
+                await publish()
+            nursery.cancel_scope.cancel()
+        assert told == [*keys, keys[0]]
+
+    _run_fenced(check)
