A failed round of exchanges with peers no longer ends its entry

Each 0.4 s Peers.run chooses the peers to exchange digests with, starts these exchanges and drops lost peers. The exchanges were contained, the round was not: an unforeseen error in it ended the entry, with every request in hand.

The choice of remote peers, each peer and the clearing up are now contained one by one, boundary `peer_round`, so that an error in one of them doesn't cut the entry off from all others. The wait of a round follows in any case; the test counts eight errors in eight rounds.

--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -146,18 +146,32 @@
                 nursery, self._containment, "peer_exchange"
             )
             while True:
-                chosen = self._choose_remote()
-                for peer in list(self.members.peer_by_address.values()):
-                    if self._is_due(peer, chosen):
-                        exchanges.start_soon(self._exchange, peer)
-                self.members.log_changes()
-                self.members.remove_expired()
-                self._links.keep_only(self.members.peer_by_address)
+                self._start_round(exchanges)
+                with self._contain_step():
+                    self._drop_lost_peers()
                 self._round += 1
                 with trio.move_on_after(LOCAL_PERIOD_S):
                     await self._exchange_now.wait()
                     self._exchange_now = trio.Event()
 
+    def _contain_step(self):
+        return self._containment.contain("peer_round")
+
+    def _start_round(self, exchanges):
+        """Start the exchanges of a round; `exchanges` is a nursery."""
+        chosen = set()
+        with self._contain_step():
+            chosen = self._choose_remote()
+        for peer in list(self.members.peer_by_address.values()):
+            with self._contain_step():
+                if self._is_due(peer, chosen):
+                    exchanges.start_soon(self._exchange, peer)
+
+    def _drop_lost_peers(self):
+        self.members.log_changes()
+        self.members.remove_expired()
+        self._links.keep_only(self.members.peer_by_address)
+
     def announce_leaving(self):
         """Announce at once to local peers that no new work is taken."""
         self.members.is_leaving = True
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -19,6 +19,8 @@
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import streams as streams_module
 from tests.direct import fakes
 from tests.direct import test_batcher
@@ -300,3 +302,38 @@
         assert told == [*keys, keys[0]]
 
     _run_fenced(check)
+
+
+@pytest.mark.contains_error
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (peers_module.Peers, "_choose_remote"),
+        (peers_module.Peers, "_is_due"),
+        (members_module.Members, "log_changes"),
+    ],
+)
+def test_failed_step_of_a_round_with_peers_leaves_the_others(
+    owner, step, caplog, monkeypatch
+):
+    run_step = getattr(owner, step)
+
+    def fail(self, peer=None, *arguments):
+        if peer is None or peer.address == "a-1:1":
+            raise ZeroDivisionError("unforeseen")
+        return run_step(self, peer, *arguments)
+
+    monkeypatch.setattr(owner, step, fail)
+
+    async def check(nursery):
+        fleet = test_peers.Fleet(("a",), 3)
+        peers = fleet.node_by_address["a-0:1"].peers
+        for address in ("a-1:1", "a-2:1"):
+            peers.members.get_or_add(address)
+        nursery.start_soon(peers.run)
+        await trio.sleep(3.1)
+        assert "a-2" in [p.name for p in peers.members.get_live_peers("a")]
+
+    fakes.run_with_mock_clock(check)
+    # One in each round of 0.4 s.
+    assert [r.boundary for r in caplog.records] == ["peer_round"] * 8
