Results of stages are freed again after a flush that failed

The results that a server no longer needs to hold are freed a moment later, many with one request, by a task that `free` starts when none are pending. An unforeseen error before that task took them (in the wait for a pause, for room or for a permit) ended it and left them pending: no task was started for this server any more, and all its later results stayed in its memory until they expired. So too after a cancelled wait.

However the wait ends, its results are taken now, so the next ones start a wait of their own. Those of the failed one are not sent; they stay in the account until the server expires them, like those of a free request that got lost, and can't pile up where every wait fails.

Before: test_results_are_freed_after_a_flush_that_failed failed, nothing was freed ([] instead of ['second']). After: it passes, with test_batcher.py and test_inputs.py.

--- a/greengagetrack/process/direct/result_freer.py
+++ b/greengagetrack/process/direct/result_freer.py
@@ -38,14 +38,27 @@
             self._nursery.start_soon(self._flush, usage)
 
     async def _flush(self, usage):
+        is_due = False
+        try:
+            is_due = await self._wait_until_due(usage)
+        finally:
+            # However the wait ended, later results need one of their own.
+            handles, usage.pending_frees = usage.pending_frees, []
+        if is_due:
+            await self._free_at_server(usage, handles)
+
+    async def _wait_until_due(self, usage):
+        """Return whether results are to be freed now; else never."""
         # After a short delay one call frees the results of many requests.
         await trio.sleep(FREE_DELAY_S)
         await usage.server.wait_until_unpaused()
         while not self._may_free(usage):
             await trio.sleep(PERMIT_CHECK_S)
             if not self._is_known(usage.server):
-                return
-        handles, usage.pending_frees = usage.pending_frees, []
+                return False
+        return True
+
+    async def _free_at_server(self, usage, handles):
         is_freed = await self._gateway.free_results(
             usage.server.published.address, handles
         )
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -21,6 +21,7 @@
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import peers as peers_module
+from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import streams as streams_module
 from tests.direct import fakes
 from tests.direct import test_batcher
@@ -337,3 +338,26 @@
     fakes.run_with_mock_clock(check)
     # One in each round of 0.4 s.
     assert [r.boundary for r in caplog.records] == ["peer_round"] * 8
+
+
+@pytest.mark.contains_error
+def test_results_are_freed_after_a_flush_that_failed(monkeypatch):
+    is_due = result_freer.ResultFreer._may_free
+    failed = []
+
+    def fail_once(freer, usage):
+        if not failed:
+            failed.append(usage)
+            raise ZeroDivisionError("unforeseen")
+        return is_due(freer, usage)
+
+    monkeypatch.setattr(result_freer.ResultFreer, "_may_free", fail_once)
+
+    async def check(fake_entry):
+        batcher = fake_entry.pools.get_pool("pool", "dc-a").batcher
+        for handle in ("first", "second"):
+            batcher.free_results("p1", [handle])
+            await trio.sleep(1)
+        assert fake_entry.gateway.freed == ["second"]
+
+    _run_fenced(check)
