A request that an error ended is not recorded as left by its caller

A run that raised had no outcome, and `request ended` and the counter of requests said `caller_left` for it, whether its caller had left, read too slowly, or an unforeseen error of ours had ended the exchange (502). Who looked for lost answers was sent to the callers.

The error is now classified as the connection does it (a group by what is in it) and recorded as `caller_left`, `caller_slow` or `error`, the latter with its type; then it goes on as before.

Before: test_request_that_an_error_ends_is_not_recorded_as_left_by_its_caller failed in three of its five cases (slow caller, error, mixed group), each with `caller_left`. After: it passes, with test_names.py, test_run.py and test_closed_connections.py.

--- a/greengagetrack/request/direct/outcome.py
+++ b/greengagetrack/request/direct/outcome.py
@@ -1,5 +1,7 @@
 """Outcomes in direct mode, besides `Refused` and `Unknown`."""
 
+import enum
+
 import msgspec
 
 from greengagetrack.request import outcome as outcome_module
@@ -18,6 +20,28 @@
     detail: str = ""
 
 
+class AbandonedCause(enum.StrEnum):
+    """Why the run of a request ended without a result."""
+
+    CALLER_LEFT = "caller_left"
+    CALLER_SLOW = "caller_slow"
+    ERROR = "error"
+
+
+class Abandoned(msgspec.Struct, frozen=True):
+    """A request whose run raised an error; it is recorded, not returned.
+
+    `detail` names the type of an error that nobody foresaw.
+    """
+
+    cause: AbandonedCause
+    detail: str = ""
+
+
 def get_outcome_name(outcome):
     """Return the name of an outcome; None means that the caller left."""
-    return "caller_left" if outcome is None else type(outcome).__name__.lower()
+    if outcome is None:
+        return str(AbandonedCause.CALLER_LEFT)
+    if isinstance(outcome, Abandoned):
+        return str(outcome.cause)
+    return type(outcome).__name__.lower()
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.request.direct import abandonment
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
@@ -106,6 +107,9 @@
             if outcome is None:
                 outcome = self._get_late_outcome()
             return outcome
+        except Exception as error:
+            outcome = abandonment.new_abandoned(error)
+            raise
         finally:
             self._record_outcome(outcome)
             self._free_inputs()
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -23,6 +23,8 @@
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import streams as streams_module
+from greengagetrack.request.direct import request_log
+from greengagetrack.version import catalog
 from tests.direct import fakes
 from tests.direct import test_batcher
 from tests.direct import test_peers
@@ -361,3 +363,50 @@
         assert fake_entry.gateway.freed == ["second"]
 
     _run_fenced(check)
+
+
+class BrokenReply(fakes.FakeReply):
+    """Raises an error instead of answering."""
+
+    def __init__(self, error):
+        super().__init__()
+        self._error = error
+
+    async def send_whole(self, status, headers, body, framing):
+        await trio.lowlevel.checkpoint()
+        raise self._error
+
+
+def _group(*errors):
+    return ExceptionGroup("of a nursery", errors)
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome", "detail"),
+    [
+        (trio.BrokenResourceError(), "caller_left", ""),
+        (_group(trio.ClosedResourceError()), "caller_left", ""),
+        (trio.TooSlowError(), "caller_slow", ""),
+        (ZeroDivisionError(), "error", "ZeroDivisionError"),
+        (
+            _group(trio.TooSlowError(), _group(ZeroDivisionError())),
+            "error",
+            "ExceptionGroup",
+        ),
+    ],
+)
+def test_request_that_an_error_ends_is_not_recorded_as_left_by_its_caller(
+    error, outcome, detail, caplog
+):
+    async def check(fake_entry):
+        route = fakes.new_route(services=(catalog.WeightedService("pool"),))
+        with pytest.raises(type(error)) as raised:
+            await fake_entry.run(route, BrokenReply(error))
+        assert raised.value is error
+        body, _headers = fake_entry.services.metrics.render([])
+        assert f'outcome="{outcome}"' in body.decode()
+
+    with caplog.at_level(logging.WARNING, request_log.__name__):
+        _run_fenced(check)
+    (ended,) = [r for r in caplog.records if r.message == "request ended"]
+    assert (ended.outcome, ended.detail) == (outcome, detail)
--- a/tests/unit/test_names.py
+++ b/tests/unit/test_names.py
@@ -18,6 +18,7 @@
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request import outcome as outcome_module
 
+Cause = direct_outcome.AbandonedCause
 REASON = outcome_module.Reason.SHED
 REFUSED = outcome_module.Refused(REASON)
 UNKNOWN = outcome_module.Unknown(REASON)
@@ -46,6 +47,9 @@
         (REFUSED, "refused"),
         (UNKNOWN, "unknown"),
         (None, "caller_left"),
+        (direct_outcome.Abandoned(Cause.CALLER_LEFT), "caller_left"),
+        (direct_outcome.Abandoned(Cause.CALLER_SLOW), "caller_slow"),
+        (direct_outcome.Abandoned(Cause.ERROR), "error"),
     ],
 )
 def test_outcome_names_in_direct_mode(outcome, name):
