A request that fails before its send leaves no count at its server

A run counts its request and its prompt at the chosen server, and takes both back when the send ends. Between the rise and the `try` stood the record of cached parts, the new attempt and the timer for freeing stage results: an error in one of them left the server loaded by a request that wasn't there, for as long as the entry lived, and told peers so. Enough of these and nobody sends it anything.

The counts now rise as the last step before the `try`. No await lies between, so choices see the same counts as before.

Before: test_request_that_fails_before_its_send_is_not_counted_at_a_server failed in both cases (outstanding 1 instead of 0). After: it passes, with test_run.py, test_inputs.py, test_lifetimes.py and test_events.py.

--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -253,15 +253,15 @@
         request_log.log_choice(
             self._admitted, self._selector.service, self._sends, choice
         )
-        prefill_tokens = choice.new_tokens
-        server.outstanding += 1
-        server.prefill_tokens += prefill_tokens
         self._services.directory.record_cached_parts(
             server, self._admitted.request.parts
         )
         attempt = attempt_module.new_attempt(server, choice)
         if self._inputs:
             self._graph.free_after(self._get_fetch_time().hold_s)
+        # Nothing may stand between these counts and what takes them back.
+        server.outstanding += 1
+        server.prefill_tokens += choice.new_tokens
         try:
             return await self._send(attempt)
         finally:
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -23,6 +23,7 @@
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import streams as streams_module
+from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import request_log
 from greengagetrack.version import catalog
 from tests.direct import fakes
@@ -410,3 +411,28 @@
         _run_fenced(check)
     (ended,) = [r for r in caplog.records if r.message == "request ended"]
     assert (ended.outcome, ended.detail) == (outcome, detail)
+
+
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (directory_module.Directory, "record_cached_parts"),
+        (attempt_module, "new_attempt"),
+    ],
+)
+def test_request_that_fails_before_its_send_is_not_counted_at_a_server(
+    owner, step, monkeypatch
+):
+    def fail(*_arguments):
+        raise ZeroDivisionError("unforeseen")
+
+    monkeypatch.setattr(owner, step, fail)
+
+    async def check(fake_entry):
+        route = fakes.new_route(services=(catalog.WeightedService("pool"),))
+        with pytest.raises(ZeroDivisionError):
+            await fake_entry.serve(route)
+        for server in fake_entry.directory.server_by_id.values():
+            assert server.outstanding == 0
+
+    _run_fenced(check)
