An entry says at its start how its last life ended

Nothing at a start told operators whether the entry's last life had been stopped, killed, or ended by an error; that stood only in the log of that life and with its supervisor. No disk and no shared state may hold it, but the peers heard from that life. They keep, for each address, when its last digest came and whether it said that the entry leaves, and tell the next life in the digests of its first 5 s. The entry logs it as `last life ended`, a warning without a leaving.

Digests carry the start of their sender (its boot-time clock, in ms), so that lives can be told apart; a late digest of an ended life begins no other.

After: test_lives.py, test_peers.py, test_odd_messages.py, test_fuzz_readers.py, test_joined_streams.py, test_newest_version.py and test_state.py pass.

--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -380,6 +380,17 @@
     number: _Count
 
 
+class EarlierLife(_Message):
+    """How the last life of an entry ended, as a peer heard it.
+
+    `heard_age_ms` is how long before the first digest of the next life the
+    last one of this came, `was_leaving` whether that said it leaves.
+    """
+
+    heard_age_ms: _AgeMs
+    was_leaving: bool
+
+
 class EntryDigest(_Message, tag="entry_digest"):
     """The state of one entry in direct mode, as it sends it to another.
 
@@ -393,6 +404,8 @@
     `newest_version` is the newest that the sender knows of, which may be one
     that it doesn't hold, and `newest_era` the first era of the source in
     which it was there. `confirmed_era` is the era of the confirmation.
+    `started_ms` tells the lives of the sender apart, `earlier_life` tells
+    a receiver that has just started of its last one.
     """
 
     name: str
@@ -414,6 +427,8 @@
     newest_version: _Count = 0
     newest_era: _Count = 0
     confirmed_era: _Count = 0
+    started_ms: _Amount = 0
+    earlier_life: EarlierLife | None = None
 
 
 class EntryDigestReply(_Message, tag="entry_heard"):
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -15,7 +15,9 @@
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import inquiry
+from greengagetrack.process.direct import lives as lives_module
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import permits as permits_module
 from greengagetrack.request import deadline as deadline_module
@@ -51,6 +53,7 @@
         "_containment",
         "_lease",
         "_links",
+        "_lives",
         "_round",
         "members",
         "permits",
@@ -70,6 +73,7 @@
         containment,
     ):
         self._containment = containment
+        self._lives = lives_module.new_lives(freshness.get_boot_time_s())
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -125,11 +129,18 @@
         peer = self._digests.apply(digest)
         if peer is None:
             return messages.Rejected("an entry does not ask itself")
+        self._lives.record(digest)
         # A peer that was unknown so far needs all addresses in the reply.
-        reply = messages.EntryDigestReply(self._digests.new_digest(peer))
+        reply = messages.EntryDigestReply(self._new_digest(peer))
         peer.last_exchange_s = trio.current_time()
         return reply
 
+    def _new_digest(self, peer):
+        digest = self._digests.new_digest(peer)
+        digest.started_ms = self._lives.started_ms
+        digest.earlier_life = self._lives.get_earlier(peer.address)
+        return digest
+
     async def run(self):
         """Exchange digests with the peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -171,6 +182,7 @@
         self.members.log_changes()
         self.members.remove_expired()
         self._links.keep_only(self.members.peer_by_address)
+        self._lives.keep_only(self.members.peer_by_address)
 
     def announce_leaving(self):
         """Announce at once to local peers that no new work is taken."""
@@ -226,15 +238,14 @@
     async def _exchange(self, peer):
         sent_s = self._lease.now_s()
         link = self._links.get_link(peer.address)
-        reply = await link.request(
-            self._digests.new_digest(peer), REQUEST_TIMEOUT_S
-        )
+        reply = await link.request(self._new_digest(peer), REQUEST_TIMEOUT_S)
         if not isinstance(reply, messages.EntryDigestReply):
             self._count_missed_reply(peer)
             return
         peer.missed_replies = 0
         peer.last_exchange_s = trio.current_time()
-        self._digests.apply(reply.digest)
+        if self._digests.apply(reply.digest) is not None:
+            self._lives.record(reply.digest)
         self._open_links()
         age_s = reply.digest.freshness_age_s
         version = self._catalog_watcher.get_version()
