A reload that fails no longer ends its entry

On SIGHUP, and once at its start, an entry reads its node file again. What a file may hold is checked and named in the log, but an unforeseen error in it came out of the task that waits for the signal, ended the entry, and with it every request in hand. No file is known that raises there.

Each reload is now contained, boundary `reload`; the settings in force stay, and the next signal is heard.

Before: test_failed_reload_leaves_the_entry_and_the_next_reload failed, ZeroDivisionError came out of the nursery. After: it passes, with the rest of test_node_signals.py and test_site.py (15 passed).

--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -98,7 +98,7 @@
         await nursery.start(peer_server.serve, entry.peers.handle)
         caller_server = await _start_servers(nursery, adapter, entry)
         nursery.start_soon(entry.run)
-        nursery.start_soon(_reload_on_sighup, adapter)
+        nursery.start_soon(_reload_on_sighup, adapter, entry.containment)
         task_status.started(entry)
         await stop.drain_requested.wait()
         is_drained = await _drain(
@@ -140,19 +140,20 @@
     await exchange.answer(200, fields, body)
 
 
-async def _reload_on_sighup(adapter):
+async def _reload_on_sighup(adapter, containment):
     with trio.open_signal_receiver(signal.SIGHUP) as received:
         # What came before was ignored.
-        _reload(adapter)
+        _reload(adapter, containment)
         async for _signal in received:
-            _reload(adapter)
+            _reload(adapter, containment)
 
 
-def _reload(adapter):
-    result = adapter.reload()
-    _log.info(
-        "settings reload", extra={"decision": "reload", "outcome": result}
-    )
+def _reload(adapter, containment):
+    with containment.contain("reload"):
+        result = adapter.reload()
+        _log.info(
+            "settings reload", extra={"decision": "reload", "outcome": result}
+        )
 
 
 async def _drain(entry, caller_server, grace_s, stop):
--- a/tests/direct/test_node_signals.py
+++ b/tests/direct/test_node_signals.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import daemon
 from tests.direct import fakes
 
@@ -50,7 +51,8 @@
     adapter = FakeAdapter()
 
     async def check(nursery):
-        nursery.start_soon(daemon._reload_on_sighup, adapter)
+        containment = containment_module.new_containment()
+        nursery.start_soon(daemon._reload_on_sighup, adapter, containment)
         await trio.sleep(0.1)
         for _signal in range(signals):
             os.kill(os.getpid(), signal.SIGHUP)
@@ -58,3 +60,24 @@
         assert adapter.reload_count == 1 + signals
 
     fakes.run_with_mock_clock(check)
+
+
+@pytest.mark.contains_error
+def test_failed_reload_leaves_the_entry_and_the_next_reload():
+    class FailingAdapter(FakeAdapter):
+        def reload(self):
+            super().reload()
+            raise ZeroDivisionError("unforeseen")
+
+    adapter = FailingAdapter()
+
+    async def check(nursery):
+        containment = containment_module.new_containment()
+        nursery.start_soon(daemon._reload_on_sighup, adapter, containment)
+        for _signal in range(2):
+            await trio.sleep(0.1)
+            os.kill(os.getpid(), signal.SIGHUP)
+        await trio.sleep(0.1)
+        assert adapter.reload_count == 3
+
+    fakes.run_with_mock_clock(check)
