A stream whose owners can't be named leaves the others told

An entry tells others of all streams that began in one moment with one task. An unforeseen error in naming the owners of one of them ended the task; none of the others was told, though all counted as told, and a take-up elsewhere would not have found their versions.

One stream at a time is now contained there too, boundary `stream`.

Before: test_stream_without_owners_leaves_the_others_told failed (nothing sent, two keys wanted).

--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -146,8 +146,9 @@
         unsent, self._unsent = self._unsent, []
         streams_by_address = {}
         for stream in unsent:
-            for address in self._get_owners(stream.key)[:OWNERS]:
-                streams_by_address.setdefault(address, []).append(stream)
+            with self._containment.contain("stream"):
+                for address in self._get_owners(stream.key)[:OWNERS]:
+                    streams_by_address.setdefault(address, []).append(stream)
         for address, streams in streams_by_address.items():
             for start in range(0, len(streams), TOLD_MAX):
                 message = messages.TellStreams(
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -436,3 +436,30 @@
             assert server.outstanding == 0
 
     _run_fenced(check)
+
+
+@pytest.mark.contains_error
+def test_stream_without_owners_leaves_the_others_told(monkeypatch):
+    sent = []
+    keys = [streams_module.StreamId("org", b"%d" % n).key for n in range(3)]
+
+    def rank(_members, key, _count):
+        if key == keys[0].hex():
+            raise ZeroDivisionError("unforeseen")
+        return [types.SimpleNamespace(address="a:1")]
+
+    async def request(_streams, _address, message):
+        sent.extend(stream.key for stream in message.streams)
+
+    monkeypatch.setattr(members_module.Members, "rank_by_key", rank)
+    monkeypatch.setattr(streams_module.Streams, "_request", request)
+
+    async def check(fake_entry):
+        origin = streams_module.Origin("svc", None)
+        for number in range(3):
+            stream_id = streams_module.StreamId("org", b"%d" % number)
+            fake_entry.streams.begin(stream_id, origin, ["svc"])
+        await trio.sleep(1)
+        assert sent == keys[1:]
+
+    _run_fenced(check)
