--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -152,6 +152,7 @@
             get_catalog,
             self.catalog_watcher,
             nursery,
+            self.containment,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
@@ -166,6 +167,7 @@
             batcher_dependencies,
             self.peers,
             generator,
+            self.containment,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.request.direct import abandonment
 from greengagetrack.request.direct import answer_reader
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
@@ -106,6 +107,9 @@
             if outcome is None:
                 outcome = self._get_late_outcome()
             return outcome
+        except Exception as error:
+            outcome = abandonment.new_abandoned(error)
+            raise
         finally:
             self._record_outcome(outcome)
             self._free_inputs()
@@ -249,15 +253,15 @@
         request_log.log_choice(
             self._admitted, self._selector.service, self._sends, choice
         )
-        prefill_tokens = choice.new_tokens
-        server.outstanding += 1
-        server.prefill_tokens += prefill_tokens
         self._services.directory.record_cached_parts(
             server, self._admitted.request.parts
         )
         attempt = attempt_module.new_attempt(server, choice)
         if self._inputs:
             self._graph.free_after(self._get_fetch_time().hold_s)
+        # Nothing may stand between these counts and what takes them back.
+        server.outstanding += 1
+        server.prefill_tokens += choice.new_tokens
         try:
             return await self._send(attempt)
         finally:
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -13,11 +13,19 @@
 from greengagetrack.connection import messages
 from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import peers as peers_module
+from greengagetrack.process.direct import result_freer
+from greengagetrack.process.direct import streams as streams_module
+from greengagetrack.request.direct import attempt as attempt_module
+from greengagetrack.request.direct import request_log
+from greengagetrack.version import catalog
 from tests.direct import fakes
 from tests.direct import test_batcher
 from tests.direct import test_peers
@@ -228,3 +236,230 @@
         assert guard._suspects_by_lifetime == {}
 
     _run_fenced(check)
+
+
+@pytest.mark.contains_error
+def test_pool_that_is_not_woken_leaves_the_others_in_use(monkeypatch):
+    woken = []
+
+    def wake(batcher):
+        woken.append(batcher.service)
+        if batcher.service == "bad":
+            raise ZeroDivisionError("unforeseen")
+
+    monkeypatch.setattr(batcher_module.Batcher, "wake", wake)
+
+    async def check(fake_entry):
+        for service in ("bad", "pool"):
+            fake_entry.pools.get_pool(service, "dc-a")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fake_entry.pools.run)
+            await trio.sleep(1.05)
+            nursery.cancel_scope.cancel()
+
+    _run_fenced(check)
+    # One round each 0.1 s, of both.
+    assert woken == ["bad", "pool"] * 10
+
+
+@pytest.mark.contains_error
+def test_stream_that_is_not_told_leaves_the_others_and_is_told_later(
+    monkeypatch,
+):
+    told = []
+    new_begun_stream = messages.BegunStream
+
+    def fail_first(organisation, key, *rest):
+        told.append(key)
+        if len(told) == 1:
+            raise ZeroDivisionError("unforeseen")
+        return new_begun_stream(organisation, key, *rest)
+
+    monkeypatch.setattr(messages, "BegunStream", fail_first)
+
+    async def check(fake_entry):
+        servers = [fakes.new_server("s1", software_version="v1")]
+        streams = fake_entry.streams
+        keys = []
+
+        async def publish():
+            update = source_module.Update(1, servers=tuple(servers))
+            fake_entry.directory.apply_update(update)
+            await trio.sleep(1)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(streams.run)
+            fake_entry.directory.versions.record_past((), 0.0)
+            await publish()
+            for request_id in (b"1", b"2"):
+                stream_id = streams_module.StreamId("org", request_id)
+                keys.append(stream_id.key)
+                origin = streams_module.Origin("svc", "v1")
+                streams.begin(stream_id, origin, ["svc"])
+            assert told == []
+            for version in ("v2", "v3"):
+                servers.append(
+                    fakes.new_server(version, software_version=version)
+                )
+                await publish()
+            nursery.cancel_scope.cancel()
+        assert told == [*keys, keys[0]]
+
+    _run_fenced(check)
+
+
+@pytest.mark.contains_error
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (peers_module.Peers, "_choose_remote"),
+        (peers_module.Peers, "_is_due"),
+        (members_module.Members, "log_changes"),
+    ],
+)
+def test_failed_step_of_a_round_with_peers_leaves_the_others(
+    owner, step, caplog, monkeypatch
+):
+    run_step = getattr(owner, step)
+
+    def fail(self, peer=None, *arguments):
+        if peer is None or peer.address == "a-1:1":
+            raise ZeroDivisionError("unforeseen")
+        return run_step(self, peer, *arguments)
+
+    monkeypatch.setattr(owner, step, fail)
+
+    async def check(nursery):
+        fleet = test_peers.Fleet(("a",), 3)
+        peers = fleet.node_by_address["a-0:1"].peers
+        for address in ("a-1:1", "a-2:1"):
+            peers.members.get_or_add(address)
+        nursery.start_soon(peers.run)
+        await trio.sleep(3.1)
+        assert "a-2" in [p.name for p in peers.members.get_live_peers("a")]
+
+    fakes.run_with_mock_clock(check)
+    # One in each round of 0.4 s.
+    assert [r.boundary for r in caplog.records] == ["peer_round"] * 8
+
+
+@pytest.mark.contains_error
+def test_results_are_freed_after_a_flush_that_failed(monkeypatch):
+    is_due = result_freer.ResultFreer._may_free
+    failed = []
+
+    def fail_once(freer, usage):
+        if not failed:
+            failed.append(usage)
+            raise ZeroDivisionError("unforeseen")
+        return is_due(freer, usage)
+
+    monkeypatch.setattr(result_freer.ResultFreer, "_may_free", fail_once)
+
+    async def check(fake_entry):
+        batcher = fake_entry.pools.get_pool("pool", "dc-a").batcher
+        for handle in ("first", "second"):
+            batcher.free_results("p1", [handle])
+            await trio.sleep(1)
+        assert fake_entry.gateway.freed == ["second"]
+
+    _run_fenced(check)
+
+
+class BrokenReply(fakes.FakeReply):
+    """Raises an error instead of answering."""
+
+    def __init__(self, error):
+        super().__init__()
+        self._error = error
+
+    async def send_whole(self, status, headers, body, framing):
+        await trio.lowlevel.checkpoint()
+        raise self._error
+
+
+def _group(*errors):
+    return ExceptionGroup("of a nursery", errors)
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome", "detail"),
+    [
+        (trio.BrokenResourceError(), "caller_left", ""),
+        (_group(trio.ClosedResourceError()), "caller_left", ""),
+        (trio.TooSlowError(), "caller_slow", ""),
+        (ZeroDivisionError(), "error", "ZeroDivisionError"),
+        (
+            _group(trio.TooSlowError(), _group(ZeroDivisionError())),
+            "error",
+            "ExceptionGroup",
+        ),
+    ],
+)
+def test_request_that_an_error_ends_is_not_recorded_as_left_by_its_caller(
+    error, outcome, detail, caplog
+):
+    async def check(fake_entry):
+        route = fakes.new_route(services=(catalog.WeightedService("pool"),))
+        with pytest.raises(type(error)) as raised:
+            await fake_entry.run(route, BrokenReply(error))
+        assert raised.value is error
+        body, _headers = fake_entry.services.metrics.render([])
+        assert f'outcome="{outcome}"' in body.decode()
+
+    with caplog.at_level(logging.WARNING, request_log.__name__):
+        _run_fenced(check)
+    (ended,) = [r for r in caplog.records if r.message == "request ended"]
+    assert (ended.outcome, ended.detail) == (outcome, detail)
+
+
+@pytest.mark.parametrize(
+    ("owner", "step"),
+    [
+        (directory_module.Directory, "record_cached_parts"),
+        (attempt_module, "new_attempt"),
+    ],
+)
+def test_request_that_fails_before_its_send_is_not_counted_at_a_server(
+    owner, step, monkeypatch
+):
+    def fail(*_arguments):
+        raise ZeroDivisionError("unforeseen")
+
+    monkeypatch.setattr(owner, step, fail)
+
+    async def check(fake_entry):
+        route = fakes.new_route(services=(catalog.WeightedService("pool"),))
+        with pytest.raises(ZeroDivisionError):
+            await fake_entry.serve(route)
+        for server in fake_entry.directory.server_by_id.values():
+            assert server.outstanding == 0
+
+    _run_fenced(check)
+
+
+@pytest.mark.contains_error
+def test_stream_without_owners_leaves_the_others_told(monkeypatch):
+    sent = []
+    keys = [streams_module.StreamId("org", b"%d" % n).key for n in range(3)]
+
+    def rank(_members, key, _count):
+        if key == keys[0].hex():
+            raise ZeroDivisionError("unforeseen")
+        return [types.SimpleNamespace(address="a:1")]
+
+    async def request(_streams, _address, message):
+        sent.extend(stream.key for stream in message.streams)
+
+    monkeypatch.setattr(members_module.Members, "rank_by_key", rank)
+    monkeypatch.setattr(streams_module.Streams, "_request", request)
+
+    async def check(fake_entry):
+        origin = streams_module.Origin("svc", None)
+        for number in range(3):
+            stream_id = streams_module.StreamId("org", b"%d" % number)
+            fake_entry.streams.begin(stream_id, origin, ["svc"])
+        await trio.sleep(1)
+        assert sent == keys[1:]
+
+    _run_fenced(check)
