--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,6 +23,7 @@
 from bench import deployment as deployment_module
 from bench import fleet as fleet_module
 from bench.standins import platform as platform_module
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import messages
 from greengagetrack.connection.platform import base as platform_base
 from greengagetrack.connection import seal
@@ -128,12 +129,12 @@
 
 
 def _new_report(name, number):
-    return messages.Report(
+    return agent_messages.Report(
         agent=name,
         incarnation="0001796350000-0a1b2c3d",
         number=number,
         service="writer",
-        load=messages.Load(8, 5, 2, 180.5, 410.0),
+        load=agent_messages.Load(8, 5, 2, 180.5, 410.0),
         table_version=990,
         model="sheet-writer",
     )
@@ -176,8 +177,8 @@
 def _measure_queue():
     queue = fair_queue.new_fair_queue()
     submits = [
-        messages.Submit(
-            messages.AttemptId("e", index),
+        agent_messages.Submit(
+            agent_messages.AttemptId("e", index),
             "i",
             "s",
             5000,
@@ -208,7 +209,9 @@
 
 def _measure_chunks():
     tokens = ["abcd "] * TOKENS_PER_CHUNK
-    chunk = messages.Chunk("started", 100, tokens, load=messages.Load())
+    chunk = agent_messages.Chunk(
+        "started", 100, tokens, load=agent_messages.Load()
+    )
 
     def encode_and_decode():
         sealed = KEY_RING.seal(messages.encode(chunk))
@@ -299,8 +302,12 @@
 def _new_records(count):
     return [
         record_module.new_record(
-            messages.Submit(
-                messages.AttemptId("e", index), "i", "s", 5000, b"x" * 400
+            agent_messages.Submit(
+                agent_messages.AttemptId("e", index),
+                "i",
+                "s",
+                5000,
+                b"x" * 400,
             )
         )
         for index in range(count)
--- a/greengagetrack/process/agent.py
+++ b/greengagetrack/process/agent.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import messages
 from greengagetrack.process import attempts
 from greengagetrack.process import orders
@@ -60,15 +61,15 @@
 
     async def handle(self, message):
         """Return the reply to one message of a peer."""
-        if isinstance(message, messages.Submit):
+        if isinstance(message, agent_messages.Submit):
             return await self.submit(message)
-        if isinstance(message, messages.Pull):
+        if isinstance(message, agent_messages.Pull):
             return await self.pull(message)
-        if isinstance(message, messages.Withdraw):
+        if isinstance(message, agent_messages.Withdraw):
             return self.withdraw(message)
-        if isinstance(message, messages.IssueTicket):
+        if isinstance(message, agent_messages.IssueTicket):
             return self._issue_ticket(message)
-        if isinstance(message, messages.PromiseRequest):
+        if isinstance(message, agent_messages.PromiseRequest):
             return self.order_book.promise(message)
         return messages.Rejected("an agent does not answer this message")
 
@@ -78,7 +79,9 @@
             # The previous agent process may have run an earlier copy.
             return _refuse_unknown(_Reason.AGENT_RESTARTED)
         for number in submit.acknowledged:
-            self._acknowledge(messages.AttemptId(submit.attempt.entry, number))
+            self._acknowledge(
+                agent_messages.AttemptId(submit.attempt.entry, number)
+            )
         record = self.attempt_log.get_record(submit.attempt)
         if record is None:
             refusal = self._find_refusal(submit)
@@ -203,20 +206,20 @@
         """Withdraw an attempt; return whether it never ran and never will."""
         # No await: the attempt must not start during the withdrawal.
         if withdraw.incarnation != self.incarnation:
-            return messages.WithdrawReply(False)
+            return agent_messages.WithdrawReply(False)
         record = self.attempt_log.get_record(withdraw.attempt)
         # Nobody requests its result any more, so a drain need not wait.
         self._delivered.add(withdraw.attempt)
         if record is None:
-            return messages.WithdrawReply(
+            return agent_messages.WithdrawReply(
                 self._withdraw_unknown(withdraw.attempt)
             )
         if record.withdraw():
             self.order_book.release(record)
-            return messages.WithdrawReply(True)
+            return agent_messages.WithdrawReply(True)
         if record.submit.is_repeatable:
             self.runner.cancel(record)
-        return messages.WithdrawReply(False)
+        return agent_messages.WithdrawReply(False)
 
     def _withdraw_unknown(self, attempt):
         """Withdraw an attempt whose `Submit` may arrive after this."""
@@ -234,7 +237,7 @@
 
     def _issue_ticket(self, request):
         if self.is_refusing() or request.service != self.service:
-            return messages.Ticket(failure=_Reason.DRAINING)
+            return agent_messages.Ticket(failure=_Reason.DRAINING)
         return self.order_book.issue_ticket(request)
 
     async def run(self):
@@ -289,7 +292,7 @@
 
 
 def _refuse(reason, ran, retry_after_ms=0):
-    return messages.Chunk(
+    return agent_messages.Chunk(
         state=record_module.State.REFUSED,
         offset=0,
         is_done=True,
--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct.decisions import blame
 from greengagetrack.process.direct.decisions import crash_evidence
 
@@ -173,9 +173,9 @@
         sound_s_by_part = evidence.get_sound_times(
             parts | holds.keys() | disputed
         )
-        return messages.CrashNews(
+        return direct_messages.CrashNews(
             crashed=[
-                messages.CrashedRequest(
+                direct_messages.CrashedRequest(
                     crashed.lifetime,
                     _to_age_ms(crashed.crashed_s, now_s),
                     crashed.suspect.request_id,
@@ -185,7 +185,7 @@
                 for crashed in crashed_requests
             ],
             holds=[
-                messages.PartHold(
+                direct_messages.PartHold(
                     part,
                     _to_age_ms(hold.since_s, now_s),
                     _to_age_ms(hold.seen_s, now_s),
@@ -193,7 +193,7 @@
                 for part, hold in holds.items()
             ],
             sound=[
-                messages.SoundPart(part, _to_age_ms(sound_s, now_s))
+                direct_messages.SoundPart(part, _to_age_ms(sound_s, now_s))
                 for part, sound_s in sound_s_by_part.items()
             ],
         )
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -9,7 +9,7 @@
 import trio
 
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import limit_news
@@ -23,7 +23,7 @@
 class CentreRecord(msgspec.Struct):
     """The last digest of another data centre, and when it was created."""
 
-    digest: messages.CentreDigest
+    digest: direct_messages.CentreDigest
     created_s: float
 
 
@@ -104,7 +104,7 @@
     def _new_common_digest(self):
         age_s = self._lease.get_age_s()
         newest = self._catalog_watcher.newest
-        return messages.EntryDigest(
+        return direct_messages.EntryDigest(
             name=self._members.name,
             address=self._own_address,
             data_centre=self._members.data_centre,
@@ -125,7 +125,7 @@
 
     def _new_centre(self):
         work = self._get_centre_work()
-        return messages.CentreDigest(
+        return direct_messages.CentreDigest(
             data_centre=self._members.data_centre,
             age_ms=0,
             members=self._members.get_local_members(
@@ -245,7 +245,7 @@
 
 def new_pool_wait(service, waits):
     """Return the message about the `PoolWaits` of a service."""
-    return messages.PoolWait(
+    return direct_messages.PoolWait(
         service,
         _to_ms(waits.base_s),
         [
--- a/greengagetrack/process/direct/limit_news.py
+++ b/greengagetrack/process/direct/limit_news.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import server_limit
 
 MS = 1000
@@ -17,8 +17,8 @@
     named = server.limit.named
     limit_per_s = named.limit_per_s
     if limit_per_s is not None:
-        limit_per_s = min(limit_per_s, messages.LIMIT_MAX_PER_S)
-    return messages.ServerLimit(
+        limit_per_s = min(limit_per_s, direct_messages.LIMIT_MAX_PER_S)
+    return direct_messages.ServerLimit(
         server.server_id,
         server.published.incarnation,
         limit_per_s,
--- a/greengagetrack/process/direct/lives.py
+++ b/greengagetrack/process/direct/lives.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 
 # Digests may get lost, so it is told more than once.
 TOLD_S = 5.0
@@ -30,7 +30,7 @@
     first_s: float
     last_s: float
     is_leaving: bool
-    earlier: messages.EarlierLife | None = None
+    earlier: direct_messages.EarlierLife | None = None
     earlier_started_ms: int = 0
 
 
@@ -64,9 +64,11 @@
         life = PeerLife(digest.started_ms, now, now, digest.is_leaving)
         if earlier is not None:
             age_ms = min(
-                int((now - earlier.last_s) * 1000), messages.TIME_MAX_MS
+                int((now - earlier.last_s) * 1000), direct_messages.TIME_MAX_MS
+            )
+            life.earlier = direct_messages.EarlierLife(
+                age_ms, earlier.is_leaving
             )
-            life.earlier = messages.EarlierLife(age_ms, earlier.is_leaving)
             life.earlier_started_ms = earlier.started_ms
         self._life_by_address[digest.address] = life
         return life
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import rendezvous
 
 LOCAL_SILENCE_MAX_S = 1.3
@@ -272,7 +272,7 @@
         Peers are included if they had recent contact, even if they leave.
         """
         now = trio.current_time()
-        own_member = messages.Member(
+        own_member = direct_messages.Member(
             name=self.name,
             address=self._own_address,
             catalog_version=catalog_version,
@@ -280,7 +280,7 @@
             weight=self.weight,
         )
         return [own_member] + [
-            messages.Member(
+            direct_messages.Member(
                 name=peer.name,
                 address=peer.address,
                 age_ms=int((now - peer.last_contact_s) * 1000),
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.connection import handles as handles_module
 from greengagetrack.connection import messages
@@ -110,15 +111,17 @@
 
     async def handle(self, message):
         """Handle a message from a peer and return the reply."""
-        if isinstance(message, messages.EntryDigest):
+        if isinstance(message, direct_messages.EntryDigest):
             return self._handle_digest(message)
-        if isinstance(message, messages.MakePieces):
+        if isinstance(message, direct_messages.MakePieces):
             return await self._make_pieces(message)
-        if isinstance(message, messages.FreeResults):
+        if isinstance(message, direct_messages.FreeResults):
             return self._free_results(message)
-        if isinstance(message, messages.AcquirePermit):
+        if isinstance(message, direct_messages.AcquirePermit):
             return await self.permits.handle(message)
-        if isinstance(message, messages.TellStreams | messages.FindStream):
+        if isinstance(
+            message, direct_messages.TellStreams | direct_messages.FindStream
+        ):
             return self.streams.handle(message)
         return messages.Rejected("an entry does not answer this message")
 
@@ -128,7 +131,7 @@
             return messages.Rejected("an entry does not ask itself")
         self._lives.record(digest)
         # A peer that was unknown so far needs all addresses in the reply.
-        reply = messages.EntryDigestReply(self._new_digest(peer))
+        reply = direct_messages.EntryDigestReply(self._new_digest(peer))
         peer.last_exchange_s = trio.current_time()
         return reply
 
@@ -236,7 +239,7 @@
         sent_s = self._lease.now_s()
         link = self._links.get_link(peer.address)
         reply = await link.request(self._new_digest(peer), REQUEST_TIMEOUT_S)
-        if not isinstance(reply, messages.EntryDigestReply):
+        if not isinstance(reply, direct_messages.EntryDigestReply):
             self._count_missed_reply(peer)
             return
         peer.missed_replies = 0
@@ -293,7 +296,7 @@
             while self._is_reachable(peer):
                 await trio.sleep(LINK_CHECK_S)
             nursery.cancel_scope.cancel()
-        if not isinstance(reply, messages.MakePiecesReply):
+        if not isinstance(reply, direct_messages.MakePiecesReply):
             _log.warning(
                 "pool owner lost",
                 extra={
@@ -313,7 +316,7 @@
 
     async def request_free(self, peer, pool, server_id, handles):
         """Request the owner of a pool to free results."""
-        message = messages.FreeResults(
+        message = direct_messages.FreeResults(
             pool.service, pool.data_centre, server_id, handles
         )
         link = self._links.get_link(peer.address)
@@ -344,7 +347,7 @@
         tasks = _new_tasks(message)
         pool = self.pools.get_pool(message.service, message.data_centre)
         await pool.batcher.make_pieces(tasks)
-        return messages.MakePiecesReply(
+        return direct_messages.MakePiecesReply(
             [_new_piece_result(task) for task in tasks],
             wait=digests_module.new_pool_wait(
                 message.service, pool.batcher.get_waits()
@@ -354,13 +357,13 @@
     def _free_results(self, message):
         pool = self.pools.get_pool(message.service, message.data_centre)
         pool.batcher.free_results(message.server_id, message.handles)
-        return messages.MakePiecesReply([])
+        return direct_messages.MakePiecesReply([])
 
 
 def _new_make_pieces(pool, tasks):
     """Return the message that requests pieces of one stage."""
     first = tasks[0]
-    return messages.MakePieces(
+    return direct_messages.MakePieces(
         pool.service,
         pool.data_centre,
         request_id=first.request_id,
@@ -402,9 +405,9 @@
 
 def _new_piece_result(task):
     if isinstance(task.result, gateway_module.PieceFailure):
-        return messages.PieceResult(failure=str(task.result))
+        return direct_messages.PieceResult(failure=str(task.result))
     server_id = task.server.server_id if task.server else ""
-    return messages.PieceResult(handle=task.result, server_id=server_id)
+    return direct_messages.PieceResult(handle=task.result, server_id=server_id)
 
 
 def _parse_failure(text):
--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import messages
 from greengagetrack.process.direct.decisions import permit_queue
 from greengagetrack.process.direct import limit_news
@@ -118,14 +119,14 @@
         now = trio.current_time()
         if now < self._silent_until_s_by_address.get(owner.address, 0.0):
             return None
-        message = messages.AcquirePermit(
+        message = direct_messages.AcquirePermit(
             limit_news.new_message(server, self._observer),
             priority,
             int(patience_s * MS),
         )
         link = self._links.get_link(owner.address)
         reply = await link.request(message, patience_s + ANSWER_TIMEOUT_S)
-        if not isinstance(reply, messages.PermitReply):
+        if not isinstance(reply, direct_messages.PermitReply):
             self._record_silence(owner, server)
             return None
         return permit_queue.PermitAnswer(
@@ -157,12 +158,14 @@
             return messages.Rejected("no such server")
         limit_news.apply_message(server, message.limit, self._observer)
         if server.limit.per_s is None:
-            return messages.PermitReply(True)
+            return direct_messages.PermitReply(True)
         answer = await self._wait_here(
             server, message.priority, message.patience_ms / MS
         )
         next_wait_s = min(answer.next_wait_s, WAIT_MAX_S)
-        return messages.PermitReply(answer.is_granted, int(next_wait_s * MS))
+        return direct_messages.PermitReply(
+            answer.is_granted, int(next_wait_s * MS)
+        )
 
 
 def new_permits(members, links, directory, observer, generator):
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import stream_records
 
@@ -127,13 +127,13 @@
         """Return the `StreamVersion` that any stream of a service gets."""
         versions = self._directory.versions
         since_s = trio.current_time() - self._get_life_s()
-        return messages.StreamVersion(
+        return direct_messages.StreamVersion(
             versions=sorted(versions.get_versions(service, since_s)),
             is_complete=versions.known_since_s <= since_s,
         )
 
     def _tell(self, organisation, key, record):
-        begun = messages.BegunStream(
+        begun = direct_messages.BegunStream(
             organisation, key, record.service, record.version
         )
         if not self._unsent:
@@ -151,7 +151,7 @@
                     streams_by_address.setdefault(address, []).append(stream)
         for address, streams in streams_by_address.items():
             for start in range(0, len(streams), TOLD_MAX):
-                message = messages.TellStreams(
+                message = direct_messages.TellStreams(
                     streams[start : start + TOLD_MAX]
                 )
                 self._nursery.start_soon(self._request, address, message)
@@ -239,11 +239,13 @@
         """Return the answers of peers; one with a record is enough."""
         answers = []
         key = stream_id.key
-        message = messages.FindStream(stream_id.organisation, key, services[0])
+        message = direct_messages.FindStream(
+            stream_id.organisation, key, services[0]
+        )
 
         async def ask(address):
             reply = await self._request(address, message)
-            if isinstance(reply, messages.StreamVersion):
+            if isinstance(reply, direct_messages.StreamVersion):
                 answers.append(reply)
                 if reply.is_recorded:
                     nursery.cancel_scope.cancel()
@@ -255,7 +257,7 @@
 
     def handle(self, message):
         """Return the reply to a message of a peer about streams."""
-        if isinstance(message, messages.FindStream):
+        if isinstance(message, direct_messages.FindStream):
             return self._answer(message)
         now = trio.current_time()
         self._records.drop_before(now - self._get_life_s())
@@ -264,13 +266,13 @@
                 stream.service, stream.version, now
             )
             self._records.add(stream.organisation, stream.key, record)
-        return messages.StreamVersion()
+        return direct_messages.StreamVersion()
 
     def _answer(self, message):
         record = self._records.find(message.organisation, message.key)
         if record is None:
             return self._get_seen(message.service)
-        return messages.StreamVersion(
+        return direct_messages.StreamVersion(
             recorded=record.version, service=record.service
         )
 
--- a/greengagetrack/process/entry.py
+++ b/greengagetrack/process/entry.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base as link_base
 from greengagetrack.connection import messages
 from greengagetrack.process import admission
@@ -107,30 +108,34 @@
 
     async def handle(self, message):
         """Return the reply to one message of a peer."""
-        if isinstance(message, messages.Report):
+        if isinstance(message, agent_messages.Report):
             return self._handle_report(message)
-        if isinstance(message, messages.Digest):
+        if isinstance(message, agent_messages.Digest):
             return self._handle_digest(message)
-        if isinstance(message, messages.LeaseRequest):
+        if isinstance(message, agent_messages.LeaseRequest):
             return await self.limit_owner.handle_lease_request(message)
-        if isinstance(message, messages.HandOverLimits):
+        if isinstance(message, agent_messages.HandOverLimits):
             self.limit_owner.relinquish(message.entry)
-            return messages.Acknowledgement(self.table_updater.get_version())
-        if isinstance(message, messages.FetchManifest):
+            return agent_messages.Acknowledgement(
+                self.table_updater.get_version()
+            )
+        if isinstance(message, agent_messages.FetchManifest):
             return self.table_updater.get_manifest()
-        if isinstance(message, messages.FetchDocument):
+        if isinstance(message, agent_messages.FetchDocument):
             return self.table_updater.get_document(message)
         return messages.Rejected("an entry does not answer this message")
 
     def _handle_report(self, report):
         self.fleet.apply_report(report)
         self._record_table_version(report.agent, report.table_version)
-        return messages.Acknowledgement(self.table_updater.get_version())
+        return agent_messages.Acknowledgement(self.table_updater.get_version())
 
     def _handle_digest(self, digest):
         vm = self.vm_view.vm_by_name.get(digest.entry)
         if vm is None:
-            return messages.Acknowledgement(self.table_updater.get_version())
+            return agent_messages.Acknowledgement(
+                self.table_updater.get_version()
+            )
         own_data_centre = self.place.data_centre
         report_timeout_s = gossip.get_report_timeout_s(
             self.vm_view, own_data_centre, vm.data_centre
@@ -141,7 +146,7 @@
             digest.unchanged, report_timeout_s, is_from_delegate
         )
         self._record_table_version(digest.entry, digest.table_version)
-        return messages.Acknowledgement(
+        return agent_messages.Acknowledgement(
             self.table_updater.get_version(), unknown
         )
 
@@ -311,7 +316,7 @@
             if choice is None:
                 break
             excluded.add(choice.agent.name)
-            message = messages.IssueTicket(
+            message = agent_messages.IssueTicket(
                 incarnation=choice.agent.incarnation,
                 service=stage.stage.service,
                 pipeline=pipeline_name,
@@ -319,7 +324,7 @@
             )
             link = self._links.get_link(choice.agent.address)
             reply = await link.request(message, TICKET_TIMEOUT_S)
-            if isinstance(reply, messages.Ticket) and reply.token:
+            if isinstance(reply, agent_messages.Ticket) and reply.token:
                 return reply.token
             if isinstance(reply, link_base.Lost):
                 choice.agent.record_failure()
--- a/greengagetrack/process/fleet.py
+++ b/greengagetrack/process/fleet.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.version import rendezvous
 
 REPORT_TIMEOUT_S = 2.5
@@ -65,7 +65,7 @@
         self.is_from_delegate = False
         self.report_timeout_s = REPORT_TIMEOUT_S
         self.is_draining = False
-        self.load = messages.Load()
+        self.load = agent_messages.Load()
         self.model = ""
         self.prefixes = frozenset()
         self.sent_at_s = []
@@ -315,7 +315,7 @@
 
 
 def _get_state(agent):
-    return messages.AgentState(
+    return agent_messages.AgentState(
         agent=agent.name,
         incarnation=agent.incarnation,
         number=agent.report_number,
--- a/greengagetrack/process/gossip.py
+++ b/greengagetrack/process/gossip.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.process import fleet as fleet_module
 from greengagetrack.version import rendezvous
 
@@ -127,7 +127,7 @@
             if sent.get(state.agent) != signature_by_agent[state.agent]
         ]
         changed_names = {state.agent for state in changed}
-        digest = messages.Digest(
+        digest = agent_messages.Digest(
             entry=self._place.name,
             incarnation=self._place.incarnation,
             table_version=self._table_updater.get_version(),
@@ -140,7 +140,7 @@
         )
         link = self._links.get_link(address)
         reply = await link.request(digest, REQUEST_TIMEOUT_S)
-        if isinstance(reply, messages.Acknowledgement):
+        if isinstance(reply, agent_messages.Acknowledgement):
             self._record_sent(address, signature_by_agent, reply.unknown)
             self._table_updater.record_peer_version(
                 reply.table_version, address
--- a/greengagetrack/process/limit_owner.py
+++ b/greengagetrack/process/limit_owner.py
@@ -9,8 +9,8 @@
 
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
 from greengagetrack.process import buckets
 from greengagetrack.version import rendezvous
 
@@ -141,10 +141,10 @@
         address = self._vm_view.get_address(entry)
         if address is None:
             return
-        request = messages.HandOverLimits(entry=self._name)
+        request = agent_messages.HandOverLimits(entry=self._name)
         link = self._links.get_link(address)
         reply = await link.request(request, HANDOVER_TIMEOUT_S)
-        if isinstance(reply, messages.Acknowledgement):
+        if isinstance(reply, agent_messages.Acknowledgement):
             self._relinquished_by.add(entry)
             self._delay_grants()
 
@@ -154,7 +154,7 @@
 
     async def handle_lease_request(self, request):
         """Return the reply to a lease request of an entry or another owner."""
-        refusal = messages.LeaseReply(0.0, 0, RETRY_MIN_MS * 4)
+        refusal = agent_messages.LeaseReply(0.0, 0, RETRY_MIN_MS * 4)
         limit = self._get_limit(request)
         if limit is None or not self.may_grant(request.key):
             return refusal
@@ -173,8 +173,8 @@
             account.bucket.add(granted)
             wait_s = account.bucket.get_wait_s(1.0)
             retry_ms = max(RETRY_MIN_MS, int(wait_s * 1000))
-            return messages.LeaseReply(0.0, 0, retry_ms)
-        return messages.LeaseReply(granted, int(LEASE_S * 1000))
+            return agent_messages.LeaseReply(0.0, 0, retry_ms)
+        return agent_messages.LeaseReply(granted, int(LEASE_S * 1000))
 
     def _get_limit(self, request):
         """Return this region's share of the limit, or None if unknown."""
@@ -223,13 +223,13 @@
         )
         granted = max(0, min(int(request.amount), max(1, limit) - leased))
         account.slot_leases[request.entry] = (granted, now + SLOT_LEASE_S)
-        return messages.LeaseReply(granted, int(SLOT_LEASE_S * 1000))
+        return agent_messages.LeaseReply(granted, int(SLOT_LEASE_S * 1000))
 
     def _lend(self, account, request):
         available = max(0.0, account.bucket.get_level())
         amount = min(request.amount, available * LOAN_SHARE)
         granted = account.bucket.acquire_up_to(amount)
-        return messages.LeaseReply(granted, int(LEASE_S * 1000))
+        return agent_messages.LeaseReply(granted, int(LEASE_S * 1000))
 
     async def _borrow(self, account, request):
         """Request unused credit from the owners in other regions.
@@ -253,7 +253,7 @@
         address = self._vm_view.get_address(owner) if owner else None
         if address is None:
             return 0.0
-        loan_request = messages.LeaseRequest(
+        loan_request = agent_messages.LeaseRequest(
             key=request.key,
             entry=self._name,
             kind=request.kind,
--- a/greengagetrack/process/limits.py
+++ b/greengagetrack/process/limits.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
 from greengagetrack.process import buckets
 from greengagetrack.process import limit_owner
 from greengagetrack.request import outcome
@@ -272,7 +272,7 @@
 
     async def _request_lease(self, key, kind, amount):
         owner = self._owner.get_owner(key)
-        request = messages.LeaseRequest(
+        request = agent_messages.LeaseRequest(
             key=key, entry=self._name, kind=kind, amount=amount
         )
         if owner is None:
--- a/greengagetrack/process/orders.py
+++ b/greengagetrack/process/orders.py
@@ -12,8 +12,8 @@
 import msgspec
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
 from greengagetrack.request import outcome
 from greengagetrack.request import ticket as ticket_module
 from greengagetrack.version import rendezvous
@@ -89,7 +89,7 @@
     def issue_ticket(self, request):
         """Return a ticket for one order at this agent process."""
         if request.incarnation != self._incarnation:
-            return messages.Ticket(failure=_Reason.AGENT_RESTARTED)
+            return agent_messages.Ticket(failure=_Reason.AGENT_RESTARTED)
         body = ticket_module.TicketBody(
             service=request.service,
             pipeline=request.pipeline,
@@ -100,7 +100,7 @@
             issued_s=trio.current_time(),
         )
         token = ticket_module.write_ticket(body, self._key_ring)
-        return messages.Ticket(token=token)
+        return agent_messages.Ticket(token=token)
 
     async def claim(self, submit, record):
         """Return `Run`, `Join` or `Deny` for an order."""
@@ -248,7 +248,7 @@
         """Return None if all agents that could run `key` promise not to."""
         ranked = rendezvous.rank(key, self._vm_view.get_agents(service))
         promisers = set(ranked[1:2]) | self._get_former_homes(service, key)
-        request = messages.PromiseRequest(service, key, self._agent)
+        request = agent_messages.PromiseRequest(service, key, self._agent)
         for agent in promisers:
             address = self._vm_view.get_address(agent)
             if address is None:
@@ -284,19 +284,21 @@
         # No await: a promise and a claim of one key must not interleave.
         key = request.key
         if ("key", key) in self._order_by_id:
-            return messages.Promise(False, _Reason.KEY_REUSED)
+            return agent_messages.Promise(False, _Reason.KEY_REUSED)
         if self.is_in_start_window():
-            return messages.Promise(False, _Reason.ORDER_TOO_RECENT_START)
+            return agent_messages.Promise(
+                False, _Reason.ORDER_TOO_RECENT_START
+            )
         asker, _expires_s = self._promise_by_key.get(key, (request.asker, 0))
         if asker != request.asker:
-            return messages.Promise(False, _Reason.KEY_PROMISED)
+            return agent_messages.Promise(False, _Reason.KEY_PROMISED)
         if len(self._promise_by_key) >= PROMISES_MAX:
-            return messages.Promise(False, _Reason.ORDER_BOOK_FULL)
+            return agent_messages.Promise(False, _Reason.ORDER_BOOK_FULL)
         expires_s = (
             trio.current_time() + PROMISE_WINDOW_FACTOR * self._window_s
         )
         self._promise_by_key[key] = (request.asker, expires_s)
-        return messages.Promise(True)
+        return agent_messages.Promise(True)
 
 
 def new_order_book(agent, incarnation, key_ring, vm_view, links, window_s):
--- a/greengagetrack/process/reporter.py
+++ b/greengagetrack/process/reporter.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.process import gossip
 
 HEARTBEAT_S = 1.0
@@ -58,7 +58,7 @@
 
     def _new_report(self):
         agent = self._agent
-        return messages.Report(
+        return agent_messages.Report(
             agent=agent.name,
             incarnation=agent.incarnation,
             number=next(self._report_numbers),
@@ -73,7 +73,7 @@
     async def _send(self, address, report):
         link = self._links.get_link(address)
         reply = await link.request(report, REQUEST_TIMEOUT_S)
-        if isinstance(reply, messages.Acknowledgement):
+        if isinstance(reply, agent_messages.Acknowledgement):
             self._table_updater.record_peer_version(
                 reply.table_version, address
             )
--- a/greengagetrack/process/runner.py
+++ b/greengagetrack/process/runner.py
@@ -4,8 +4,8 @@
 
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection.backend import base
-from greengagetrack.connection import messages
 from greengagetrack.process import fair_queue
 from greengagetrack.request import outcome
 
@@ -63,7 +63,7 @@
     def get_load(self):
         """Return the load to report to entries."""
         backlog_by_priority = self._queue.get_backlog_by_priority()
-        return messages.Load(
+        return agent_messages.Load(
             slots=self.slots if self.is_backend_up else 0,
             running=self.running,
             queued=len(self._queue),
--- a/greengagetrack/process/tables.py
+++ b/greengagetrack/process/tables.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.version import checks
 from greengagetrack.version import loader
 from greengagetrack.version import rendezvous
@@ -231,8 +231,10 @@
     async def fetch(self, address):
         """Fetch the table of a peer; return whether the peer replied."""
         link = self._links.get_link(address)
-        reply = await link.request(messages.FetchManifest(), FETCH_TIMEOUT_S)
-        if not isinstance(reply, messages.Manifest):
+        reply = await link.request(
+            agent_messages.FetchManifest(), FETCH_TIMEOUT_S
+        )
+        if not isinstance(reply, agent_messages.Manifest):
             return False
         if reply.version <= self.get_version():
             return True
@@ -244,9 +246,9 @@
             return True
 
         async def read(key, digest):
-            request = messages.FetchDocument(key=key, digest=digest)
+            request = agent_messages.FetchDocument(key=key, digest=digest)
             document = await link.request(request, FETCH_TIMEOUT_S)
-            if isinstance(document, messages.Document) and document.text:
+            if isinstance(document, agent_messages.Document) and document.text:
                 return document.text
             return None
 
@@ -308,8 +310,8 @@
     def get_manifest(self):
         """Return the reply to `FetchManifest`."""
         if self.table is None:
-            return messages.Manifest(0, b"")
-        return messages.Manifest(self.table.version, self.table.manifest)
+            return agent_messages.Manifest(0, b"")
+        return agent_messages.Manifest(self.table.version, self.table.manifest)
 
     def get_document(self, request):
         """Return the reply to `FetchDocument`."""
@@ -318,7 +320,7 @@
             text = self.table.text_by_key.get(request.key, b"")
         if text and loader.get_digest(text) != request.digest:
             text = b""
-        return messages.Document(text)
+        return agent_messages.Document(text)
 
 
 def new_table_updater(
--- a/greengagetrack/request/attempt.py
+++ b/greengagetrack/request/attempt.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
 from greengagetrack.request import outcome as outcome_module
 
 SUBMIT_WAIT_MS = 250
@@ -58,7 +58,7 @@
         outcome = await self._submit_until_answered()
         if outcome is None:
             outcome = await self._pull_until_end()
-        if isinstance(outcome, messages.Chunk):
+        if isinstance(outcome, agent_messages.Chunk):
             self.is_confirmed = True
             return self._get_chunk_outcome(outcome)
         return outcome
@@ -70,7 +70,7 @@
             if self._deadline.is_past():
                 return await self.withdraw(_Reason.DEADLINE_PASSED)
             reply = await self._request(self._submit, self._submit.wait_ms)
-            if isinstance(reply, messages.Chunk):
+            if isinstance(reply, agent_messages.Chunk):
                 return self._process_chunk(reply)
             if isinstance(reply, base.NotSent) and not self.maybe_sent:
                 return outcome_module.Refused(_Reason.LINK_DOWN)
@@ -86,14 +86,14 @@
             if self._deadline.is_past():
                 return await self.withdraw(_Reason.DEADLINE_PASSED)
             await trio.sleep(PULL_PERIOD_S)
-            pull = messages.Pull(
+            pull = agent_messages.Pull(
                 self._submit.attempt,
                 self._submit.incarnation,
                 self.offset,
                 min(PULL_WAIT_MS, self._deadline.get_left_ms()),
             )
             reply = await self._request(pull, pull.wait_ms)
-            if isinstance(reply, messages.Chunk):
+            if isinstance(reply, agent_messages.Chunk):
                 unanswered_since_s = None
                 outcome = self._process_chunk(reply)
                 if outcome is not None:
@@ -155,11 +155,11 @@
         """Withdraw the attempt; return its outcome."""
         if not self.maybe_sent:
             return outcome_module.Refused(reason)
-        withdraw = messages.Withdraw(
+        withdraw = agent_messages.Withdraw(
             self._submit.attempt, self._submit.incarnation
         )
         reply = await self._link.request(withdraw, WITHDRAW_TIMEOUT_S)
-        self.is_confirmed = isinstance(reply, messages.WithdrawReply)
+        self.is_confirmed = isinstance(reply, agent_messages.WithdrawReply)
         if self.is_confirmed and reply.is_withdrawn and self._proves_not_run():
             return outcome_module.Refused(reason)
         return outcome_module.Unknown(reason)
--- a/greengagetrack/request/pipeline.py
+++ b/greengagetrack/request/pipeline.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.process import routing
 from greengagetrack.request import outcome as outcome_module
 from greengagetrack.request import stage as stage_module
@@ -166,7 +166,7 @@
         """Return the task pinned to the agent of its order."""
         if not request.has_order_claim():
             return task
-        task.order = messages.OrderClaim(
+        task.order = agent_messages.OrderClaim(
             organisation=request.organisation,
             fingerprint=get_fingerprint(request.pipeline, request.body),
             ticket=request.ticket,
--- a/greengagetrack/request/record.py
+++ b/greengagetrack/request/record.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 
 
 class State(enum.StrEnum):
@@ -140,7 +140,7 @@
     def get_chunk(self, offset, load=None):
         """Return the tokens after `offset` and the state, as a message."""
         skipped = max(0, offset - self.first_offset)
-        return messages.Chunk(
+        return agent_messages.Chunk(
             state=self.state,
             offset=max(offset, self.first_offset),
             tokens=self.tokens[skipped:],
--- a/greengagetrack/request/stage.py
+++ b/greengagetrack/request/stage.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.process import routing
 from greengagetrack.request import attempt as attempt_module
 from greengagetrack.request import outcome as outcome_module
@@ -35,7 +35,7 @@
     payload: bytes
     organisation: str
     limits: object
-    order: messages.OrderClaim | None = None
+    order: agent_messages.OrderClaim | None = None
     pinned: object = None
     prefix: int | None = None
 
@@ -256,7 +256,7 @@
     def _record_outcome(self, attempt, outcome):
         agent = attempt.choice.agent
         spent_ms = (trio.current_time() - attempt.started_s) * 1000
-        if isinstance(outcome, messages.Chunk):
+        if isinstance(outcome, agent_messages.Chunk):
             agent.record_success(spent_ms)
             self._services.metrics.count_engine_ms(
                 self._task, outcome.engine_ms
@@ -345,8 +345,8 @@
         task = self._task
         row = task.limits.row
         acknowledged = self._services.acknowledged_by_agent.pop(agent.name, [])
-        return messages.Submit(
-            attempt=messages.AttemptId(
+        return agent_messages.Submit(
+            attempt=agent_messages.AttemptId(
                 self._services.entry, next(self._services.attempt_numbers)
             ),
             incarnation=agent.incarnation,
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -8,9 +8,10 @@
 import trio
 
 from bench import ports
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
 from greengagetrack.connection import contained_error
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import batcher as batcher_module
@@ -160,9 +161,9 @@
     address = f"127.0.0.1:{port}"
 
     async def handle(message):
-        if isinstance(message, messages.FetchManifest):
+        if isinstance(message, agent_messages.FetchManifest):
             raise ZeroDivisionError("unforeseen")
-        return messages.PermitReply(True)
+        return direct_messages.PermitReply(True)
 
     async def main():
         containment = containment_module.new_containment(Observer(boundaries))
@@ -173,12 +174,12 @@
             with trio.fail_after(5):
                 while not link.is_up():
                     await trio.sleep(0.01)
-            failed = await link.request(messages.FetchManifest(), 1.0)
+            failed = await link.request(agent_messages.FetchManifest(), 1.0)
             assert failed == base.Lost("unforeseen error")
             answered = await link.request(
-                messages.FetchDocument("k", "d"), 1.0
+                agent_messages.FetchDocument("k", "d"), 1.0
             )
-            assert answered == messages.PermitReply(True)
+            assert answered == direct_messages.PermitReply(True)
             link.close()
             nursery.cancel_scope.cancel()
 
@@ -267,7 +268,7 @@
     monkeypatch,
 ):
     told = []
-    new_begun_stream = messages.BegunStream
+    new_begun_stream = direct_messages.BegunStream
 
     def fail_first(organisation, key, *rest):
         told.append(key)
@@ -275,7 +276,7 @@
             raise ZeroDivisionError("unforeseen")
         return new_begun_stream(organisation, key, *rest)
 
-    monkeypatch.setattr(messages, "BegunStream", fail_first)
+    monkeypatch.setattr(direct_messages, "BegunStream", fail_first)
 
     async def check(fake_entry):
         servers = [fakes.new_server("s1", software_version="v1")]
--- a/tests/direct/test_fuzz_readers.py
+++ b/tests/direct/test_fuzz_readers.py
@@ -9,6 +9,7 @@
 import trio
 
 from bench.standins import site as site_module
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection.http import client
 from greengagetrack.connection.http import events
 from greengagetrack.connection.http import server as server_module
@@ -135,7 +136,7 @@
 @hypothesis.given(
     mutated_bytes(
         messages.encode(
-            messages.EntryDigest(
+            direct_messages.EntryDigest(
                 name="a",
                 address="a:1",
                 data_centre="dc",
--- a/tests/direct/test_lives.py
+++ b/tests/direct/test_lives.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import lives as lives_module
 from tests.direct import fakes
@@ -59,7 +59,7 @@
 
 def test_late_digest_of_an_ended_life_begins_no_other():
     def new_digest(started_ms, is_leaving=False):
-        return messages.EntryDigest(
+        return direct_messages.EntryDigest(
             "a-1", "a-1:1", "a", started_ms=started_ms, is_leaving=is_leaving
         )
 
@@ -70,7 +70,7 @@
         await trio.sleep(3)
         for started_ms in (7, 5, 7):
             lives.record(new_digest(started_ms))
-        earlier = messages.EarlierLife(3000, True)
+        earlier = direct_messages.EarlierLife(3000, True)
         assert lives.get_earlier("a-1:1") == earlier
         await trio.sleep(lives_module.TOLD_S + 1)
         assert lives.get_earlier("a-1:1") is None
--- a/tests/direct/test_odd_messages.py
+++ b/tests/direct/test_odd_messages.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import gateway
 from greengagetrack.connection import messages
 from greengagetrack.connection import nng
@@ -16,12 +18,12 @@
 from tests.direct import test_peers
 
 HUGE = 2**64 - 1
-LIMIT = messages.ServerLimit("s1", 0, 2.0, 0, "other/1", 1)
-MEMBER = messages.Member("b-1", "b-1:1")
-CENTRE = messages.CentreDigest("b", 0, [MEMBER])
-HOLD = messages.PartHold("p", 0, 0)
-CRASHED = messages.CrashedRequest("s1/0", 0, "r", ["p"], True)
-SOUND = messages.SoundPart("p", 0)
+LIMIT = direct_messages.ServerLimit("s1", 0, 2.0, 0, "other/1", 1)
+MEMBER = direct_messages.Member("b-1", "b-1:1")
+CENTRE = direct_messages.CentreDigest("b", 0, [MEMBER])
+HOLD = direct_messages.PartHold("p", 0, 0)
+CRASHED = direct_messages.CrashedRequest("s1/0", 0, "r", ["p"], True)
+SOUND = direct_messages.SoundPart("p", 0)
 ODD_DIGESTS = [
     {"weight": math.nan},
     {"weight": math.inf},
@@ -33,13 +35,13 @@
     {"catalog_version": HUGE},
     {"peers_known": HUGE},
     {"started_ms": -1},
-    {"earlier_life": messages.EarlierLife(-1, False)},
-    {"earlier_life": messages.EarlierLife(HUGE, False)},
+    {"earlier_life": direct_messages.EarlierLife(-1, False)},
+    {"earlier_life": direct_messages.EarlierLife(HUGE, False)},
     {"loads": [("s1", HUGE, 0)]},
     {"loads": [("s1", -1, 0)]},
     {"loads": [("s1", 1, HUGE)]},
-    {"waits": [messages.PoolWait("s", HUGE)]},
-    {"waits": [messages.PoolWait("s", 0, [(HUGE, 0, 0)])]},
+    {"waits": [direct_messages.PoolWait("s", HUGE)]},
+    {"waits": [direct_messages.PoolWait("s", 0, [(HUGE, 0, 0)])]},
 ] + [
     {field: [msgspec.structs.replace(sound, **{name: value})]}
     for field, sound, name, value in (
@@ -56,13 +58,13 @@
             "centres",
             CENTRE,
             "members",
-            [messages.Member("b", "b:1", age_ms=-1)],
+            [direct_messages.Member("b", "b:1", age_ms=-1)],
         ),
         (
             "centres",
             CENTRE,
             "members",
-            [messages.Member("b", "b:1", weight=math.nan)],
+            [direct_messages.Member("b", "b:1", weight=math.nan)],
         ),
         ("centres", CENTRE, "loads", [("s1", HUGE, 0)]),
     )
@@ -73,11 +75,11 @@
     for version in (-1, HUGE)
 ]
 ODD_NEWS = [
-    messages.CrashNews(holds=[messages.PartHold("p", HUGE, 0)]),
-    messages.CrashNews(holds=[messages.PartHold("p", 0, -1)]),
-    messages.CrashNews(sound=[messages.SoundPart("p", -1)]),
-    messages.CrashNews(
-        crashed=[messages.CrashedRequest("s1/0", -1, "r", ["p"], True)]
+    direct_messages.CrashNews(holds=[direct_messages.PartHold("p", HUGE, 0)]),
+    direct_messages.CrashNews(holds=[direct_messages.PartHold("p", 0, -1)]),
+    direct_messages.CrashNews(sound=[direct_messages.SoundPart("p", -1)]),
+    direct_messages.CrashNews(
+        crashed=[direct_messages.CrashedRequest("s1/0", -1, "r", ["p"], True)]
     ),
 ]
 ODD_ADDRESSES = [
@@ -119,7 +121,7 @@
 
 
 def _new_digest(**fields):
-    return messages.EntryDigest("a-1", "a-1:1", "a", **fields)
+    return direct_messages.EntryDigest("a-1", "a-1:1", "a", **fields)
 
 
 def _pass(node, digest):
@@ -140,7 +142,7 @@
 def test_odd_digest_is_refused_and_the_next_one_read(fields):
     def check(node):
         assert not _pass(node, _new_digest(**fields))
-        sound = messages.CrashNews([CRASHED], [HOLD], [SOUND])
+        sound = direct_messages.CrashNews([CRASHED], [HOLD], [SOUND])
         assert _pass(
             node,
             _new_digest(
@@ -168,8 +170,11 @@
 @pytest.mark.parametrize("address", ODD_ADDRESSES)
 @pytest.mark.parametrize("data_centre", ["a", "b"])
 def test_odd_address_in_a_centre_is_never_dialled(data_centre, address):
-    members = [messages.Member("x", address), messages.Member("y", "y:1")]
-    centre = messages.CentreDigest(data_centre, 0, members)
+    members = [
+        direct_messages.Member("x", address),
+        direct_messages.Member("y", "y:1"),
+    ]
+    centre = direct_messages.CentreDigest(data_centre, 0, members)
 
     def check(node):
         assert _pass(node, _new_digest(centres=[centre]))
@@ -182,7 +187,9 @@
 @pytest.mark.parametrize("address", ODD_ADDRESSES)
 def test_digest_from_an_odd_address_is_rejected(address):
     def check(node):
-        digest = messages.EntryDigest("a-1", address, "a", peers=["a-9:1"])
+        digest = direct_messages.EntryDigest(
+            "a-1", address, "a", peers=["a-9:1"]
+        )
         reply = node.peers._handle_digest(digest)
         assert isinstance(reply, messages.Rejected)
         assert address not in node.peers.members.peer_by_address
@@ -195,7 +202,7 @@
 def test_link_to_an_odd_address_is_down_and_raises_nothing(address):
     async def main():
         link = nng.new_link_factory(fakes.KEYS).open_link(address)
-        reply = await link.request(messages.FetchManifest(), 0.1)
+        reply = await link.request(agent_messages.FetchManifest(), 0.1)
         assert isinstance(reply, base.NotSent)
         link.close()
 
@@ -204,7 +211,7 @@
 
 @pytest.mark.parametrize("fields", ODD_PIECES)
 def test_odd_request_for_pieces_is_refused(fields):
-    sound = messages.MakePieces("s", "a", "r", 0, [0], 100, 100)
+    sound = direct_messages.MakePieces("s", "a", "r", 0, [0], 100, 100)
     odd = msgspec.structs.replace(sound, **fields)
     assert messages.decode_request(messages.encode(sound)) == sound
     decoded = messages.decode_request(messages.encode(odd))
@@ -220,10 +227,10 @@
             piece_module.PieceTask("r", 0, number, "k", None)
             for number in range(2)
         ]
-        reply = messages.MakePiecesReply(
+        reply = direct_messages.MakePiecesReply(
             [
-                messages.PieceResult(handle, "s1"),
-                messages.PieceResult("10.0.0.1:80/7f", "s1"),
+                direct_messages.PieceResult(handle, "s1"),
+                direct_messages.PieceResult("10.0.0.1:80/7f", "s1"),
             ]
         )
         node.peers._apply_reply(tasks, reply)
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -8,6 +8,7 @@
 import trio
 
 from greengagetrack.connection import base
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct.decisions import forecast
@@ -406,8 +407,11 @@
         """Make the pieces of `message`."""
         self.requests += 1
         await trio.sleep(self._work_s)
-        made = [messages.PieceResult("h", "s1") for _piece in message.numbers]
-        return messages.MakePiecesReply(made)
+        made = [
+            direct_messages.PieceResult("h", "s1")
+            for _piece in message.numbers
+        ]
+        return direct_messages.MakePiecesReply(made)
 
 
 def _request_from_silent_peer(work_s, down_after_s=None):
--- a/tests/direct/test_permits.py
+++ b/tests/direct/test_permits.py
@@ -6,6 +6,7 @@
 import trio
 
 from greengagetrack.connection import base
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import messages
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import directory as directory_module
@@ -34,7 +35,7 @@
             f"n{index}", f"n{index}:1", "dc-a", 1.0, ()
         )
         for other in range(count):
-            member = messages.Member(f"n{other}", f"n{other}:1", 0, 1)
+            member = direct_messages.Member(f"n{other}", f"n{other}:1", 0, 1)
             if other != index:
                 members.update_peer(member, "dc-a", trio.current_time() + 99)
         directory = directory_module.new_directory(lambda server: None)
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -14,6 +14,7 @@
 import trio
 import trio.testing
 
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import gateway
 from greengagetrack.connection import messages
 from greengagetrack.connection import source
@@ -107,7 +108,7 @@
         )
         for other in self.entry_by_address:
             if other != f"entry-{index}:1":
-                member = messages.Member(name=other, address=other)
+                member = direct_messages.Member(name=other, address=other)
                 entry.members.update_peer(member, "dc", trio.current_time())
 
 
--- a/tests/machines/test_attempts.py
+++ b/tests/machines/test_attempts.py
@@ -7,8 +7,8 @@
 import trio.testing
 
 from bench import runtime as runtime_module
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection.backend import base as backend_base
-from greengagetrack.connection import messages
 from greengagetrack.connection import seal
 from greengagetrack.process import agent as agent_module
 from greengagetrack.process import attempts
@@ -103,8 +103,8 @@
     def submit(self):
         """Send a new attempt."""
         self.number += 1
-        submit = messages.Submit(
-            attempt=messages.AttemptId("e", self.number),
+        submit = agent_messages.Submit(
+            attempt=agent_messages.AttemptId("e", self.number),
             incarnation=str(self.incarnation),
             service="s",
             budget_ms=BUDGET_MS,
@@ -132,13 +132,13 @@
     def withdraw_before_submit(self):
         """Deliver a `Withdraw` before its `Submit`."""
         self.number += 1
-        attempt = messages.AttemptId("e", self.number)
+        attempt = agent_messages.AttemptId("e", self.number)
         incarnation = str(self.incarnation)
-        submit = messages.Submit(
+        submit = agent_messages.Submit(
             attempt, incarnation, "s", BUDGET_MS, b"{}", is_repeatable=False
         )
         self.submit_by_number[self.number] = submit
-        reply = self._send(messages.Withdraw(attempt, incarnation))
+        reply = self._send(agent_messages.Withdraw(attempt, incarnation))
         if reply.is_withdrawn:
             self.reported_not_run.add((incarnation, self.number))
 
@@ -151,7 +151,7 @@
         )
         submit = self.submit_by_number[number]
         reply = self._send(
-            messages.Withdraw(submit.attempt, submit.incarnation)
+            agent_messages.Withdraw(submit.attempt, submit.incarnation)
         )
         if reply.is_withdrawn:
             self.reported_not_run.add((submit.incarnation, number))
@@ -165,7 +165,7 @@
         )
         submit = self.submit_by_number[number]
         chunk = self._send(
-            messages.Pull(submit.attempt, submit.incarnation, 0, 0)
+            agent_messages.Pull(submit.attempt, submit.incarnation, 0, 0)
         )
         self._record_chunk(submit, chunk)
         assert chunk.tokens in ([], ["x "])
--- a/tests/machines/test_limits.py
+++ b/tests/machines/test_limits.py
@@ -12,8 +12,8 @@
 
 from bench import memory
 from bench import runtime as runtime_module
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base as link_base
-from greengagetrack.connection import messages
 from greengagetrack.connection.platform import base as platform_base
 from greengagetrack.process import limit_bound
 from greengagetrack.process import limit_owner
@@ -122,9 +122,9 @@
 
     def _new_handler(self, owner):
         async def handle(message):
-            if isinstance(message, messages.HandOverLimits):
+            if isinstance(message, agent_messages.HandOverLimits):
                 owner.relinquish(message.entry)
-                return messages.Acknowledgement(1)
+                return agent_messages.Acknowledgement(1)
             return await owner.handle_lease_request(message)
 
         return handle
--- a/tests/machines/test_orders.py
+++ b/tests/machines/test_orders.py
@@ -13,9 +13,9 @@
 
 from bench import memory
 from bench import runtime as runtime_module
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection.backend import base as backend_base
 from greengagetrack.connection import base as link_base
-from greengagetrack.connection import messages
 from greengagetrack.connection.platform import base as platform_base
 from greengagetrack.connection import seal
 from greengagetrack.process import agent as agent_module
@@ -154,8 +154,8 @@
 
     def _submit(self, order, name, incarnation, claim):
         self.attempt_count += 1
-        submit = messages.Submit(
-            attempt=messages.AttemptId(f"e{self.attempt_count}", 1),
+        submit = agent_messages.Submit(
+            attempt=agent_messages.AttemptId(f"e{self.attempt_count}", 1),
             incarnation=incarnation,
             service=SERVICE,
             budget_ms=BUDGET_MS,
@@ -185,7 +185,7 @@
             assert not self.executions.get(order), (order, outcome)
 
     def _get_claim(self, order, ticket="", key=""):
-        return messages.OrderClaim("o", order.encode(), ticket, key)
+        return agent_messages.OrderClaim("o", order.encode(), ticket, key)
 
     def _get_current_key(self, name):
         """Return the current key for this name, new after each window."""
@@ -325,7 +325,7 @@
             return
 
         def issue():
-            request = messages.IssueTicket(
+            request = agent_messages.IssueTicket(
                 node.incarnation, SERVICE, "kit", "o"
             )
             return node.process.order_book.issue_ticket(request).token
--- a/tests/unit/test_decoders.py
+++ b/tests/unit/test_decoders.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import msgspec
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection.backend import http as backend_http
 from greengagetrack.connection import messages
 from greengagetrack.connection.platform import base as platform_base
@@ -21,9 +22,11 @@
 EXAMPLES = int(os.environ.get("GREENGAGETRACK_FUZZ_EXAMPLES", "300"))
 KEY_RING = seal.new_key_ring([b"0123456789abcdef"])
 VALID_MESSAGES = (
-    messages.Submit(messages.AttemptId("e", 1), "i", "s", 100, b"{}"),
-    messages.Digest("e", "i", 1, unchanged=[1, 2]),
-    messages.Chunk("started", 0, ["a "], load=messages.Load()),
+    agent_messages.Submit(
+        agent_messages.AttemptId("e", 1), "i", "s", 100, b"{}"
+    ),
+    agent_messages.Digest("e", "i", 1, unchanged=[1, 2]),
+    agent_messages.Chunk("started", 0, ["a "], load=agent_messages.Load()),
 )
 
 fuzz = hypothesis.settings(max_examples=EXAMPLES, deadline=None)
@@ -58,7 +61,7 @@
 
 def test_appended_fields_of_a_newer_message_are_ignored():
     body = msgspec.msgpack.encode(["ask_promise", "s", "k", "a", "new", 7])
-    assert messages.decode_request(body) == messages.PromiseRequest(
+    assert messages.decode_request(body) == agent_messages.PromiseRequest(
         "s", "k", "a"
     )
 
--- a/tests/unit/test_fair_queue.py
+++ b/tests/unit/test_fair_queue.py
@@ -5,14 +5,14 @@
 import trio
 import trio.testing
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.process import fair_queue
 from greengagetrack.request import record
 
 
 def _new_queued_attempt(number, organisation="o", **fields):
-    submit = messages.Submit(
-        messages.AttemptId("e", number),
+    submit = agent_messages.Submit(
+        agent_messages.AttemptId("e", number),
         "i",
         "s",
         1000,
--- a/tests/unit/test_limit_owner.py
+++ b/tests/unit/test_limit_owner.py
@@ -4,8 +4,8 @@
 import trio.testing
 
 from bench import memory
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base as link_base
-from greengagetrack.connection import messages
 from greengagetrack.connection.platform import base as platform_base
 from greengagetrack.process import limit_owner
 from greengagetrack.process import vm_view as vm_view_module
@@ -49,7 +49,7 @@
 
     async def handle(message):
         owner.relinquish(message.entry)
-        return messages.Acknowledgement(1)
+        return agent_messages.Acknowledgement(1)
 
     network.listen(f"{name}:1", handle)
     nursery.start_soon(owner.run_handover)
@@ -62,7 +62,7 @@
 
 
 async def _request_lease(owner):
-    request = messages.LeaseRequest(KEY, "x", limit_owner.KIND_RATE, 5.0)
+    request = agent_messages.LeaseRequest(KEY, "x", limit_owner.KIND_RATE, 5.0)
     return (await owner.handle_lease_request(request)).granted
 
 
--- a/tests/unit/test_names.py
+++ b/tests/unit/test_names.py
@@ -11,7 +11,7 @@
 import trio
 
 from bench import experiment
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import problems
 from greengagetrack.process import metrics as metrics_module
 from greengagetrack.process import orders
@@ -105,15 +105,15 @@
     monkeypatch.setattr(
         orders.OrderBook, "_claim_ticket", lambda self, *args: claim
     )
-    submit = messages.Submit(
-        attempt=messages.AttemptId("entry", 1),
+    submit = agent_messages.Submit(
+        attempt=agent_messages.AttemptId("entry", 1),
         incarnation="i",
         service="s",
         budget_ms=300,
         payload=b"",
         request_id="r",
         organisation="o",
-        order=messages.OrderClaim("o", b"", ticket="t"),
+        order=agent_messages.OrderClaim("o", b"", ticket="t"),
     )
 
     async def claim_order():
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -5,8 +5,8 @@
 import trio
 import trio.testing
 
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
-from greengagetrack.connection import messages
 from greengagetrack.process import admission
 from greengagetrack.process import routing
 from greengagetrack.request import attempt
@@ -130,8 +130,8 @@
 
 async def run_attempt(is_sent):
     """Return the outcome of an attempt over a `ReconnectingLink`."""
-    submit = messages.Submit(
-        attempt=messages.AttemptId("entry", 1),
+    submit = agent_messages.Submit(
+        attempt=agent_messages.AttemptId("entry", 1),
         incarnation="i",
         service="s",
         budget_ms=300,
