Split the HTTP client into modules with one job each

It is now the package `connection/http/client/`: `failures`, `heads`, `persistent_connection`, `call` and `pool`. The code has moved unchanged except that names of other modules are qualified; callers import each name from its new module, and the package itself holds only the docstring.

No change of behaviour.

--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -13,7 +13,7 @@
 
 from bench.soak import site as site_module
 from bench.standins import site as standin_site
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 
 DATA_CENTRES_MIN = 3
 CENTRES_WITH_ENGINES = 3
@@ -144,7 +144,7 @@
     async def _send_request(self, number):
         path, method = TARGETS[number % len(TARGETS)]
         entry = self._generator.choice(self._site.entries)
-        pool = client.new_pool(self._site.nursery)
+        pool = pool_module.new_pool(self._site.nursery)
         with trio.move_on_after(COOL_DOWN_S):
             status, _headers, _body = await standin_site.send_request(
                 pool,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -11,7 +11,7 @@
 from bench.soak import faults as faults_module
 from bench.soak import site as site_module
 from bench.standins import site as standin_site
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
 
 CONSUMER_COUNT = 24
@@ -96,7 +96,7 @@
 
     async def _run_consumer(self, number, end_s):
         generator = random.Random(f"{self._seed}-{number}")
-        pool = client.new_pool(self._site.nursery)
+        pool = pool_module.new_pool(self._site.nursery)
         entry = generator.choice(self._site.entries)
         count = 0
         while trio.current_time() < end_s:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -13,6 +13,7 @@
 from bench import ports as ports_module
 from bench.soak import tcp_proxy as proxy_module
 from bench.standins import site as site_module
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
 
 ENTRY_COUNT = 3
@@ -178,7 +179,7 @@
 
 
 async def _request_readiness(nursery, address):
-    pool = site_module.client.new_pool(nursery)
+    pool = pool_module.new_pool(nursery)
     status = 0
     with trio.move_on_after(READY_CHECK_S):
         answer = await site_module.send_request(
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -15,7 +15,9 @@
 
 from bench.soak import site as site_module
 from bench.standins import site as standin_site
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
 
 EVENT_COUNT = 20
@@ -267,7 +269,7 @@
         if is_lost and self._generator.random() < LOST_SHARE:
             events_max = self._generator.randrange(1, EVENT_COUNT)
         entry = self._generator.choice(self._site.entries)
-        pool = client.new_pool(self._site.nursery)
+        pool = pool_module.new_pool(self._site.nursery)
         with trio.move_on_after(TRY_TIMEOUT_S):
             await _read_stream(
                 pool, entry.caller_address, head, record, events_max
@@ -280,11 +282,11 @@
 async def _read_stream(pool, address, head, record, events_max):
     """Add the events of an answer to a record, and no more than a number."""
     call = await pool.open_call(address, head, standin_site.REQUEST_BODY)
-    if not isinstance(call, client.Call):
+    if not isinstance(call, call_module.Call):
         return
     try:
         response = await call.receive_head(lambda _head: True)
-        if not isinstance(response, client.ResponseHead):
+        if not isinstance(response, heads.ResponseHead):
             return
         if response.status != 200:
             return
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -11,7 +11,10 @@
 import msgspec
 import trio
 
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing
 from greengagetrack.connection.http import numbers
@@ -332,7 +335,7 @@
 
     async def send(self, path, request_id, method=b"POST", key="key-1"):
         """Send a request; return the status, header fields and body."""
-        pool = client.new_pool(self._nursery)
+        pool = pool_module.new_pool(self._nursery)
         try:
             return await send_request(
                 pool, self._address, path, request_id, method, key
@@ -353,7 +356,7 @@
     ]
     if key:
         headers.append((names.API_KEY, key.encode()))
-    return client.RequestHead(method, path.encode(), headers)
+    return heads.RequestHead(method, path.encode(), headers)
 
 
 async def send_request(
@@ -366,17 +369,17 @@
     """
     head = new_request_head(path, request_id, method, key)
     call = await pool.open_call(address, head, REQUEST_BODY)
-    if not isinstance(call, client.Call):
-        is_sent = isinstance(call, client.ResponseFailure)
+    if not isinstance(call, call_module.Call):
+        is_sent = isinstance(call, failures.ResponseFailure)
         return 0 if is_sent else NOT_SENT, [], call.detail.encode()
     try:
         response_head = await call.receive_head(lambda _head: True)
-        if isinstance(response_head, client.ResponseFailure):
+        if isinstance(response_head, failures.ResponseFailure):
             return 0, [], response_head.detail.encode()
         body = b""
         while True:
             part = await call.receive_part()
-            if isinstance(part, client.ResponseFailure):
+            if isinstance(part, failures.ResponseFailure):
                 return 0, response_head.headers, part.detail.encode()
             if part is None:
                 return response_head.status, response_head.headers, body
--- /dev/null
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -0,0 +1,71 @@
+"""A persistent connection to a server."""
+
+import socket
+
+import trio
+
+from greengagetrack.connection.http import matching
+
+DEFAULT_IDLE_MAX_S = 4.0
+TCP_USER_TIMEOUT_MS = 1500
+
+
+class Connection:
+    """A connection to a server, with its idle time and request count.
+
+    Only requests of one `lane` are sent over it.
+    """
+
+    __slots__ = (
+        "address",
+        "idle_max_s",
+        "idle_since_s",
+        "lane",
+        "matcher",
+        "opened_s",
+        "request_count",
+        "stream",
+    )
+
+    def __init__(self, address, lane, stream):
+        self.address = address
+        self.lane = lane
+        self.stream = stream
+        self.matcher = matching.new_matcher()
+        self.opened_s = self.idle_since_s = trio.current_time()
+        self.idle_max_s = DEFAULT_IDLE_MAX_S
+        self.request_count = 0
+
+    def is_usable(self, idle_max_s):
+        """Return whether another request may be sent over it."""
+        idle_s = trio.current_time() - self.idle_since_s
+        if idle_s > min(self.idle_max_s, idle_max_s):
+            return False
+        # Data or an EOF that arrives between requests belongs to none of
+        # them, so the connection can't be reused.
+        return not self.is_readable()
+
+    def is_readable(self):
+        """Return whether data or an EOF has arrived."""
+        return self.stream.socket.is_readable()
+
+    def close(self):
+        """Close the socket at once, without a graceful shutdown."""
+        self.stream.socket.close()
+
+
+async def open_stream(host, port):
+    """Return a connected TCP stream that fails if the peer is silent."""
+    tcp_socket = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    is_open = False
+    try:
+        tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp_socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        await tcp_socket.connect((host, port))
+        is_open = True
+    finally:
+        if not is_open:
+            tcp_socket.close()
+    return trio.SocketStream(tcp_socket)
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -9,7 +9,9 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection import handles as handles_module
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
 from greengagetrack.platform import document
@@ -92,7 +94,7 @@
     async def receive_part(self):
         """Return bytes, None after a complete body, or a `Failure`."""
         part = await self._call.receive_part()
-        if isinstance(part, client.ResponseFailure):
+        if isinstance(part, failures.ResponseFailure):
             return _convert_failure(part)
         return part
 
@@ -108,14 +110,14 @@
 
 
 def _convert_failure(failure):
-    if isinstance(failure, client.NotSent):
+    if isinstance(failure, failures.NotSent):
         return gateway.Failure(
             _Reason.LINK_DOWN,
             _Ran.NO,
             failure.detail,
             is_connection_failure=True,
         )
-    if isinstance(failure, client.InvalidRequest):
+    if isinstance(failure, failures.InvalidRequest):
         return gateway.Failure(_Reason.BODY_INVALID, _Ran.NO, failure.detail)
     return gateway.Failure(
         _Reason.BACKEND_FAILED,
@@ -170,13 +172,15 @@
         incarnation = await reports.ask_incarnation(
             self._pool, server.address, server.server_id
         )
-        if isinstance(incarnation, client.NotSent | client.ResponseFailure):
+        if isinstance(
+            incarnation, failures.NotSent | failures.ResponseFailure
+        ):
             return _convert_failure(incarnation)
         return incarnation
 
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
-        head = client.RequestHead(
+        head = heads.RequestHead(
             request.method, request.target, _new_headers(server, request)
         )
         call = await self._pool.open_call(
@@ -186,14 +190,14 @@
             needs_fresh_connection=request.needs_fresh_connection,
             check=request.check,
         )
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return _convert_failure(call)
         answer = None
         try:
             response_head = await call.receive_head(
                 lambda head: _is_response_to(head, request.request_id)
             )
-            if isinstance(response_head, client.ResponseFailure):
+            if isinstance(response_head, failures.ResponseFailure):
                 return _convert_failure(response_head)
             call.update_idle_limit(response_head.headers)
             if _get_id(response_head) is None:
@@ -270,7 +274,7 @@
         """
         call_id = b"call-%x" % next(self._call_numbers)
         data = msgspec.json.encode(body)
-        head = client.RequestHead(
+        head = heads.RequestHead(
             b"POST",
             path,
             [
@@ -282,7 +286,7 @@
             ],
         )
         call = await self._pool.open_call(address, head, data, lane=path)
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return _convert_failure(call)
         try:
             response = await call.receive_response(
@@ -290,7 +294,7 @@
             )
         finally:
             call.finish()
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return _convert_failure(response)
         return response
 
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import numbers
 from greengagetrack.platform import document
@@ -23,7 +25,7 @@
     id answers, `NotSent` or `ResponseFailure` if none does.
     """
     expected_id = server_id.encode()
-    head = client.RequestHead(
+    head = heads.RequestHead(
         b"GET",
         names.REPORT_PATH,
         [
@@ -39,11 +41,11 @@
         # A late copy bears no id, so it may only meet the same question.
         lane=names.REPORT_PATH + b" " + expected_id,
     )
-    if not isinstance(call, client.Call):
+    if not isinstance(call, call_module.Call):
         return call
     try:
         response = await call.receive_head(lambda _head: True)
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return response
         if response.status == names.MISDIRECTED_STATUS:
             return gateway.OtherServer()
@@ -53,7 +55,7 @@
         body = await call.receive_body()
     finally:
         call.finish()
-    if isinstance(body, client.ResponseFailure):
+    if isinstance(body, failures.ResponseFailure):
         return body
     try:
         return msgspec.json.decode(body, type=_Report).born
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -7,7 +7,9 @@
 import msgspec
 import trio
 
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
 from greengagetrack.connection.http import numbers
@@ -163,15 +165,15 @@
     async def _call(self, target):
         """Return status, body and era; status 0 means no response."""
         host = self._address.encode()
-        request = client.RequestHead(b"GET", target, [(b"Host", host)])
+        request = heads.RequestHead(b"GET", target, [(b"Host", host)])
         call = await self._pool.open_call(self._address, request, b"")
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return 0, call.detail.encode(), 0
         try:
             response = await call.receive_response(_identify)
         finally:
             call.finish()
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return 0, response.detail.encode(), 0
         head, body = response
         return head.status, body, _read_era(head.headers)
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -8,7 +8,7 @@
 import trio
 
 from greengagetrack.connection import base as link_base
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import nng
 from greengagetrack.process.direct import entry as entry_module
@@ -80,7 +80,7 @@
         },
     )
     async with trio.open_nursery() as nursery:
-        connection_pool = client.new_pool(nursery)
+        connection_pool = pool_module.new_pool(nursery)
         links = link_base.new_links(nng.new_link_factory(peer_keys))
         entry = entry_module.new_direct_entry(
             settings,
--- a/tests/direct/test_broken_answers.py
+++ b/tests/direct/test_broken_answers.py
@@ -6,7 +6,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.platform import callers
 from greengagetrack.platform import engines
@@ -150,7 +150,7 @@
             ]
             fake_entry = fakes.FakeEntry(
                 nursery,
-                engines.new_engine_gateway(client.new_pool(nursery)),
+                engines.new_engine_gateway(pool_module.new_pool(nursery)),
                 [
                     fakes.new_server(f"s{number}", address=address)
                     for number, address in enumerate(addresses)
@@ -331,7 +331,7 @@
 
         async with trio.open_nursery() as nursery:
             address = await loopback.start_raw_server(nursery, answer)
-            gateway = engines.new_engine_gateway(client.new_pool(nursery))
+            gateway = engines.new_engine_gateway(pool_module.new_pool(nursery))
             pieces = [
                 gateway_module.Piece("r", 0, number, 100, "key")
                 for number in range(2)
--- a/tests/direct/test_cut_heads.py
+++ b/tests/direct/test_cut_heads.py
@@ -4,7 +4,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection import source
 from greengagetrack.platform import engines
 from greengagetrack.platform import store
@@ -96,7 +96,7 @@
 
 
 def _new_entry(nursery, address):
-    gateway = engines.new_engine_gateway(client.new_pool(nursery))
+    gateway = engines.new_engine_gateway(pool_module.new_pool(nursery))
     servers = [fakes.new_server(f"s{n}", address=address) for n in range(2)]
     return fakes.FakeEntry(nursery, gateway, servers)
 
@@ -163,7 +163,7 @@
 
 def test_cut_answer_to_a_call_of_a_stage_has_no_results():
     async def read(nursery, address):
-        gateway = engines.new_engine_gateway(client.new_pool(nursery))
+        gateway = engines.new_engine_gateway(pool_module.new_pool(nursery))
         piece = gateway_module.Piece("r", 0, 0, 100, "key")
         server = fakes.new_server("s", address=address)
         return await gateway.run_pieces(server, [piece])
@@ -180,7 +180,7 @@
 def test_cut_answer_of_the_store_is_not_taken_for_its_content():
     async def read(nursery, address):
         store_source = store.new_store_source(
-            address, client.new_pool(nursery)
+            address, pool_module.new_pool(nursery)
         )
         return await store_source.list_all()
 
--- a/tests/direct/test_entry_survives.py
+++ b/tests/direct/test_entry_survives.py
@@ -6,7 +6,9 @@
 
 from bench.standins import site as site_module
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.platform import engines
 from greengagetrack.request.direct import outcome as direct_outcome
@@ -74,12 +76,12 @@
             address = await loopback.start_raw_server(
                 nursery, trio.aclose_forcefully
             )
-            pool = client.new_pool(nursery)
-            head = client.RequestHead(
+            pool = pool_module.new_pool(nursery)
+            head = heads.RequestHead(
                 b"GET", b"/", [(b"Host", b"h"), (b"X-Odd", b"a\0")]
             )
             call = await pool.open_call(address, head, b"")
-            assert isinstance(call, client.InvalidRequest)
+            assert isinstance(call, failures.InvalidRequest)
             assert pool.count(address) == 0
             nursery.cancel_scope.cancel()
 
--- a/tests/direct/test_fuzz_readers.py
+++ b/tests/direct/test_fuzz_readers.py
@@ -10,7 +10,9 @@
 
 from bench.standins import site as site_module
 from greengagetrack.connection import direct_messages
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import events
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import messages
@@ -216,12 +218,12 @@
 
         async with trio.open_nursery() as nursery:
             address = await loopback.start_raw_server(nursery, answer)
-            pool = client.new_pool(nursery)
-            head = client.RequestHead(b"GET", b"/", [(b"Host", b"h")])
+            pool = pool_module.new_pool(nursery)
+            head = heads.RequestHead(b"GET", b"/", [(b"Host", b"h")])
             call = await pool.open_call(address, head, b"")
-            assert isinstance(call, client.Call)
+            assert isinstance(call, call_module.Call)
             response = await call.receive_head(lambda _head: True)
-            if isinstance(response, client.ResponseHead):
+            if isinstance(response, heads.ResponseHead):
                 call.update_idle_limit(response.headers)
                 while isinstance(await call.receive_part(), bytes):
                     pass
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -3,11 +3,13 @@
 import pytest
 import trio
 
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import matching
 from tests.direct import loopback
 
-REQUEST = client.RequestHead(
+REQUEST = heads.RequestHead(
     b"GET", b"/raw?a=|", [(b"Host", b"h"), (b"X-Request-Id", b"mine")]
 )
 RESPONSE = (
@@ -26,14 +28,14 @@
 async def _receive_all(call):
     """Return the status and the body, or the `ResponseFailure`."""
     head = await call.receive_head(_is_expected)
-    if isinstance(head, client.ResponseFailure):
+    if isinstance(head, failures.ResponseFailure):
         return head
     body = b""
     while True:
         part = await call.receive_part()
         if part is None:
             return head.status, body
-        if isinstance(part, client.ResponseFailure):
+        if isinstance(part, failures.ResponseFailure):
             return part
         body += part
 
@@ -52,7 +54,7 @@
             await trio.sleep_forever()
 
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             with trio.fail_after(loopback.LIMIT_S):
                 await check(pool, address)
@@ -106,7 +108,7 @@
 
 # An earlier refusal, written once more, ended the entry.
 def test_copy_of_earlier_refusal_is_skipped_for_request_with_body():
-    head = client.RequestHead(
+    head = heads.RequestHead(
         b"POST", b"/x", [*REQUEST.headers, (b"Content-Length", b"4")]
     )
     refusal = (
@@ -128,7 +130,7 @@
 def test_truncated_response_is_failure():
     async def check(pool, address):
         result = await _call(pool, address)
-        assert isinstance(result, client.ResponseFailure)
+        assert isinstance(result, failures.ResponseFailure)
         assert not result.is_stale_connection
         assert pool.count(address) == 0
 
@@ -138,7 +140,7 @@
 
 def test_malformed_response_is_failure():
     async def check(pool, address):
-        assert isinstance(await _call(pool, address), client.ResponseFailure)
+        assert isinstance(await _call(pool, address), failures.ResponseFailure)
 
     _run(check, b"\x00\x01 not an answer\r\n\r\n")
 
@@ -163,7 +165,7 @@
 def test_refused_connection_is_not_sent():
     async def check(pool, _address):
         call = await pool.open_call("127.0.0.1:1", REQUEST, b"")
-        assert isinstance(call, client.NotSent)
+        assert isinstance(call, failures.NotSent)
         assert pool.count("127.0.0.1:1") == 0
 
     _run(check)
@@ -174,7 +176,7 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
 
             async def handle(stream):
                 await loopback.read_until(stream, b"\r\n\r\n")
@@ -184,7 +186,7 @@
             address = await loopback.start_raw_server(nursery, handle)
             body = b"x" * 30_000_000
             length = (b"Content-Length", b"%d" % len(body))
-            request = client.RequestHead(
+            request = heads.RequestHead(
                 b"POST", b"/", [*REQUEST.headers, length]
             )
             call = await pool.open_call(address, request, body)
@@ -209,12 +211,12 @@
 def test_reset_response_without_length_is_failure():
     async def main():
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(
                 nursery, _reset_within_body
             )
             result = await _call(pool, address)
-            assert isinstance(result, client.ResponseFailure)
+            assert isinstance(result, failures.ResponseFailure)
             nursery.cancel_scope.cancel()
 
     trio.run(main)
@@ -241,7 +243,7 @@
             await stream.send_all(RESPONSE % (b"mine", b"ab"))
 
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             assert await _call(pool, address) == (200, b"ab")
             nursery.cancel_scope.cancel()
@@ -251,7 +253,7 @@
 
 
 def test_response_to_head_has_no_body():
-    request = client.RequestHead(b"HEAD", b"/", REQUEST.headers)
+    request = heads.RequestHead(b"HEAD", b"/", REQUEST.headers)
 
     async def check(pool, address):
         call = await pool.open_call(address, request, b"")
@@ -266,7 +268,7 @@
 def test_informational_responses_without_end_are_a_failure():
     async def check(pool, address):
         result = await _call(pool, address)
-        assert isinstance(result, client.ResponseFailure)
+        assert isinstance(result, failures.ResponseFailure)
 
     _run(check, b"HTTP/1.1 102 Processing\r\n\r\n" * 200)
 
@@ -274,7 +276,7 @@
 def test_a_head_without_end_is_a_failure():
     async def check(pool, address):
         result = await _call(pool, address)
-        assert isinstance(result, client.ResponseFailure)
+        assert isinstance(result, failures.ResponseFailure)
 
     _run(check, b"HTTP/1.1 200 OK\r\nX-Fill: " + b"x" * 200_000)
 
@@ -286,7 +288,7 @@
             result = await call.receive_response(_identify)
         finally:
             call.finish()
-        assert isinstance(result, client.ResponseFailure)
+        assert isinstance(result, failures.ResponseFailure)
         assert "size limit" in result.detail
 
     chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
@@ -330,13 +332,13 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             assert await _call(pool, address) == (200, b"ab")
             call = await pool.open_call(
                 address, REQUEST, b"", check=check_slowly
             )
-            assert isinstance(call, client.NotSent)
+            assert isinstance(call, failures.NotSent)
             assert pool.count(address) == 0
             with trio.fail_after(loopback.LIMIT_S):
                 await is_ended.wait()
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -6,7 +6,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import matching
 from greengagetrack.connection import source as source_module
 from greengagetrack.platform import engines
@@ -55,7 +55,7 @@
                 number += 1
 
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             with trio.fail_after(loopback.LIMIT_S):
                 await check(
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -11,7 +11,7 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import source as source_module
 from greengagetrack.platform import adapter as adapter_module
@@ -399,7 +399,7 @@
             address = await loopback.start_raw_server(
                 nursery, server.serve_connection
             )
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             await check(store.new_store_source(address, pool), targets)
             nursery.cancel_scope.cancel()
 
@@ -517,7 +517,7 @@
                 nursery, server.serve_connection
             )
             engine_gateway = engines.new_engine_gateway(
-                client.new_pool(nursery)
+                pool_module.new_pool(nursery)
             )
             observer = Observer()
             engine_gateway.set_observer(observer)
@@ -652,7 +652,7 @@
                 nursery, server.serve_connection
             )
             engine_gateway = engines.new_engine_gateway(
-                client.new_pool(nursery)
+                pool_module.new_pool(nursery)
             )
             answer = await engine_gateway.open_answer(
                 gateway.Server("i-1", "svc", address, "z"),
@@ -788,7 +788,7 @@
                 nursery, server.serve_connection
             )
             engine_gateway = engines.new_engine_gateway(
-                client.new_pool(nursery)
+                pool_module.new_pool(nursery)
             )
             answer = await engine_gateway.open_answer(
                 gateway.Server("i-1", "svc", address, "z"),
--- a/tests/direct/test_reports.py
+++ b/tests/direct/test_reports.py
@@ -4,7 +4,8 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import reports
 from tests.direct import loopback
 
@@ -22,7 +23,7 @@
             await stream.aclose()
 
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             with trio.fail_after(loopback.LIMIT_S):
                 results.append(
@@ -70,7 +71,7 @@
     [b"", b"\x00\x00\r\n\r\n", _new_response(b'{"born":1}')[:-1]],
 )
 def test_a_broken_report_is_a_failure(response):
-    assert isinstance(_ask(response), client.ResponseFailure)
+    assert isinstance(_ask(response), failures.ResponseFailure)
 
 
 def test_a_report_of_another_server_is_none_of_the_one_that_was_asked():
