An unforeseen error in a long send ends its call, not the entry

The caller got no answer, and the connection of the next request was not accepted: the client pool sends a request of more than 8 KiB in a task of the daemon's own nursery. An error that `_send_all` doesn't name left that task, and trio then cancels all tasks of the nursery and raises the error out of it, which ends the process.

The task contains it now, as the other units do: it is logged with its trace and the server's address, and counted as boundary "send". The connection is closed, which wakes the task that waits for the response (trio tells a waiting task of a close), and this gets a `ResponseFailure`; it is never that of a stale connection, so what ran stays unknown. The connection leaves the counts of the pool once, when the call is finished, since a request that wasn't sent completely never lets its connection be reused. The slot `_sending`, which nothing read, is gone.

The new tests failed before: the entry answered 200, nothing, and refused the connection (now 200, 502, 200), and the error left the pool's nursery. They fail too without the close, without the failure, or without the entry's observer.

--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -3,6 +3,7 @@
 import h11
 import trio
 
+from greengagetrack.connection import contained_error
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
@@ -33,8 +34,8 @@
         "_pool",
         "_protocol",
         "_request",
+        "_send_failure",
         "_send_scope",
-        "_sending",
         "is_complete",
     )
 
@@ -48,8 +49,8 @@
         self._is_last = False
         self._is_sent = False
         self._has_received = False
+        self._send_failure = None
         self._send_scope = None
-        self._sending = None
         self.is_complete = False
 
     @property
@@ -94,7 +95,25 @@
 
     async def _send_in_background(self, data):
         with self._send_scope:
-            await self._send_all(data)
+            try:
+                await self._send_all(data)
+            except* Exception:
+                self._fail_send()
+
+    def _fail_send(self):
+        """Record an unforeseen error and make the response a failure.
+
+        The connection leaves the pool when the call is finished, as it does
+        after each call whose request wasn't sent completely.
+        """
+        contained_error.record(
+            self._pool.error_observer,
+            "send",
+            address=self._connection.address,
+        )
+        self._send_failure = _ResponseFailure("unforeseen error in sending")
+        # Wakes the task that waits for the response.
+        self._connection.close()
 
     async def receive_head(self, is_expected):
         """Return the `ResponseHead`, or `ResponseFailure`.
@@ -239,6 +258,8 @@
                 return _ResponseFailure(f"protocol error: {error}")
 
     def _new_failure(self, detail):
+        if self._send_failure is not None:
+            return self._send_failure
         is_stale_connection = (
             self._connection.request_count > 1 and not self._has_received
         )
--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from greengagetrack.connection import contained_error
 from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import persistent_connection
@@ -17,6 +18,7 @@
         "_idle_by_key",
         "_nursery",
         "count_by_address",
+        "error_observer",
         "on_idle_closed",
         "opened_count",
     )
@@ -28,6 +30,8 @@
         self.opened_count = 0
         # Called with the address if the server has closed idle connections.
         self.on_idle_closed = None
+        # Counts the unforeseen errors that end a long send.
+        self.error_observer = contained_error.UncountedErrors()
 
     def count(self, address):
         """Return how many connections to `address` are open or opening."""
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -109,6 +109,7 @@
         )
         gateway.set_observer(self.directory)
         connection_pool.on_idle_closed = self.directory.doubt_address
+        connection_pool.error_observer = self.metrics
         self.catalog_watcher = catalog_watcher.new_catalog_watcher(
             source,
             self.directory,
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
@@ -199,6 +200,30 @@
     trio.run(main)
 
 
+# It ended all calls of the pool.
+@pytest.mark.contains_error
+@pytest.mark.parametrize("pause_s", [0, 0.05])
+def test_failed_long_send_drops_its_connection_only(pause_s, monkeypatch):
+    async def fail(_call, _data):
+        raise ZeroDivisionError("unforeseen")
+
+    async def check(pool, address):
+        assert await _call(pool, address) == (200, b"ab")
+        with monkeypatch.context() as patch:
+            patch.setattr(call_module, "INLINE_SEND_MAX_BYTES", 0)
+            patch.setattr(call_module.Call, "_send_all", fail)
+            call = await pool.open_call(address, REQUEST, b"")
+            await trio.sleep(pause_s)
+            failure = await _receive_all(call)
+            call.finish()
+        assert isinstance(failure, failures.ResponseFailure)
+        assert not failure.is_stale_connection
+        assert pool.count(address) == 0
+        assert await _call(pool, address) == (200, b"cd")
+
+    _run(check, RESPONSE % (b"mine", b"ab"), RESPONSE % (b"mine", b"cd"))
+
+
 def test_response_without_length_ends_at_eof():
     async def check(pool, address):
         assert await _call(pool, address) == (200, b"all of it")
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -7,6 +7,7 @@
 
 from bench import ports as ports_module
 from bench.standins import site as site_module
+from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection import seal
 from greengagetrack.platform import adapter as adapter_module
 from greengagetrack.platform import names
@@ -281,3 +282,28 @@
             assert site.count_runs(b"r%d" % number) == 1
 
     run_with_nodes(tmp_path, check, count=2)
+
+
+@pytest.mark.contains_error
+def test_failed_long_send_fails_its_request_only(tmp_path, monkeypatch):
+    send_all = trio.SocketStream.send_all
+
+    async def fail_one(stream, data):
+        if names.EXPECT_INSTANCE in data and b"r1" in data:
+            raise ZeroDivisionError("unforeseen")
+        await send_all(stream, data)
+
+    monkeypatch.setattr(trio.SocketStream, "send_all", fail_one)
+    monkeypatch.setattr(call_module, "INLINE_SEND_MAX_BYTES", 0)
+
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        statuses = [
+            (await consumer.send("/order/1", request_id))[0]
+            for request_id in (b"r0", b"r1", b"r2")
+        ]
+        assert statuses == [200, 502, 200]
+        metrics, _headers = nodes[0].entry.metrics.render([])
+        assert b'boundary="send"' in metrics
+
+    run_with_nodes(tmp_path, check)
