Split the batcher into its queue, its calls and its servers' usages

`piece_queue.py` holds the waiting groups, their order and the rate of arrivals, `piece_call.py` runs, times and logs one call, and `server_usages.py` finds the servers and holds their usages; the batcher starts calls and decides what is made again.

No change of behaviour, except that "pieces made" and "pieces failed" carry the logger `greengagetrack.process.direct.piece_call`; no program here reads that field.

The test of usages of removed servers reads them at their new place, with the same assertions. Runs: test_batcher, test_containment, test_site, test_broken_answers, test_cut_heads, test_inputs, test_entry_survives, test_lifetimes, test_joined_streams, test_lateness, test_run, test_crashing_part, test_permits, test_odd_messages, test_platform, test_crashing_request, test_peers, test_newest_version of tests/direct and decisions/test_burst: 477 passed.

--- a/tests/direct/test_batcher.py
+++ b/tests/direct/test_batcher.py
@@ -369,11 +369,11 @@
 def test_usages_of_removed_servers_are_dropped():
     async def check(_nursery, fake_entry, batcher):
         await batcher.make_pieces(_new_tasks("a", 1))
-        assert list(batcher._usage_by_id) == ["p1"]
+        assert list(batcher._usages.usage_by_id) == ["p1"]
         fake_entry.directory.apply_update(
             source_module.Update(2, servers=(), is_complete=True)
         )
         batcher.wake()
-        assert not batcher._usage_by_id
+        assert not batcher._usages.usage_by_id
 
     _run(check)
