A failed round of an entry's own loops no longer ends the entry

The check of idle connections, the watch of the loop's lag and the questions to the peers about the newest version ran uncontained in the nursery of the entry: one unforeseen error in a round ended it, and every request in hand. Each round is contained now. Questions that failed are asked again, and no word on the newest version is taken before, since a withdrawn key might be taken otherwise.

The two tests call the loops with a containment, which the code before does not take.

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -196,13 +196,17 @@
             nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
             nursery.start_soon(
-                loop_lag.watch, self.metrics, self.directory.doubt_all
+                loop_lag.watch,
+                self.metrics,
+                self.directory.doubt_all,
+                self.containment,
             )
 
     async def _drop_idle_connections(self):
         while True:
             await trio.sleep(IDLE_CHECK_S)
-            self._connection_pool.drop_expired()
+            with self.containment.contain("idle_connections"):
+                self._connection_pool.drop_expired()
 
     def get_limits(self):
         """Return the limits on the requests of callers."""
--- a/greengagetrack/process/direct/inquiry.py
+++ b/greengagetrack/process/direct/inquiry.py
@@ -88,12 +88,19 @@
         return len(answered) == len(self._members.peer_by_address)
 
 
-async def run_whenever_due(newest, members, links, exchange):
+async def run_whenever_due(newest, members, links, exchange, containment):
     """Ask the peers whenever `newest` waits for them, until cancelled.
 
     `await exchange(peer)` exchanges digests with one peer.
     """
     while True:
         await newest.wait_asking()
-        await Inquiry(members, links, exchange).run()
-        newest.end_asking()
+        is_over = False
+        with containment.contain("inquiry"):
+            await Inquiry(members, links, exchange).run()
+            is_over = True
+        if is_over:
+            newest.end_asking()
+        else:
+            # Without an answer a withdrawn key might be taken.
+            await trio.sleep(ROUND_S)
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -152,6 +152,7 @@
                 functools.partial(
                     self._containment.run, "peer_exchange", self._exchange
                 ),
+                self._containment,
             )
             exchanges = containment_module.new_contained_nursery(
                 nursery, self._containment, "peer_exchange"
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -19,8 +19,12 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import entry as entry_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import inquiry
+from greengagetrack.process.direct import loop_lag
 from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import newest_version
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import streams as streams_module
@@ -187,7 +191,7 @@
     assert boundaries == ["peer_message"]
 
 
-def _run_fenced(check):
+def _run_contained(check):
     """Run `check(fake_entry)`; background errors are contained."""
 
     async def main(nursery):
@@ -218,7 +222,7 @@
         # The server of the failed call counts as silent.
         assert [task.server.server_id for task in tasks] == ["p2", "p2"]
 
-    _run_fenced(check)
+    _run_contained(check)
 
 
 @pytest.mark.contains_error
@@ -236,7 +240,7 @@
         await trio.sleep(1)
         assert guard._suspects_by_lifetime == {}
 
-    _run_fenced(check)
+    _run_contained(check)
 
 
 @pytest.mark.contains_error
@@ -258,7 +262,7 @@
             await trio.sleep(1.05)
             nursery.cancel_scope.cancel()
 
-    _run_fenced(check)
+    _run_contained(check)
     # One round each 0.1 s, of both.
     assert woken == ["bad", "pool"] * 10
 
@@ -306,7 +310,7 @@
             nursery.cancel_scope.cancel()
         assert told == [*keys, keys[0]]
 
-    _run_fenced(check)
+    _run_contained(check)
 
 
 @pytest.mark.contains_error
@@ -364,7 +368,7 @@
             await trio.sleep(1)
         assert fake_entry.gateway.freed == ["second"]
 
-    _run_fenced(check)
+    _run_contained(check)
 
 
 class BrokenReply(fakes.FakeReply):
@@ -409,7 +413,7 @@
         assert f'outcome="{outcome}"' in body.decode()
 
     with caplog.at_level(logging.WARNING, request_log.__name__):
-        _run_fenced(check)
+        _run_contained(check)
     (ended,) = [r for r in caplog.records if r.message == "request ended"]
     assert (ended.outcome, ended.detail) == (outcome, detail)
 
@@ -436,7 +440,7 @@
         for server in fake_entry.directory.server_by_id.values():
             assert server.outstanding == 0
 
-    _run_fenced(check)
+    _run_contained(check)
 
 
 @pytest.mark.contains_error
@@ -463,4 +467,66 @@
         await trio.sleep(1)
         assert sent == keys[1:]
 
-    _run_fenced(check)
+    _run_contained(check)
+
+
+@pytest.mark.contains_error
+def test_failed_round_of_a_loop_leaves_its_entry_and_the_next_rounds():
+    boundaries = []
+    rounds = []
+
+    def fail(*_arguments):
+        rounds.append(trio.current_time())
+        raise ZeroDivisionError("unforeseen")
+
+    async def check(nursery):
+        containment = containment_module.new_containment(Observer(boundaries))
+        fake_entry = types.SimpleNamespace(
+            containment=containment,
+            _connection_pool=types.SimpleNamespace(drop_expired=fail),
+        )
+        nursery.start_soon(
+            entry_module.DirectEntry._drop_idle_connections, fake_entry
+        )
+        metrics = types.SimpleNamespace(record_loop_lag=fail)
+        nursery.start_soon(loop_lag.watch, metrics, fail, containment)
+        await trio.sleep(3.1 * max(entry_module.IDLE_CHECK_S, 0.25))
+
+    fakes.run_with_mock_clock(check)
+    for boundary in ("idle_connections", "loop_lag"):
+        assert boundaries.count(boundary) >= 3
+    assert len(boundaries) == len(rounds)
+
+
+@pytest.mark.contains_error
+def test_failed_question_to_the_peers_is_asked_again_before_any_word(
+    monkeypatch,
+):
+    boundaries = []
+    asked = []
+
+    async def ask(_inquiry):
+        asked.append(trio.current_time())
+        if len(asked) < 3:
+            await _fail()
+
+    monkeypatch.setattr(inquiry.Inquiry, "run", ask)
+
+    async def check(nursery):
+        lease = freshness.new_freshness_lease(4.0, trio.current_time)
+        newest = newest_version.new_newest_version(lease)
+        containment = containment_module.new_containment(Observer(boundaries))
+        newest.start_asking()
+        nursery.start_soon(
+            inquiry.run_whenever_due, newest, None, None, None, containment
+        )
+        newest.confirm(trio.current_time(), 0, 0)
+        await trio.sleep(1.5 * inquiry.ROUND_S)
+        assert not lease.is_fresh()
+        await trio.sleep(inquiry.ROUND_S)
+        assert lease.is_fresh()
+        await trio.sleep(10 * inquiry.ROUND_S)
+
+    fakes.run_with_mock_clock(check)
+    assert boundaries == ["inquiry"] * 2
+    assert len(asked) == 3
