Give back permits with which no request was sent

Cause: a request with stages gets the permit of its server before them. When a stage was late, or the caller left, the permit was lost.

A request that ends gives its permit back: to the queue of this entry at once, to another owner with the next question (one number in AcquirePermit, which older entries ignore). A turn without the owner isn't given back, nor a permit of a former owner, and what comes back stays within the bound of a burst.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -183,12 +183,14 @@
 class AcquirePermit(message_base.Message, tag="acquire_permit"):
     """A request to the owner of a limit to let one request out.
 
-    It is of use for `patience_ms`; lower priorities go first.
+    It is of use for `patience_ms`; lower priorities go first. `unused` is
+    how many permits the sender gives back, which the same owner gave.
     """
 
     limit: ServerLimit
     priority: _Rank
     patience_ms: _TimeMs
+    unused: _Amount = 0
 
 
 class PermitReply(message_base.Message, tag="permit"):
--- a/greengagetrack/process/direct/decisions/permit_queue.py
+++ b/greengagetrack/process/direct/decisions/permit_queue.py
@@ -93,6 +93,15 @@
         self.update(now_s)
         return ticket
 
+    def give_back(self, count, now_s):
+        """Take back permits that were given and not used.
+
+        They are saved up like new ones, and within the same bound.
+        """
+        self._refill(now_s)
+        self._level += count
+        self.update(now_s)
+
     def remove(self, ticket):
         """Remove a ticket whose request has ended."""
         if ticket in self._waiting:
--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -7,6 +7,7 @@
 
 import logging
 
+import msgspec
 import trio
 
 from greengagetrack.connection import direct_messages
@@ -27,6 +28,19 @@
 _log = logging.getLogger(__name__)
 
 
+class Permit(msgspec.Struct, frozen=True):
+    """What lets one request out to the server of a `ServerLimit`.
+
+    `queue` or `owner` tells who gave it: a `PermitQueue` of this entry, or
+    the address of another one. Neither, if none was needed, or if it was a
+    turn of this entry, which nobody can use later.
+    """
+
+    limit: object
+    queue: permit_queue.PermitQueue | None = None
+    owner: str = ""
+
+
 class Permits:
     """Gets permits from their owners, and gives those that are owned here."""
 
@@ -48,22 +62,36 @@
         self._silent_until_s_by_address = {}
 
     async def acquire(self, server, priority, patience_s):
-        """Return whether a request may be sent to a server.
+        """Return a `Permit` to send a request to a server, or None.
 
-        Wait for a permit for at most `patience_s`, if one is needed. Lower
+        Wait for it for at most `patience_s`, if one is needed. Lower
         priorities go first.
         """
-        if server.limit.per_s is None:
-            return True
+        limit = server.limit
+        if limit.per_s is None:
+            return Permit(limit)
         owner = self._find_owner(server)
         if owner is None:
+            permit = Permit(limit, queue=limit.get_queue())
             answer = await self._wait_here(server, priority, patience_s)
         else:
+            permit = Permit(limit, owner=owner.address)
             answer = await self._ask(owner, server, priority, patience_s)
         if answer is None:
-            return self._try_turn(server)
-        server.limit.record_answer(answer)
-        return answer.is_granted
+            return Permit(limit) if self._try_turn(server) else None
+        limit.record_answer(answer)
+        return permit if answer.is_granted else None
+
+    def give_back(self, permit):
+        """Give back a `Permit` with which no request was sent."""
+        limit = permit.limit
+        if permit.owner:
+            limit.add_unused(permit.owner)
+        elif permit.queue is not None and limit.queue is permit.queue:
+            limit.queue.give_back(1, trio.current_time())
+        else:
+            return
+        limit.forget_wait()
 
     def try_acquire(self, server):
         """Return whether a request may be sent to a server at once."""
@@ -123,6 +151,7 @@
             limit_news.new_message(server, self._observer),
             priority,
             int(patience_s * MS),
+            server.limit.pop_unused(owner.address),
         )
         link = self._links.get_link(owner.address)
         reply = await link.request(message, patience_s + ANSWER_TIMEOUT_S)
@@ -159,6 +188,10 @@
         limit_news.apply_message(server, message.limit, self._observer)
         if server.limit.per_s is None:
             return direct_messages.PermitReply(True)
+        if message.unused:
+            server.limit.get_queue().give_back(
+                message.unused, trio.current_time()
+            )
         answer = await self._wait_here(
             server, message.priority, message.patience_ms / MS
         )
--- a/greengagetrack/process/direct/server_limit.py
+++ b/greengagetrack/process/direct/server_limit.py
@@ -37,6 +37,8 @@
         "_due_priority",
         "_due_s",
         "_observations",
+        "_unused",
+        "_unused_owner",
         "named",
         "queue",
         "turns",
@@ -49,6 +51,8 @@
         self._observations = 0
         self._due_priority = 0
         self._due_s = 0.0
+        self._unused = 0
+        self._unused_owner = ""
 
     @property
     def per_s(self):
@@ -110,11 +114,31 @@
             )
         return self.queue
 
+    def add_unused(self, owner):
+        """Keep a permit that is to be given back to an owner's address.
+
+        The owner learns of it with the next question. What another one gave
+        before is dropped: it no longer counts the permits.
+        """
+        if owner != self._unused_owner:
+            self._unused = 0
+        self._unused_owner = owner
+        self._unused += 1
+
+    def pop_unused(self, owner):
+        """Return how many permits to give back to an owner, only once."""
+        unused, self._unused = self._unused, 0
+        return unused if owner == self._unused_owner else 0
+
     def record_answer(self, answer):
         """Record when the next permit is to be had, from a `PermitAnswer`."""
         self._due_priority = answer.priority
         self._due_s = trio.current_time() + answer.next_wait_s
 
+    def forget_wait(self):
+        """Record that a permit is to be had, as one was not used."""
+        self._due_s = 0.0
+
     def get_wait_s(self, priority):
         """Return how long a request would wait for a permit, 0 if unknown."""
         if self.per_s is None or priority < self._due_priority:
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -113,6 +113,7 @@
         finally:
             self._record_outcome(outcome)
             self._free_inputs()
+            self._selector.give_back()
 
     def _free_inputs(self):
         """Free the stage results; another attempt has to compute new ones."""
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -20,6 +20,7 @@
         "_excluded",
         "_origin",
         "_permits",
+        "_permit",
         "_reserved",
         "_reserved_until_s",
         "service",
@@ -30,6 +31,8 @@
         self._permits = permits
         self._admitted = admitted
         self._excluded = set()
+        # That of the reserved choice, or of the last one.
+        self._permit = None
         self._reserved = None
         self._reserved_until_s = 0.0
         self.service = chooser.choose_service(admitted.route)
@@ -82,14 +85,26 @@
                 input_bytes, patience_s, self._get_priority(is_resumed)
             )
         if choice is not None:
+            # The request is sent with it now.
+            self._permit = None
             self._excluded.add(choice.server.server_id)
         return choice
 
     def _pop_reserved(self):
         choice, self._reserved = self._reserved, None
-        if choice is None or trio.current_time() > self._reserved_until_s:
+        if choice is None:
             return None
-        return choice if choice.server.is_usable() else None
+        if trio.current_time() <= self._reserved_until_s:
+            if choice.server.is_usable():
+                return choice
+        self.give_back()
+        return None
+
+    def give_back(self):
+        """Give back a permit with which no request was sent."""
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            self._permits.give_back(permit)
 
     def _get_target_left_s(self):
         now = trio.current_time()
@@ -116,11 +131,12 @@
             if choice is None:
                 return None
             server = choice.server
-            if await self._permits.acquire(
+            self._permit = await self._permits.acquire(
                 server, priority, max(patience_s - choice.wait_ms / 1000, 0.0)
-            ):
-                if server.is_usable():
-                    return choice
+            )
+            if self._permit is not None and server.is_usable():
+                return choice
+            self.give_back()
             without_permit.add(server.server_id)
 
     def get_return_ms(self):
--- a/tests/direct/decisions/test_permit_queue.py
+++ b/tests/direct/decisions/test_permit_queue.py
@@ -72,6 +72,19 @@
     assert first.state is STATES.REFUSED
 
 
+def test_permit_that_was_not_used_goes_to_the_next_in_line():
+    queue = permit_queue.PermitQueue(1.0, 0.0)
+    first = queue.add(1, 9.0, 1.0)
+    second = queue.add(1, 9.0, 1.0)
+    assert (first.state, second.state) == (STATES.GRANTED, STATES.WAITING)
+    queue.give_back(1, 1.1)
+    assert second.state is STATES.GRANTED
+    # However many come back, a burst stays within its bound.
+    queue.give_back(1000, 1.1)
+    granted = [queue.try_acquire(1.1) for _number in range(10)]
+    assert granted.count(True) == permit_queue.BURST_MIN
+
+
 def test_limit_of_nothing_gives_no_permit():
     queue = permit_queue.PermitQueue(0.0, 0.0)
     assert queue.add(0, 50.0, 0.0).state is STATES.REFUSED
--- a/tests/direct/test_permits.py
+++ b/tests/direct/test_permits.py
@@ -13,7 +13,9 @@
 from greengagetrack.process.direct import limit_news
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import permits as permits_module
+from greengagetrack.process.direct import server_limit
 from greengagetrack.request import outcome
+from greengagetrack.version import catalog
 from tests.direct import fakes
 
 DELAY_S = 0.012
@@ -77,11 +79,15 @@
         )
 
     async def acquire(self, index, patience_s=0.5):
-        """Return whether an entry may send a request now."""
+        """Return the `Permit` of an entry to send a request, or None."""
         server = self.directories[index].server_by_id["s-1"]
         permits = list(self.permits_by_address.values())[index]
         return await permits.acquire(server, 0, patience_s)
 
+    def give_back(self, index, permit):
+        """Let an entry give back a permit."""
+        list(self.permits_by_address.values())[index].give_back(permit)
+
     def open_link(self, address):
         return FleetLink(self, address)
 
@@ -142,6 +148,70 @@
     fakes.run_with_mock_clock(check)
 
 
+def test_permits_that_are_given_back_are_used_by_others():
+    async def check(nursery):
+        fleet = Fleet(3)
+        for index in range(3):
+            fleet.observe(index, LIMIT_PER_S)
+        sent = []
+
+        async def send(index):
+            while trio.current_time() < 60.0:
+                permit = await fleet.acquire(index)
+                # One entry sends, the others give all back.
+                if permit is not None and index == 0:
+                    sent.append(trio.current_time())
+                elif permit is not None:
+                    fleet.give_back(index, permit)
+                await trio.sleep(0.1)
+
+        async with trio.open_nursery() as senders:
+            for index in range(3):
+                senders.start_soon(send, index)
+        assert len(sent) >= 0.75 * LIMIT_PER_S * 60.0
+        most = max(
+            sum(first_s <= time_s < first_s + 4.0 for time_s in sent)
+            for first_s in sent
+        )
+        assert most <= 1.5 * 4.0 * LIMIT_PER_S + 5
+
+    fakes.run_with_mock_clock(check)
+
+
+def test_permit_is_given_back_once_and_only_to_the_entry_that_gave_it():
+    limit = server_limit.new_server_limit()
+    limit.add_unused("n1:1")
+    limit.add_unused("n1:1")
+    assert limit.pop_unused("n1:1") == 2
+    assert limit.pop_unused("n1:1") == 0
+    limit.add_unused("n1:1")
+    limit.add_unused("n2:1")
+    assert limit.pop_unused("n1:1") == 0
+    assert limit.pop_unused("n2:1") == 0
+
+
+def test_permit_of_a_request_that_left_during_its_stages_is_used_by_the_next():
+    async def check(nursery):
+        servers = [fakes.new_server("s-1"), fakes.new_server("p-1", "pool")]
+        entry = fakes.FakeEntry(nursery, fakes.FakeGateway(), servers)
+        route = fakes.new_route(
+            stages=(catalog.Stage("pool", result_bytes=10),)
+        )
+        entry.directory.record_limit(servers[0], 0.5)
+        entry.directory.server_by_id["s-1"].limit.get_queue()
+        await trio.sleep(2.0)
+        with trio.move_on_after(0.05) as scope:
+            await entry.serve(route, piece_counts=(2,))
+        assert scope.cancelled_caught
+        assert not entry.gateway.sent
+        await entry.serve(route, piece_counts=(2,))
+        assert [server_id for server_id, _request in entry.gateway.sent] == [
+            "s-1"
+        ]
+
+    fakes.run_with_mock_clock(check)
+
+
 def test_newest_answer_decides_on_the_limit():
     async def check(nursery):
         fleet = Fleet(2)
