End the questions early only at a store that was never restored

After a start an entry knows only its seeds: another entry that ran on, and knew of a withdrawn key, was not asked.

A store that never came back from a copy shows no older one: its era is 0. Only there do the answers of all known peers end the questions.

--- a/greengagetrack/process/direct/inquiry.py
+++ b/greengagetrack/process/direct/inquiry.py
@@ -17,14 +17,23 @@
     """The questions of one start, or of one return of the source.
 
     They end once a peer has answered that knows the newest version itself,
-    and the others had a moment to answer; or once all peers have answered;
-    or after `ROUNDS_MAX` rounds.
+    and the others had a moment to answer, or after `ROUNDS_MAX` rounds. If
+    the source was never restored, the answers of all known peers are enough:
+    there may be others, who know no more than the source.
     Rounds are counted and not seconds, as the entry may stand still.
     """
 
-    __slots__ = ("_asked", "_exchange", "_links", "_members", "_started_s")
-
-    def __init__(self, members, links, exchange):
+    __slots__ = (
+        "_asked",
+        "_exchange",
+        "_links",
+        "_members",
+        "_newest",
+        "_started_s",
+    )
+
+    def __init__(self, newest, members, links, exchange):
+        self._newest = newest
         self._members = members
         self._links = links
         self._exchange = exchange
@@ -84,8 +93,8 @@
         answered = [peer for peer in peers if self._has_answered(peer)]
         if any(peer.is_informed for peer in answered):
             return len(answered) == len(peers) or number >= ROUNDS_MIN
-        # Where all have started again, there is nobody else to know it.
-        return len(answered) == len(self._members.peer_by_address)
+        is_answered = len(answered) == len(self._members.peer_by_address)
+        return is_answered and self._newest.is_word_certain()
 
 
 async def run_whenever_due(newest, members, links, exchange, containment):
@@ -97,7 +106,7 @@
         await newest.wait_asking()
         is_over = False
         with containment.contain("inquiry"):
-            await Inquiry(members, links, exchange).run()
+            await Inquiry(newest, members, links, exchange).run()
             is_over = True
         if is_over:
             newest.end_asking()
--- a/greengagetrack/process/direct/newest_version.py
+++ b/greengagetrack/process/direct/newest_version.py
@@ -11,6 +11,9 @@
 
 import trio
 
+# That of a source that never came back from a copy: it rises each time.
+FIRST_ERA = 0
+
 _log = logging.getLogger(__name__)
 
 
@@ -53,6 +56,10 @@
         """Wait until the peers are to be asked."""
         await self._asking_started.wait()
 
+    def is_word_certain(self):
+        """Return whether a word has come from a source never restored."""
+        return self._word is not None and self._word[1] == FIRST_ERA
+
     def end_asking(self):
         """Take the last word that came meanwhile."""
         self._is_asking = False
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -255,8 +255,57 @@
     run_site(check)
 
 
-def test_entries_that_restart_at_once_wait_only_for_one_another():
-    async def check(site):
+class SiteWithFarEntry(Site):
+    """A site with one more entry, which is no seed and reconnects late."""
+
+    far_from_s = 0.0
+
+    def __init__(self, nursery):
+        super().__init__(nursery)
+        self.far = Node(self, "a-3")
+        self.nodes.append(self.far)
+        self.node_by_address["a-3:1"] = self.far
+
+    def is_connected(self, source, address):
+        """Return whether messages go from one address to another."""
+        if "a-3" in source and trio.current_time() < self.far_from_s:
+            return False
+        return super().is_connected(source, address)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.2, 0.6])
+def test_restarted_seeds_run_no_key_that_an_unknown_peer_knows_withdrawn(
+    late_s,
+):
+    async def check(nursery):
+        site = SiteWithFarEntry(nursery)
+        site.start_all()
+        await trio.sleep(4.0)
+        site.store.publish(AFTER)
+        await trio.sleep(3.0)
+        site.store.restore()
+        seeds = [node for node in site.nodes if node is not site.far]
+        for node in seeds:
+            node.stop()
+        await trio.sleep(0.3)
+        site.far_from_s = trio.current_time() + late_s
+        for node in seeds:
+            node.start()
+        for _moment in range(300):
+            await trio.sleep(0.01)
+            assert not any(node.runs("withdrawn") for node in site.nodes)
+
+    fakes.run_with_mock_clock(check)
+
+
+def test_entries_that_restart_at_once_at_a_sound_store_are_ready_at_once():
+    """The store was never restored, so it shows no older copy."""
+
+    async def check(nursery):
+        site = Site(nursery)
+        site.store.era = newest_version.FIRST_ERA
+        site.start_all()
+        await trio.sleep(4.0)
         for node in site.nodes:
             node.stop()
         await trio.sleep(0.3)
@@ -264,7 +313,7 @@
         for node in site.nodes:
             assert await node.wait_ready() < 0.2
 
-    run_site(check)
+    fakes.run_with_mock_clock(check)
 
 
 def test_entries_that_restart_at_once_take_the_word_of_a_restored_store():
