A log line that can't be written no longer ends an entry

The containment logs the error that it contains, and a text that no UTF-8 holds raised in the handler of the log, past the containment and uncounted. Found by review with an injected error; no bytes from outside are known that get there.

--- a/greengagetrack/connection/contained_error.py
+++ b/greengagetrack/connection/contained_error.py
@@ -37,8 +37,8 @@
 
 def record(observer, boundary, **fields):
     """Log the error that is being handled, with its trace, and count it."""
+    observer.count_contained_error(boundary)
     _log.exception(
         "unforeseen error",
         extra={"decision": DECISION, "boundary": boundary, **fields},
     )
-    observer.count_contained_error(boundary)
--- a/greengagetrack/process/logs.py
+++ b/greengagetrack/process/logs.py
@@ -104,8 +104,14 @@
             return
         if self._dropped_lines:
             record.left_out = self._dropped_lines
-            self._dropped_lines = 0
-        self._write(self.format(record).encode() + b"\n")
+        try:
+            line = self.format(record).encode() + b"\n"
+        except Exception:
+            # Who logs has work to do, and no better place to tell of this.
+            self._dropped_lines += 1
+            return
+        self._dropped_lines = 0
+        self._write(line)
 
     def _try_acquire(self, is_warning):
         now_s = self._now_s()
