Pieces of a call that can't be recorded get an end

An unforeseen error after a call for pieces was contained, but left its pieces without an end: who waited for them waited for ever, at the owner of a pool one peer's message each. Found by review with an injected error; the new test waited 5 s before.

--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -59,15 +59,19 @@
         for _task in tasks:
             budget.count_first_attempt()
         self._queue.add(tasks)
-        self._dispatch()
         try:
+            self._dispatch()
             for task in tasks:
                 await task.done.wait()
         finally:
             # On cancellation, drop the pieces that still wait.
-            for task in tasks:
-                task.complete(gateway_module.PieceFailure.LATE)
-            self._queue.drop_completed()
+            self._complete(tasks, gateway_module.PieceFailure.LATE)
+
+    def _complete(self, tasks, failure):
+        """End the pieces that have no end yet."""
+        for task in tasks:
+            task.complete(failure)
+        self._queue.drop_completed()
 
     def _get_typical_call_s(self):
         batching = self._get_batching()
@@ -148,7 +152,13 @@
 
     async def _run_call(self, call):
         error = await call.run(self._gateway)
-        self._end_call(call)
+        is_ended = False
+        try:
+            self._end_call(call)
+            is_ended = True
+        finally:
+            if not is_ended:
+                self._complete(call.batch, gateway_module.PieceFailure.ERROR)
         if error is not None:
             raise error
 
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+import msgspec
 import pytest
 import trio
 
@@ -12,6 +13,7 @@
 from greengagetrack.connection import base
 from greengagetrack.connection import contained_error
 from greengagetrack.connection import direct_messages
+from greengagetrack.connection import gateway
 from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import batcher as batcher_module
@@ -26,8 +28,10 @@
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import newest_version
 from greengagetrack.process.direct import peers as peers_module
+from greengagetrack.process.direct import piece_call
 from greengagetrack.process.direct import result_freer
 from greengagetrack.process.direct import streams as streams_module
+from greengagetrack.process import logs
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import request_log
 from greengagetrack.version import catalog
@@ -530,3 +534,44 @@
     fakes.run_with_mock_clock(check)
     assert boundaries == ["inquiry"] * 2
     assert len(asked) == 3
+
+
+@pytest.mark.contains_error
+def test_pieces_of_a_call_that_can_not_be_recorded_get_an_end(monkeypatch):
+    def fail(*_arguments):
+        raise ZeroDivisionError("unforeseen")
+
+    monkeypatch.setattr(piece_call.PieceCall, "record", fail)
+
+    async def check(fake_entry):
+        batcher = fake_entry.pools.get_pool("pool", "dc-a").batcher
+        tasks = test_batcher._new_tasks("r", 1)
+        with trio.move_on_after(5) as scope:
+            await batcher.make_pieces(tasks)
+        assert not scope.cancelled_caught
+        assert tasks[0].result is gateway.PieceFailure.ERROR
+
+    _run_contained(check)
+
+
+@pytest.mark.contains_error
+def test_error_whose_line_can_not_be_written_is_counted_and_contained(
+    tmp_path,
+):
+    boundaries = []
+    path = tmp_path / "log"
+    logger = logging.getLogger("greengagetrack")
+    before = logger.handlers, logger.level
+    with open(path, "wb") as file:
+        logs.set_up_bounded("p", "INFO", file.fileno())
+        try:
+            containment = containment_module.new_containment(
+                Observer(boundaries)
+            )
+            with containment.contain("background"):
+                raise ValueError("\ud800")
+            logging.getLogger("greengagetrack.x").info("next")
+        finally:
+            logger.handlers, logger.level = before
+    assert boundaries == ["background"]
+    assert msgspec.json.decode(path.read_bytes())["left_out"] == 1
