Contain the record of a connection's end, and the accepting of messages

Both stood outside every containment, so an error there ended the entry. Found by review; the first shown with an injected error, the second read only.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -136,7 +136,14 @@
             reason = _CloseReason.ERROR
             contained_error.record(self._server.observer, "connection")
         finally:
-            self._server.observer.record_close(self._describe_end(reason))
+            self._record_close(reason)
+
+    def _record_close(self, reason):
+        observer = self._server.observer
+        try:
+            observer.record_close(self._describe_end(reason))
+        except Exception:
+            contained_error.record(observer, "connection")
 
     def _describe_end(self, reason):
         exchange = self._exchange
--- a/greengagetrack/connection/nng.py
+++ b/greengagetrack/connection/nng.py
@@ -18,6 +18,7 @@
 RECONNECT_MAX_MS = 1000
 RESEND_MS = 2000
 CONTEXTS_MAX = 1024
+ACCEPT_RETRY_S = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -130,13 +131,18 @@
             task_status.started()
             async with trio.open_nursery() as nursery:
                 while True:
-                    context = socket.new_context()
-                    sealed_request = await self._receive(context)
+                    received = None
+                    with self._contain("peer_accept"):
+                        received = await self._receive(socket.new_context())
+                    if received is None:
+                        await trio.sleep(ACCEPT_RETRY_S)
+                        continue
                     nursery.start_soon(
-                        self._answer_request, context, sealed_request, handler
+                        self._answer_request, *received, handler
                     )
 
     async def _receive(self, context):
+        """Return the context and the request that it received."""
         is_received = False
         try:
             await self._limiter.acquire_on_behalf_of(context)
@@ -145,7 +151,7 @@
         finally:
             if not is_received:
                 context.close()
-        return sealed_request
+        return context, sealed_request
 
     async def _answer_request(self, context, sealed_request, handler):
         try:
@@ -153,18 +159,23 @@
             with self._contain("peer_message"):
                 reply = await self._get_reply(sealed_request, handler)
             if reply is not None:
-                request_code = seal.get_code(sealed_request)
-                sealed_reply = self._key_ring.seal(reply, request_code)
-                await context.asend(sealed_reply)
+                with self._contain("peer_message"):
+                    await self._send_reply(context, sealed_request, reply)
+        finally:
+            context.close()
+            self._limiter.release_on_behalf_of(context)
+
+    async def _send_reply(self, context, sealed_request, reply):
+        request_code = seal.get_code(sealed_request)
+        sealed_reply = self._key_ring.seal(reply, request_code)
+        try:
+            await context.asend(sealed_reply)
         except pynng.NNGException as error:
             # The peer has disconnected; it retries if it needs the reply.
             _log.debug(
                 "could not send the reply to a peer",
                 extra={"detail": str(error)},
             )
-        finally:
-            context.close()
-            self._limiter.release_on_behalf_of(context)
 
     async def _get_reply(self, sealed_request, handler):
         """Return the encoded reply, or None for a message of nobody."""
--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -209,3 +209,28 @@
     (closed,) = observer.closed
     assert closed.reason is Reason.STOPPED
     assert closed.has_lost_request
+
+
+@pytest.mark.contains_error
+def test_end_that_can_not_be_recorded_leaves_the_other_connections():
+    class FailingObserver(RecordingObserver):
+        def record_close(self, closed):
+            super().record_close(closed)
+            raise ZeroDivisionError("unforeseen")
+
+    observer = FailingObserver()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server = server_module.new_server(
+                "", answer_whole, lambda: LIMITS, observer
+            )
+            address = await loopback.start_raw_server(
+                nursery, server.serve_connection
+            )
+            for _number in range(2):
+                await ask_to_close(await loopback.open_stream(address))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert observer.errors == ["connection"] * 2
