Take an idle connection out of the pool before it is dropped

An error while one was dropped left it closed in the pool, so that each later round failed at it and dropped no others. Found by review with an injected error; the new test failed before.

--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -104,9 +104,10 @@
         return None
 
     def _drop_idle(self, connection):
-        if self.on_idle_closed is not None and connection.is_readable():
-            self.on_idle_closed(connection.address)
+        is_closed = connection.is_readable()
         self.drop(connection)
+        if is_closed and self.on_idle_closed is not None:
+            self.on_idle_closed(connection.address)
 
     async def is_refusing(self, address):
         """Return whether connections to `address` are refused.
@@ -161,15 +162,11 @@
     def drop_expired(self):
         """Close the idle connections that can't be reused."""
         for key, idle in list(self._idle_by_key.items()):
-            usable = []
-            for connection in idle:
-                if connection.is_usable(connection.idle_max_s):
-                    usable.append(connection)
-                else:
+            for connection in list(idle):
+                if not connection.is_usable(connection.idle_max_s):
+                    idle.remove(connection)
                     self._drop_idle(connection)
-            if usable:
-                self._idle_by_key[key] = usable
-            else:
+            if not idle:
                 del self._idle_by_key[key]
 
     def drop_connections(self, address):
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -371,3 +371,32 @@
 
     trio.run(main)
     assert received == [b""]
+
+
+def test_idle_connections_are_dropped_after_a_drop_that_failed():
+    async def handle(stream):
+        await loopback.read_until(stream, b"\r\n\r\n")
+        await stream.send_all(RESPONSE % (b"mine", b"ab"))
+        await stream.send_eof()
+
+    def fail(_address):
+        raise ZeroDivisionError("unforeseen")
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            pool = pool_module.new_pool(nursery)
+            addresses = []
+            for _number in range(2):
+                address = await loopback.start_raw_server(nursery, handle)
+                assert await _call(pool, address) == (200, b"ab")
+                addresses.append(address)
+            await trio.sleep(0.05)
+            pool.on_idle_closed = fail
+            for _address in addresses:
+                with pytest.raises(ZeroDivisionError):
+                    pool.drop_expired()
+            pool.drop_expired()
+            assert [pool.count(address) for address in addresses] == [0, 0]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
