Ask a server again if the connection of the question had just closed

A whole answer without a length counted as broken off when the question whether its server goes on met an idle connection that the server was closing. The question also ignored how long the server keeps connections. The new test failed before.

--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -24,6 +24,15 @@
     None if it doesn't say it, `gateway.OtherServer` if an engine of another
     id answers, `NotSent` or `ResponseFailure` if none does.
     """
+    answer = await _ask_once(pool, address, server_id)
+    if isinstance(answer, failures.ResponseFailure):
+        if answer.is_stale_connection:
+            # It says nothing of the engine that it was just closed.
+            answer = await _ask_once(pool, address, server_id)
+    return answer
+
+
+async def _ask_once(pool, address, server_id):
     expected_id = server_id.encode()
     head = heads.RequestHead(
         b"GET",
@@ -49,6 +58,7 @@
             return response
         if response.status == names.MISDIRECTED_STATUS:
             return gateway.OtherServer()
+        call.update_idle_limit(response.headers)
         content_type = fields.get_value(response.headers, b"content-type", b"")
         if response.status != 200 or not content_type.startswith(JSON_TYPE):
             return None
--- a/tests/direct/test_reports.py
+++ b/tests/direct/test_reports.py
@@ -77,3 +77,29 @@
 def test_a_report_of_another_server_is_none_of_the_one_that_was_asked():
     answer = _ask(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
     assert answer == gateway.OtherServer()
+
+
+def test_question_over_a_connection_that_just_closed_is_asked_again():
+    answers = []
+    connections = []
+
+    async def handle(stream):
+        connections.append(stream)
+        await loopback.read_until(stream, b"\r\n\r\n")
+        await stream.send_all(loopback.REPORT)
+        await loopback.read_until(stream, b"\r\n\r\n")
+        loopback.reset(stream)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            address = await loopback.start_raw_server(nursery, handle)
+            pool = pool_module.new_pool(nursery)
+            for _number in range(2):
+                answers.append(
+                    await reports.ask_incarnation(pool, address, "s")
+                )
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert answers == [0, 0]
+    assert len(connections) == 2
