--- a/tests/machines/test_caller_connection.py
+++ b/tests/machines/test_caller_connection.py
@@ -132,16 +132,18 @@
 async def play(steps, is_pipelined, is_chunked, cuts):
     """Return what a caller received, its observer and its handler."""
     observer, handler, received = Observer(), Handler(), bytearray()
+    ended = trio.Event()
 
     async def receive(stream):
         while True:
             try:
                 data = await stream.receive_some(65536)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+                break
             if not data:
-                return
+                break
             received.extend(data)
+        ended.set()
 
     async with trio.open_nursery() as nursery:
         handler.server = server_module.new_server(
@@ -158,7 +160,7 @@
         for request in requests:
             await send_in_pieces(stream, request, cuts)
             await trio.sleep(0.005)
-        await wait_for_answers(steps, received, observer)
+        await wait_for_answers(steps, received, observer, ended)
         await stream.aclose()
         with trio.fail_after(loopback.LIMIT_S):
             while not observer.closed:
@@ -167,14 +169,19 @@
     return bytes(received), observer, handler
 
 
-async def wait_for_answers(steps, received, observer):
-    """Wait until the answers that are due are there, or the end."""
+async def wait_for_answers(steps, received, observer, ended):
+    """Wait until the answers that are due are there, or the end.
+
+    A caller that closes before the server ends the connection has left.
+    """
     due = sum(step in ANSWERED for step in steps)
     if Step.LEAVE in steps:
         await trio.sleep(0.02)
     with trio.move_on_after(loopback.LIMIT_S):
         while received.count(ANSWER) < due and not observer.closed:
             await trio.sleep(0.002)
+        if steps[-1] in ENDS and steps[-1] is not Step.LEAVE:
+            await ended.wait()
 
 
 KEPT = strategies.sampled_from([Step.WHOLE, Step.STREAM])
