Let engines of the soak send answers once more

The fault "copy engine" is drawn with the others, and the closing faults have it for both engines of pieces and one of orders.

The soak as found has no such fault, so it could not detect a build that takes copies.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -10,6 +10,8 @@
 
 from greengagetrack.command import greengagetrackd
 from greengagetrack.connection import answer_end
+from greengagetrack.connection.http import matching
+from greengagetrack.platform import engines
 from greengagetrack.process.direct import daemon
 from greengagetrack.process.direct import directory
 from greengagetrack.process.direct import freshness
@@ -56,12 +58,24 @@
     answer_end.find_stream_problem = lambda framing, splitter: ""
 
 
+def _trust_copies():
+    """Take each answer on a connection for that to its last request."""
+    engines._is_response_to = lambda head, request_id: True
+
+
+def _trust_copied_pieces():
+    """Take each answer on a connection for that to its last call."""
+    matching.Matcher.match = lambda self, identity: matching.Match.OWN
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
     "cut-on-stop": _cut_on_stop,
     "use-leaving": _use_leaving,
     "trust-ends": _trust_ends,
+    "trust-copies": _trust_copies,
+    "trust-copied-pieces": _trust_copied_pieces,
 }
 
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -27,6 +27,7 @@
     "silent engine",
     "cut engine",
     "break engine",
+    "copy engine",
     "leave engine",
     "restart engine",
     "store down",
@@ -55,15 +56,18 @@
         return f"{self.kind} {self.target_index} at {self.at_s:.2f} s"
 
 
+# Until some seconds after requests to the leaving engine break a rule.
+CLOSING_S = 7.0
 # Relative to the end of the drawn part. The last is later than what the
 # drawn faults can still excuse.
 CLOSING_FAULTS = (
     Fault("silent engine", 0.0, 1.0, 0, "desk"),
+    Fault("copy engine", 0.0, CLOSING_S, 0, "prepare"),
+    Fault("copy engine", 0.0, CLOSING_S, 1, "prepare"),
+    Fault("copy engine", 0.0, CLOSING_S, 1, "desk"),
     Fault("break engine", 1.0, 2.0, 0, "model"),
     Fault("leave engine", 1.5, 0.0, 0, "desk"),
 )
-# Until some seconds after requests to the leaving engine break a rule.
-CLOSING_S = 7.0
 
 
 def get_closing_faults(duration_s):
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -212,10 +212,12 @@
             return
         if action == "break":
             engine.is_breaking = True
+        elif action == "copy":
+            engine.is_copying = True
         else:
             proxy.inject(action)
         await trio.sleep(fault.active_s)
-        engine.is_breaking = False
+        engine.is_breaking = engine.is_copying = False
         proxy.clear_faults()
 
     async def _replace_engine(self, action, engine, active_s):
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -12,6 +12,7 @@
 
 from bench import ports as ports_module
 from bench.soak import tcp_proxy as proxy_module
+from bench.standins import copies
 from bench.standins import site as site_module
 from greengagetrack.platform import names
 
@@ -75,6 +76,7 @@
         super().__init__(nursery)
         self._entry_count = entry_count
         self.ready_check_s = READY_CHECK_S
+        self._seed = seed
         self._logs = logs
         self._build = build
         self._address_prefix = (
@@ -143,7 +145,8 @@
         engine = site_module.EngineStandIn(
             engine_id, service, "dc-a", is_stream
         )
-        address = await site_module.start_http(self.nursery, engine.handle)
+        generator = random.Random(f"copies-{self._seed}-{engine_id}")
+        address = await copies.start_engine(self.nursery, engine, generator)
         proxy = await proxy_module.new_proxy(self.nursery, address)
         engine.address = proxy.address
         # Long enough that some requests are in progress at any moment.
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -118,6 +118,8 @@
         self.arrival_times = []
         # Streams have no length and end inside their last event.
         self.is_breaking = False
+        # It sends some answers once more, if its connections do that.
+        self.is_copying = False
         # Of its software; each event names it.
         self.version = "v1"
         # Changes when it starts again.
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -10,6 +10,7 @@
 
 SEED = 2
 DURATION_S = 12.0
+CLOSING_ONLY_S = 1.0
 
 
 def new_request(request_id, status=200, kind="order", **fields):
@@ -123,6 +124,13 @@
     )
 
 
+# A soak without copies, or without a look at them, finds nothing here.
+@pytest.mark.parametrize("build", ["trust-copies", "trust-copied-pieces"])
+def test_answers_taken_for_those_to_others_are_detected(tmp_path, build):
+    result = soak_run.run_soak(SEED, CLOSING_ONLY_S, str(tmp_path), build)
+    assert result.broken != []
+
+
 def test_short_soak_violates_no_rule(tmp_path):
     result = soak_run.run_soak(SEED, DURATION_S, str(tmp_path))
     assert result.broken == []
