Let the soak restore an older store beside a rolling restart

The fault "store restored": a copy of the store, a configuration that takes the key away, the store away for 0.4 s and back from the copy in the next era, servers written again at once and the configuration 3.4 s later, while all entries stop and start one after the other, the first of them on the copy. What no entry can know (the store or all entries failed meanwhile) is written again at once. The stand-in's store names its era in each answer.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -18,6 +18,7 @@
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import lifetime
 from greengagetrack.process.direct import lifetime_check
+from greengagetrack.process.direct import newest_version
 from greengagetrack.request.direct import run as run_module
 
 
@@ -80,6 +81,15 @@
     lifetime.Lifetime.may_go_on = lambda self, software_version: True
 
 
+def _trust_restored():
+    """Take the word of the store, whatever peers know."""
+
+    def confirm(self, sent_s, era, version):
+        self._lease.confirm(sent_s)
+
+    newest_version.NewestVersion.confirm = confirm
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
@@ -89,6 +99,7 @@
     "trust-copies": _trust_copies,
     "trust-copied-pieces": _trust_copied_pieces,
     "trust-lifetimes": _trust_lifetimes,
+    "trust-restored": _trust_restored,
 }
 
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -36,6 +36,7 @@
     "store slow",
     "store reset",
     "store from the past",
+    "store restored",
     "revoke key",
     "revoke unseen",
 )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,6 +9,7 @@
 
 from bench.soak import checker as checker_module
 from bench.soak import faults as faults_module
+from bench.soak import restored_store
 from bench.soak import site as site_module
 from bench.standins import site as standin_site
 from greengagetrack.connection.http import client
@@ -28,6 +29,8 @@
 SLOW_EVENT_INTERVAL_S = 0.15
 COOL_DOWN_S = 3.5
 RECOVERY_WINDOW_S = 3.0
+# With these, no entry may know what the store has lost.
+UNSEEN_FAULTS = ("store", "unseen", "all entries")
 TARGET_BY_KIND = {
     "order": ("/order/{}?a=%2f", b"POST"),
     "stock": ("/stock/{}", b"GET"),
@@ -163,6 +166,8 @@
             await self._swap_versions(fault.active_s)
         elif action == "revoke":
             await self._revoke_key(target, fault.active_s)
+        elif target == "restored":
+            await self._restore_store(span)
         else:
             await self._inject_store_fault(target, fault.active_s)
         span.end_s = trio.current_time()
@@ -187,15 +192,16 @@
                 for entry in entries:
                     await entry.wait()
             if scope.cancelled_caught:
-                self._checker.violations.append(
-                    f"STOP -: {span.target_name} still runs"
-                )
+                self._add_still_runs(span.target_name)
             await trio.sleep(fault.active_s)
             for entry in entries:
                 entry.start()
         for entry in entries:
             entry.has_fault = False
 
+    def _add_still_runs(self, name):
+        self._checker.violations.append(f"STOP -: {name} still runs")
+
     async def _freeze_entries(self, entries, active_s):
         for entry in entries:
             entry.signal(signal.SIGSTOP)
@@ -276,14 +282,34 @@
         store.is_down = store.is_rewound = False
         proxy.clear_faults()
 
-    async def _revoke_key(self, mode, active_s):
-        """Revoke a key; `unseen` does it while the store is down."""
-        self._site.store.is_down |= mode == "unseen"
-        old_key = self._site.keys[-1]
+    async def _restore_store(self, span):
+        """Restore the store from a copy in which no key was taken away."""
+
+        def is_remembered():
+            return not any(
+                other is not span and other.end_s >= span.start_s
+                for other in self._checker.fault_spans
+                if any(word in other.kind for word in UNSEEN_FAULTS)
+            )
+
+        restored = restored_store.RestoredStore(
+            self._site, self._rotate_key, is_remembered
+        )
+        await restored.run()
+        for name in restored.unstopped_names:
+            self._add_still_runs(name)
+
+    def _rotate_key(self):
+        """Take the key away that is in force, and publish another one."""
         now = trio.current_time()
-        self._checker.revoked_s_by_key[old_key] = now
+        self._checker.revoked_s_by_key[self._site.keys[-1]] = now
         key = self._site.rotate_key()
         self._key_history.append((now + NEW_KEY_DELAY_S, key))
+
+    async def _revoke_key(self, mode, active_s):
+        """Revoke a key; `unseen` does it while the store is down."""
+        self._site.store.is_down |= mode == "unseen"
+        self._rotate_key()
         if mode == "unseen":
             await trio.sleep(active_s + site_module.REVOKE_MS / 1000)
             self._site.store.is_down = False
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -174,9 +174,13 @@
         """Publish a configuration whose only key is a new one; return it."""
         self.version += 1
         self.keys.append(f"key-{self.version}")
+        self.publish_config()
+        return self.keys[-1]
+
+    def publish_config(self):
+        """Write the configuration that is in force."""
         config = site_module.new_config(self.version, self.keys[-1:])
         self.store.put(names.CONFIG_KEY, config)
-        return self.keys[-1]
 
     async def stop(self):
         """Kill the processes that this site started."""
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -41,6 +41,14 @@
     return f"{HOST}:{listeners[0].socket.getsockname()[1]}"
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """All that a store knew at a time."""
+
+    revision: int
+    item_by_key: dict
+    events: list
+
+
 class StoreStandIn:
     """A store of keys with revisions: range and watch calls, and faults."""
 
@@ -49,12 +57,44 @@
         self.calls = 0
         self.is_down = False
         self.is_rewound = False
+        self.era = 1
         self._item_by_key = {}
         self._events = []
 
     def put(self, key, value):
         """Write a value as JSON."""
         data = base64.b64encode(msgspec.json.encode(value)).decode()
+        self._put_data(key, data)
+
+    def copy(self):
+        """Return a copy, from which the store can be restored."""
+        return StoreCopy(
+            self.revision, dict(self._item_by_key), list(self._events)
+        )
+
+    def restore(self, copy):
+        """Come back from a copy, in the next era.
+
+        Servers write their records again at once.
+        """
+        server_items = self._get_server_items()
+        self.era += 1
+        self.revision = copy.revision
+        self._item_by_key = dict(copy.item_by_key)
+        self._events = list(copy.events)
+        for key in self._get_server_items().keys() - server_items.keys():
+            self.delete(key)
+        for key, item in server_items.items():
+            self._put_data(key, item["value"])
+
+    def _get_server_items(self):
+        return {
+            key: item
+            for key, item in self._item_by_key.items()
+            if key.startswith(names.SERVERS_PREFIX)
+        }
+
+    def _put_data(self, key, data):
         self.revision += 1
         item = {"key": key, "revision": self.revision, "value": data}
         self._item_by_key[key] = item
@@ -95,7 +135,8 @@
             answer["events"] = [
                 event for event in self._events if event["revision"] > after
             ]
-        await exchange.answer(200, JSON_HEADERS, msgspec.json.encode(answer))
+        headers = [*JSON_HEADERS, (names.STORE_ERA, b"%d" % self.era)]
+        await exchange.answer(200, headers, msgspec.json.encode(answer))
 
 
 class EngineStandIn:
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -10,6 +10,8 @@
 from bench.standins import site as site_module
 
 SEED = 2
+# This one draws a restored store, and nothing else.
+RESTORED_SEED = 40
 DURATION_S = 12.0
 CLOSING_ONLY_S = 1.0
 
@@ -164,8 +166,9 @@
     assert any(line.startswith(rule) for line in result.broken)
 
 
-def test_short_soak_violates_no_rule(tmp_path):
-    result = soak_run.run_soak(SEED, DURATION_S, str(tmp_path))
+@pytest.mark.parametrize("seed", [SEED, RESTORED_SEED])
+def test_short_soak_violates_no_rule(tmp_path, seed):
+    result = soak_run.run_soak(seed, DURATION_S, str(tmp_path))
     assert result.broken == []
     assert result.served > 0
     assert result.faults
