--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -3,13 +3,15 @@
 import functools
 import itertools
 import math
-import re
 
 import msgspec
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http import client
+from greengagetrack.connection import handles as handles_module
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
 from greengagetrack.platform import document
@@ -21,9 +23,6 @@
 # A server that asks for a longer pause is asked again after this.
 PAUSE_MAX_S = 60.0
 INPUT_GONE_STATUS = 409
-# Handles go into a list in a field of a head.
-_HANDLE = re.compile(r"[!-+\--~]{1,256}", re.ASCII)
-MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
 _Reason = outcome.Reason
@@ -87,7 +86,7 @@
         )
         self.opened_s = call.opened_s
         self.is_not_run = _is_not_run(head)
-        self.is_other_server = head.status == MISDIRECTED_STATUS
+        self.is_other_server = head.status == names.MISDIRECTED_STATUS
         self.is_input_gone = head.status == INPUT_GONE_STATUS
         content_type = fields.get_value(head.headers, b"content-type", b"")
         self.is_events = content_type.startswith(names.EVENT_STREAM)
@@ -95,7 +94,7 @@
     async def receive_part(self):
         """Return bytes, None after a complete body, or a `Failure`."""
         part = await self._call.receive_part()
-        if isinstance(part, client.ResponseFailure):
+        if isinstance(part, failures.ResponseFailure):
             return _convert_failure(part)
         return part
 
@@ -105,20 +104,20 @@
 
 
 def _is_not_run(head):
-    if head.status == MISDIRECTED_STATUS:
+    if head.status == names.MISDIRECTED_STATUS:
         return True
     return fields.get_value(head.headers, names.NOT_RUN.lower()) is not None
 
 
 def _convert_failure(failure):
-    if isinstance(failure, client.NotSent):
+    if isinstance(failure, failures.NotSent):
         return gateway.Failure(
             _Reason.LINK_DOWN,
             _Ran.NO,
             failure.detail,
             is_connection_failure=True,
         )
-    if isinstance(failure, client.InvalidRequest):
+    if isinstance(failure, failures.InvalidRequest):
         return gateway.Failure(_Reason.BODY_INVALID, _Ran.NO, failure.detail)
     return gateway.Failure(
         _Reason.BACKEND_FAILED,
@@ -144,7 +143,7 @@
 
     def _observe(self, server, head):
         """Tell the observer what an answer says of its server."""
-        if self._observer is None or head.status == MISDIRECTED_STATUS:
+        if self._observer is None or head.status == names.MISDIRECTED_STATUS:
             return
         if _get_text(head, names.SERVER_LEAVING) == "1":
             self._observer.record_leaving(server)
@@ -168,16 +167,20 @@
     async def ask_incarnation(self, server):
         """Return the incarnation that a server says it is, or a `Failure`.
 
-        None if it doesn't say it.
+        None if it doesn't say it, `OtherServer` if another one answers.
         """
-        incarnation = await reports.ask_incarnation(self._pool, server.address)
-        if isinstance(incarnation, client.NotSent | client.ResponseFailure):
+        incarnation = await reports.ask_incarnation(
+            self._pool, server.address, server.server_id
+        )
+        if isinstance(
+            incarnation, failures.NotSent | failures.ResponseFailure
+        ):
             return _convert_failure(incarnation)
         return incarnation
 
     async def open_answer(self, server, request):
         """Send a `ServerRequest`; return its `Answer` or a `Failure`."""
-        head = client.RequestHead(
+        head = heads.RequestHead(
             request.method, request.target, _new_headers(server, request)
         )
         call = await self._pool.open_call(
@@ -187,14 +190,14 @@
             needs_fresh_connection=request.needs_fresh_connection,
             check=request.check,
         )
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return _convert_failure(call)
         answer = None
         try:
             response_head = await call.receive_head(
                 lambda head: _is_response_to(head, request.request_id)
             )
-            if isinstance(response_head, client.ResponseFailure):
+            if isinstance(response_head, failures.ResponseFailure):
                 return _convert_failure(response_head)
             call.update_idle_limit(response_head.headers)
             if _get_id(response_head) is None:
@@ -261,7 +264,7 @@
             _Reason.BACKEND_REFUSED,
             _Ran.NO if _is_not_run(head) else _Ran.UNKNOWN,
             f"status {head.status}",
-            is_other_server=head.status == MISDIRECTED_STATUS,
+            is_other_server=head.status == names.MISDIRECTED_STATUS,
         )
 
     async def _exchange(self, address, path, body, headers, identify):
@@ -271,7 +274,7 @@
         """
         call_id = b"call-%x" % next(self._call_numbers)
         data = msgspec.json.encode(body)
-        head = client.RequestHead(
+        head = heads.RequestHead(
             b"POST",
             path,
             [
@@ -283,7 +286,7 @@
             ],
         )
         call = await self._pool.open_call(address, head, data, lane=path)
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return _convert_failure(call)
         try:
             response = await call.receive_response(
@@ -291,7 +294,7 @@
             )
         finally:
             call.finish()
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return _convert_failure(response)
         return response
 
@@ -389,7 +392,7 @@
     """Return the handle of a piece, or why it was not made."""
     if not item.handle:
         return _FAILURE_BY_REASON.get(item.reason, gateway.PieceFailure.ERROR)
-    if _HANDLE.fullmatch(item.handle):
+    if handles_module.is_handle(item.handle):
         return item.handle
     return gateway.PieceFailure.ERROR
 
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -2,8 +2,12 @@
 
 import msgspec
 
-from greengagetrack.connection.http import client
+from greengagetrack.connection import gateway
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import document
 from greengagetrack.platform import names
 
@@ -11,39 +15,47 @@
 
 
 class _Report(msgspec.Struct):
-    born: document.Count | None = None
+    born: numbers.Count | None = None
 
 
-async def ask_incarnation(pool, address):
-    """Return the incarnation of the engine at an address.
+async def ask_incarnation(pool, address, server_id):
+    """Return the incarnation of the engine of an id at an address.
 
-    None if it doesn't say it, `NotSent` or `ResponseFailure` if it doesn't
-    answer.
+    None if it doesn't say it, `gateway.OtherServer` if an engine of another
+    id answers, `NotSent` or `ResponseFailure` if none does.
     """
-    head = client.RequestHead(
-        b"GET", names.REPORT_PATH, [(b"Host", address.encode())]
+    expected_id = server_id.encode()
+    head = heads.RequestHead(
+        b"GET",
+        names.REPORT_PATH,
+        [
+            (b"Host", address.encode()),
+            (names.EXPECT_INSTANCE, expected_id),
+        ],
     )
     call = await pool.open_call(
         address,
         head,
         b"",
         needs_fresh_connection=True,
-        # A late copy bears no id, so none may meet a caller's request.
-        lane=names.REPORT_PATH,
+        # A late copy bears no id, so it may only meet the same question.
+        lane=names.REPORT_PATH + b" " + expected_id,
     )
-    if not isinstance(call, client.Call):
+    if not isinstance(call, call_module.Call):
         return call
     try:
         response = await call.receive_head(lambda _head: True)
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return response
+        if response.status == names.MISDIRECTED_STATUS:
+            return gateway.OtherServer()
         content_type = fields.get_value(response.headers, b"content-type", b"")
         if response.status != 200 or not content_type.startswith(JSON_TYPE):
             return None
         body = await call.receive_body()
     finally:
         call.finish()
-    if isinstance(body, client.ResponseFailure):
+    if isinstance(body, failures.ResponseFailure):
         return body
     try:
         return msgspec.json.decode(body, type=_Report).born
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -7,7 +7,9 @@
 import msgspec
 import trio
 
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import call as call_module
+from greengagetrack.connection.http.client import failures
+from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
 from greengagetrack.connection.http import numbers
@@ -17,16 +19,12 @@
 
 CALL_TIMEOUT_S = 1.0
 PAGES_MAX = 200
-
-
 KEY_MAX_CHARS = 1000
-COUNT_MAX = 2**63 - 1
-_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 
 
 class _Item(msgspec.Struct):
     key: Annotated[str, msgspec.Meta(max_length=KEY_MAX_CHARS)]
-    revision: _Count
+    revision: numbers.Count
     value: str = ""
     tombstone: bool = False
 
@@ -34,7 +32,7 @@
 class _Page(msgspec.Struct):
     # Decoded one by one, so that an odd item leaves the others.
     items: list[msgspec.Raw]
-    current_rev: _Count
+    current_rev: numbers.Count
     has_more: bool = False
 
     def get_raw_items(self):
@@ -50,7 +48,7 @@
 
 class _Changes(msgspec.Struct):
     events: list[msgspec.Raw]
-    current_rev: _Count
+    current_rev: numbers.Count
 
     def get_raw_items(self):
         """Return what is decoded one by one."""
@@ -167,15 +165,15 @@
     async def _call(self, target):
         """Return status, body and era; status 0 means no response."""
         host = self._address.encode()
-        request = client.RequestHead(b"GET", target, [(b"Host", host)])
+        request = heads.RequestHead(b"GET", target, [(b"Host", host)])
         call = await self._pool.open_call(self._address, request, b"")
-        if not isinstance(call, client.Call):
+        if not isinstance(call, call_module.Call):
             return 0, call.detail.encode(), 0
         try:
             response = await call.receive_response(_identify)
         finally:
             call.finish()
-        if isinstance(response, client.ResponseFailure):
+        if isinstance(response, failures.ResponseFailure):
             return 0, response.detail.encode(), 0
         head, body = response
         return head.status, body, _read_era(head.headers)
@@ -191,7 +189,7 @@
 
 def _read_era(headers):
     text = fields.get_value(headers, names.STORE_ERA.lower(), b"").strip()
-    return numbers.read_count(text, COUNT_MAX) or 0
+    return numbers.read_count(text, numbers.COUNT_MAX) or 0
 
 
 def _read_items(raw_items):
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from greengagetrack.connection import messages
+from greengagetrack.connection import base
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import limit_news
@@ -22,7 +23,7 @@
 class CentreRecord(msgspec.Struct):
     """The last digest of another data centre, and when it was created."""
 
-    digest: messages.CentreDigest
+    digest: direct_messages.CentreDigest
     created_s: float
 
 
@@ -103,7 +104,7 @@
     def _new_common_digest(self):
         age_s = self._lease.get_age_s()
         newest = self._catalog_watcher.newest
-        return messages.EntryDigest(
+        return direct_messages.EntryDigest(
             name=self._members.name,
             address=self._own_address,
             data_centre=self._members.data_centre,
@@ -124,7 +125,7 @@
 
     def _new_centre(self):
         work = self._get_centre_work()
-        return messages.CentreDigest(
+        return direct_messages.CentreDigest(
             data_centre=self._members.data_centre,
             age_ms=0,
             members=self._members.get_local_members(
@@ -165,6 +166,8 @@
 
     def apply(self, digest):
         """Apply a peer's digest; return the peer, None if not recorded."""
+        if not base.is_address(digest.address):
+            return None
         now = trio.current_time()
         peer = self._members.update_peer(digest, digest.data_centre, now)
         if peer is None:
@@ -174,7 +177,7 @@
         self._catalog_watcher.newest.hear(
             digest.newest_version, digest.newest_era
         )
-        for address in digest.peers:
+        for address in filter(base.is_address, digest.peers):
             self._members.get_or_add(address)
         self._apply_parts(peer, digest)
         self._crash_guard.apply_news(digest.crash_news)
@@ -216,13 +219,18 @@
 
     def _apply_centre(self, centre, created_s):
         name = centre.data_centre
+        members = [
+            member
+            for member in centre.members
+            if base.is_address(member.address)
+        ]
         if name == self._members.data_centre:
             # The state of local entries comes from their own digests only;
             # a remote digest contributes no more than their addresses.
-            for member in centre.members:
+            for member in members:
                 self._members.get_or_add(member.address)
             return
-        for member in centre.members:
+        for member in members:
             contact_s = created_s - member.age_ms / 1000
             self._members.update_peer(member, name, contact_s)
         last_created_s = self.get_created_s(name)
@@ -237,7 +245,7 @@
 
 def new_pool_wait(service, waits):
     """Return the message about the `PoolWaits` of a service."""
-    return messages.PoolWait(
+    return direct_messages.PoolWait(
         service,
         _to_ms(waits.base_s),
         [
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -109,6 +109,7 @@
         )
         gateway.set_observer(self.directory)
         connection_pool.on_idle_closed = self.directory.doubt_address
+        connection_pool.error_observer = self.metrics
         self.catalog_watcher = catalog_watcher.new_catalog_watcher(
             source,
             self.directory,
@@ -152,6 +153,7 @@
             get_catalog,
             self.catalog_watcher,
             nursery,
+            self.containment,
         )
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
@@ -166,6 +168,7 @@
             batcher_dependencies,
             self.peers,
             generator,
+            self.containment,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
@@ -193,13 +196,17 @@
             nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
             nursery.start_soon(
-                loop_lag.watch, self.metrics, self.directory.doubt_all
+                loop_lag.watch,
+                self.metrics,
+                self.directory.doubt_all,
+                self.containment,
             )
 
     async def _drop_idle_connections(self):
         while True:
             await trio.sleep(IDLE_CHECK_S)
-            self._connection_pool.drop_expired()
+            with self.containment.contain("idle_connections"):
+                self._connection_pool.drop_expired()
 
     def get_limits(self):
         """Return the limits on the requests of callers."""
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -11,8 +11,7 @@
 
 import trio
 
-from greengagetrack.connection import base
-from greengagetrack.connection import messages
+from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import rendezvous
 
 LOCAL_SILENCE_MAX_S = 1.3
@@ -120,15 +119,14 @@
     def get_or_add(self, address):
         """Return the peer at an address, added if new, or None.
 
-        The result is None for this entry's own address, for what is no
-        address, and for a new peer when `PEERS_MAX` is reached.
+        The result is None for this entry's own address, and for a new peer
+        when `PEERS_MAX` is reached. Who reads an address checks that it is
+        one.
         """
         if address == self._own_address:
             return None
         peer = self.peer_by_address.get(address)
-        if peer is not None or not base.is_address(address):
-            return peer
-        if len(self.peer_by_address) < PEERS_MAX:
+        if peer is None and len(self.peer_by_address) < PEERS_MAX:
             peer = Peer(address)
             self.peer_by_address[address] = peer
         return peer
@@ -274,7 +272,7 @@
         Peers are included if they had recent contact, even if they leave.
         """
         now = trio.current_time()
-        own_member = messages.Member(
+        own_member = direct_messages.Member(
             name=self.name,
             address=self._own_address,
             catalog_version=catalog_version,
@@ -282,7 +280,7 @@
             weight=self.weight,
         )
         return [own_member] + [
-            messages.Member(
+            direct_messages.Member(
                 name=peer.name,
                 address=peer.address,
                 age_ms=int((now - peer.last_contact_s) * 1000),
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -7,15 +7,18 @@
 import functools
 import logging
 import math
-import re
 
 import trio
 
+from greengagetrack.connection import direct_messages
 from greengagetrack.connection import gateway as gateway_module
+from greengagetrack.connection import handles as handles_module
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
+from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import inquiry
+from greengagetrack.process.direct import lives as lives_module
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import permits as permits_module
 from greengagetrack.request import deadline as deadline_module
@@ -34,9 +37,6 @@
 MISSED_REPLIES_MAX = 3
 LINK_CHECK_S = 0.1
 
-# Handles are sent on in a header, with commas between them.
-_HANDLE = re.compile(r"[!-+\--~]{1,1000}")
-
 _log = logging.getLogger(__name__)
 
 
@@ -51,6 +51,7 @@
         "_containment",
         "_lease",
         "_links",
+        "_lives",
         "_round",
         "members",
         "permits",
@@ -70,6 +71,7 @@
         containment,
     ):
         self._containment = containment
+        self._lives = lives_module.new_lives(freshness.get_boot_time_s())
         self.members = members_module.new_members(
             settings.name,
             settings.peer_address,
@@ -109,15 +111,17 @@
 
     async def handle(self, message):
         """Handle a message from a peer and return the reply."""
-        if isinstance(message, messages.EntryDigest):
+        if isinstance(message, direct_messages.EntryDigest):
             return self._handle_digest(message)
-        if isinstance(message, messages.MakePieces):
+        if isinstance(message, direct_messages.MakePieces):
             return await self._make_pieces(message)
-        if isinstance(message, messages.FreeResults):
+        if isinstance(message, direct_messages.FreeResults):
             return self._free_results(message)
-        if isinstance(message, messages.AcquirePermit):
+        if isinstance(message, direct_messages.AcquirePermit):
             return await self.permits.handle(message)
-        if isinstance(message, messages.TellStreams | messages.FindStream):
+        if isinstance(
+            message, direct_messages.TellStreams | direct_messages.FindStream
+        ):
             return self.streams.handle(message)
         return messages.Rejected("an entry does not answer this message")
 
@@ -125,11 +129,18 @@
         peer = self._digests.apply(digest)
         if peer is None:
             return messages.Rejected("an entry does not ask itself")
+        self._lives.record(digest)
         # A peer that was unknown so far needs all addresses in the reply.
-        reply = messages.EntryDigestReply(self._digests.new_digest(peer))
+        reply = direct_messages.EntryDigestReply(self._new_digest(peer))
         peer.last_exchange_s = trio.current_time()
         return reply
 
+    def _new_digest(self, peer):
+        digest = self._digests.new_digest(peer)
+        digest.started_ms = self._lives.started_ms
+        digest.earlier_life = self._lives.get_earlier(peer.address)
+        return digest
+
     async def run(self):
         """Exchange digests with the peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -141,23 +152,39 @@
                 functools.partial(
                     self._containment.run, "peer_exchange", self._exchange
                 ),
+                self._containment,
             )
             exchanges = containment_module.new_contained_nursery(
                 nursery, self._containment, "peer_exchange"
             )
             while True:
-                chosen = self._choose_remote()
-                for peer in list(self.members.peer_by_address.values()):
-                    if self._is_due(peer, chosen):
-                        exchanges.start_soon(self._exchange, peer)
-                self.members.log_changes()
-                self.members.remove_expired()
-                self._links.keep_only(self.members.peer_by_address)
+                self._start_round(exchanges)
+                with self._contain_step():
+                    self._drop_lost_peers()
                 self._round += 1
                 with trio.move_on_after(LOCAL_PERIOD_S):
                     await self._exchange_now.wait()
                     self._exchange_now = trio.Event()
 
+    def _contain_step(self):
+        return self._containment.contain("peer_round")
+
+    def _start_round(self, exchanges):
+        """Start the exchanges of a round; `exchanges` is a nursery."""
+        chosen = set()
+        with self._contain_step():
+            chosen = self._choose_remote()
+        for peer in list(self.members.peer_by_address.values()):
+            with self._contain_step():
+                if self._is_due(peer, chosen):
+                    exchanges.start_soon(self._exchange, peer)
+
+    def _drop_lost_peers(self):
+        self.members.log_changes()
+        self.members.remove_expired()
+        self._links.keep_only(self.members.peer_by_address)
+        self._lives.keep_only(self.members.peer_by_address)
+
     def announce_leaving(self):
         """Announce at once to local peers that no new work is taken."""
         self.members.is_leaving = True
@@ -212,15 +239,14 @@
     async def _exchange(self, peer):
         sent_s = self._lease.now_s()
         link = self._links.get_link(peer.address)
-        reply = await link.request(
-            self._digests.new_digest(peer), REQUEST_TIMEOUT_S
-        )
-        if not isinstance(reply, messages.EntryDigestReply):
+        reply = await link.request(self._new_digest(peer), REQUEST_TIMEOUT_S)
+        if not isinstance(reply, direct_messages.EntryDigestReply):
             self._count_missed_reply(peer)
             return
         peer.missed_replies = 0
         peer.last_exchange_s = trio.current_time()
-        self._digests.apply(reply.digest)
+        if self._digests.apply(reply.digest) is not None:
+            self._lives.record(reply.digest)
         self._open_links()
         age_s = reply.digest.freshness_age_s
         version = self._catalog_watcher.get_version()
@@ -271,7 +297,7 @@
             while self._is_reachable(peer):
                 await trio.sleep(LINK_CHECK_S)
             nursery.cancel_scope.cancel()
-        if not isinstance(reply, messages.MakePiecesReply):
+        if not isinstance(reply, direct_messages.MakePiecesReply):
             _log.warning(
                 "pool owner lost",
                 extra={
@@ -291,7 +317,7 @@
 
     async def request_free(self, peer, pool, server_id, handles):
         """Request the owner of a pool to free results."""
-        message = messages.FreeResults(
+        message = direct_messages.FreeResults(
             pool.service, pool.data_centre, server_id, handles
         )
         link = self._links.get_link(peer.address)
@@ -309,7 +335,7 @@
 
     def _apply_reply(self, tasks, reply):
         for task, piece in zip(tasks, reply.pieces, strict=False):
-            if piece.failure or not _HANDLE.fullmatch(piece.handle):
+            if piece.failure or not handles_module.is_handle(piece.handle):
                 task.complete(_parse_failure(piece.failure))
             else:
                 server = self._directory.server_by_id.get(piece.server_id)
@@ -322,7 +348,7 @@
         tasks = _new_tasks(message)
         pool = self.pools.get_pool(message.service, message.data_centre)
         await pool.batcher.make_pieces(tasks)
-        return messages.MakePiecesReply(
+        return direct_messages.MakePiecesReply(
             [_new_piece_result(task) for task in tasks],
             wait=digests_module.new_pool_wait(
                 message.service, pool.batcher.get_waits()
@@ -332,13 +358,13 @@
     def _free_results(self, message):
         pool = self.pools.get_pool(message.service, message.data_centre)
         pool.batcher.free_results(message.server_id, message.handles)
-        return messages.MakePiecesReply([])
+        return direct_messages.MakePiecesReply([])
 
 
 def _new_make_pieces(pool, tasks):
     """Return the message that requests pieces of one stage."""
     first = tasks[0]
-    return messages.MakePieces(
+    return direct_messages.MakePieces(
         pool.service,
         pool.data_centre,
         request_id=first.request_id,
@@ -380,9 +406,9 @@
 
 def _new_piece_result(task):
     if isinstance(task.result, gateway_module.PieceFailure):
-        return messages.PieceResult(failure=str(task.result))
+        return direct_messages.PieceResult(failure=str(task.result))
     server_id = task.server.server_id if task.server else ""
-    return messages.PieceResult(handle=task.result, server_id=server_id)
+    return direct_messages.PieceResult(handle=task.result, server_id=server_id)
 
 
 def _parse_failure(text):
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -6,7 +6,7 @@
 import trio
 
 from greengagetrack.connection import gateway as gateway_module
-from greengagetrack.connection.http import client
+from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import matching
 from greengagetrack.connection import source as source_module
 from greengagetrack.platform import engines
@@ -55,7 +55,7 @@
                 number += 1
 
         async with trio.open_nursery() as nursery:
-            pool = client.new_pool(nursery)
+            pool = pool_module.new_pool(nursery)
             address = await loopback.start_raw_server(nursery, handle)
             with trio.fail_after(loopback.LIMIT_S):
                 await check(
@@ -286,3 +286,25 @@
         assert answered.headers == [(b"X-Request-Id", b"r")]
 
     _run(check, answer)
+
+
+def test_a_late_copy_of_a_report_does_not_answer_for_another_id():
+    """The address has gone to a server that names no incarnation."""
+    report = _new_response(b"{}").replace(
+        b"Content-Length", b"Content-Type: application/json\r\nContent-Length"
+    )
+
+    def answer(number, request):
+        # The copy is written where the next answer is due.
+        copies = report * number
+        if b"X-Expect-Instance: t\r\n" in request:
+            return copies + report
+        return copies + _new_response(b"", status=b"421 Misdirected Request")
+
+    async def check(gateway, server, _pool):
+        now_there = fakes.new_server("t", address=server.address)
+        assert await gateway.ask_incarnation(now_there) is None
+        other = gateway_module.OtherServer()
+        assert await gateway.ask_incarnation(server) == other
+
+    _run(check, answer)
--- a/tests/unit/test_names.py
+++ b/tests/unit/test_names.py
@@ -11,13 +11,14 @@
 import trio
 
 from bench import experiment
-from greengagetrack.connection import messages
+from greengagetrack.connection import agent_messages
 from greengagetrack.connection import problems
 from greengagetrack.process import metrics as metrics_module
 from greengagetrack.process import orders
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request import outcome as outcome_module
 
+Cause = direct_outcome.AbandonedCause
 REASON = outcome_module.Reason.SHED
 REFUSED = outcome_module.Refused(REASON)
 UNKNOWN = outcome_module.Unknown(REASON)
@@ -46,6 +47,9 @@
         (REFUSED, "refused"),
         (UNKNOWN, "unknown"),
         (None, "caller_left"),
+        (direct_outcome.Abandoned(Cause.CALLER_LEFT), "caller_left"),
+        (direct_outcome.Abandoned(Cause.CALLER_SLOW), "caller_slow"),
+        (direct_outcome.Abandoned(Cause.ERROR), "error"),
     ],
 )
 def test_outcome_names_in_direct_mode(outcome, name):
@@ -101,15 +105,15 @@
     monkeypatch.setattr(
         orders.OrderBook, "_claim_ticket", lambda self, *args: claim
     )
-    submit = messages.Submit(
-        attempt=messages.AttemptId("entry", 1),
+    submit = agent_messages.Submit(
+        attempt=agent_messages.AttemptId("entry", 1),
         incarnation="i",
         service="s",
         budget_ms=300,
         payload=b"",
         request_id="r",
         organisation="o",
-        order=messages.OrderClaim("o", b"", ticket="t"),
+        order=agent_messages.OrderClaim("o", b"", ticket="t"),
     )
 
     async def claim_order():
