Let engines of the soak crash while entries stand still

The fault "crash engines": streams without a length, all entries without another fault stand still for 1.4 s (SIGSTOP, SIGCONT), meanwhile all engines of streams crash, refuse connections for 0.75 s and are back, with another `born`.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -71,6 +71,15 @@
     matching.Matcher.match = lambda self, identity: matching.Match.OWN
 
 
+def _trust_addresses():
+    """Take a server whose address accepts connections for the same one."""
+
+    async def is_going_on(self, server):
+        return not await self._gateway.is_refusing(server.published)
+
+    lifetime_check.LifetimeChecks.is_going_on = is_going_on
+
+
 def _trust_lifetimes():
     """Let a stream go on at any start of a server."""
 
@@ -98,6 +107,7 @@
     "trust-ends": _trust_ends,
     "trust-copies": _trust_copies,
     "trust-copied-pieces": _trust_copied_pieces,
+    "trust-addresses": _trust_addresses,
     "trust-lifetimes": _trust_lifetimes,
     "trust-restored": _trust_restored,
 }
--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -26,7 +26,7 @@
     "cut engine",
     "break engine",
 )
-STREAM_FAULTS = (*ENGINE_FAULTS, "swap engines")
+STREAM_FAULTS = (*ENGINE_FAULTS, "swap engines", "crash engines")
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -31,6 +31,7 @@
     "leave engine",
     "restart engine",
     "swap engines",
+    "crash engines",
     "store down",
     "store silent",
     "store slow",
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -11,6 +11,7 @@
 from bench.soak import faults as faults_module
 from bench.soak import restored_store
 from bench.soak import site as site_module
+from bench.soak import unseen_crash
 from bench.standins import site as standin_site
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
@@ -164,6 +165,8 @@
             await self._inject_engine_fault(action, fault, span)
         elif action == "swap":
             await self._swap_versions(fault.active_s)
+        elif action == "crash":
+            await self._crash_engines(span)
         elif action == "revoke":
             await self._revoke_key(target, fault.active_s)
         elif target == "restored":
@@ -244,17 +247,44 @@
         )
         await trio.sleep(active_s)
 
+    async def _crash_engines(self, span):
+        """Let the engines of streams crash while entries stand still."""
+        entries = [e for e in self._site.entries if not e.has_fault]
+        # What an entry itself can't help is excused for it alone.
+        freeze_spans = [
+            msgspec.structs.replace(
+                span, kind="freeze entry", target_name=entry.name
+            )
+            for entry in entries
+        ]
+        self._checker.fault_spans += freeze_spans
+        for entry in entries:
+            entry.has_fault = True
+        crash = unseen_crash.UnseenCrash(
+            self._site, self._get_stream_engines(), entries
+        )
+        await crash.run()
+        for entry in entries:
+            entry.has_fault = False
+        for freeze_span in freeze_spans:
+            freeze_span.end_s = trio.current_time()
+
+    def _get_stream_engines(self):
+        """Return the engines of streams that have not left."""
+        return [
+            engine
+            for engine_id, engine in self._site.engine_by_id.items()
+            if engine.is_stream
+            and engine_id not in self._checker.departure_s_by_engine
+        ]
+
     async def _swap_versions(self, active_s):
         """Let all engines of streams be back with the other version, often.
 
         They are back at once, under their ids and at their addresses. After
         the last time they have the version of before.
         """
-        engines = [
-            engine
-            for engine in self._site.engine_by_id.values()
-            if engine.is_stream
-        ]
+        engines = self._get_stream_engines()
         end_s = trio.current_time() + active_s
         is_swapped = False
         while is_swapped or trio.current_time() < end_s:
--- a/bench/soak/tcp_proxy.py
+++ b/bench/soak/tcp_proxy.py
@@ -21,15 +21,30 @@
         self.is_cut = False
         self._target = target
         self._scopes = set()
+        self._nursery = None
+        self._port = 0
+        self._listening = None
 
     async def start(self, nursery):
         """Listen on a free port."""
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
-        port = listeners[0].socket.getsockname()[1]
-        self.address = f"{HOST}:{port}"
-        nursery.start_soon(
-            trio.serve_listeners, self._forward_connection, listeners
-        )
+        self._nursery = nursery
+        await self.listen()
+
+    async def listen(self):
+        """Listen, on the same port as before if there was one."""
+        listeners = await trio.open_tcp_listeners(self._port, host=HOST)
+        self._port = listeners[0].socket.getsockname()[1]
+        self.address = f"{HOST}:{self._port}"
+        self._listening = trio.CancelScope()
+        self._nursery.start_soon(self._serve, listeners, self._listening)
+
+    async def _serve(self, listeners, scope):
+        with scope:
+            await trio.serve_listeners(self._forward_connection, listeners)
+
+    def crash(self):
+        """Close all connections and refuse others until `listen`."""
+        self._listening.cancel()
 
     def inject(self, fault):
         """Inject a fault: `reset`, `slow`, `silent` or `cut`."""
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -160,7 +160,9 @@
         # The requests per second that it names in its answers, if any.
         self.limit_per_s = None
         self.arrival_times = []
-        # Streams have no length and end inside their last event.
+        # Streams have no length.
+        self.is_unframed = False
+        # Besides, they end inside their last event.
         self.is_breaking = False
         # It sends some answers once more, if its connections do that.
         self.is_copying = False
@@ -252,10 +254,11 @@
             return
         response_headers.append((b"Content-Type", names.EVENT_STREAM))
         is_breaking = self.is_breaking
+        is_unframed = is_breaking or self.is_unframed
         await exchange.start(
             200,
             response_headers,
-            Framing.CONNECTION if is_breaking else Framing.CHUNKS,
+            Framing.CONNECTION if is_unframed else Framing.CHUNKS,
         )
         last = self.event_count
         for number in range(after + 1, last + 1):
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -10,8 +10,8 @@
 from bench.standins import site as site_module
 
 SEED = 2
-# This one draws a restored store, and nothing else.
-RESTORED_SEED = 40
+# Draws a restored store and then a crash beside entries that stand still.
+RESTORED_SEED = 120
 DURATION_S = 12.0
 CLOSING_ONLY_S = 1.0
 
