--- a/tests/direct/test_closed_connections.py
+++ b/tests/direct/test_closed_connections.py
@@ -116,19 +116,21 @@
     await loopback.read_all(stream)
 
 
-def _run(handle, call, change=lambda server: None):
+async def _start_server(nursery, handle, observer, change=None):
+    """Start a server of callers; return its address."""
+    server = server_module.new_server("", handle, lambda: LIMITS, observer)
+    if change is not None:
+        change(server)
+    return await loopback.start_raw_server(nursery, server.serve_connection)
+
+
+def _run(handle, call, change=None):
     """Return the `ClosedConnection` of one connection."""
     observer = RecordingObserver()
 
     async def main():
         async with trio.open_nursery() as nursery:
-            server = server_module.new_server(
-                "", handle, lambda: LIMITS, observer
-            )
-            change(server)
-            address = await loopback.start_raw_server(
-                nursery, server.serve_connection
-            )
+            address = await _start_server(nursery, handle, observer, change)
             await call(await loopback.open_stream(address))
             with trio.fail_after(loopback.LIMIT_S):
                 await observer.changed.wait()
@@ -194,12 +196,7 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            server = server_module.new_server(
-                "", answer_late, lambda: LIMITS, observer
-            )
-            address = await loopback.start_raw_server(
-                nursery, server.serve_connection
-            )
+            address = await _start_server(nursery, answer_late, observer)
             stream = await loopback.open_stream(address)
             await stream.send_all(REQUEST)
             await trio.sleep(0.05)
@@ -222,12 +219,7 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            server = server_module.new_server(
-                "", answer_whole, lambda: LIMITS, observer
-            )
-            address = await loopback.start_raw_server(
-                nursery, server.serve_connection
-            )
+            address = await _start_server(nursery, answer_whole, observer)
             for _number in range(2):
                 await ask_to_close(await loopback.open_stream(address))
             nursery.cancel_scope.cancel()
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -638,24 +638,29 @@
         assert status in (502, 504)
 
 
-def test_request_to_engine_has_fields_of_this_system():
-    exchanges = []
+async def _open_answer(nursery, exchanges, request):
+    """Return what a request to an engine gets that keeps its exchanges."""
 
     async def handle(exchange):
         exchanges.append(exchange)
         await exchange.answer(200, [(b"X-Request-Id", b"rid")], b"ok")
 
+    server = server_module.new_server("", handle, catalog.CallerLimits)
+    address = await loopback.start_raw_server(nursery, server.serve_connection)
+    engine_gateway = engines.new_engine_gateway(pool_module.new_pool(nursery))
+    return await engine_gateway.open_answer(
+        gateway.Server("i-1", "svc", address, "z"), request
+    )
+
+
+def test_request_to_engine_has_fields_of_this_system():
+    exchanges = []
+
     async def main():
         async with trio.open_nursery() as nursery:
-            server = server_module.new_server("", handle, catalog.CallerLimits)
-            address = await loopback.start_raw_server(
-                nursery, server.serve_connection
-            )
-            engine_gateway = engines.new_engine_gateway(
-                pool_module.new_pool(nursery)
-            )
-            answer = await engine_gateway.open_answer(
-                gateway.Server("i-1", "svc", address, "z"),
+            answer = await _open_answer(
+                nursery,
+                exchanges,
                 gateway.ServerRequest(
                     request_id=b"rid",
                     method=b"POST",
@@ -772,10 +777,6 @@
     exchanges = []
     opened = []
 
-    async def handle(exchange):
-        exchanges.append(exchange)
-        await exchange.answer(200, [(b"X-Request-Id", b"rid")], b"ok")
-
     async def check(opened_s):
         await trio.lowlevel.checkpoint()
         opened.append(opened_s)
@@ -783,15 +784,9 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            server = server_module.new_server("", handle, catalog.CallerLimits)
-            address = await loopback.start_raw_server(
-                nursery, server.serve_connection
-            )
-            engine_gateway = engines.new_engine_gateway(
-                pool_module.new_pool(nursery)
-            )
-            answer = await engine_gateway.open_answer(
-                gateway.Server("i-1", "svc", address, "z"),
+            answer = await _open_answer(
+                nursery,
+                exchanges,
                 gateway.ServerRequest(
                     b"rid",
                     b"GET",
