Bench streams on real processes, judged by their numbers

greengagebench streams has engines that are processes: killed, and back after 0 to 1 s, under their ids or others, with the same software or another, before, while or after entries stand still.

Tests: a short run of the current code, and one each of two broken builds that it has to see.

--- a/bench/command.py
+++ b/bench/command.py
@@ -22,6 +22,7 @@
 from bench.soak import broken
 from bench.soak import limits as limits_module
 from bench.soak import run as soak_run
+from bench.soak import streams as streams_module
 from bench.soak import versions as versions_module
 
 EXIT_FAILURE = 1
@@ -266,6 +267,45 @@
     sys.exit(EXIT_FAILURE if failed else 0)
 
 
+def streams(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    rate: float = 25.0,
+    duration: float = 24.0,
+    build: str = "",
+    tree: str = "",
+    logs: str = "",
+):
+    """Run streams on processes that are killed, and judge their numbers.
+
+    Prints one JSON line per seed. Exit codes: 0 all streams were in order
+    and of one version, and none looked complete too soon; 1 some were not.
+
+    :param seed: The first seed of the streams and of the trouble.
+    :param seeds: The number of seeds, run one after the other.
+    :param rate: The new streams per second.
+    :param duration: How long streams begin, in seconds.
+    :param build: A deliberately broken build, which must show.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if a run failed.
+    """
+    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    failed = 0
+    for number in range(seed, seed + seeds):
+        folder = logs or tempfile.mkdtemp(prefix="greengagebench-streams-")
+        result = streams_module.run_streams(
+            number, rate, duration, folder, build, tree
+        )
+        _print_json(result)
+        for text in result.broken:
+            print(f"broken: {text}", file=sys.stderr)
+        failed += bool(result.broken)
+        _keep_or_delete_logs(folder, logs, result.broken)
+    sys.exit(EXIT_FAILURE if failed else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -345,6 +385,7 @@
             "soak": soak,
             "limits": limits,
             "versions": versions,
+            "streams": streams,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -30,7 +30,7 @@
 class EntryProcess:
     """An entry process that a soak starts, stops, kills and freezes."""
 
-    def __init__(self, name, path, ports, logs, command):
+    def __init__(self, name, path, ports, logs, command, tree=""):
         self.name = name
         self.caller_address, self.ready_address = (
             f"{site_module.HOST}:{p}" for p in ports
@@ -42,6 +42,7 @@
         self._path = path
         self._log = os.path.join(logs, f"{name}.jsonl")
         self._command = command
+        self._tree = tree or None
 
     def start(self):
         """Start the process."""
@@ -51,6 +52,7 @@
         with open(self._log, "ab") as log:
             self.process = subprocess.Popen(
                 self._command,
+                cwd=self._tree,
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -71,14 +73,21 @@
 
 
 class SoakSite(site_module.SiteStandIn):
-    """A site whose store and engines are reached through TCP proxies."""
+    """A site whose store and engines are reached through TCP proxies.
 
-    def __init__(self, nursery, seed, logs, build, entry_count=ENTRY_COUNT):
+    Its entries run the code of the checkout `tree`, by default of this one.
+    """
+
+    def __init__(
+        self, nursery, seed, logs, build, entry_count=ENTRY_COUNT, tree=""
+    ):
         super().__init__(nursery)
+        self._tree = tree
         self._entry_count = entry_count
         self.ready_check_s = READY_CHECK_S
         self._seed = seed
-        self._logs = logs
+        # The entries may run in another folder.
+        self._logs = os.path.abspath(logs)
         self._build = build
         self._address_prefix = (
             f"127.{random.Random(os.getpid()).randrange(1, 255)}"
@@ -124,7 +133,9 @@
             command += ["bench.soak.broken", self._build]
         else:
             command.append("greengagetrack.command.greengagetrackd")
-        return EntryProcess(name, path, ports[:2], self._logs, command)
+        return EntryProcess(
+            name, path, ports[:2], self._logs, command, self._tree
+        )
 
     def change_node_file(self, index, node_file):
         """Change the node file of one entry; here nothing is changed."""
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -186,6 +186,14 @@
             "born": self.born,
         }
 
+    def get_work_s(self, exchange):
+        """Return how long a request without events takes."""
+        return self.work_s
+
+    def get_event_interval_s(self, exchange, number):
+        """Return the time before an event of a request."""
+        return self.event_interval_s
+
     async def handle(self, exchange):
         """Serve one request by the protocol of the platform's engines."""
         self.arrival_times.append(trio.current_time())
@@ -241,7 +249,7 @@
             *self._new_limit_headers(),
         ]
         if not self.is_stream:
-            await trio.sleep(self.work_s)
+            await trio.sleep(self.get_work_s(exchange))
             body = exchange.method + b" " + exchange.target
             await exchange.answer(200, response_headers, body)
             return
@@ -262,7 +270,7 @@
         )
         last = self.event_count
         for number in range(after + 1, last + 1):
-            await trio.sleep(self.event_interval_s)
+            await trio.sleep(self.get_event_interval_s(exchange, number))
             event = new_event(number, request_id, self.version)
             is_cut = is_breaking and number == last
             await exchange.send(event[:CUT_EVENT_BYTES] if is_cut else event)
@@ -327,12 +335,16 @@
     async def start(self):
         """Start the store and six engines."""
         self.store_address = await start_http(self.nursery, self.store.handle)
-        self.store.put(names.CONFIG_KEY, new_config())
+        self.store.put(names.CONFIG_KEY, self.get_config())
         for number in (1, 2):
             await self.add_engine(f"desk-{number}", "desk")
             await self.add_engine(f"model-{number}", "model", is_stream=True)
             await self.add_engine(f"prepare-{number}", "prepare")
 
+    def get_config(self):
+        """Return the configuration to start with."""
+        return new_config()
+
     async def add_engine(self, engine_id, service, is_stream=False):
         """Start one engine and register it."""
         engine = EngineStandIn(engine_id, service, "dc-a", is_stream)
