--- a/bench/command.py
+++ b/bench/command.py
@@ -22,6 +22,7 @@
 from bench.soak import broken
 from bench.soak import limits as limits_module
 from bench.soak import run as soak_run
+from bench.soak import stops as stops_module
 from bench.soak import streams as streams_module
 from bench.soak import versions as versions_module
 
@@ -306,6 +307,39 @@
     sys.exit(EXIT_FAILURE if failed else 0)
 
 
+def stops(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    grace: float = 8.0,
+    build: str = "",
+    tree: str = "",
+    logs: str = "",
+):
+    """Stop entries by SIGTERM while callers go on using them.
+
+    Prints one JSON line per seed. Exit codes: 0 no answer was lost that had
+    to come; 1 one was.
+
+    :param seed: The first seed of the requests.
+    :param seeds: The number of seeds, run one after the other.
+    :param grace: The seconds from the signal until the kill.
+    :param build: A deliberately broken build, which must lose answers.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if an answer was lost.
+    """
+    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    failed = 0
+    for number in range(seed, seed + seeds):
+        folder = logs or tempfile.mkdtemp(prefix="greengagebench-stops-")
+        result = stops_module.run_stops(number, grace, folder, build, tree)
+        _print_json(result)
+        failed += bool(result.broken)
+        _keep_or_delete_logs(folder, logs, result.broken)
+    sys.exit(EXIT_FAILURE if failed else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -386,6 +420,7 @@
             "limits": limits,
             "versions": versions,
             "streams": streams,
+            "stops": stops,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
