End the answers of a planned stop in the last part of any grace

Cause: the margins before the kill (0.4 and 0.3 s) and the window in which new requests are taken (2.8 s) were written for a grace of 8 s. grace_s is published, so all of them follow from it now: a plan of the drain, apart from what carries it out (decisions/drain_plan.py).

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -13,6 +13,7 @@
 from greengagetrack.connection.http import matching
 from greengagetrack.platform import engines
 from greengagetrack.process.direct import daemon
+from greengagetrack.process.direct.decisions import drain_plan
 from greengagetrack.process.direct import directory
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import known_server
@@ -43,7 +44,8 @@
     """Exit at once on a stop request, without draining."""
 
     async def drain(entry, callers, grace_s, stop):
-        entry.start_draining(math.inf)
+        plan = drain_plan.new_drain_plan(trio.current_time(), math.inf)
+        entry.start_draining(plan)
         await trio.sleep(0.05)
         return True
 
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -11,12 +11,10 @@
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import nng
+from greengagetrack.process.direct.decisions import drain_plan
 from greengagetrack.process.direct import entry as entry_module
 
-DEREGISTRATION_DELAY_S = 2.6
 DRAIN_CHECK_S = 0.05
-EXIT_MARGIN_S = 0.4
-ANSWER_MARGIN_S = 0.3
 EXIT_OK = 0
 EXIT_DRAIN_INCOMPLETE = 3
 
@@ -163,12 +161,11 @@
     ready. They are served, and their connections are closed afterwards.
     Every request is answered before the process ends.
     """
-    started_s = trio.current_time()
-    deadline_s = started_s + grace_s - EXIT_MARGIN_S
-    entry.start_draining(deadline_s - ANSWER_MARGIN_S)
+    plan = drain_plan.new_drain_plan(trio.current_time(), grace_s)
+    entry.start_draining(plan)
     caller_server.is_draining = True
-    with trio.move_on_at(deadline_s):
-        await trio.sleep(DEREGISTRATION_DELAY_S)
+    with trio.move_on_at(plan.exit_by_s):
+        await trio.sleep_until(plan.idle_exit_s)
         while caller_server.in_progress or entry.is_busy():
             if stop.exit_requested.is_set():
                 break
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -1,7 +1,6 @@
 """The entry in direct mode: its components, admission and draining."""
 
 import logging
-import math
 
 import msgspec
 import trio
@@ -31,7 +30,6 @@
 RETRY_AFTER_START_MS = 300
 RETRY_AFTER_STALE_MS = 500
 RETRY_AFTER_DRAINING_MS = 50
-ACCEPT_WHILE_DRAINING_S = 2.8
 IDLE_CHECK_S = 0.5
 
 _Reason = outcome.Reason
@@ -64,15 +62,13 @@
 
     __slots__ = (
         "_connection_pool",
-        "_drain_end_s",
+        "_drain_plan",
         "_pools",
-        "_refuse_from_s",
         "_runs",
         "_services",
         "catalog_watcher",
         "directory",
         "containment",
-        "is_draining",
         "lease",
         "metrics",
         "peers",
@@ -91,9 +87,7 @@
         get_digest,
     ):
         self.settings = settings
-        self.is_draining = False
-        self._drain_end_s = math.inf
-        self._refuse_from_s = math.inf
+        self._drain_plan = None
         self._runs = set()
         self._connection_pool = connection_pool
         self.metrics = metrics_module.new_direct_metrics(settings.name)
@@ -225,23 +219,24 @@
         """Return whether this entry has pieces queued or in calls."""
         return self._pools.is_busy()
 
-    def start_draining(self, end_s):
-        """Become not ready, and end all requests by `end_s`.
+    @property
+    def is_draining(self):
+        """Whether the entry is about to stop."""
+        return self._drain_plan is not None
 
-        Requests are accepted for `ACCEPT_WHILE_DRAINING_S` more; later
-        ones are refused, since they might not end in time.
-        """
-        self.is_draining = True
-        self._drain_end_s = end_s
-        self._refuse_from_s = trio.current_time() + ACCEPT_WHILE_DRAINING_S
+    def start_draining(self, plan):
+        """Become not ready; refuse and end requests by a `DrainPlan`."""
+        self._drain_plan = plan
         for run in self._runs:
-            run.shorten_deadline(end_s)
+            run.shorten_deadline(plan.answer_until_s)
         self.peers.announce_leaving()
         _log.info("draining", extra={"decision": "drain"})
 
     def admit(self, request):
         """Return `Admitted` or `Refused`."""
-        if trio.current_time() >= self._refuse_from_s:
+        if self.is_draining and not self._drain_plan.accepts(
+            trio.current_time()
+        ):
             return outcome.Refused(
                 _Reason.DRAINING, retry_after_ms=RETRY_AFTER_DRAINING_MS
             )
@@ -298,7 +293,7 @@
             return admitted
         run = run_module.new_direct_run(self._services, admitted, reply)
         if self.is_draining:
-            run.shorten_deadline(self._drain_end_s)
+            run.shorten_deadline(self._drain_plan.answer_until_s)
         self._runs.add(run)
         try:
             return await run.run()
--- /dev/null
+++ b/tests/direct/test_planned_stop.py
@@ -0,0 +1,37 @@
+"""A planned stop: what is taken ends whole, or is refused at once."""
+
+import trio
+
+from bench.standins import site as site_module
+from tests.direct import test_site
+
+# That of the stand-in's node files.
+GRACE_S = 4.0
+# An engine that is at work then excuses a cut.
+LAST_PART_S = GRACE_S * 5 / 6
+
+
+async def _wait_for_exit(node):
+    while node.exit_code is None:
+        await trio.sleep(0.01)
+
+
+def test_no_answer_is_cut_before_the_last_part_of_a_short_grace(tmp_path):
+    """Streams of a grace of 4 s were cut at 3.3 s, with 0.7 s left."""
+
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        for number in (1, 2):
+            engine = site.engine_by_id[f"model-{number}"]
+            engine.event_count, engine.event_interval_s = 20, 0.3
+        stopped_s = trio.current_time()
+        nodes[0].stop.request()
+        await trio.sleep(1.6)
+        status, _headers, _body = await consumer.send("/draft/1", b"r1")
+        assert status == 0
+        cut_s = trio.current_time() - stopped_s
+        await _wait_for_exit(nodes[0])
+        exit_s = trio.current_time() - stopped_s
+        assert LAST_PART_S <= cut_s < exit_s < GRACE_S
+
+    test_site.run_with_nodes(tmp_path, check)
