Refuse what will not end before a planned stop, by what is known of it

Cause: every request of the first 2.8 s was taken, however long it takes. The entry knows how long the last requests of a route took; one that takes longer than what is left of the grace is refused at once now, truthfully, so that its caller is served by another entry. Where nothing was learned, the route's target counts. A mean with deviations, as TCP keeps them, was tried and ruled out: where one of ten requests takes ten times as long, it forgot that between two of them (100 of 1000 took longer; the longest of the last 50: under 40).

--- a/greengagetrack/process/direct/decisions/drain_plan.py
+++ b/greengagetrack/process/direct/decisions/drain_plan.py
@@ -21,9 +21,9 @@
 class DrainPlan(msgspec.Struct, frozen=True):
     """The times of one drain, on the clock of the process.
 
-    New requests are refused from `refuse_from_s` on, and all are ended at
-    `answer_until_s`. The process exits by `exit_by_s`, and from
-    `idle_exit_s` on as soon as it is idle.
+    New requests are refused from `refuse_from_s` on, and before it if they
+    won't end by `answer_until_s`, when all requests are ended. The process
+    exits by `exit_by_s`, and from `idle_exit_s` on as soon as it is idle.
     """
 
     refuse_from_s: float
@@ -31,9 +31,11 @@
     answer_until_s: float
     exit_by_s: float
 
-    def accepts(self, now_s):
-        """Return whether a new request may be taken."""
-        return now_s < min(self.refuse_from_s, self.answer_until_s)
+    def accepts(self, now_s, needed_s):
+        """Return whether a request that needs some time may be taken."""
+        if now_s >= self.refuse_from_s:
+            return False
+        return now_s + needed_s <= self.answer_until_s
 
 
 def new_drain_plan(signal_s, grace_s):
@@ -42,8 +44,8 @@
     Example::
 
         plan = new_drain_plan(100.0, 8.0)
-        assert plan.accepts(101.0)
-        assert not plan.accepts(103.0)
+        assert plan.accepts(101.0, needed_s=2.0)
+        assert not plan.accepts(101.0, needed_s=7.0)
     """
     kill_s = signal_s + grace_s
     answer_margin_s = min(ANSWER_MARGIN_MAX_S, grace_s * ANSWER_MARGIN_SHARE)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -12,6 +12,7 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import durations
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import lifetime_check
@@ -179,6 +180,7 @@
             lifetime_check.new_lifetime_checks(
                 self.directory, gateway, self.catalog_watcher.refresh
             ),
+            durations.Durations(),
         )
 
     async def run(self):
@@ -234,12 +236,8 @@
 
     def admit(self, request):
         """Return `Admitted` or `Refused`."""
-        if self.is_draining and not self._drain_plan.accepts(
-            trio.current_time()
-        ):
-            return outcome.Refused(
-                _Reason.DRAINING, retry_after_ms=RETRY_AFTER_DRAINING_MS
-            )
+        if not self._is_accepting():
+            return _new_draining_refusal()
         catalog = self.catalog_watcher.get_catalog()
         if catalog is None:
             return outcome.Refused(
@@ -268,10 +266,18 @@
         deadline = deadline_module.Deadline(
             request.received_s + timeout_ms / 1000
         )
+        needed_s = self._services.durations.predict_s(route)
+        if not self._is_accepting(min(needed_s, deadline.get_left_s())):
+            return _new_draining_refusal()
         return request_module.Admitted(
             request, route, organisation, deadline, catalog.version
         )
 
+    def _is_accepting(self, needed_s=0.0):
+        """Return whether a request that needs some time ends before a stop."""
+        plan = self._drain_plan
+        return plan is None or plan.accepts(trio.current_time(), needed_s)
+
     def _refuse_unknown(self, reason):
         # A stale catalog may lack a route or key that exists by now.
         if not self.lease.is_fresh():
@@ -317,6 +323,12 @@
         )
 
 
+def _new_draining_refusal():
+    return outcome.Refused(
+        _Reason.DRAINING, retry_after_ms=RETRY_AFTER_DRAINING_MS
+    )
+
+
 def new_direct_entry(
     settings,
     source,
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -48,6 +48,7 @@
     permits: object
     streams: object
     lifetime_checks: object
+    durations: object
 
 
 class DirectRun:
@@ -511,6 +512,8 @@
         self._services.metrics.record_outcome(
             route, outcome, times.spent_s * 1000, late
         )
+        if isinstance(outcome, direct_outcome.Relayed):
+            self._services.durations.record(route, times.spent_s)
         request_log.log_outcome(
             self._admitted, self._sends, times, late, self._answer_end, outcome
         )
--- a/tests/direct/decisions/test_drain_plan.py
+++ b/tests/direct/decisions/test_drain_plan.py
@@ -18,13 +18,16 @@
     assert last_part_s < plan.answer_until_s < plan.exit_by_s < kill_s
 
 
-def test_nothing_is_taken_once_callers_had_time_to_leave():
-    plan = drain_plan.new_drain_plan(SIGNAL_S, 60.0)
-    assert plan.accepts(SIGNAL_S + 2.7)
-    assert not plan.accepts(SIGNAL_S + 2.9)
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 4.0, 8.0])
+def test_request_is_taken_only_if_it_ends_in_time(grace_s):
+    plan = drain_plan.new_drain_plan(SIGNAL_S, grace_s)
+    left_s = plan.answer_until_s - SIGNAL_S
+    assert plan.accepts(SIGNAL_S, left_s)
+    assert not plan.accepts(SIGNAL_S, left_s + 0.01)
+    assert not plan.accepts(plan.answer_until_s, 0.01)
 
 
-def test_nothing_is_taken_at_the_end_of_a_short_grace():
-    plan = drain_plan.new_drain_plan(SIGNAL_S, 2.0)
-    assert plan.accepts(SIGNAL_S + 1.0)
-    assert not plan.accepts(plan.answer_until_s)
+def test_nothing_is_taken_once_callers_had_time_to_leave():
+    plan = drain_plan.new_drain_plan(SIGNAL_S, 60.0)
+    assert plan.accepts(SIGNAL_S + 2.7, 0.01)
+    assert not plan.accepts(SIGNAL_S + 2.9, 0.01)
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.process.direct import durations as durations_module
 from greengagetrack.process.direct import fetch_time as fetch_time_module
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import members as members_module
@@ -329,6 +330,7 @@
             lifetime_check.new_lifetime_checks(
                 self.directory, fake_gateway, self.source_reader.refresh
             ),
+            durations_module.Durations(),
         )
 
     def admit(self, route, left_s=3.0, **fields):
--- a/tests/direct/test_planned_stop.py
+++ b/tests/direct/test_planned_stop.py
@@ -35,3 +35,21 @@
         assert LAST_PART_S <= cut_s < exit_s < GRACE_S
 
     test_site.run_with_nodes(tmp_path, check)
+
+
+def test_request_that_will_not_end_in_the_grace_is_refused(tmp_path):
+    """Orders were taken 1 s before the end, and ran into it."""
+
+    async def check(site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        for number in (1, 2):
+            site.engine_by_id[f"desk-{number}"].work_s = 1.5
+        assert (await consumer.send("/order/1", b"r1"))[0] == 200
+        nodes[0].stop.request()
+        await trio.sleep(2.3)
+        assert (await consumer.send("/order/1", b"r2"))[0] == 503
+        assert site.count_runs(b"r2") == 0
+        # Of another kind, which takes less.
+        assert (await consumer.send("/draft/1", b"r3"))[0] == 200
+
+    test_site.run_with_nodes(tmp_path, check)
