Let refused callers that come back not hold the exit of a planned stop

Cause: the process waited until no exchange was in hand at the moment of a look, refusals included. It waits for runs and pieces now, then listens no more, and then for what is still being answered on open connections.

Evidence: test_callers_that_are_refused_and_come_back_do_not_hold_the_exit (16 callers) fails on the commit before with exit code 3.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -385,6 +385,7 @@
 
     __slots__ = (
         "_address",
+        "_listening",
         "get_limits",
         "handle",
         "in_progress",
@@ -395,6 +396,7 @@
 
     def __init__(self, address, handle, get_limits, observer):
         self._address = address
+        self._listening = trio.CancelScope()
         self.handle = handle
         self.observer = observer
         self.get_limits = get_limits
@@ -408,9 +410,18 @@
         listeners = await trio.open_tcp_listeners(
             int(port), host=host, backlog=BACKLOG
         )
-        await trio.serve_listeners(
-            self.serve_connection, listeners, task_status=task_status
-        )
+        async with trio.open_nursery() as nursery:
+            with self._listening:
+                await trio.serve_listeners(
+                    self.serve_connection,
+                    listeners,
+                    handler_nursery=nursery,
+                    task_status=task_status,
+                )
+
+    def stop_listening(self):
+        """Refuse new connections; those that are open are served on."""
+        self._listening.cancel()
 
     async def serve_connection(self, stream):
         """Serve the requests of one connection until it closes."""
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -166,9 +166,11 @@
     caller_server.is_draining = True
     with trio.move_on_at(plan.exit_by_s):
         await trio.sleep_until(plan.idle_exit_s)
-        while caller_server.in_progress or entry.is_busy():
-            if stop.exit_requested.is_set():
-                break
+        while entry.is_busy() and not stop.exit_requested.is_set():
+            await trio.sleep(DRAIN_CHECK_S)
+        # Refused callers that come back at once would never let it be idle.
+        caller_server.stop_listening()
+        while caller_server.in_progress and not stop.exit_requested.is_set():
             await trio.sleep(DRAIN_CHECK_S)
     caller_server.is_closing = True
     return caller_server.in_progress == 0
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -218,8 +218,8 @@
         return bool(self.directory.server_by_id) and self.lease.is_fresh()
 
     def is_busy(self):
-        """Return whether this entry has pieces queued or in calls."""
-        return self._pools.is_busy()
+        """Return whether requests run here, or pieces wait or are made."""
+        return bool(self._runs) or self._pools.is_busy()
 
     @property
     def is_draining(self):
--- a/tests/direct/test_planned_stop.py
+++ b/tests/direct/test_planned_stop.py
@@ -3,6 +3,7 @@
 import trio
 
 from bench.standins import site as site_module
+from greengagetrack.process.direct import daemon
 from tests.direct import test_site
 
 # That of the stand-in's node files.
@@ -53,3 +54,24 @@
         assert (await consumer.send("/draft/1", b"r3"))[0] == 200
 
     test_site.run_with_nodes(tmp_path, check)
+
+
+def test_callers_that_are_refused_and_come_back_do_not_hold_the_exit(tmp_path):
+    """The exit came late, with the code of a drain that is incomplete."""
+
+    async def check(site, nodes, nursery):
+        async def come_back(number):
+            consumer = site_module.Consumer(nursery, nodes[0].address)
+            while nodes[0].exit_code is None:
+                await consumer.send("/open/1", b"c%d" % number, key="")
+
+        async with trio.open_nursery() as callers:
+            for number in range(16):
+                callers.start_soon(come_back, number)
+            stopped_s = trio.current_time()
+            nodes[0].stop.request()
+            await _wait_for_exit(nodes[0])
+        assert nodes[0].exit_code == daemon.EXIT_OK
+        assert trio.current_time() - stopped_s < LAST_PART_S
+
+    test_site.run_with_nodes(tmp_path, check)
