Give up a silent server only if another one is sure to take over

Cause: the run let go of its answer in the hope of another server, and only then looked for one. Seen in two logs: no version to go on with (stream_version_unknown), and no retry left. The same in the waits for an answer's head and for its first event.

Now a silence alone ends nothing. The server is given up when another one is there that nothing speaks against, of the stream's version if it is known, a retry is allowed, and its first event, the stages included where their results are gone, is predicted before the deadline; else the wait goes on and asks again. Ruled out: asking both, since two servers must not work on one stream. Weighed and not built: making the stages anew before the first server is let go.

The fake answer of the tests keeps the rest of a pause that is cancelled.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -20,6 +20,7 @@
 from greengagetrack.process.direct import lifetime
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import newest_version
+from greengagetrack.request.direct import patience
 from greengagetrack.request.direct import run as run_module
 
 
@@ -32,7 +33,8 @@
         return original(self)
 
     run_module.DirectRun._may_retry = may_retry
-    run_module.DirectRun._get_answer_timeout_s = lambda self: 0.3
+    run_module.DirectRun._can_move_on = lambda self: True
+    patience.Patience._get_answer_s = lambda self: 0.3
 
 
 def _trust_forever():
--- a/greengagetrack/process/direct/budget.py
+++ b/greengagetrack/process/direct/budget.py
@@ -39,13 +39,17 @@
         self._drop_expired()
         self._first_attempt_times.append(trio.current_time())
 
-    def try_acquire(self):
-        """Return whether one more retry is allowed, and count it if so."""
+    def is_available(self):
+        """Return whether one more retry is allowed."""
         self._drop_expired()
         allowed = (
             self._ratio * len(self._first_attempt_times) + self._get_slack()
         )
-        if len(self._retry_times) + 1 > allowed:
+        return len(self._retry_times) + 1 <= allowed
+
+    def try_acquire(self):
+        """Return whether one more retry is allowed, and count it if so."""
+        if not self.is_available():
             return False
         self._retry_times.append(trio.current_time())
         return True
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -132,6 +132,18 @@
             best.tokens_ahead,
         )
 
+    def has_other(
+        self, service, excluded, priority, patience_s, software_version
+    ):
+        """Return whether a server is there that nothing speaks against."""
+        return any(
+            server.limit.get_wait_s(priority) <= patience_s
+            and not server.is_suspect()
+            for server in self._get_candidates(
+                service, excluded, software_version
+            )
+        )
+
     def is_limited(self, service, excluded):
         """Return whether all servers of a service name limits."""
         servers = self._get_candidates(service, excluded)
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -1,7 +1,5 @@
 """Reads the answer of one attempt to its end, and judges how it went."""
 
-import trio
-
 from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
 from greengagetrack.request import outcome
@@ -17,13 +15,14 @@
 class AnswerReader:
     """The answer of one attempt and what it says of its server."""
 
-    __slots__ = ("_answer", "_attempt", "_request", "_services")
+    __slots__ = ("_answer", "_attempt", "_patience", "_request", "_services")
 
-    def __init__(self, services, request, attempt, answer):
+    def __init__(self, services, request, attempt, answer, patience):
         self._services = services
         self._request = request
         self._attempt = attempt
         self._answer = answer
+        self._patience = patience
 
     async def read_body(self):
         """Return the whole body, a `Failure`, or `Unknown` if too long."""
@@ -42,18 +41,15 @@
                     _Reason.BACKEND_FAILED, "answer exceeds the size limit"
                 )
 
-    async def receive_part(self, end_s):
+    async def receive_part(self, progress_s, has_begun):
         """Return bytes of a stream, None at its end, or a `Failure`.
 
-        A stream that sends nothing until `end_s` has stalled.
+        `progress_s` is when the last event came, or the head of the answer
+        if `has_begun` is false.
         """
-        part = None
-        with trio.move_on_at(end_s) as scope:
-            part = await self._answer.receive_part()
-        if scope.cancelled_caught:
-            part = gateway.Failure(
-                _Reason.AGENT_SILENT, _Ran.UNKNOWN, "stream stalled"
-            )
+        part = await self._patience.receive_part(
+            self._answer.receive_part, progress_s, has_begun
+        )
         if part is None:
             part = await self.check_server()
         return part
@@ -88,6 +84,9 @@
         self._services.crash_guard.record_whole(self._request)
 
 
-def new_answer_reader(services, request, attempt, answer):
-    """Return a reader of the answer of an attempt."""
-    return AnswerReader(services, request, attempt, answer)
+def new_answer_reader(services, request, attempt, answer, patience):
+    """Return a reader of the answer of an attempt.
+
+    `patience` is that of the run, with a server that sends nothing.
+    """
+    return AnswerReader(services, request, attempt, answer, patience)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -18,6 +18,7 @@
 from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import lateness
 from greengagetrack.request.direct import outcome as direct_outcome
+from greengagetrack.request.direct import patience as patience_module
 from greengagetrack.request.direct import request_log
 from greengagetrack.request.direct import server_selector
 from greengagetrack.request.direct import stream_binding
@@ -26,9 +27,6 @@
 SENDS_OVER_ATTEMPTS_MAX = 1
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
-FIRST_EVENT_TIMEOUT_MIN_S = 1.2
-EVENT_GAP_MIN_S = 1.2
-EVENT_GAP_FACTOR = 2.5
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -65,6 +63,7 @@
         "_inputs",
         "_may_have_run",
         "_last_failure",
+        "_patience",
         "_relay",
         "_reply",
         "_scope",
@@ -82,6 +81,9 @@
         self._relay = event_relay.new_event_relay(reply, self._begin_stream)
         self._answering = None
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
+        self._patience = patience_module.Patience(
+            admitted.route, self._can_move_on
+        )
         self._graph = None
         self._inputs = None
         self._input_bytes = {}
@@ -153,7 +155,7 @@
         if refused is not None:
             return refused
         while True:
-            if self._graph is not None and self._graph.is_freed:
+            if self._graph is not None and not self._has_inputs():
                 self._inputs = None
             outcome = self._check_crashes()
             if outcome is None and self._inputs is None:
@@ -228,8 +230,16 @@
 
     def _may_retry(self):
         """Return whether the request may be sent to one more server."""
+        if self._last_failure is None or not self._is_repeatable():
+            return False
+        if self._sends == 0:
+            return True
+        return self._services.budgets.get(self._selector.service).try_acquire()
+
+    def _is_repeatable(self):
+        """Return whether one more send is allowed, apart from the budget."""
         route = self._admitted.route
-        if self._last_failure is None or not self._relay.is_resumable:
+        if not self._relay.is_resumable:
             return False
         if self._admitted.deadline.get_left_ms() < RETRY_LEFT_MIN_MS:
             return False
@@ -237,11 +247,31 @@
             return False
         if self._attempts >= route.attempts_max:
             return False
-        if self._sends >= route.attempts_max + SENDS_OVER_ATTEMPTS_MAX:
+        return self._sends < route.attempts_max + SENDS_OVER_ATTEMPTS_MAX
+
+    def _can_move_on(self):
+        """Return whether another server is sure to take over in time."""
+        if not self._is_repeatable():
             return False
-        if self._sends == 0:
-            return True
-        return self._services.budgets.get(self._selector.service).try_acquire()
+        selector = self._selector
+        if not self._services.budgets.get(selector.service).is_available():
+            return False
+        if not selector.has_next(self._is_resumed):
+            return False
+        return self._predict_next_s() < self._admitted.deadline.get_left_s()
+
+    def _predict_next_s(self):
+        """Return the time until another server's first event or answer."""
+        first_event_s = self._services.chooser.predict_first_event_s(
+            self._selector.service, self._admitted.request
+        )
+        if self._graph is None or self._has_inputs():
+            return first_event_s
+        return first_event_s + self._graph.predict_s()
+
+    def _has_inputs(self):
+        """Return whether the results of the stages can be used again."""
+        return self._inputs is not None and not self._graph.is_freed
 
     async def _try_server(self):
         """Send the request to one server; return None if it may be retried."""
@@ -275,21 +305,16 @@
 
     async def _send(self, attempt):
         server = attempt.server
-        answer = None
-        timeout_s = self._get_answer_timeout_s()
         # Set before sending, since the deadline may cancel this task at any
         # await below. Reset if the server provably did not run the request.
         may_have_run_before = self._may_have_run
         self._may_have_run = True
         self._reply.record_passed_on()
-        with trio.move_on_after(timeout_s) as scope:
-            answer = await self._services.gateway.open_answer(
+        answer = await self._patience.wait_for_answer(
+            lambda: self._services.gateway.open_answer(
                 server.published, self._new_server_request(server)
             )
-        if scope.cancelled_caught:
-            answer = gateway.Failure(
-                _Reason.AGENT_SILENT, _Ran.UNKNOWN, "no answer in time"
-            )
+        )
         if isinstance(answer, gateway.Failure):
             if answer.ran is _Ran.NO:
                 self._may_have_run = may_have_run_before
@@ -308,17 +333,6 @@
             )
             answer.finish()
 
-    def _get_answer_timeout_s(self):
-        """Return how long to wait for an answer before trying another server.
-
-        A request that can't be sent again waits until its deadline.
-        """
-        route = self._admitted.route
-        if not route.is_idempotent or self._attempts + 1 >= route.attempts_max:
-            return self._admitted.deadline.get_left_s() + 1.0
-        target_s = route.target_ms / 1000
-        return max(FIRST_EVENT_TIMEOUT_MIN_S, target_s)
-
     def _new_server_request(self, server):
         admitted = self._admitted
         request = admitted.request
@@ -431,7 +445,11 @@
 
     def _new_reader(self, attempt, answer):
         return answer_reader.new_answer_reader(
-            self._services, self._admitted.request, attempt, answer
+            self._services,
+            self._admitted.request,
+            attempt,
+            answer,
+            self._patience,
         )
 
     def _is_retry_preferred(self, status):
@@ -448,7 +466,9 @@
         attempt.begin()
         problem = None
         while problem is None:
-            part = await reader.receive_part(self._get_event_end_s())
+            part = await reader.receive_part(
+                self._relay.progress_s, self._relay.last_event is not None
+            )
             if part is None:
                 break
             problem = await self._relay_part(attempt, part)
@@ -480,20 +500,6 @@
         # The server no longer needs the inputs.
         self._free_inputs()
 
-    def _get_event_end_s(self):
-        """Return when to give up on the next event of a server."""
-        route = self._admitted.route
-        is_resumable = route.is_resumable and self._relay.is_resumable
-        if not is_resumable or self._attempts >= route.attempts_max:
-            # No other server could go on, so the deadline ends the stream.
-            return self._admitted.deadline.at_s + 1.0
-        if self._relay.last_event is None:
-            timeout_s = max(FIRST_EVENT_TIMEOUT_MIN_S, route.target_ms / 1000)
-        else:
-            gap_s = EVENT_GAP_FACTOR * route.target_gap_ms / 1000
-            timeout_s = max(EVENT_GAP_MIN_S, gap_s)
-        return self._relay.progress_s + timeout_s
-
     def _log_failure(self, attempt, failure):
         request_log.log_failure(
             self._admitted,
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -78,11 +78,10 @@
         """Return the `Choice` of the next server, or None without one."""
         choice = self._pop_reserved()
         if choice is None:
-            patience_s = self._get_target_left_s()
-            if is_resumed:
-                patience_s = max(patience_s, RESUME_PATIENCE_S)
             choice = await self._choose(
-                input_bytes, patience_s, self._get_priority(is_resumed)
+                input_bytes,
+                self._get_patience_s(is_resumed),
+                self._get_priority(is_resumed),
             )
         if choice is not None:
             # The request is sent with it now.
@@ -90,6 +89,18 @@
             self._excluded.add(choice.server.server_id)
         return choice
 
+    def has_next(self, is_resumed):
+        """Return whether a next server is there that may get the request."""
+        if self.is_bound and self.software_version is None:
+            return False
+        return self._chooser.has_other(
+            self.service,
+            self._excluded,
+            self._get_priority(is_resumed),
+            self._get_patience_s(is_resumed),
+            self.software_version,
+        )
+
     def _pop_reserved(self):
         choice, self._reserved = self._reserved, None
         if choice is None:
@@ -106,6 +117,11 @@
         if permit is not None:
             self._permits.give_back(permit)
 
+    def _get_patience_s(self, is_resumed):
+        """Return how long the request may wait for a permit."""
+        patience_s = self._get_target_left_s()
+        return max(patience_s, RESUME_PATIENCE_S) if is_resumed else patience_s
+
     def _get_target_left_s(self):
         now = trio.current_time()
         return max(self._admitted.target_time_s - now, 0.0)
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -115,9 +115,18 @@
             part = self._parts.pop(0)
             if not isinstance(part, int | float):
                 return part
-            await trio.sleep(part)
+            await self._pause(part)
         return None
 
+    async def _pause(self, pause_s):
+        """Pause; a reader that is cancelled finds the rest of the pause."""
+        end_s = trio.current_time() + pause_s
+        try:
+            await trio.sleep_until(end_s)
+        except trio.Cancelled:
+            self._parts.insert(0, end_s - trio.current_time())
+            raise
+
     def finish(self):
         self.is_finished = True
 
--- /dev/null
+++ b/tests/direct/test_silent_servers.py
@@ -0,0 +1,156 @@
+"""A sound server that pauses is given up only if another one takes over.
+
+Streams that paused for over 1.2 s were given up in the hope of another server,
+and were cut when there was none, or no retry or no time was left.
+"""
+
+import pytest
+import trio
+
+from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct import budget as budget_module
+from greengagetrack.process.direct import chooser as chooser_module
+from greengagetrack.process.direct import directory as directory_module
+from greengagetrack.request.direct import outcome as direct_outcome
+from greengagetrack.version import catalog
+from tests.direct import fakes
+
+WHOLE = direct_outcome.Relayed(200)
+STREAM = fakes.new_route(
+    repeat=catalog.Repeat.STREAM,
+    is_resumable=True,
+    target_gap_ms=100.0,
+    timeout_ms=8000.0,
+)
+SAFE = fakes.new_route(timeout_ms=8000.0)
+LEFT_S = 8.0
+PAUSE_S = 3.0
+# Given up by then, if another server can take over.
+GIVEN_UP_S = 2.0
+ONE = fakes.new_server("s1")
+OTHER = fakes.new_server("s2")
+
+
+def _new_answer(number, *pauses):
+    """Return a stream of one event, pauses, and the next event."""
+    parts = [b"id: %d\n\n" % number, *pauses, b"id: %d\n\n" % (number + 1)]
+    return fakes.ScriptedAnswer(parts=parts, is_events=True)
+
+
+def _play(check, servers, *script):
+    async def main(nursery):
+        gateway = fakes.FakeGateway(script)
+        await check(fakes.FakeEntry(nursery, gateway, servers))
+
+    fakes.run_with_mock_clock(main)
+
+
+def _leave(entry, _monkeypatch):
+    """Let the other server leave."""
+    entry.directory.apply_update(
+        source_module.Update(2, servers=(ONE,), is_complete=True)
+    )
+
+
+def _spend_budget(entry, _monkeypatch):
+    entry.services.budgets = budget_module.new_retry_budgets(
+        0.0, 0.0, 10.0, lambda: 1
+    )
+
+
+def _forget_versions(_entry, monkeypatch):
+    monkeypatch.setattr(
+        directory_module.Directory,
+        "get_answering_version",
+        lambda self, server, opened_s: None,
+    )
+
+
+def _expect_slow_begin(_entry, monkeypatch):
+    monkeypatch.setattr(
+        chooser_module.Chooser,
+        "predict_first_event_s",
+        lambda self, service, request: LEFT_S,
+    )
+
+
+@pytest.mark.parametrize(
+    "prepare",
+    [_leave, _spend_budget, _forget_versions, _expect_slow_begin],
+    ids=["no server", "no retry", "no version", "no time"],
+)
+def test_pausing_stream_goes_on_if_no_other_server_is_sure(
+    monkeypatch, prepare
+):
+    async def check(entry):
+        prepare(entry, monkeypatch)
+        outcome, reply = await entry.serve(STREAM, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert reply.body == b"id: 1\n\nid: 2\n\n"
+        assert len(entry.gateway.sent) == 1
+
+    _play(check, [ONE, OTHER], _new_answer(1, PAUSE_S))
+
+
+@pytest.mark.parametrize("route", [STREAM, SAFE], ids=["stream", "safe"])
+def test_slow_answer_is_waited_for_if_no_other_server_is_there(route):
+    async def check(entry):
+        outcome, _reply = await entry.serve(route, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert len(entry.gateway.sent) == 1
+
+    _play(check, [ONE], (PAUSE_S, _new_answer(1)))
+
+
+def test_slow_first_event_is_waited_for_if_no_other_server_is_there():
+    async def check(entry):
+        outcome, _reply = await entry.serve(STREAM, left_s=LEFT_S)
+        assert outcome == WHOLE
+
+    parts = [PAUSE_S, b"id: 1\n\n"]
+    _play(check, [ONE], fakes.ScriptedAnswer(parts=parts, is_events=True))
+
+
+def test_stalled_stream_goes_on_at_a_server_that_is_sure():
+    async def check(entry):
+        started_s = trio.current_time()
+        outcome, reply = await entry.serve(STREAM, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert reply.body == b"id: 1\n\nid: 2\n\nid: 3\n\n"
+        assert trio.current_time() - started_s < GIVEN_UP_S
+        first, second = entry.gateway.sent
+        assert first[0] != second[0]
+        assert second[1].resume_after == b"1"
+
+    _play(check, [ONE, OTHER], _new_answer(1, PAUSE_S), _new_answer(2))
+
+
+def test_stalled_stream_goes_on_when_another_server_has_come():
+    async def check(entry):
+        async with trio.open_nursery() as nursery:
+
+            async def come():
+                await trio.sleep(GIVEN_UP_S)
+                entry.directory.apply_update(
+                    source_module.Update(2, servers=(OTHER,))
+                )
+
+            nursery.start_soon(come)
+            started_s = trio.current_time()
+            outcome, reply = await entry.serve(STREAM, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert reply.body == b"id: 1\n\nid: 2\n\nid: 3\n\n"
+        spent_s = trio.current_time() - started_s
+        assert GIVEN_UP_S <= spent_s < PAUSE_S
+
+    _play(check, [ONE], _new_answer(1, PAUSE_S), _new_answer(2))
+
+
+def test_server_that_never_answers_ends_with_the_deadline():
+    async def check(entry):
+        started_s = trio.current_time()
+        outcome, _reply = await entry.serve(STREAM, left_s=LEFT_S)
+        assert isinstance(outcome, direct_outcome.Cut)
+        assert trio.current_time() - started_s == pytest.approx(LEFT_S)
+
+    _play(check, [ONE], _new_answer(1, 60.0))
