Fuzz real entries with spoiled bytes, beside sound requests

Of messages between entries nothing is spoiled.

Tests: a short run, and one of a build whose reader of numbers raises.

--- a/bench/command.py
+++ b/bench/command.py
@@ -20,6 +20,7 @@
 from bench import fleet as fleet_module
 from bench import processes
 from bench.soak import broken
+from bench.soak import fuzz as fuzz_module
 from bench.soak import limits as limits_module
 from bench.soak import run as soak_run
 from bench.soak import stops as stops_module
@@ -340,6 +341,38 @@
     sys.exit(EXIT_FAILURE if failed else 0)
 
 
+def fuzz(
+    *,
+    seed: int = 0,
+    seconds: float = 20.0,
+    reader: str = "",
+    build: str = "",
+    tree: str = "",
+    logs: str = "",
+):
+    """Spoil the bytes that entries read, beside sound requests.
+
+    Prints one JSON line. Exit codes: 0 no entry ended, no error was left to
+    be contained and all sound requests were answered; 1 otherwise.
+
+    :param seed: The seed of the spoiled bytes.
+    :param seconds: How long bytes are spoiled.
+    :param reader: engines, store or callers; without one all of them.
+    :param build: A deliberately broken build, which must show.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if something was broken.
+    """
+    _check_choice("--reader", reader, ("", *fuzz_module.READERS))
+    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    readers = (reader,) if reader else fuzz_module.READERS
+    folder = logs or tempfile.mkdtemp(prefix="greengagebench-fuzz-")
+    result = fuzz_module.run_fuzz(seed, seconds, readers, folder, build, tree)
+    _print_json(result)
+    _keep_or_delete_logs(folder, logs, result.broken)
+    sys.exit(EXIT_FAILURE if result.broken else 0)
+
+
 def fleet(
     *,
     entries: int = 12,
@@ -421,6 +454,7 @@
             "versions": versions,
             "streams": streams,
             "stops": stops,
+            "fuzz": fuzz,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -11,6 +11,7 @@
 from greengagetrack.command import greengagetrackd
 from greengagetrack.connection import answer_end
 from greengagetrack.connection.http import matching
+from greengagetrack.connection.http import numbers
 from greengagetrack.platform import engines
 from greengagetrack.process.direct import daemon
 from greengagetrack.process.direct.decisions import drain_plan
@@ -103,6 +104,11 @@
     newest_version.NewestVersion.confirm = confirm
 
 
+def _trust_numbers():
+    """Read numbers of others as if they always were some."""
+    numbers.read_count = lambda text, maximum: int(text)
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
@@ -114,6 +120,7 @@
     "trust-addresses": _trust_addresses,
     "trust-lifetimes": _trust_lifetimes,
     "trust-restored": _trust_restored,
+    "trust-numbers": _trust_numbers,
 }
 
 
--- a/bench/soak/tcp_proxy.py
+++ b/bench/soak/tcp_proxy.py
@@ -11,7 +11,8 @@
 
     `delay_s` delays all bytes; `is_silent` discards the bytes that the
     target sends; `is_cut` discards the bytes of both directions. Once a
-    connection has lost bytes, it forwards no more in that direction.
+    connection has lost bytes, it forwards no more in that direction. A
+    `spoiler` changes what the target sends, and may end the connection.
     """
 
     def __init__(self, target):
@@ -19,6 +20,7 @@
         self.delay_s = 0.0
         self.is_silent = False
         self.is_cut = False
+        self.spoiler = None
         self._target = target
         self._scopes = set()
         self._nursery = None
@@ -103,8 +105,14 @@
                 is_discarding |= self.is_cut or (
                     self.is_silent and not is_to_target
                 )
+                is_last = False
+                if self.spoiler is not None and not is_to_target:
+                    data = self.spoiler.spoil(data)
+                    is_last = self.spoiler.is_last
                 if not is_discarding:
                     await sink.send_all(data)
+                if is_last:
+                    break
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
