A repeated SIGTERM no longer cuts what a planned stop has in hand

Callers saw: when a second SIGTERM came during a planned stop, the process exited at 2.6 s with requests in hand, orders among them, without an answer.

Cause: the second of any signals meant an exit at once. Supervisors and operators repeat a SIGTERM, and kill when their patience is over; so it changes nothing now. A second Ctrl-C (SIGINT) still exits at once.

--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -29,6 +29,8 @@
 FIRST_STOP_S = 2.0
 # Between the end of one stop and the next one.
 PAUSE_S = 1.0
+# What else comes after the first signal: seconds, and the signal.
+MORE_SIGNALS = ((0.4, signal.SIGTERM), (0.8, signal.SIGHUP))
 DEADLINE_MS = 8000
 READ_TIMEOUT_S = 15.0
 # How long engines work, most requests a short time.
@@ -210,7 +212,9 @@
         self._stops.append(span)
         entry.signal(signal.SIGTERM)
         with trio.move_on_after(self._grace_s):
-            span.exit_code = await entry.wait()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_send_more_signals, entry)
+                span.exit_code = await entry.wait()
         entry.signal(signal.SIGKILL)
         await entry.wait()
         span.exit_s = trio.current_time()
@@ -384,6 +388,13 @@
         )
 
 
+async def _send_more_signals(entry):
+    started_s = trio.current_time()
+    for after_s, number in MORE_SIGNALS:
+        await trio.sleep_until(started_s + after_s)
+        entry.signal(number)
+
+
 class _AnswerReader:
     """Reads whole answers from a connection, one after the other."""
 
--- a/greengagetrack/command/greengagectl.py
+++ b/greengagetrack/command/greengagectl.py
@@ -244,8 +244,9 @@
         "To drain a process, send it SIGTERM, or mark its VM as leaving in\n"
         "the VM list. It informs the other processes at once, receives no\n"
         "more new work after at most 3 s, completes work in progress and\n"
-        "exits with code 0. A second SIGTERM, or the end of --drain-s, stops\n"
-        "it at once with exit code 3. To watch it, run:\n"
+        "exits with code 0. The end of --drain-s, or a SIGINT (Ctrl-C) after\n"
+        "the first signal, stops it at once with exit code 3. To watch it,\n"
+        "run:\n"
         "greengagectl status ADDRESS"
     )
 
--- a/greengagetrack/process/stop.py
+++ b/greengagetrack/process/stop.py
@@ -6,7 +6,12 @@
 
 
 class Stop:
-    """A request to stop: first with a drain, then at once."""
+    """A request to stop: with a drain, and at a terminal also at once.
+
+    A supervisor may repeat its SIGTERM, which changes nothing: it kills the
+    process itself when its patience is over. A second Ctrl-C, a SIGINT, is
+    that of somebody who doesn't want to wait.
+    """
 
     __slots__ = ("drain_requested", "exit_requested")
 
@@ -15,7 +20,11 @@
         self.exit_requested = trio.Event()
 
     def request(self):
-        """Request a drain, or, from the second call on, an exit at once."""
+        """Request a drain; a repeated request changes nothing."""
+        self.drain_requested.set()
+
+    def interrupt(self):
+        """Request a drain, or, if one was requested, an exit at once."""
         if self.drain_requested.is_set():
             self.exit_requested.set()
         self.drain_requested.set()
@@ -24,8 +33,11 @@
         """Request a stop on each SIGTERM and SIGINT."""
         signals = (signal.SIGTERM, signal.SIGINT)
         with trio.open_signal_receiver(*signals) as received:
-            async for _signal in received:
-                self.request()
+            async for number in received:
+                if number == signal.SIGINT:
+                    self.interrupt()
+                else:
+                    self.request()
 
 
 async def run_until_stopped(run):
--- a/tests/direct/test_node_signals.py
+++ b/tests/direct/test_node_signals.py
@@ -11,6 +11,7 @@
 
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import daemon
+from greengagetrack.process import stop as stop_module
 from tests.direct import fakes
 
 EXIT_SETTINGS = 2
@@ -81,3 +82,30 @@
         assert adapter.reload_count == 3
 
     fakes.run_with_mock_clock(check)
+
+
+@pytest.mark.parametrize(
+    ("numbers", "is_exit_requested"),
+    [
+        ([signal.SIGTERM], False),
+        ([signal.SIGTERM, signal.SIGTERM], False),
+        ([signal.SIGINT], False),
+        ([signal.SIGINT, signal.SIGTERM], False),
+        ([signal.SIGTERM, signal.SIGINT], True),
+        ([signal.SIGINT, signal.SIGINT], True),
+    ],
+)
+def test_repeated_sigterm_cuts_no_request_short(numbers, is_exit_requested):
+    """Orders in hand got no answer when a supervisor repeated its signal."""
+    stop = stop_module.Stop()
+
+    async def check(nursery):
+        nursery.start_soon(stop.watch_signals)
+        for number in numbers:
+            await trio.sleep(0.1)
+            os.kill(os.getpid(), number)
+        await trio.sleep(0.1)
+        assert stop.drain_requested.is_set()
+        assert stop.exit_requested.is_set() is is_exit_requested
+
+    fakes.run_with_mock_clock(check)
