Let a begun stream wait for a server that is full

Cause: without a free server a run ends at once, also one whose answer has begun, which is lost by that. It waits now while a server of its version that was not tried is in service, up to the deadline.

--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -199,11 +199,15 @@
             for server in servers
         )
 
-    def has_servers(self, service, software_version):
-        """Return whether servers of a software version are in service."""
+    def has_servers(self, service, software_version, excluded=()):
+        """Return whether servers of a software version are in service.
+
+        They may all be full.
+        """
         return any(
             server.lifetime.may_go_on(software_version)
             for server in self._directory.get_servers(service)
+            if server.server_id not in excluded
         )
 
     def _get_candidates(self, service, excluded, software_version=None):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -27,6 +27,7 @@
 SENDS_OVER_ATTEMPTS_MAX = 1
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
+FULL_CHECK_PERIOD_S = 0.05
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -275,9 +276,7 @@
 
     async def _try_server(self):
         """Send the request to one server; return None if it may be retried."""
-        choice = await self._selector.choose(
-            self._input_bytes, self._is_resumed
-        )
+        choice = await self._choose_server()
         if choice is None:
             return self._binding.check() or self._new_refusal()
         server = choice.server
@@ -300,6 +299,22 @@
             attempt.record_prefill_done()
             server.outstanding -= 1
 
+    async def _choose_server(self):
+        """Return a `Choice`, or None if there is no server.
+
+        An answer that has begun waits for a server that is full: without one
+        it would be cut.
+        """
+        while True:
+            choice = await self._selector.choose(
+                self._input_bytes, self._is_resumed
+            )
+            if choice is not None or not self._reply.is_started:
+                return choice
+            if not self._selector.has_untried():
+                return None
+            await trio.sleep(FULL_CHECK_PERIOD_S)
+
     def _get_fetch_time(self):
         return self._services.fetch_times.get(self._selector.service)
 
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -60,6 +60,15 @@
             self.service, self.software_version
         )
 
+    def has_untried(self):
+        """Return whether a server of the bound version was not tried yet.
+
+        It may be full.
+        """
+        return self.software_version is not None and self._chooser.has_servers(
+            self.service, self.software_version, self._excluded
+        )
+
     async def reserve(self, stages_s):
         """Return whether the request may be sent to a server.
 
--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -25,6 +25,8 @@
 SAFE = fakes.new_route(timeout_ms=8000.0)
 LEFT_S = 8.0
 PAUSE_S = 3.0
+# More than a server may have.
+FULL_COUNT = 99
 # Given up by then, if another server can take over.
 GIVEN_UP_S = 2.0
 ONE = fakes.new_server("s1")
@@ -154,3 +156,40 @@
         assert trio.current_time() - started_s == pytest.approx(LEFT_S)
 
     _play(check, [ONE], _new_answer(1, 60.0))
+
+
+def test_begun_stream_waits_for_a_server_that_is_full():
+    """It was cut, as the server had filled up while its stages were made."""
+
+    async def check(entry):
+        other = entry.directory.server_by_id["s2"]
+
+        async def fill():
+            other.outstanding += FULL_COUNT
+            await trio.sleep(1.0)
+            other.outstanding -= FULL_COUNT
+
+        def make(server, pieces):
+            if len(entry.gateway.calls) == 2:
+                nursery.start_soon(fill)
+            return [f"{server.server_id}/{len(entry.gateway.calls)}"]
+
+        entry.gateway.call_handler = make
+        # So the first server is chosen first.
+        other.outstanding += 1
+        async with trio.open_nursery() as nursery:
+            outcome, reply = await entry.serve(
+                staged, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+            )
+        assert outcome == WHOLE
+        assert reply.body == b"id: 1\n\nid: 2\n\nid: 3\n\n"
+
+    staged = fakes.new_route(
+        repeat=catalog.Repeat.STREAM,
+        is_resumable=True,
+        target_gap_ms=100.0,
+        timeout_ms=8000.0,
+        stages=(catalog.Stage("pool", result_bytes=10),),
+    )
+    pool = fakes.new_server("p1", service="pool")
+    _play(check, [ONE, OTHER, pool], _new_answer(1, 6.0), _new_answer(2))
