Say what a stop still has in hand, and which servers are silent but kept

draining names the requests in hand and the time until they are ended, a refusal in a stop how long the request may take, and a run logs once that its server is silent and no other one is sure to take over. Two fields that nothing read are gone (VersionHistory.recorded_s, Exchange._is_closing).

--- a/greengagetrack/connection/http/exchange.py
+++ b/greengagetrack/connection/http/exchange.py
@@ -21,7 +21,6 @@
 
     __slots__ = (
         "_connection",
-        "_is_closing",
         "body",
         "headers",
         "is_finished",
@@ -35,7 +34,6 @@
 
     def __init__(self, connection, request, body):
         self._connection = connection
-        self._is_closing = False
         self.method = bytes(request.method)
         self.target = bytes(request.target)
         self.headers = list(request.headers.raw_items())
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -232,7 +232,14 @@
         for run in self._runs:
             run.shorten_deadline(plan.answer_until_s)
         self.peers.announce_leaving()
-        _log.info("draining", extra={"decision": "drain"})
+        _log.info(
+            "draining",
+            extra={
+                "decision": "drain",
+                "requests": len(self._runs),
+                "left_s": round(plan.answer_until_s - trio.current_time(), 2),
+            },
+        )
 
     def admit(self, request):
         """Return `Admitted` or `Refused`."""
@@ -266,9 +273,11 @@
         deadline = deadline_module.Deadline(
             request.received_s + timeout_ms / 1000
         )
-        needed_s = self._services.durations.predict_s(route)
-        if not self._is_accepting(min(needed_s, deadline.get_left_s())):
-            return _new_draining_refusal()
+        needed_s = min(
+            self._services.durations.predict_s(route), deadline.get_left_s()
+        )
+        if not self._is_accepting(needed_s):
+            return _new_draining_refusal(f"it may take {needed_s:.2f} s")
         return request_module.Admitted(
             request, route, organisation, deadline, catalog.version
         )
@@ -323,10 +332,8 @@
         )
 
 
-def _new_draining_refusal():
-    return outcome.Refused(
-        _Reason.DRAINING, retry_after_ms=RETRY_AFTER_DRAINING_MS
-    )
+def _new_draining_refusal(detail=""):
+    return outcome.Refused(_Reason.DRAINING, detail, RETRY_AFTER_DRAINING_MS)
 
 
 def new_direct_entry(
--- a/greengagetrack/process/direct/version_history.py
+++ b/greengagetrack/process/direct/version_history.py
@@ -9,21 +9,19 @@
 class VersionHistory:
     """The versions that this entry has seen published, by service.
 
-    Before `known_since_s` other versions may have served as well, and since
-    `recorded_s` new ones. Times are seconds on the clock of the process.
+    Before `known_since_s` other versions may have served as well. Times are
+    seconds on the clock of the process.
     """
 
-    __slots__ = ("_seen_s_by_service", "known_since_s", "recorded_s")
+    __slots__ = ("_seen_s_by_service", "known_since_s")
 
     def __init__(self):
         self._seen_s_by_service = {}
         self.known_since_s = math.inf
-        self.recorded_s = -math.inf
 
     def record(self, servers, now_s):
         """Record the servers that are published now, all of them."""
         self.known_since_s = min(self.known_since_s, now_s)
-        self.recorded_s = now_s
         for published in servers:
             seen_s_by_version = self._seen_s_by_service.setdefault(
                 published.service, {}
--- a/greengagetrack/request/direct/patience.py
+++ b/greengagetrack/request/direct/patience.py
@@ -6,6 +6,8 @@
 deadline of the request.
 """
 
+import logging
+
 import trio
 
 from greengagetrack.connection import gateway
@@ -20,6 +22,8 @@
 _Reason = outcome.Reason
 _Ran = outcome.Ran
 
+_log = logging.getLogger(__name__)
+
 
 class Patience:
     """The waits of one run, for answers and for their events.
@@ -27,11 +31,13 @@
     `can_move_on()` returns whether another server is sure to take over.
     """
 
-    __slots__ = ("_can_move_on", "_route")
+    __slots__ = ("_can_move_on", "_has_waited", "_request_id", "_route")
 
-    def __init__(self, route, can_move_on):
-        self._route = route
+    def __init__(self, admitted, can_move_on):
+        self._route = admitted.route
+        self._request_id = admitted.request.log_id
         self._can_move_on = can_move_on
+        self._has_waited = False
 
     async def wait_for_answer(self, open_answer):
         """Return what `await open_answer()` does, or a `Failure`.
@@ -55,6 +61,7 @@
     async def _give_up(self, end_s, scope):
         await trio.sleep_until(end_s)
         while not self._can_move_on():
+            self._record_wait()
             await trio.sleep(CHECK_PERIOD_S)
         scope.cancel()
 
@@ -70,8 +77,19 @@
                 return await receive_part()
             if self._can_move_on():
                 return new_silence("stream stalled")
+            self._record_wait()
             end_s = trio.current_time() + CHECK_PERIOD_S
 
+    def _record_wait(self):
+        """Log once that the server is silent, and kept all the same."""
+        if self._has_waited:
+            return
+        self._has_waited = True
+        _log.info(
+            "server is silent",
+            extra={"decision": "wait", "request": self._request_id},
+        )
+
     def _get_gap_s(self, has_begun):
         if not has_begun:
             return self._get_answer_s()
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -82,9 +82,7 @@
         self._relay = event_relay.new_event_relay(reply, self._begin_stream)
         self._answering = None
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
-        self._patience = patience_module.Patience(
-            admitted.route, self._can_move_on
-        )
+        self._patience = patience_module.Patience(admitted, self._can_move_on)
         self._graph = None
         self._inputs = None
         self._input_bytes = {}
