Count the attempt that waits for its head before giving it up

Found when the diff was read again: since the wait for a silent server asks whether another send is allowed, the attempt whose head had not come was not counted, and a last attempt was given up after 1.2 s with none left (504 in place of the answer).

test_last_attempt_is_not_given_up fails on the commit before in both cases. The time that a request may take is reckoned in a stop only.

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -273,11 +273,13 @@
         deadline = deadline_module.Deadline(
             request.received_s + timeout_ms / 1000
         )
-        needed_s = min(
-            self._services.durations.predict_s(route), deadline.get_left_s()
-        )
-        if not self._is_accepting(needed_s):
-            return _new_draining_refusal(f"it may take {needed_s:.2f} s")
+        if self.is_draining:
+            needed_s = min(
+                self._services.durations.predict_s(route),
+                deadline.get_left_s(),
+            )
+            if not self._is_accepting(needed_s):
+                return _new_draining_refusal(f"it may take {needed_s:.2f} s")
         return request_module.Admitted(
             request, route, organisation, deadline, catalog.version
         )
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -58,6 +58,7 @@
         "_answer_end",
         "_answering",
         "_attempts",
+        "_awaited_heads",
         "_binding",
         "_graph",
         "_input_bytes",
@@ -94,6 +95,8 @@
         )
         self._sends = 0
         self._attempts = 0
+        # 1 while an attempt waits for the head of its answer: not counted yet.
+        self._awaited_heads = 0
         self._may_have_run = False
         self._last_failure = None
         self._answer_end = request_log.AnswerEnd()
@@ -244,9 +247,11 @@
             return False
         if self._may_have_run and not route.is_idempotent:
             return False
-        if self._attempts >= route.attempts_max:
+        attempts = self._attempts + self._awaited_heads
+        if attempts >= route.attempts_max:
             return False
-        return self._sends < route.attempts_max + SENDS_OVER_ATTEMPTS_MAX
+        sends = self._sends + self._awaited_heads
+        return sends < route.attempts_max + SENDS_OVER_ATTEMPTS_MAX
 
     def _can_move_on(self):
         """Return whether another server is sure to take over in time."""
@@ -323,11 +328,13 @@
         may_have_run_before = self._may_have_run
         self._may_have_run = True
         self._reply.record_passed_on()
+        self._awaited_heads = 1
         answer = await self._patience.wait_for_answer(
             lambda: self._services.gateway.open_answer(
                 server.published, self._new_server_request(server)
             )
         )
+        self._awaited_heads = 0
         if isinstance(answer, gateway.Failure):
             if answer.ran is _Ran.NO:
                 self._may_have_run = may_have_run_before
--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -104,6 +104,21 @@
     _play(check, [ONE], (PAUSE_S, _new_answer(1)))
 
 
+@pytest.mark.parametrize("attempts_max", [1, 2])
+def test_last_attempt_is_not_given_up(attempts_max):
+    """There are other servers, but no attempt is left for them."""
+
+    async def check(entry):
+        outcome, _reply = await entry.serve(route, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert len(entry.gateway.sent) == attempts_max
+
+    route = fakes.new_route(timeout_ms=8000.0, attempts_max=attempts_max)
+    script = [(LEFT_S, fakes.ScriptedAnswer())] * (attempts_max - 1)
+    servers = [ONE, OTHER, fakes.new_server("s3")]
+    _play(check, servers, *script, (PAUSE_S, fakes.ScriptedAnswer()))
+
+
 def test_slow_first_event_is_waited_for_if_no_other_server_is_there():
     async def check(entry):
         outcome, _reply = await entry.serve(STREAM, left_s=LEFT_S)
@@ -113,6 +128,18 @@
     _play(check, [ONE], fakes.ScriptedAnswer(parts=parts, is_events=True))
 
 
+def test_pausing_stream_that_may_not_be_resumed_is_not_given_up():
+    async def check(entry):
+        outcome, _reply = await entry.serve(route, left_s=LEFT_S)
+        assert outcome == WHOLE
+        assert len(entry.gateway.sent) == 1
+
+    route = fakes.new_route(
+        repeat=catalog.Repeat.STREAM, timeout_ms=8000.0, attempts_max=3
+    )
+    _play(check, [ONE, OTHER], _new_answer(1, PAUSE_S))
+
+
 def test_stalled_stream_goes_on_at_a_server_that_is_sure():
     async def check(entry):
         started_s = trio.current_time()
