Bench: play real sites in one place, judge stops apart, refuse requests without id

A run of test_spoiled_bytes_end_no_entry ended in an error once, load average 24: a spoiled request had lost its id, an entry passed it on, and the stand-in of an engine raised on it. It answers 400 with 'not run' now, as the platform's engines do, with a test. No entry was at fault.

--- a/bench/command.py
+++ b/bench/command.py
@@ -1,13 +1,10 @@
 """The greengagebench program: load, faults and reports on one machine."""
 
-import itertools
 import os
-import shutil
 import sys
 import tempfile
 
 import defopt
-import msgspec
 import trio
 
 from bench import capacity as capacity_module
@@ -19,35 +16,10 @@
 from bench import faults
 from bench import fleet as fleet_module
 from bench import processes
-from bench.soak import broken
-from bench.soak import fuzz as fuzz_module
-from bench.soak import limits as limits_module
-from bench.soak import run as soak_run
-from bench.soak import stops as stops_module
-from bench.soak import streams as streams_module
-from bench.soak import versions as versions_module
+from bench import soak_commands
 
-EXIT_FAILURE = 1
-EXIT_USAGE = 2
-
-
-def _print_json(value):
-    print(msgspec.json.encode(value).decode())
-
-
-def _check_choice(name, value, choices):
-    if value not in choices:
-        text = f"{name} must be one of {', '.join(choices)}, not '{value}'."
-        print(text, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-
-
-def _keep_or_delete_logs(folder, is_requested, has_failed):
-    """Delete the logs unless the run failed or they were requested."""
-    if has_failed:
-        print(f"The logs were kept in '{folder}'.", file=sys.stderr)
-    elif not is_requested:
-        shutil.rmtree(folder)
+EXIT_FAILURE = soak_commands.EXIT_FAILURE
+EXIT_USAGE = soak_commands.EXIT_USAGE
 
 
 def demo(*, logs: str = ""):
@@ -60,7 +32,7 @@
     """
     console = demo_module.new_console()
     summary, has_passed = trio.run(demo_module.run_demo, console, logs or None)
-    _print_json(summary)
+    soak_commands.print_json(summary)
     sys.exit(0 if has_passed else EXIT_FAILURE)
 
 
@@ -84,10 +56,10 @@
     :param duration: How long requests arrive, in seconds.
     :param report: A folder for an HTML page with plots.
     """
-    _check_choice("--system", system, ("greengagetrack", "naive"))
+    soak_commands.check_choice("--system", system, ("greengagetrack", "naive"))
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    _check_choice("--deployment", deployment, deployments)
-    _check_choice("--fault", fault, faults.FAULT_BY_NAME)
+    soak_commands.check_choice("--deployment", deployment, deployments)
+    soak_commands.check_choice("--fault", fault, faults.FAULT_BY_NAME)
     result = experiment.run_experiment(
         system, deployment, fault, seed, duration
     )
@@ -98,7 +70,7 @@
         path = report_module.write_report(result, report)
         print(f"report: {path}", file=sys.stderr)
     result.answers = []
-    _print_json(result)
+    soak_commands.print_json(result)
     sys.exit(EXIT_FAILURE if result.counts.count_violations() else 0)
 
 
@@ -119,13 +91,15 @@
     :param duration: How long requests arrive, in seconds.
     """
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    _check_choice("--deployment", deployment, deployments)
-    _check_choice("--fault", fault, faults.FAULT_BY_NAME)
+    soak_commands.check_choice("--deployment", deployment, deployments)
+    soak_commands.check_choice("--fault", fault, faults.FAULT_BY_NAME)
     pairs = compare_module.compare(deployment, fault, seeds, duration)
     for pair in pairs:
         print(compare_module.format_pair(pair))
     print(compare_module.format_spread(pairs))
-    _print_json(compare_module.get_medians(deployment, fault, pairs))
+    soak_commands.print_json(
+        compare_module.get_medians(deployment, fault, pairs)
+    )
 
 
 def run(
@@ -151,15 +125,15 @@
     :param logs: The folder for the daemons' logs; without one they are
         kept only if the run failed.
     """
-    _check_choice("the run", name, ("smoke", "orders"))
-    _check_choice("--system", system, ("greengagetrack", "naive"))
+    soak_commands.check_choice("the run", name, ("smoke", "orders"))
+    soak_commands.check_choice("--system", system, ("greengagetrack", "naive"))
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    _check_choice("--deployment", deployment, deployments)
+    soak_commands.check_choice("--deployment", deployment, deployments)
     folder = logs or tempfile.mkdtemp(prefix="greengagebench-run-")
     result = processes.run_processes(
         name, system, deployment, seed, duration, folder
     )
-    _print_json(result)
+    soak_commands.print_json(result)
     violations = (
         result.lost
         + result.misdelivered
@@ -167,212 +141,10 @@
         + result.untrue_refusals
         + result.cut_streams
     )
-    _keep_or_delete_logs(folder, logs, violations)
+    soak_commands.keep_or_delete_logs(folder, logs, violations)
     sys.exit(EXIT_FAILURE if violations else 0)
 
 
-def soak(
-    *,
-    seed: int = 0,
-    seeds: int = 1,
-    duration: float = 25.0,
-    build: str = "",
-    logs: str = "",
-):
-    """Run entries on the platform's stand-in with faults chosen by seed.
-
-    Prints one JSON line per seed. Exit codes: 0 no guarantee was violated;
-    1 one was.
-
-    :param seed: The first seed of the faults and requests.
-    :param seeds: The number of seeds, run one after the other.
-    :param duration: How long requests arrive, in seconds.
-    :param build: A deliberately broken build, which the checks must detect.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if a guarantee was violated.
-    """
-    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    failed_seeds = 0
-    for number in range(seed, seed + seeds):
-        folder = logs or tempfile.mkdtemp(prefix="greengagebench-soak-")
-        result = soak_run.run_soak(number, duration, folder, build)
-        _print_json(result)
-        failed_seeds += bool(result.broken)
-        _keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed_seeds else 0)
-
-
-def limits(
-    *,
-    seed: int = 0,
-    entries: int = 3,
-    rate: float = 60.0,
-    limit: float = 2.0,
-    step: int = 1,
-    duration: float = 20.0,
-    logs: str = "",
-):
-    """Run entries against engines that name a limit in their answers.
-
-    Prints one JSON line. Exit codes: 0 no engine got more than it allows;
-    1 one did.
-
-    :param seed: The seed of the requests.
-    :param entries: The number of entry processes, over three data centres.
-    :param rate: The requests per second of all kinds together.
-    :param limit: The requests per second that each engine takes.
-    :param step: One of so many engines names a limit.
-    :param duration: How long the limits are named, in seconds.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if a limit was exceeded.
-    """
-    folder = logs or tempfile.mkdtemp(prefix="greengagebench-limits-")
-    result = limits_module.run_limits(
-        seed, entries, rate, limit, duration, folder, step
-    )
-    _print_json(result)
-    _keep_or_delete_logs(folder, logs, result.exceeded)
-    sys.exit(EXIT_FAILURE if result.exceeded else 0)
-
-
-def versions(
-    *,
-    seed: int = 0,
-    seeds: int = 1,
-    fault: str = "",
-    rate: float = 15.0,
-    logs: str = "",
-):
-    """Run entries on engines of several software versions at once.
-
-    Prints one JSON line per seed and fault. Exit codes: 0 the streams kept
-    to one version and went on; 1 they did not.
-
-    :param seed: The first seed of the streams.
-    :param seeds: The number of seeds, run one after the other.
-    :param fault: resets, kills, gone or swaps; without one each of them.
-    :param rate: The new streams per second.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if a run failed.
-    """
-    chosen = [fault] if fault else list(versions_module.STEPS_BY_FAULT)
-    _check_choice("--fault", fault, ("", *versions_module.STEPS_BY_FAULT))
-    failed = 0
-    for number, name in itertools.product(range(seed, seed + seeds), chosen):
-        folder = logs or tempfile.mkdtemp(prefix="greengagebench-versions-")
-        result = versions_module.run_versions(number, name, rate, folder)
-        _print_json(result)
-        for text in result.broken:
-            print(f"broken: {text}", file=sys.stderr)
-        failed += bool(result.broken)
-        _keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed else 0)
-
-
-def streams(
-    *,
-    seed: int = 0,
-    seeds: int = 1,
-    rate: float = 25.0,
-    duration: float = 24.0,
-    build: str = "",
-    tree: str = "",
-    logs: str = "",
-):
-    """Run streams on processes that are killed, and judge their numbers.
-
-    Prints one JSON line per seed. Exit codes: 0 all streams were in order
-    and of one version, and none looked complete too soon; 1 some were not.
-
-    :param seed: The first seed of the streams and of the trouble.
-    :param seeds: The number of seeds, run one after the other.
-    :param rate: The new streams per second.
-    :param duration: How long streams begin, in seconds.
-    :param build: A deliberately broken build, which must show.
-    :param tree: The checkout whose entries run; this one by default.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if a run failed.
-    """
-    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    failed = 0
-    for number in range(seed, seed + seeds):
-        folder = logs or tempfile.mkdtemp(prefix="greengagebench-streams-")
-        result = streams_module.run_streams(
-            number, rate, duration, folder, build, tree
-        )
-        _print_json(result)
-        for text in result.broken:
-            print(f"broken: {text}", file=sys.stderr)
-        failed += bool(result.broken)
-        _keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed else 0)
-
-
-def stops(
-    *,
-    seed: int = 0,
-    seeds: int = 1,
-    grace: float = 8.0,
-    build: str = "",
-    tree: str = "",
-    logs: str = "",
-):
-    """Stop entries by SIGTERM while callers go on using them.
-
-    Prints one JSON line per seed. Exit codes: 0 no answer was lost that had
-    to come; 1 one was.
-
-    :param seed: The first seed of the requests.
-    :param seeds: The number of seeds, run one after the other.
-    :param grace: The seconds from the signal until the kill.
-    :param build: A deliberately broken build, which must lose answers.
-    :param tree: The checkout whose entries run; this one by default.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if an answer was lost.
-    """
-    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    failed = 0
-    for number in range(seed, seed + seeds):
-        folder = logs or tempfile.mkdtemp(prefix="greengagebench-stops-")
-        result = stops_module.run_stops(number, grace, folder, build, tree)
-        _print_json(result)
-        failed += bool(result.broken)
-        _keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed else 0)
-
-
-def fuzz(
-    *,
-    seed: int = 0,
-    seconds: float = 20.0,
-    reader: str = "",
-    build: str = "",
-    tree: str = "",
-    logs: str = "",
-):
-    """Spoil the bytes that entries read, beside sound requests.
-
-    Prints one JSON line. Exit codes: 0 no entry ended, no error was left to
-    be contained and all sound requests were answered; 1 otherwise.
-
-    :param seed: The seed of the spoiled bytes.
-    :param seconds: How long bytes are spoiled.
-    :param reader: engines, store or callers; without one all of them.
-    :param build: A deliberately broken build, which must show.
-    :param tree: The checkout whose entries run; this one by default.
-    :param logs: The folder for the entries' logs; without one they are
-        kept only if something was broken.
-    """
-    _check_choice("--reader", reader, ("", *fuzz_module.READERS))
-    _check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    readers = (reader,) if reader else fuzz_module.READERS
-    folder = logs or tempfile.mkdtemp(prefix="greengagebench-fuzz-")
-    result = fuzz_module.run_fuzz(seed, seconds, readers, folder, build, tree)
-    _print_json(result)
-    _keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if result.broken else 0)
-
-
 def fleet(
     *,
     entries: int = 12,
@@ -393,11 +165,11 @@
     :param fault: The fault to inject.
     :param seed: A number to print with the result.
     """
-    _check_choice("--fault", fault, fleet_module.FAULTS)
+    soak_commands.check_choice("--fault", fault, fleet_module.FAULTS)
     size = fleet_module.FleetSize(
         entries, agents, organisations, regions, data_centres
     )
-    _print_json(fleet_module.run_fleet(size, fault, seed))
+    soak_commands.print_json(fleet_module.run_fleet(size, fault, seed))
 
 
 def capacity(*, measure: bool = False):
@@ -449,12 +221,12 @@
             "night": night,
             "compare": compare,
             "run": run,
-            "soak": soak,
-            "limits": limits,
-            "versions": versions,
-            "streams": streams,
-            "stops": stops,
-            "fuzz": fuzz,
+            "soak": soak_commands.soak,
+            "limits": soak_commands.limits,
+            "versions": soak_commands.versions,
+            "streams": soak_commands.streams,
+            "stops": soak_commands.stops,
+            "fuzz": soak_commands.fuzz,
             "fleet": fleet,
             "capacity": capacity,
             "reference": reference,
--- a/bench/soak/fuzz.py
+++ b/bench/soak/fuzz.py
@@ -269,23 +269,16 @@
             pass
 
 
-async def _run(seed, duration_s, readers, logs, build, tree):
-    os.makedirs(logs, exist_ok=True)
-    async with trio.open_nursery() as nursery:
-        site = FuzzSite(nursery, seed, logs, build, tree)
-        try:
-            await site.start()
-            result = await FuzzRun(site, seed, readers).run(duration_s)
-        finally:
-            with trio.CancelScope(shield=True):
-                await site.stop()
-        nursery.cancel_scope.cancel()
-    return result
-
-
 def run_fuzz(seed, duration_s, readers, logs, build="", tree=""):
     """Spoil what the `readers` of three entries read; return the result.
 
     The entries run the code of the checkout `tree`, by default of this one.
     """
-    return trio.run(_run, seed, duration_s, readers, logs, build, tree)
+
+    def new_site(nursery):
+        return FuzzSite(nursery, seed, logs, build, tree)
+
+    async def run(site):
+        return await FuzzRun(site, seed, readers).run(duration_s)
+
+    return trio.run(site_module.play, logs, new_site, run)
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -5,7 +5,6 @@
 """
 
 import itertools
-import os
 import random
 
 import msgspec
@@ -182,23 +181,6 @@
     )
 
 
-async def _run(
-    seed, entry_count, rate_per_s, limit_per_s, duration_s, logs, step
-):
-    os.makedirs(logs, exist_ok=True)
-    async with trio.open_nursery() as nursery:
-        site = LimitSite(nursery, seed, logs, entry_count)
-        try:
-            await site.start()
-            run = LimitRun(site, seed, rate_per_s, limit_per_s, step)
-            result = await run.run(seed, duration_s)
-        finally:
-            with trio.CancelScope(shield=True):
-                await site.stop()
-        nursery.cancel_scope.cancel()
-    return result
-
-
 def run_limits(
     seed, entry_count, rate_per_s, limit_per_s, duration_s, logs, step=1
 ):
@@ -209,13 +191,12 @@
     arrive. Return the `LimitResult`; the logs are written to the folder
     `logs`.
     """
-    return trio.run(
-        _run,
-        seed,
-        entry_count,
-        rate_per_s,
-        limit_per_s,
-        duration_s,
-        logs,
-        step,
-    )
+
+    def new_site(nursery):
+        return LimitSite(nursery, seed, logs, entry_count)
+
+    async def run(site):
+        run = LimitRun(site, seed, rate_per_s, limit_per_s, step)
+        return await run.run(seed, duration_s)
+
+    return trio.run(site_module.play, logs, new_site, run)
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -203,6 +203,25 @@
             await entry.wait()
 
 
+async def play(logs, new_site, run):
+    """Return the result of `await run(site)`, on a site that has started.
+
+    `new_site(nursery)` returns the site, which is stopped in any case; its
+    entries log to the folder `logs`.
+    """
+    os.makedirs(logs, exist_ok=True)
+    async with trio.open_nursery() as nursery:
+        site = new_site(nursery)
+        try:
+            await site.start()
+            result = await run(site)
+        finally:
+            with trio.CancelScope(shield=True):
+                await site.stop()
+        nursery.cancel_scope.cancel()
+    return result
+
+
 async def _request_readiness(nursery, address):
     pool = pool_module.new_pool(nursery)
     status = 0
--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -2,24 +2,20 @@
 
 Callers use an entry until its process is gone, over kept connections, new
 ones, with requests sent ahead and with bodies that come slowly. Each request
-says how long its engine works. What a caller didn't get an answer to is
-excused only if its engine was still at work in the last part of the grace, on
-a request that came early in it.
+says how long its engine works. `stop_checker` judges what came of it.
 """
 
 import collections
 import itertools
-import math
-import os
 import random
 import signal
 
-import msgspec
 import trio
 
+from bench.soak import raw_client
 from bench.soak import site as site_module
+from bench.soak import stop_checker
 from bench.standins import site as standin_site
-from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import fields
@@ -31,7 +27,7 @@
 PAUSE_S = 1.0
 # What else comes after the first signal: seconds, and the signal.
 MORE_SIGNALS = ((0.4, signal.SIGTERM), (0.8, signal.SIGHUP))
-DEADLINE_MS = 8000
+DEADLINE_MS = int(stop_checker.DEADLINE_S * 1000)
 READ_TIMEOUT_S = 15.0
 # How long engines work, most requests a short time.
 WORK_S = (0.02, 0.05, 0.05, 0.2, 0.2, 0.6, 1.5, 3.0, 6.0)
@@ -41,68 +37,8 @@
 # Of a stream's time, the part that it pauses before one event.
 PAUSE_SHARE = 0.7
 PAUSED_EVENT = 5
-# A request that was sent later than this must not be cut.
-EXCUSED_SENT_S = 3.0
-# Its engine has to be at work in the last part of the grace.
-EXCUSED_SHARE = 5 / 6
-# A request that the entry has read has its answer or is passed on by then.
-READ_SLACK_S = 0.2
 KINDS = ("order", "stock", "tale", "draft")
 WAYS = ("kept", "new", "ahead", "slow body")
-NO_ANSWER = 0
-
-
-class RequestRecord(msgspec.Struct):
-    """One request: when its last byte was sent, and what came of it.
-
-    `status` is `NO_ANSWER` unless a whole answer came. `is_behind` says that
-    it was sent right after another request, before the answer to that one.
-    """
-
-    request_id: bytes
-    kind: str
-    way: str
-    entry: str
-    work_s: float
-    sent_s: float = 0.0
-    ended_s: float = 0.0
-    status: int = NO_ANSWER
-    is_behind: bool = False
-
-
-class EngineRun(msgspec.Struct):
-    """One run of a request at an engine; `end_s` is when it ended."""
-
-    start_s: float
-    end_s: float = math.inf
-
-
-class StopSpan(msgspec.Struct):
-    """One planned stop of an entry."""
-
-    entry: str
-    signal_s: float
-    exit_s: float = math.inf
-    exit_code: int | None = None
-
-
-class StopsResult(msgspec.Struct):
-    """The JSON result of a run.
-
-    `excused` requests were cut as they may be, `broken` says which were not.
-    `exit_codes` are those of the stopped processes.
-    """
-
-    seed: int
-    grace_s: float
-    requests: int
-    served: int
-    refused: int
-    failed: int
-    excused: int
-    exit_codes: list[int | None]
-    exit_s: list[float]
-    broken: list[str]
 
 
 def new_config():
@@ -147,9 +83,9 @@
 
     async def _run(self, exchange):
         request_id = fields.get_value(
-            exchange.headers, names.REQUEST_ID.lower()
+            exchange.headers, names.REQUEST_ID.lower(), b""
         )
-        run = EngineRun(trio.current_time())
+        run = stop_checker.EngineRun(trio.current_time())
         self.runs_by_request[request_id].append(run)
         try:
             await super()._run(exchange)
@@ -190,8 +126,9 @@
         self._seed = seed
         self._grace_s = grace_s
         self._ids = itertools.count(1)
-        self._records = []
-        self._stops = []
+        self._checker = stop_checker.StopChecker(
+            site.engine_by_id.values(), grace_s
+        )
         self._is_over = False
 
     async def run(self):
@@ -205,11 +142,11 @@
                 await self._stop(entry)
                 await trio.sleep(PAUSE_S)
             self._is_over = True
-        return self._judge()
+        return self._checker.check(self._seed)
 
     async def _stop(self, entry):
-        span = StopSpan(entry.name, trio.current_time())
-        self._stops.append(span)
+        span = stop_checker.StopSpan(entry.name, trio.current_time())
+        self._checker.stops.append(span)
         entry.signal(signal.SIGTERM)
         with trio.move_on_after(self._grace_s):
             async with trio.open_nursery() as nursery:
@@ -242,7 +179,9 @@
         kind = generator.choice(KINDS)
         work_s = generator.choice(WORK_S)
         request_id = b"%d" % next(self._ids)
-        record = RequestRecord(request_id, kind, way, entry.name, work_s)
+        record = stop_checker.RequestRecord(
+            request_id, kind, way, entry.name, work_s
+        )
         head = standin_site.new_request_head(
             f"/{kind}/1?work_s={work_s}",
             request_id,
@@ -250,7 +189,7 @@
         )
         headers = [f for f in head.headers if f[0] != names.DEADLINE_MS]
         headers.append((names.DEADLINE_MS, b"%d" % DEADLINE_MS))
-        self._records.append(record)
+        self._checker.records.append(record)
         return record, heads.RequestHead(head.method, head.target, headers)
 
     async def _send_kept(self, generator, entry, pool):
@@ -259,7 +198,9 @@
         record, head = self._new_request(generator, entry, way)
         record.sent_s = trio.current_time()
         with trio.move_on_after(READ_TIMEOUT_S):
-            record.status = await _request(pool, entry.caller_address, head)
+            record.status = await raw_client.request(
+                pool, entry.caller_address, head
+            )
         record.ended_s = trio.current_time()
 
     async def _send_raw(self, generator, entry, way):
@@ -274,7 +215,7 @@
             record.is_behind = True
         stream = None
         try:
-            stream = await _open_stream(entry.caller_address)
+            stream = await raw_client.open_stream(entry.caller_address)
             await self._send_parts(generator, stream, requests)
             await self._read_answers(stream, records)
         except OSError:
@@ -289,7 +230,7 @@
 
     async def _send_parts(self, generator, stream, requests):
         messages = [
-            _encode(head) + standin_site.REQUEST_BODY
+            raw_client.encode(head) + standin_site.REQUEST_BODY
             for _record, head in requests
         ]
         data = b"".join(messages)
@@ -303,90 +244,15 @@
 
     async def _read_answers(self, stream, records):
         """Read the answers of one connection, each to its end."""
-        reader = _AnswerReader(stream)
+        reader = raw_client.AnswerReader(stream)
         with trio.move_on_after(READ_TIMEOUT_S):
             for record in records:
                 record.status = await reader.read()
                 record.ended_s = trio.current_time()
-                if record.status == NO_ANSWER or reader.is_last:
+                if record.status == stop_checker.NO_ANSWER or reader.is_last:
                     # What was sent ahead was not read by the entry.
                     return
 
-    def _judge(self):
-        broken = []
-        excused = 0
-        for record in self._records:
-            runs = self._find_runs(record.request_id)
-            is_unsafe = record.kind == "order"
-            if is_unsafe and len(runs) > 1:
-                broken.append(f"TWICE {record}")
-            if is_unsafe and runs and record.status == 503:
-                broken.append(f"REFUSED {record} {runs}")
-            if record.status != NO_ANSWER or not record.sent_s:
-                continue
-            verdict = self._judge_cut(record, runs)
-            excused += verdict == "excused"
-            if verdict == "lost":
-                broken.append(f"LOST {self._describe(record, runs)}")
-        statuses = [record.status for record in self._records]
-        return StopsResult(
-            seed=self._seed,
-            grace_s=self._grace_s,
-            requests=len(statuses),
-            served=statuses.count(200),
-            refused=statuses.count(503),
-            failed=statuses.count(502) + statuses.count(504),
-            excused=excused,
-            exit_codes=[span.exit_code for span in self._stops],
-            exit_s=[
-                round(span.exit_s - span.signal_s, 2) for span in self._stops
-            ],
-            broken=broken,
-        )
-
-    def _find_runs(self, request_id):
-        return [
-            run
-            for engine in self._site.engine_by_id.values()
-            for run in engine.runs_by_request.get(request_id, ())
-        ]
-
-    def _find_stop(self, record):
-        """Return the stop during which a request was cut, or None."""
-        for span in self._stops:
-            if span.entry == record.entry:
-                if span.signal_s <= record.ended_s <= span.exit_s + 0.5:
-                    return span
-        return None
-
-    def _judge_cut(self, record, runs):
-        """Return `lost` or `excused` for a request without an answer."""
-        span = self._find_stop(record)
-        is_slow = record.ended_s - record.sent_s > READ_SLACK_S
-        if not runs and (record.is_behind or not is_slow):
-            # The entry hadn't read it when it closed the connection.
-            return "unread"
-        if record.ended_s - record.sent_s >= DEADLINE_MS / 1000:
-            return "excused"
-        if span is None:
-            return "lost"
-        last_part_s = span.signal_s + self._grace_s * EXCUSED_SHARE
-        was_at_work = any(run.end_s >= last_part_s for run in runs)
-        is_early = record.sent_s <= span.signal_s + EXCUSED_SENT_S
-        return "excused" if was_at_work and is_early else "lost"
-
-    def _describe(self, record, runs):
-        span = self._find_stop(record)
-        since_s = span.signal_s if span is not None else 0.0
-        ends = [round(run.end_s - since_s, 2) for run in runs]
-        return (
-            f"{record.request_id.decode()}: {record.kind} {record.way} of "
-            f"{record.work_s} s at {record.entry}, sent "
-            f"{record.sent_s - since_s:.2f} s and closed "
-            f"{record.ended_s - since_s:.2f} s after the signal, "
-            f"ends of its runs {ends}"
-        )
-
 
 async def _send_more_signals(entry):
     started_s = trio.current_time()
@@ -395,99 +261,17 @@
         entry.signal(number)
 
 
-class _AnswerReader:
-    """Reads whole answers from a connection, one after the other."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._data = b""
-        self.is_last = False
-
-    async def read(self):
-        """Return the status of the next answer, `NO_ANSWER` if cut."""
-        head = await self._read_to(b"\r\n\r\n")
-        if not head:
-            return NO_ANSWER
-        text = head.lower()
-        self.is_last = b"connection: close" in text
-        status = int(head.split(b" ", 2)[1])
-        if b"transfer-encoding: chunked" in text:
-            is_whole = await self._read_to(b"\r\n0\r\n\r\n")
-        else:
-            length = text.partition(b"content-length:")[2].split()[0]
-            is_whole = await self._read_bytes(int(length))
-        return status if is_whole else NO_ANSWER
-
-    async def _read_to(self, end):
-        """Return the data up to and including `end`, empty if cut."""
-        while end not in self._data:
-            if not await self._receive():
-                return b""
-        data, end, self._data = self._data.partition(end)
-        return data + end
-
-    async def _read_bytes(self, count):
-        while len(self._data) < count:
-            if not await self._receive():
-                return False
-        self._data = self._data[count:]
-        return True
-
-    async def _receive(self):
-        data = await self._stream.receive_some(65536)
-        self._data += data
-        return bool(data)
-
-
-async def _open_stream(address):
-    host, _separator, port = address.rpartition(":")
-    return await trio.open_tcp_stream(host, int(port))
-
-
-def _encode(head):
-    """Return the bytes of a head."""
-    lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
-    lines += [b"%b: %b" % field for field in head.headers]
-    return b"\r\n".join([*lines, b"", b""])
-
-
-async def _request(pool, address, head):
-    """Return the status of a whole answer, else `NO_ANSWER`."""
-    call = await pool.open_call(address, head, standin_site.REQUEST_BODY)
-    if not isinstance(call, call_module.Call):
-        return NO_ANSWER
-    try:
-        response = await call.receive_head(lambda _head: True)
-        if not isinstance(response, heads.ResponseHead):
-            return NO_ANSWER
-        while True:
-            part = await call.receive_part()
-            if part is None:
-                return response.status
-            if not isinstance(part, bytes):
-                return NO_ANSWER
-    finally:
-        call.finish()
-
-
-async def _run(seed, grace_s, logs, build, tree):
-    os.makedirs(logs, exist_ok=True)
-    async with trio.open_nursery() as nursery:
-        site = StopSite(nursery, seed, logs, build, grace_s, tree)
-        try:
-            await site.start()
-            result = await StopsRun(site, seed, grace_s).run()
-        finally:
-            with trio.CancelScope(shield=True):
-                await site.stop()
-        nursery.cancel_scope.cancel()
-    return result
-
-
 def run_stops(seed, grace_s, logs, build="", tree=""):
     """Stop each entry once while callers use it; return the `StopsResult`.
 
     The entries run the code of the checkout `tree`, by default of this one.
     Their logs are written to the folder `logs`.
     """
-    return trio.run(_run, seed, grace_s, logs, build, tree)
+
+    def new_site(nursery):
+        return StopSite(nursery, seed, logs, build, grace_s, tree)
+
+    async def run(site):
+        return await StopsRun(site, seed, grace_s).run()
+
+    return trio.run(site_module.play, logs, new_site, run)
--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -8,7 +8,6 @@
 """
 
 import itertools
-import os
 import random
 import signal
 
@@ -377,25 +376,17 @@
     record.foreign += (names.REQUEST_ID, request_id) not in head.headers
 
 
-async def _run(seed, rate_per_s, duration_s, logs, build, tree):
-    os.makedirs(logs, exist_ok=True)
-    async with trio.open_nursery() as nursery:
-        site = StreamSite(nursery, seed, logs, build, tree)
-        try:
-            await site.start()
-            run = StreamsRun(site, seed, rate_per_s, duration_s)
-            result = await run.run()
-        finally:
-            with trio.CancelScope(shield=True):
-                await site.stop()
-        nursery.cancel_scope.cancel()
-    return result
-
-
 def run_streams(seed, rate_per_s, duration_s, logs, build="", tree=""):
     """Run streams on processes that are killed or stand still.
 
     The entries run the code of the checkout `tree`, by default of this one.
     Return the `StreamsResult`; their logs are written to the folder `logs`.
     """
-    return trio.run(_run, seed, rate_per_s, duration_s, logs, build, tree)
+
+    def new_site(nursery):
+        return StreamSite(nursery, seed, logs, build, tree)
+
+    async def run(site):
+        return await StreamsRun(site, seed, rate_per_s, duration_s).run()
+
+    return trio.run(site_module.play, logs, new_site, run)
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import os
 import random
 import signal
 
@@ -305,21 +304,6 @@
     return int(id_line.split()[1]), data_line.split()[-1].decode()
 
 
-async def _run(seed, fault, rate_per_s, logs):
-    os.makedirs(logs, exist_ok=True)
-    async with trio.open_nursery() as nursery:
-        site = VersionSite(nursery, seed, logs, "")
-        try:
-            await site.start()
-            run = VersionRun(site, seed, fault, rate_per_s)
-            result = await run.run(seed, fault)
-        finally:
-            with trio.CancelScope(shield=True):
-                await site.stop()
-        nursery.cancel_scope.cancel()
-    return result
-
-
 def run_versions(seed, fault, rate_per_s, logs):
     """Run entry processes on engines of two software versions.
 
@@ -327,4 +311,12 @@
     in each run. Return the `VersionResult`; the logs of the entries are
     written to the folder `logs`.
     """
-    return trio.run(_run, seed, fault, rate_per_s, logs)
+
+    def new_site(nursery):
+        return VersionSite(nursery, seed, logs, "")
+
+    async def run(site):
+        run = VersionRun(site, seed, fault, rate_per_s)
+        return await run.run(seed, fault)
+
+    return trio.run(site_module.play, logs, new_site, run)
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -236,6 +236,9 @@
     async def _run(self, exchange):
         headers = exchange.headers
         request_id = fields.get_value(headers, names.REQUEST_ID.lower())
+        if request_id is None:
+            await exchange.answer(400, [(names.NOT_RUN, b"1")])
+            return
         self.runs[request_id] += 1
         self.run_log.append((request_id, trio.current_time(), exchange.target))
         self.inputs_by_request[request_id] = fields.get_value(
--- a/tests/unit/test_fuzz.py
+++ b/tests/unit/test_fuzz.py
@@ -6,8 +6,12 @@
 
 import random
 
+import trio
+
 from bench.soak import fuzz
 from bench.soak import spoiler
+from bench.standins import site as site_module
+from tests.direct import loopback
 
 SEED = 3
 SECONDS = 8.0
@@ -44,3 +48,20 @@
     assert none.spoil(b"id: 1") == b"id: 1"
     assert not none.is_last
     assert none.count == 0
+
+
+def test_engine_refuses_a_request_without_an_id():
+    """A spoiled request lost its id, and the stand-in raised on it."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            engine = site_module.EngineStandIn("odd-1", "odd", "dc-a")
+            address = await site_module.start_http(nursery, engine.handle)
+            stream = await loopback.open_stream(address)
+            await stream.send_all(b"GET /often/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            answer = await loopback.read_until(stream, b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 400 ")
+            assert not engine.runs
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
