--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -239,6 +239,8 @@
         models = self._round_generator.sample(
             self._site.models, trouble.engine_count
         )
+        for model in models:
+            await model.prepare()
         if trouble.crash == "before":
             await self._kill(models)
         for entry in entries:
--- a/bench/standins/engine_process.py
+++ b/bench/standins/engine_process.py
@@ -1,7 +1,7 @@
 """A stand-in of an engine that is a process of its own.
 
-Run as a program, it waits for one line of JSON, `EngineParameters`, then
-listens and writes a line itself. So it can be started ahead, and listens
+Run as a program, it writes a line, waits for one of JSON, `EngineParameters`,
+then listens and writes another line. So it can be started ahead, and listens
 within milliseconds. It ends when it is killed.
 """
 
@@ -19,6 +19,7 @@
 from greengagetrack.platform import names
 from greengagetrack.version import catalog
 
+READY = b"ready\n"
 LISTENING = b"listening\n"
 
 
@@ -78,6 +79,11 @@
             self._inner.setsockopt(level, option, value)
 
 
+def _write(line):
+    sys.stdout.buffer.write(line)
+    sys.stdout.buffer.flush()
+
+
 async def _serve(parameters):
     engine = ProcessEngine(parameters)
     server = server_module.new_server("", engine.handle, catalog.CallerLimits)
@@ -89,8 +95,7 @@
     listeners = await trio.open_tcp_listeners(
         parameters.port, host=site_module.HOST
     )
-    sys.stdout.buffer.write(LISTENING)
-    sys.stdout.buffer.flush()
+    _write(LISTENING)
     await trio.serve_listeners(serve_connection, listeners)
 
 
@@ -104,6 +109,7 @@
     def __init__(self, parameters):
         self.parameters = parameters
         self._process = None
+        self._is_next_ready = False
         self._next = self._start_process()
 
     def _start_process(self):
@@ -135,18 +141,26 @@
             "born": self.parameters.born,
         }
 
+    async def prepare(self):
+        """Wait until the process of the next life can listen at once."""
+        if not self._is_next_ready:
+            await trio.to_thread.run_sync(self._read, READY)
+            self._is_next_ready = True
+
+    def _read(self, line):
+        if self._next.stdout.readline() != line:
+            raise OSError(f"{self.engine_id} can't go on")
+
     async def listen(self):
         """Let the next process be the engine; prepare one more."""
+        await self.prepare()
         self.parameters.born = int(time.time() * 1000)
-        self._process, self._next = self._next, self._start_process()
         line = json.dumps(msgspec.to_builtins(self.parameters)) + "\n"
-        await trio.to_thread.run_sync(self._hand_over, line.encode())
-
-    def _hand_over(self, line):
-        self._process.stdin.write(line)
-        self._process.stdin.flush()
-        if self._process.stdout.readline() != LISTENING:
-            raise OSError(f"{self.engine_id} can't listen")
+        self._next.stdin.write(line.encode())
+        self._next.stdin.flush()
+        await trio.to_thread.run_sync(self._read, LISTENING)
+        self._process, self._next = self._next, self._start_process()
+        self._is_next_ready = False
 
     async def kill(self):
         """Kill the process that is the engine; return once it has ended."""
@@ -163,6 +177,7 @@
 
 
 if __name__ == "__main__":
+    _write(READY)
     line = sys.stdin.buffer.readline()
     if line:
         trio.run(_serve, msgspec.json.decode(line, type=EngineParameters))
