Bench: a take-up that brings only the missing end has gone on

Traced in its logs: they had all events but not the end ('a later answer brought no event'), and the take-up brought it. The count missed that; the check stays as it was.

--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -78,7 +78,8 @@
     """What the caller of one stream got, over all tries.
 
     `numbers` and `versions` are those of its events. `is_whole` says that
-    the last answer looked complete, and `foreign` counts the events that
+    the last answer looked complete, `has_gone_on` that a take-up brought
+    events or the end that was missing, and `foreign` counts the events that
     were made for another request.
     """
 
@@ -307,7 +308,8 @@
                 return
             record.tries += bool(count) or number == 0
             await self._try_once(record, read_s)
-            record.has_gone_on |= 0 < count < len(record.numbers)
+            has_more = record.is_whole or count < len(record.numbers)
+            record.has_gone_on |= count > 0 and has_more
             if record.is_whole:
                 return
 
