Bench: a caller names its deadline where the head is made

Streams and stops each took the deadline out of a new head and put their own in. new_request_head takes it now; what is sent is the same.

--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -16,7 +16,6 @@
 from bench.soak import site as site_module
 from bench.soak import stop_checker
 from bench.standins import site as standin_site
-from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import fields
 from greengagetrack.platform import names
@@ -186,11 +185,10 @@
             f"/{kind}/1?work_s={work_s}",
             request_id,
             b"GET" if kind == "stock" else b"POST",
+            deadline_ms=DEADLINE_MS,
         )
-        headers = [f for f in head.headers if f[0] != names.DEADLINE_MS]
-        headers.append((names.DEADLINE_MS, b"%d" % DEADLINE_MS))
         self._checker.records.append(record)
-        return record, heads.RequestHead(head.method, head.target, headers)
+        return record, head
 
     async def _send_kept(self, generator, entry, pool):
         """Send a request over a connection of a pool."""
--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -332,16 +332,14 @@
 
 def _new_head(record, request_id):
     head = standin_site.new_request_head(
-        f"/{record.route}/{request_id.decode()}", request_id
+        f"/{record.route}/{request_id.decode()}",
+        request_id,
+        deadline_ms=DEADLINE_MS,
     )
-    headers = [
-        field for field in head.headers if field[0] != names.DEADLINE_MS
-    ]
-    headers.append((names.DEADLINE_MS, b"%d" % DEADLINE_MS))
     if record.numbers:
-        headers.append((names.LAST_EVENT_ID, b"%d" % record.numbers[-1]))
-        headers.append((names.RESUMES, record.first_id))
-    return heads.RequestHead(head.method, head.target, headers)
+        head.headers.append((names.LAST_EVENT_ID, b"%d" % record.numbers[-1]))
+        head.headers.append((names.RESUMES, record.first_id))
+    return head
 
 
 async def _read_stream(pool, address, head, record, read_s):
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -30,6 +30,7 @@
 CUT_EVENT_BYTES = 8
 NOT_SENT = -1
 REQUEST_BODY = b"body"
+DEADLINE_MS = 2500
 Framing = framing.Framing
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 
@@ -405,12 +406,14 @@
             pool.drop_connections(self._address)
 
 
-def new_request_head(path, request_id, method=b"POST", key="key-1"):
+def new_request_head(
+    path, request_id, method=b"POST", key="key-1", deadline_ms=DEADLINE_MS
+):
     """Return the head of a request whose body is `REQUEST_BODY`."""
     headers = [
         (b"Host", b"site.example"),
         (names.REQUEST_ID, request_id),
-        (names.DEADLINE_MS, b"2500"),
+        (names.DEADLINE_MS, b"%d" % deadline_ms),
         (names.PIECES, b"2,3"),
         (names.PIECE_KEY, b"key"),
         (b"Content-Length", b"%d" % len(REQUEST_BODY)),
