--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -25,6 +25,20 @@
 READY_CHECK_S = 0.25
 # Consecutive failed checks after which an entry leaves the rotation.
 MAX_MISSED_CHECKS = 2
+# The second and third bytes of an IP are from 1 to 254.
+OCTETS = 254
+NETWORK_COUNT = OCTETS**2
+
+
+def find_network(process_id):
+    """Return the first three bytes of the IPs of a process's entries.
+
+    Benches that run at once get different ones::
+
+        assert find_network(70000) == "127.22.151"
+    """
+    high, low = divmod(process_id % NETWORK_COUNT, OCTETS)
+    return f"127.{high + 1}.{low + 1}"
 
 
 class EntryProcess:
@@ -89,9 +103,7 @@
         # The entries may run in another folder.
         self._logs = os.path.abspath(logs)
         self._build = build
-        self._address_prefix = (
-            f"127.{random.Random(os.getpid()).randrange(1, 255)}"
-        )
+        self._network = find_network(os.getpid())
         self._engine_numbers = itertools.count(1)
         self.proxy_by_engine = {}
         self.store_proxy = None
@@ -123,7 +135,7 @@
         name = f"entry-{index}"
         node_file = self.get_node_file(name, ports, seeds, REVOKE_MS)
         # The metrics port is the same on all machines, so the IPs differ.
-        node_file["ip"] = f"{self._address_prefix}.0.{index + 1}"
+        node_file["ip"] = f"{self._network}.{index + 1}"
         self.change_node_file(index, node_file)
         path = os.path.join(self._logs, f"{name}.json")
         with open(path, "w") as file:
