--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -129,8 +129,15 @@
             self.entries.append(entry)
             self.nursery.start_soon(self._poll_readiness, entry)
         while not all(entry.is_in_rotation for entry in self.entries):
+            self._check_running()
             await trio.sleep(0.05)
 
+    def _check_running(self):
+        for entry in self.entries:
+            code = entry.process.poll()
+            if code is not None:
+                raise OSError(f"{entry.name} ended at its start, code {code}")
+
     def _new_entry(self, index, ports, seeds):
         name = f"entry-{index}"
         node_file = self.get_node_file(name, ports, seeds, REVOKE_MS)
