Let a begun stream wait for servers of its stages

An entry had let go of a silent engine while nothing spoke against the servers of the stages; when these were asked to make the inputs anew, none took a piece ('stage: no_server'), and the begun answer ended there. The same class as a begun stream whose next server is full: what a caller already reads was ended by a state that lasts for a moment.

A begun answer waits now until the stages can be made in time, and ends as soon as no time is left for another server's first event. A server that takes nothing is asked after 0.05 s, 0.1 s and so on, doubling. Requests that have not begun are refused at once as before.

--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -8,6 +8,7 @@
 from greengagetrack.process.direct.decisions import admission
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import return_time
+from greengagetrack.process.direct import pools as pools_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import piece
 from greengagetrack.request import outcome
@@ -122,6 +123,11 @@
         )
         return outcome.Refused(reason, detail, int(return_s * 1000))
 
+    @property
+    def lacks_servers(self):
+        """Return whether the last run failed as no server took a piece."""
+        return self._failure in pools_module.RETRIABLE_FAILURES
+
     async def run(self):
         """Run all stages; return the handles of their results or `Refused`."""
         for _run in range(RUNS_MAX):
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -28,6 +28,7 @@
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
 FULL_CHECK_PERIOD_S = 0.05
+STAGE_PAUSE_MIN_S = 0.05
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -197,9 +198,7 @@
         self._graph = graph_module.new_stage_graph(
             self._admitted,
             self._services.pools,
-            self._services.chooser.predict_first_event_s(
-                self._selector.service, self._admitted.request
-            ),
+            self._predict_first_event_s(),
             is_resumed=self._is_resumed,
         )
         if self._sends == 0 and not self._is_resumed:
@@ -209,7 +208,7 @@
             if not await self._selector.reserve(self._graph.predict_s()):
                 return self._new_refusal()
         started_s = trio.current_time()
-        inputs = await self._graph.run()
+        inputs = await self._make_inputs()
         self._stages_s += trio.current_time() - started_s
         if isinstance(inputs, outcome_module.Refused):
             return inputs
@@ -217,6 +216,32 @@
         self._input_bytes = self._graph.get_input_bytes()
         return None
 
+    async def _make_inputs(self):
+        """Return the handles of the results of the stages, or `Refused`.
+
+        An answer that has begun waits for servers of its stages: without
+        them it would be cut.
+        """
+        pause_s = STAGE_PAUSE_MIN_S
+        inputs = await self._graph.run()
+        while self._reply.is_started and self._graph.lacks_servers:
+            if not await self._wait_for_stage_servers(pause_s):
+                break
+            inputs = await self._graph.run()
+            # A server that takes nothing is asked less and less often.
+            pause_s *= 2
+        return inputs
+
+    async def _wait_for_stage_servers(self, pause_s):
+        """Return whether the stages can be made in time, after a pause."""
+        deadline = self._admitted.deadline
+        await trio.sleep(pause_s)
+        while self._predict_first_event_s() < deadline.get_left_s():
+            if self._predict_made_again_s() < deadline.get_left_s():
+                return True
+            await trio.sleep(STAGE_PAUSE_MIN_S)
+        return False
+
     def _new_refusal(self):
         failure = self._last_failure
         return_ms = self._selector.get_return_ms() or RETRY_AFTER_MIN_MS
@@ -266,12 +291,18 @@
 
     def _predict_next_s(self):
         """Return the time until another server's first event or answer."""
-        first_event_s = self._services.chooser.predict_first_event_s(
+        if self._graph is None or self._has_inputs():
+            return self._predict_first_event_s()
+        return self._predict_made_again_s()
+
+    def _predict_made_again_s(self):
+        """Return the same if the stages have to be made first."""
+        return self._graph.predict_s() + self._predict_first_event_s()
+
+    def _predict_first_event_s(self):
+        return self._services.chooser.predict_first_event_s(
             self._selector.service, self._admitted.request
         )
-        if self._graph is None or self._has_inputs():
-            return first_event_s
-        return first_event_s + self._graph.predict_s()
 
     def _has_inputs(self):
         """Return whether the results of the stages can be used again."""
--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -7,11 +7,13 @@
 import pytest
 import trio
 
+from greengagetrack.connection import gateway
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.request.direct import outcome as direct_outcome
+from greengagetrack.request import outcome as outcome_module
 from greengagetrack.version import catalog
 from tests.direct import fakes
 
@@ -22,6 +24,13 @@
     target_gap_ms=100.0,
     timeout_ms=8000.0,
 )
+STAGED = fakes.new_route(
+    repeat=catalog.Repeat.STREAM,
+    is_resumable=True,
+    target_gap_ms=100.0,
+    timeout_ms=8000.0,
+    stages=(catalog.Stage("pool", result_bytes=10),),
+)
 SAFE = fakes.new_route(timeout_ms=8000.0)
 LEFT_S = 8.0
 PAUSE_S = 3.0
@@ -31,6 +40,7 @@
 GIVEN_UP_S = 2.0
 ONE = fakes.new_server("s1")
 OTHER = fakes.new_server("s2")
+POOL = fakes.new_server("p1", service="pool")
 
 
 def _new_answer(number, *pauses):
@@ -185,6 +195,79 @@
     _play(check, [ONE], _new_answer(1, 60.0))
 
 
+def test_begun_stream_waits_for_its_stages():
+    """It was cut, as no server of a stage was there when it went on."""
+
+    async def check(entry):
+        async def come_back():
+            await trio.sleep(2.0)
+            entry.directory.apply_update(
+                source_module.Update(3, servers=(POOL,))
+            )
+
+        def make(server, pieces):
+            if len(entry.gateway.calls) != 2:
+                return [f"{server.server_id}/{len(entry.gateway.calls)}"]
+            entry.directory.apply_update(
+                source_module.Update(2, servers=(ONE, OTHER), is_complete=True)
+            )
+            nursery.start_soon(come_back)
+            return [gateway.PieceFailure.NOT_TAKEN]
+
+        entry.gateway.call_handler = make
+        async with trio.open_nursery() as nursery:
+            outcome, reply = await entry.serve(
+                STAGED, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+            )
+        assert outcome == WHOLE
+        assert reply.body == b"id: 1\n\nid: 2\n\nid: 3\n\n"
+        assert len(entry.gateway.calls) == 3
+
+    _play(check, [ONE, OTHER, POOL], _new_answer(1, 6.0), _new_answer(2))
+
+
+def test_begun_stream_without_its_stages_ends_once_it_is_too_late():
+    async def check(entry):
+        def make(server, pieces):
+            if len(entry.gateway.calls) == 1:
+                return [f"{server.server_id}/1"]
+            entry.directory.apply_update(
+                source_module.Update(2, servers=(ONE, OTHER), is_complete=True)
+            )
+            return [gateway.PieceFailure.NOT_TAKEN]
+
+        entry.gateway.call_handler = make
+        started_s = trio.current_time()
+        outcome, _reply = await entry.serve(
+            STAGED, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+        )
+        assert isinstance(outcome, direct_outcome.Cut)
+        # While there was time for another server, one could have come.
+        spent_s = trio.current_time() - started_s
+        assert LEFT_S - GIVEN_UP_S < spent_s <= LEFT_S
+        # Nothing is asked for while nobody is there.
+        assert len(entry.gateway.calls) == 2
+
+    _play(check, [ONE, OTHER, POOL], _new_answer(1, 6.0))
+
+
+def test_request_without_its_stages_is_refused_at_once():
+    """No part of it was sent, so its caller may come back."""
+
+    async def check(entry):
+        entry.gateway.call_handler = lambda server, pieces: [
+            gateway.PieceFailure.NOT_TAKEN
+        ]
+        started_s = trio.current_time()
+        outcome, _reply = await entry.serve(
+            STAGED, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+        )
+        assert isinstance(outcome, outcome_module.Refused)
+        assert trio.current_time() - started_s < GIVEN_UP_S
+
+    _play(check, [ONE, OTHER, POOL])
+
+
 def test_begun_stream_waits_for_a_server_that_is_full():
     """It was cut, as the server had filled up while its stages were made."""
 
@@ -206,17 +289,9 @@
         other.outstanding += 1
         async with trio.open_nursery() as nursery:
             outcome, reply = await entry.serve(
-                staged, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+                STAGED, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
             )
         assert outcome == WHOLE
         assert reply.body == b"id: 1\n\nid: 2\n\nid: 3\n\n"
 
-    staged = fakes.new_route(
-        repeat=catalog.Repeat.STREAM,
-        is_resumable=True,
-        target_gap_ms=100.0,
-        timeout_ms=8000.0,
-        stages=(catalog.Stage("pool", result_bytes=10),),
-    )
-    pool = fakes.new_server("p1", service="pool")
-    _play(check, [ONE, OTHER, pool], _new_answer(1, 6.0), _new_answer(2))
+    _play(check, [ONE, OTHER, POOL], _new_answer(1, 6.0), _new_answer(2))
