--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -24,6 +24,8 @@
 FIRST_STOP_S = 2.0
 # Between the end of one stop and the next one.
 PAUSE_S = 1.0
+# From the signal of one entry to that of the next; None: once it is ready.
+GAP_S_BY_ORDER = {"series": None, "overlapping": 1.0, "together": 0.0}
 # What else comes after the first signal: seconds, and the signal.
 MORE_SIGNALS = ((0.4, signal.SIGTERM), (0.8, signal.SIGHUP))
 DEADLINE_MS = int(stop_checker.DEADLINE_S * 1000)
@@ -118,10 +120,16 @@
 
 
 class StopsRun:
-    """One run: each entry is stopped once, one after the other."""
+    """One run: each entry is stopped once, in an order of `GAP_S_BY_ORDER`.
 
-    def __init__(self, site, seed, grace_s):
+    With `is_store_away`, the store is silent from the first signal until the
+    grace that begins there is over.
+    """
+
+    def __init__(self, site, seed, grace_s, order, is_store_away):
         self._site = site
+        self._order = order
+        self._is_store_away = is_store_away
         self._seed = seed
         self._grace_s = grace_s
         self._ids = itertools.count(1)
@@ -137,12 +145,28 @@
                 for number in range(CALLERS_PER_ENTRY):
                     nursery.start_soon(self._call, entry, number)
             await trio.sleep(FIRST_STOP_S)
-            for entry in self._site.entries:
-                await self._stop(entry)
-                await trio.sleep(PAUSE_S)
+            if self._is_store_away:
+                nursery.start_soon(self._silence_store)
+            await self._stop_all()
             self._is_over = True
         return self._checker.check(self._seed)
 
+    async def _silence_store(self):
+        self._site.store_proxy.is_cut = True
+        await trio.sleep(self._grace_s)
+        self._site.store_proxy.clear_faults()
+
+    async def _stop_all(self):
+        gap_s = GAP_S_BY_ORDER[self._order]
+        async with trio.open_nursery() as nursery:
+            for entry in self._site.entries:
+                if gap_s is None:
+                    await self._stop(entry)
+                    await trio.sleep(PAUSE_S)
+                else:
+                    nursery.start_soon(self._stop, entry)
+                    await trio.sleep(gap_s)
+
     async def _stop(self, entry):
         span = stop_checker.StopSpan(entry.name, trio.current_time())
         self._checker.stops.append(span)
@@ -259,17 +283,28 @@
         entry.signal(number)
 
 
-def run_stops(seed, grace_s, logs, build="", tree=""):
+def run_stops(
+    seed,
+    grace_s,
+    logs,
+    build="",
+    tree="",
+    order="series",
+    is_store_away=False,
+):
     """Stop each entry once while callers use it; return the `StopsResult`.
 
-    The entries run the code of the checkout `tree`, by default of this one.
-    Their logs are written to the folder `logs`.
+    `order` is one of `GAP_S_BY_ORDER`. With `is_store_away`, the store is
+    silent from the first signal until a grace later. The entries run the
+    code of the checkout `tree`, by default of this one. Their logs are
+    written to the folder `logs`.
     """
 
     def new_site(nursery):
         return StopSite(nursery, seed, logs, build, grace_s, tree)
 
     async def run(site):
-        return await StopsRun(site, seed, grace_s).run()
+        run = StopsRun(site, seed, grace_s, order, is_store_away)
+        return await run.run()
 
     return trio.run(site_module.play, logs, new_site, run)
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -195,6 +195,8 @@
     seed: int = 0,
     seeds: int = 1,
     grace: float = 8.0,
+    order: str = "series",
+    store_away: bool = False,
     build: str = "",
     tree: str = "",
     logs: str = "",
@@ -207,18 +209,23 @@
     :param seed: The first seed of the requests.
     :param seeds: The number of seeds, run one after the other.
     :param grace: The seconds from the signal until the kill.
+    :param order: series: each entry stops when the one before is ready
+        again; overlapping: a second after its signal; together: at once.
+    :param store_away: The store is silent from the first signal until a
+        grace later.
     :param build: A deliberately broken build, which must lose answers.
     :param tree: The checkout whose entries run; this one by default.
     :param logs: The folder for the entries' logs; without one they are
         kept only if an answer was lost.
     """
     check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    check_choice("--order", order, tuple(stops_module.GAP_S_BY_ORDER))
     _run_seeds(
         "stops",
         range(seed, seed + seeds),
         logs,
         lambda number, folder: stops_module.run_stops(
-            number, grace, folder, build, tree
+            number, grace, folder, build, tree, order, store_away
         ),
     )
 
--- a/tests/unit/test_planned_stops.py
+++ b/tests/unit/test_planned_stops.py
@@ -19,6 +19,16 @@
     assert result.exit_codes == [0] * 3
 
 
+def test_stops_at_once_without_the_store_lose_no_answer(tmp_path):
+    """Only stops in series were played, with a store that answers."""
+    result = stops.run_stops(
+        SEED, GRACE_S, str(tmp_path), order="together", is_store_away=True
+    )
+    assert result.broken == []
+    assert result.served > 0
+    assert result.exit_codes == [0] * 3
+
+
 def test_stop_that_cuts_is_seen(tmp_path):
     result = stops.run_stops(SEED, GRACE_S, str(tmp_path), "cut-on-stop")
     assert any(line.startswith("LOST") for line in result.broken)
