Split the inputs that stages make out of a request's run

run.py had 596 lines, and mixed the attempts of a request with the making, keeping and freeing of what its stages make. These are stage_inputs.py now; nothing else changed.

--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -15,12 +15,12 @@
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
 from greengagetrack.request.direct import event_relay
-from greengagetrack.request.direct import graph as graph_module
 from greengagetrack.request.direct import lateness
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import patience as patience_module
 from greengagetrack.request.direct import request_log
 from greengagetrack.request.direct import server_selector
+from greengagetrack.request.direct import stage_inputs
 from greengagetrack.request.direct import stream_binding
 from greengagetrack.request import outcome as outcome_module
 
@@ -28,7 +28,6 @@
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
 FULL_CHECK_PERIOD_S = 0.05
-STAGE_PAUSE_MIN_S = 0.05
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -61,8 +60,6 @@
         "_attempts",
         "_awaited_heads",
         "_binding",
-        "_graph",
-        "_input_bytes",
         "_inputs",
         "_may_have_run",
         "_last_failure",
@@ -73,7 +70,6 @@
         "_selector",
         "_sends",
         "_services",
-        "_stages_s",
         "_started_s",
     )
 
@@ -85,9 +81,9 @@
         self._answering = None
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
         self._patience = patience_module.Patience(admitted, self._can_move_on)
-        self._graph = None
-        self._inputs = None
-        self._input_bytes = {}
+        self._inputs = stage_inputs.new_stage_inputs(
+            admitted, services.pools, self._predict_first_event_s
+        )
         self._selector = server_selector.new_server_selector(
             services.chooser, services.permits, admitted
         )
@@ -102,7 +98,6 @@
         self._last_failure = None
         self._answer_end = request_log.AnswerEnd()
         self._started_s = trio.current_time()
-        self._stages_s = 0.0
 
     async def run(self):
         """Return `Relayed`, `Refused`, `Unknown` or `Cut`."""
@@ -118,15 +113,9 @@
             raise
         finally:
             self._record_outcome(outcome)
-            self._free_inputs()
+            self._inputs.free()
             self._selector.give_back()
 
-    def _free_inputs(self):
-        """Free the stage results; another attempt has to compute new ones."""
-        if self._graph is not None:
-            self._graph.free()
-        self._inputs = None
-
     def shorten_deadline(self, end_s):
         """Shorten the deadline to `end_s`, because the process is stopping."""
         deadline = self._admitted.deadline
@@ -158,10 +147,8 @@
         if refused is not None:
             return refused
         while True:
-            if self._graph is not None and not self._has_inputs():
-                self._inputs = None
             outcome = self._check_crashes()
-            if outcome is None and self._inputs is None:
+            if outcome is None and not self._inputs.are_usable():
                 outcome = await self._run_stages()
                 # It may have been found harmful meanwhile.
                 outcome = outcome or self._check_crashes()
@@ -192,55 +179,16 @@
 
     async def _run_stages(self):
         """Run the stages; return `Refused` if they fail, else None."""
-        self._inputs = ()
+        self._inputs.prepare(self._is_resumed)
         if not self._admitted.route.stages:
             return None
-        self._graph = graph_module.new_stage_graph(
-            self._admitted,
-            self._services.pools,
-            self._predict_first_event_s(),
-            is_resumed=self._is_resumed,
-        )
         if self._sends == 0 and not self._is_resumed:
-            refused = self._graph.check_admission()
+            refused = self._inputs.check_admission()
             if refused is not None:
                 return refused
-            if not await self._selector.reserve(self._graph.predict_s()):
+            if not await self._selector.reserve(self._inputs.predict_s()):
                 return self._new_refusal()
-        started_s = trio.current_time()
-        inputs = await self._make_inputs()
-        self._stages_s += trio.current_time() - started_s
-        if isinstance(inputs, outcome_module.Refused):
-            return inputs
-        self._inputs = inputs
-        self._input_bytes = self._graph.get_input_bytes()
-        return None
-
-    async def _make_inputs(self):
-        """Return the handles of the results of the stages, or `Refused`.
-
-        An answer that has begun waits for servers of its stages: without
-        them it would be cut.
-        """
-        pause_s = STAGE_PAUSE_MIN_S
-        inputs = await self._graph.run()
-        while self._reply.is_started and self._graph.lacks_servers:
-            if not await self._wait_for_stage_servers(pause_s):
-                break
-            inputs = await self._graph.run()
-            # A server that takes nothing is asked less and less often.
-            pause_s *= 2
-        return inputs
-
-    async def _wait_for_stage_servers(self, pause_s):
-        """Return whether the stages can be made in time, after a pause."""
-        deadline = self._admitted.deadline
-        await trio.sleep(pause_s)
-        while self._predict_first_event_s() < deadline.get_left_s():
-            if self._predict_made_again_s() < deadline.get_left_s():
-                return True
-            await trio.sleep(STAGE_PAUSE_MIN_S)
-        return False
+        return await self._inputs.make(self._reply.is_started)
 
     def _new_refusal(self):
         failure = self._last_failure
@@ -287,27 +235,14 @@
             return False
         if not selector.has_next(self._is_resumed):
             return False
-        return self._predict_next_s() < self._admitted.deadline.get_left_s()
-
-    def _predict_next_s(self):
-        """Return the time until another server's first event or answer."""
-        if self._graph is None or self._has_inputs():
-            return self._predict_first_event_s()
-        return self._predict_made_again_s()
-
-    def _predict_made_again_s(self):
-        """Return the same if the stages have to be made first."""
-        return self._graph.predict_s() + self._predict_first_event_s()
+        left_s = self._admitted.deadline.get_left_s()
+        return self._inputs.predict_answer_s() < left_s
 
     def _predict_first_event_s(self):
         return self._services.chooser.predict_first_event_s(
             self._selector.service, self._admitted.request
         )
 
-    def _has_inputs(self):
-        """Return whether the results of the stages can be used again."""
-        return self._inputs is not None and not self._graph.is_freed
-
     async def _try_server(self):
         """Send the request to one server; return None if it may be retried."""
         choice = await self._choose_server()
@@ -322,8 +257,7 @@
             server, self._admitted.request.parts
         )
         attempt = attempt_module.new_attempt(server, choice)
-        if self._inputs:
-            self._graph.free_after(self._get_fetch_time().hold_s)
+        self._inputs.free_after(self._get_fetch_time().hold_s)
         # Nothing may stand between these counts and what takes them back.
         server.outstanding += 1
         server.prefill_tokens += choice.new_tokens
@@ -341,7 +275,7 @@
         """
         while True:
             choice = await self._selector.choose(
-                self._input_bytes, self._is_resumed
+                self._inputs.bytes_by_data_centre, self._is_resumed
             )
             if choice is not None or not self._reply.is_started:
                 return choice
@@ -398,7 +332,7 @@
                 admitted.organisation.name if admitted.organisation else None
             ),
             priority=min(max(admitted.priority, 0), 9),
-            inputs=self._inputs,
+            inputs=self._inputs.handles,
             resume_after=self._relay.last_event,
             needs_fresh_connection=not admitted.route.is_idempotent,
             check=self._get_lifetime_check(server),
@@ -418,8 +352,7 @@
         server had begun to answer.
         """
         server = attempt.server
-        if self._graph is not None:
-            self._graph.keep()
+        self._inputs.keep()
         if failure.ran is _Ran.UNKNOWN and not is_counted:
             self._sends += 1
             self._attempts += 1
@@ -454,9 +387,9 @@
             while isinstance(await answer.receive_part(), bytes):
                 pass
         if answer.is_input_gone:
-            if self._graph is not None and self._graph.is_freed:
+            if self._inputs.is_freed:
                 self._get_fetch_time().record_missing()
-            self._free_inputs()
+            self._inputs.free()
         failure = gateway.Failure(
             _Reason.BACKEND_REFUSED,
             _Ran.NO,
@@ -546,10 +479,10 @@
                 self._selector.service
             )
         )
-        if self._graph is not None and self._graph.is_freed:
+        if self._inputs.is_freed:
             self._get_fetch_time().record_fetched()
         # The server no longer needs the inputs.
-        self._free_inputs()
+        self._inputs.free()
 
     def _log_failure(self, attempt, failure):
         request_log.log_failure(
@@ -582,10 +515,8 @@
         return lateness.RunTimes(
             spent_s=trio.current_time() - self._started_s,
             queued_s=self._started_s - self._admitted.request.received_s,
-            stages_s=self._stages_s,
-            stage_times_s=(
-                () if self._graph is None else self._graph.get_stage_times()
-            ),
+            stages_s=self._inputs.spent_s,
+            stage_times_s=self._inputs.get_stage_times(),
             first_event_s=first_event_s,
             pause_s=self._relay.longest_pause_s,
         )
