Bench: read streams, run seeds and send requests in one place each

streams and versions each read the events of an answer, versions had the loop of _run_seeds, and raw_client.request was send_request with a head of its own.

--- a/bench/soak/raw_client.py
+++ b/bench/soak/raw_client.py
@@ -4,8 +4,6 @@
 
 from bench.soak import stop_checker
 from bench.standins import site as standin_site
-from greengagetrack.connection.http.client import call as call_module
-from greengagetrack.connection.http.client import heads
 
 NO_ANSWER = stop_checker.NO_ANSWER
 
@@ -69,18 +67,5 @@
 
 async def request(pool, address, head):
     """Return the status of a whole answer, else `NO_ANSWER`."""
-    call = await pool.open_call(address, head, standin_site.REQUEST_BODY)
-    if not isinstance(call, call_module.Call):
-        return NO_ANSWER
-    try:
-        response = await call.receive_head(lambda _head: True)
-        if not isinstance(response, heads.ResponseHead):
-            return NO_ANSWER
-        while True:
-            part = await call.receive_part()
-            if part is None:
-                return response.status
-            if not isinstance(part, bytes):
-                return NO_ANSWER
-    finally:
-        call.finish()
+    status, _headers, _body = await standin_site.send_head(pool, address, head)
+    return NO_ANSWER if status == standin_site.NOT_SENT else status
--- a/bench/soak/streams.py
+++ b/bench/soak/streams.py
@@ -15,11 +15,10 @@
 import trio
 
 from bench import ports as ports_module
+from bench.soak import event_reader
 from bench.soak import site as site_module
 from bench.standins import engine_process
 from bench.standins import site as standin_site
-from greengagetrack.connection.http.client import call as call_module
-from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
 
@@ -336,13 +335,17 @@
         request_id = b"%d" % next(self._ids)
         entry = self._generator.choice(self._site.entries)
         pool = pool_module.new_pool(self._site.nursery)
+        head = _new_head(record, request_id)
+
+        async def receive(events):
+            for event in events:
+                _add_event(record, event, head)
+            await trio.sleep(read_s)
+            return True
+
         with trio.move_on_after(TRY_TIMEOUT_S):
-            await _read_stream(
-                pool,
-                entry.caller_address,
-                _new_head(record, request_id),
-                record,
-                read_s,
+            record.is_whole = await event_reader.read_events(
+                pool, entry.caller_address, head, receive
             )
         if record.numbers and not record.first_id:
             record.first_id = request_id
@@ -361,33 +364,6 @@
     return head
 
 
-async def _read_stream(pool, address, head, record, read_s):
-    """Add the events of an answer to a record, and how it ended."""
-    call = await pool.open_call(address, head, standin_site.REQUEST_BODY)
-    if not isinstance(call, call_module.Call):
-        return
-    try:
-        response = await call.receive_head(lambda _head: True)
-        if not isinstance(response, heads.ResponseHead):
-            return
-        if response.status != 200:
-            return
-        data = b""
-        while True:
-            part = await call.receive_part()
-            if part is None:
-                record.is_whole = True
-            if not isinstance(part, bytes):
-                return
-            *complete, data = (data + part).split(b"\n\n")
-            for event in complete:
-                _add_event(record, event, head)
-            await trio.sleep(read_s)
-    finally:
-        # An answer that isn't complete by now is reset.
-        call.finish()
-
-
 def _add_event(record, event, head):
     """Add one event, as the stand-ins write them."""
     id_line, data_line = event.split(b"\n")
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -12,10 +12,9 @@
 import msgspec
 import trio
 
+from bench.soak import event_reader
 from bench.soak import site as site_module
 from bench.standins import site as standin_site
-from greengagetrack.connection.http.client import call as call_module
-from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.platform import names
 
@@ -266,38 +265,20 @@
             events_max = self._generator.randrange(1, EVENT_COUNT)
         entry = self._generator.choice(self._site.entries)
         pool = pool_module.new_pool(self._site.nursery)
+
+        async def receive(events):
+            record.events += [_read_event(event) for event in events]
+            return len(record.events) < events_max
+
         with trio.move_on_after(TRY_TIMEOUT_S):
-            await _read_stream(
-                pool, entry.caller_address, head, record, events_max
+            await event_reader.read_events(
+                pool, entry.caller_address, head, receive
             )
         if record.events and not record.first_id:
             record.first_id = request_id
         pool.drop_connections(entry.caller_address)
 
 
-async def _read_stream(pool, address, head, record, events_max):
-    """Add the events of an answer to a record, and no more than a number."""
-    call = await pool.open_call(address, head, standin_site.REQUEST_BODY)
-    if not isinstance(call, call_module.Call):
-        return
-    try:
-        response = await call.receive_head(lambda _head: True)
-        if not isinstance(response, heads.ResponseHead):
-            return
-        if response.status != 200:
-            return
-        data = b""
-        while len(record.events) < events_max:
-            part = await call.receive_part()
-            if not isinstance(part, bytes):
-                return
-            *complete, data = (data + part).split(b"\n\n")
-            record.events += [_read_event(event) for event in complete]
-    finally:
-        # An answer that isn't complete by now is reset.
-        call.finish()
-
-
 def _read_event(event):
     """Return the id and the version of an event."""
     id_line, data_line = event.split(b"\n")
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -43,7 +43,8 @@
 def _run_seeds(name, seeds, logs, run):
     """Print the result of each seed; exit with 1 if one is broken.
 
-    `run(seed, folder)` returns it, with the logs in the folder.
+    `run(seed, folder)` returns it, with the logs in the folder. What is
+    needed beside the number may be part of a seed.
     """
     failed = 0
     for seed in seeds:
@@ -143,16 +144,12 @@
     """
     chosen = [fault] if fault else list(versions_module.STEPS_BY_FAULT)
     check_choice("--fault", fault, ("", *versions_module.STEPS_BY_FAULT))
-    failed = 0
-    for number, name in itertools.product(range(seed, seed + seeds), chosen):
-        folder = logs or tempfile.mkdtemp(prefix="greengagebench-versions-")
-        result = versions_module.run_versions(number, name, rate, folder)
-        print_json(result)
-        for text in result.broken:
-            print(f"broken: {text}", file=sys.stderr)
-        failed += bool(result.broken)
-        keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed else 0)
+    _run_seeds(
+        "versions",
+        itertools.product(range(seed, seed + seeds), chosen),
+        logs,
+        lambda pair, folder: versions_module.run_versions(*pair, rate, folder),
+    )
 
 
 def streams(
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -426,12 +426,17 @@
 async def send_request(
     pool, address, path, request_id, method=b"POST", key="key-1"
 ):
-    """Send a request over a connection of `pool`.
+    """Send a request over a connection of `pool`; return as `send_head`."""
+    head = new_request_head(path, request_id, method, key)
+    return await send_head(pool, address, head)
+
+
+async def send_head(pool, address, head):
+    """Send a request whose body is `REQUEST_BODY`.
 
     Return the status, the header fields and the body. The status is
     `NOT_SENT` if nothing was sent, and 0 if the response is incomplete.
     """
-    head = new_request_head(path, request_id, method, key)
     call = await pool.open_call(address, head, REQUEST_BODY)
     if not isinstance(call, call_module.Call):
         is_sent = isinstance(call, failures.ResponseFailure)
