--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -4,6 +4,7 @@
 and were cut when there was none, or no retry or no time was left.
 """
 
+import msgspec
 import pytest
 import trio
 
@@ -24,12 +25,8 @@
     target_gap_ms=100.0,
     timeout_ms=8000.0,
 )
-STAGED = fakes.new_route(
-    repeat=catalog.Repeat.STREAM,
-    is_resumable=True,
-    target_gap_ms=100.0,
-    timeout_ms=8000.0,
-    stages=(catalog.Stage("pool", result_bytes=10),),
+STAGED = msgspec.structs.replace(
+    STREAM, stages=(catalog.Stage("pool", result_bytes=10),)
 )
 SAFE = fakes.new_route(timeout_ms=8000.0)
 LEFT_S = 8.0
@@ -64,6 +61,13 @@
     )
 
 
+def _lose_stages(entry):
+    """Let the server of the stages leave."""
+    entry.directory.apply_update(
+        source_module.Update(2, servers=(ONE, OTHER), is_complete=True)
+    )
+
+
 def _spend_budget(entry, _monkeypatch):
     entry.services.budgets = budget_module.new_retry_budgets(
         0.0, 0.0, 10.0, lambda: 1
@@ -208,9 +212,7 @@
         def make(server, pieces):
             if len(entry.gateway.calls) != 2:
                 return [f"{server.server_id}/{len(entry.gateway.calls)}"]
-            entry.directory.apply_update(
-                source_module.Update(2, servers=(ONE, OTHER), is_complete=True)
-            )
+            _lose_stages(entry)
             nursery.start_soon(come_back)
             return [gateway.PieceFailure.NOT_TAKEN]
 
@@ -231,9 +233,7 @@
         def make(server, pieces):
             if len(entry.gateway.calls) == 1:
                 return [f"{server.server_id}/1"]
-            entry.directory.apply_update(
-                source_module.Update(2, servers=(ONE, OTHER), is_complete=True)
-            )
+            _lose_stages(entry)
             return [gateway.PieceFailure.NOT_TAKEN]
 
         entry.gateway.call_handler = make
