--- a/bench/command.py
+++ b/bench/command.py
@@ -226,6 +226,7 @@
             "versions": soak_commands.versions,
             "streams": soak_commands.streams,
             "stops": soak_commands.stops,
+            "refusals": soak_commands.refusals,
             "fuzz": soak_commands.fuzz,
             "fleet": fleet,
             "capacity": capacity,
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -10,6 +10,7 @@
 from bench.soak import broken
 from bench.soak import fuzz as fuzz_module
 from bench.soak import limits as limits_module
+from bench.soak import refusals as refusals_module
 from bench.soak import run as soak_run
 from bench.soak import stops as stops_module
 from bench.soak import streams as streams_module
@@ -227,6 +228,40 @@
     )
 
 
+def refusals(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    duration: float = 15.0,
+    build: str = "",
+    tree: str = "",
+    logs: str = "",
+):
+    """Run engines that run requests and fail them in each way they may.
+
+    Prints one JSON line per seed. Exit codes: 0 no caller was told "not
+    run" of a request that ran, none ran twice that must not, and failures
+    reached callers as they were; 1 otherwise.
+
+    :param seed: The first seed of the failures and requests.
+    :param seeds: The number of seeds, run one after the other.
+    :param duration: How long requests arrive, in seconds.
+    :param build: A deliberately broken build, which must show.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if something was broken.
+    """
+    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    _run_seeds(
+        "refusals",
+        range(seed, seed + seeds),
+        logs,
+        lambda number, folder: refusals_module.run_refusals(
+            number, duration, folder, build, tree
+        ),
+    )
+
+
 def fuzz(
     *,
     seed: int = 0,
--- a/bench/standins/copies.py
+++ b/bench/standins/copies.py
@@ -68,7 +68,7 @@
         self._stream.forget()
         await self._engine.handle(exchange)
         if self._engine.is_copying and exchange.is_finished:
-            await self._copy(self._stream.sent)
+            await self._copy(self._engine.get_copy(self._stream.sent))
 
     async def _copy(self, answer):
         """Send a copy soon, before the next answer, or not at all."""
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -195,6 +195,10 @@
         """Return the time before an event of a request."""
         return self.event_interval_s
 
+    def get_copy(self, answer):
+        """Return what is sent where an answer is sent once more."""
+        return answer
+
     async def handle(self, exchange):
         """Serve one request by the protocol of the platform's engines."""
         self.arrival_times.append(trio.current_time())
