Log what servers' answers say of whether a request ran

And a status that was passed on said nothing of its mark.

'attempt failed' and 'request ended' have the claim of the answer (ran, not_run, unmarked, unnamed); 'request ended' has may_have_run, so that a refusal of ours after something was sent shows; a counter by claim, greengagetrack_server_answers_total.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -78,6 +78,21 @@
     """
 
 
+class Claim(enum.StrEnum):
+    """What an answer says of whether its request ran.
+
+    Only `NOT_RUN` proves that it did not. An `UNMARKED` answer has a status
+    by which a caller would understand that, but which proves nothing. An
+    `UNNAMED` one doesn't repeat the id of its request, though the answers
+    before it on its connection did: it may belong to none.
+    """
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNMARKED = "unmarked"
+    UNNAMED = "unnamed"
+
+
 class Answer(abc.ABC):
     """The answer of a backend server, after its head was received.
 
@@ -85,6 +100,7 @@
     """
 
     status: int
+    claim: Claim
     headers: list
     framing: framing.Framing
     is_not_run: bool
--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -58,6 +58,11 @@
         """Return when its connection was opened."""
         return self._connection.opened_s
 
+    @property
+    def is_first(self):
+        """Return whether its connection had no request before."""
+        return self._connection.request_count == 1
+
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
         self._body = body
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -67,6 +67,7 @@
 
     __slots__ = (
         "_call",
+        "claim",
         "framing",
         "headers",
         "is_events",
@@ -77,9 +78,10 @@
         "status",
     )
 
-    def __init__(self, call, head):
+    def __init__(self, call, head, request_id):
         self._call = call
         self.status = head.status
+        self.claim = _get_claim(call, head, request_id)
         self.framing = head.framing
         self.headers = fields.keep_end_to_end(
             head.headers, kept=names.ALWAYS_RETURNED
@@ -103,6 +105,16 @@
         self._call.finish()
 
 
+def _get_claim(call, head, request_id):
+    if _get_id(head) != request_id and not call.is_first:
+        return gateway.Claim.UNNAMED
+    if _is_not_run(head):
+        return gateway.Claim.NOT_RUN
+    if head.status in names.NOT_RUN_STATUSES:
+        return gateway.Claim.UNMARKED
+    return gateway.Claim.RAN
+
+
 def _is_not_run(head):
     if head.status == names.MISDIRECTED_STATUS:
         return True
@@ -204,7 +216,7 @@
                 # A copy of it could not be told from the next answer.
                 call.end_connection()
             self._observe(server, response_head)
-            answer = EngineAnswer(call, response_head)
+            answer = EngineAnswer(call, response_head, request.request_id)
             return answer
         finally:
             if answer is None:
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -68,6 +68,8 @@
 
 # The status of a request that expects another engine.
 MISDIRECTED_STATUS = 421
+# Each of these tells a caller that its request did not run.
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 
 READY = "ready"
 DRAINING = "draining"
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -16,6 +16,7 @@
 
     __slots__ = (
         "_choices",
+        "_claims",
         "_closed_connections",
         "_contained_errors",
         "_late",
@@ -42,6 +43,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._claims = aioprometheus.Counter(
+            "greengagetrack_server_answers_total",
+            "Answers of servers by what they say of whether a request ran.",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._closed_connections = aioprometheus.Counter(
             "greengagetrack_closed_connections_total",
             "Closed connections of callers by reason, and lost requests.",
@@ -79,6 +86,10 @@
         """Count one choice of a backend server."""
         self._choices.inc({"service": service})
 
+    def count_claim(self, claim):
+        """Count one answer of a backend server by its `gateway.Claim`."""
+        self._claims.inc({"claim": str(claim)})
+
     def record_close(self, closed):
         """Count a connection of a caller that ended, and log a loss."""
         super().record_close(closed)
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -9,7 +9,8 @@
     """One attempt of a request and its share of the server's load.
 
     `begun_s` is when the head of its answer was received. `is_sound` says
-    that the answer went on well after that.
+    that the answer went on well after that. `claim` is that of the answer,
+    None without one.
     """
 
     __slots__ = (
@@ -18,6 +19,7 @@
         "_started_s",
         "_tokens_ahead",
         "begun_s",
+        "claim",
         "is_prefilled",
         "is_sound",
         "server",
@@ -31,6 +33,7 @@
         self._tokens_ahead = choice.tokens_ahead
         self._started_s = trio.current_time()
         self.begun_s = None
+        self.claim = None
         self.is_prefilled = False
         self.is_sound = False
 
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -51,6 +51,7 @@
             "sends": sends,
             "last_event": (last_event or b"").decode("latin-1"),
             "has_begun": attempt.has_begun,
+            "claim": attempt.claim or "",
             "parts": admitted.request.shared_parts,
         },
     )
@@ -60,15 +61,20 @@
     """Where the last answer of a request ended.
 
     `framing` is what marked its end, `partial_event_bytes` the number of
-    bytes after its last complete event.
+    bytes after its last complete event. `claim` is what the answer says of
+    whether the request ran.
     """
 
     framing: str = ""
     partial_event_bytes: int = 0
+    claim: str = ""
 
 
-def log_outcome(admitted, sends, times, late, end, outcome):
-    """Log the outcome of a request; `late` is why it was, if it was."""
+def log_outcome(admitted, sends, times, late, end, may_have_run, outcome):
+    """Log the outcome of a request; `late` is why it was, if it was.
+
+    `may_have_run` is what is known of all attempts together.
+    """
     is_whole = isinstance(outcome, direct_outcome.Relayed)
     level = logging.INFO if is_whole else logging.WARNING
     _log.log(
@@ -92,6 +98,8 @@
             "priority": admitted.priority,
             "framing": end.framing,
             "partial_event_bytes": end.partial_event_bytes,
+            "claim": end.claim,
+            "may_have_run": may_have_run,
             "sends": sends,
             "left_ms": admitted.deadline.get_left_ms(),
             "catalog_version": admitted.catalog_version,
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -308,13 +308,17 @@
                 return outcome_module.Refused(answer.reason, answer.detail)
             return self._handle_failure(attempt, answer)
         self._sends += 1
+        attempt.claim = answer.claim
+        self._services.metrics.count_claim(answer.claim)
         if answer.is_not_run:
             self._may_have_run = may_have_run_before
         try:
             return await self._handle_answer(attempt, answer)
         finally:
             self._answer_end = request_log.AnswerEnd(
-                answer.framing, self._relay.get_partial_event_bytes()
+                answer.framing,
+                self._relay.get_partial_event_bytes(),
+                answer.claim,
             )
             answer.finish()
 
@@ -505,7 +509,13 @@
         if isinstance(outcome, direct_outcome.Relayed):
             self._services.durations.record(route, times.spent_s)
         request_log.log_outcome(
-            self._admitted, self._sends, times, late, self._answer_end, outcome
+            self._admitted,
+            self._sends,
+            times,
+            late,
+            self._answer_end,
+            self._may_have_run,
+            outcome,
         )
 
     def _get_times(self):
