--- a/tests/direct/test_claims.py
+++ b/tests/direct/test_claims.py
@@ -14,6 +14,8 @@
 
 ORDER = fakes.new_route(repeat=catalog.Repeat.UNSAFE, attempts_max=2)
 NOTE = fakes.new_route(repeat=catalog.Repeat.STREAM, attempts_max=2)
+STOCK = fakes.new_route(attempts_max=2)
+ROUTE_BY_NAME = {"order": ORDER, "note": NOTE, "stock": STOCK}
 MARK = b"X-Not-Run: 1\r\n"
 SEAL = b"X-Engine-Seal: s\r\n"
 BODY = b"an error"
@@ -29,6 +31,7 @@
     return head + BODY
 
 
+STRAY = new_answer(503, fields=MARK)
 INTERIM = b"HTTP/1.1 103 Early Hints\r\n" + MARK + b"\r\n"
 
 
@@ -162,6 +165,54 @@
     run(check, lambda _number, request_id: INTERIM + new_answer(503, b"mine"))
 
 
+def answer_after_a_stray(number, request_id):
+    """Return an answer, on a used connection behind a refusal of nobody."""
+    own = new_answer(200, request_id, SEAL)
+    return STRAY + own if number else own
+
+
+def find_untrue(route, new_failure):
+    """Return the statuses that are answered with more than a plain 502."""
+    untrue = []
+
+    async def check(site):
+        exchange = await site.ask(route, b"mine")
+        plain = (502, [], b"")
+        if plain != (exchange.status, exchange.headers, exchange.body):
+            untrue.append(exchange.status)
+
+    for status in (408, 429, 503):
+        answer = new_failure(status)
+        run(check, lambda *_call, answer=answer: answer)
+    return untrue
+
+
+@pytest.mark.parametrize("route_name", sorted(ROUTE_BY_NAME))
+def test_status_without_a_mark_is_not_passed_on(route_name):
+    """A server ran a request, and its 503 told the caller that it hadn't."""
+    route = ROUTE_BY_NAME[route_name]
+    own = find_untrue(route, lambda n: new_answer(n, b"mine", SEAL))
+    unnamed = find_untrue(route, lambda n: new_answer(n, b"", SEAL))
+    interim = find_untrue(route, lambda n: INTERIM + new_answer(n, b"mine"))
+    assert (own, unnamed, interim) == ([], [], [])
+
+
+@pytest.mark.parametrize("route_name", ["note", "order"])
+def test_refusal_of_no_request_is_not_believed(route_name):
+    """It came where the answer was due, and the request ran twice."""
+
+    async def check(site):
+        statuses = set()
+        for number in range(8):
+            request_id = b"r%d" % number
+            exchange = await site.ask(ROUTE_BY_NAME[route_name], request_id)
+            statuses.add(exchange.status)
+            assert site.received_ids.count(request_id) == 1
+        assert statuses == {200, 502}
+
+    run(check, answer_after_a_stray, server_count=2)
+
+
 @pytest.mark.parametrize("status", [400, 404, 422, 500, 502, 504, 507])
 @pytest.mark.parametrize("route", [ORDER, NOTE])
 def test_failure_that_promises_nothing_is_passed_on_unchanged(route, status):
