Pass no status on by which a caller would think its request did not run

Cause: a server that runs a request may answer any of these without X-Not-Run. From a server such a status says nothing; to a caller it is a promise. DirectRun._relay_response passed every status on as it came.

Now the claim of an answer decides: an unmarked one is a failed attempt that may have run. It is repeated where the route allows it, and else answered 502 of our own, without the server's body, seal and Retry-After, which belong to the status that it gave. That holds for idempotent requests too: their callers repeat after any failure.

--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -28,6 +28,7 @@
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
 FULL_CHECK_PERIOD_S = 0.05
+SKIP_BODY_MAX_S = 0.2
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
@@ -381,15 +382,28 @@
             return await self._handle_rejection(attempt, answer)
         attempt.begin()
         self._attempts += 1
+        if answer.claim is gateway.Claim.UNMARKED:
+            return await self._handle_unproven(attempt, answer)
         if answer.is_events and answer.status < 300:
             return await self._relay_events(attempt, answer)
         return await self._relay_response(attempt, answer)
 
+    async def _handle_unproven(self, attempt, answer):
+        """Handle a status by which the caller would think it did not run.
+
+        Neither the status nor the body and seal that belong to it can be
+        passed on.
+        """
+        await _skip_body(answer)
+        failure = gateway.Failure(
+            _Reason.BACKEND_REFUSED,
+            _Ran.UNKNOWN,
+            f"status {answer.status} without proof",
+        )
+        return self._handle_failure(attempt, failure, is_counted=True)
+
     async def _handle_rejection(self, attempt, answer):
-        # Read the body to its end, so that the connection can be reused.
-        with trio.move_on_after(0.2):
-            while isinstance(await answer.receive_part(), bytes):
-                pass
+        await _skip_body(answer)
         if answer.is_input_gone:
             if self._inputs.is_freed:
                 self._get_fetch_time().record_missing()
@@ -532,6 +546,13 @@
         )
 
 
+async def _skip_body(answer):
+    """Read a body to its end, so that the connection can be reused."""
+    with trio.move_on_after(SKIP_BODY_MAX_S):
+        while isinstance(await answer.receive_part(), bytes):
+            pass
+
+
 def new_direct_run(services, admitted, reply):
     """Return the run of an admitted request."""
     return DirectRun(services, admitted, reply)
