Agent mode: an outcome that is unknown gets no status that promises 'not run'

Same cause as in direct mode, found by looking for it: the status was chosen by the reason alone. A repeat of an order that was over its rate or its deadline is unknown, since an earlier attempt may have run (ran: unknown in the body), and its caller got 429 or 503.

rate_limit, token_limit, concurrency_limit and deadline_unreachable are 504 now where the outcome is unknown; test_status_of_an_unknown_outcome_promises_nothing failed for these four before.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -149,11 +149,11 @@
     lines.append("| reason | status | meaning or advice |")
     lines.append("|---|---|---|")
     for reason in outcome.Reason:
-        status = problems.STATUS_BY_REASON.get(reason)
-        status_text = status or (
-            f"{problems.STATUS_REFUSED} refused, "
-            f"{problems.STATUS_UNKNOWN} unknown"
-        )
+        refused = problems.get_status(outcome.Refused(reason))
+        unknown = problems.get_status(outcome.Unknown(reason))
+        status_text = f"{refused} refused, {unknown} unknown"
+        if refused == unknown:
+            status_text = f"{refused}"
         lines.append(
             f"| {reason} | {status_text} | {ADVICE_BY_REASON[reason]} |"
         )
--- a/greengagetrack/connection/problems.py
+++ b/greengagetrack/connection/problems.py
@@ -25,6 +25,8 @@
     _Reason.TOKEN_LIMIT: 429,
 }
 STATUS_REFUSED = 503
+# By these a caller understands that its request did not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, STATUS_REFUSED))
 
 
 class Problem(msgspec.Struct):
@@ -43,11 +45,10 @@
 
 def get_status(outcome):
     """Return the HTTP status of an outcome that is not whole."""
-    if outcome.reason in STATUS_BY_REASON:
-        return STATUS_BY_REASON[outcome.reason]
+    status = STATUS_BY_REASON.get(outcome.reason, STATUS_REFUSED)
     if isinstance(outcome, outcome_module.Unknown):
-        return STATUS_UNKNOWN
-    return STATUS_REFUSED
+        return STATUS_UNKNOWN if status in NOT_RUN_STATUSES else status
+    return status
 
 
 def new_problem(outcome, request_id):
