--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -10,6 +10,7 @@
 
 from greengagetrack.command import greengagetrackd
 from greengagetrack.connection import answer_end
+from greengagetrack.connection import gateway
 from greengagetrack.connection.http import matching
 from greengagetrack.connection.http import numbers
 from greengagetrack.platform import engines
@@ -104,6 +105,21 @@
     newest_version.NewestVersion.confirm = confirm
 
 
+def _trust_statuses():
+    """Pass each status on, whatever it proves."""
+    run_module._UNPROVEN_CLAIMS = (gateway.Claim.UNNAMED,)
+
+
+def _trust_unnamed():
+    """Take an answer that names no request for that to the last one."""
+    original = engines._get_claim
+
+    def get_claim(call, head, request_id):
+        return original(call, head, engines._get_id(head))
+
+    engines._get_claim = get_claim
+
+
 def _trust_numbers():
     """Read numbers of others as if they always were some."""
     numbers.read_count = lambda text, maximum: int(text)
@@ -121,6 +137,8 @@
     "trust-lifetimes": _trust_lifetimes,
     "trust-restored": _trust_restored,
     "trust-numbers": _trust_numbers,
+    "trust-statuses": _trust_statuses,
+    "trust-unnamed": _trust_unnamed,
 }
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -29,6 +29,8 @@
 # Streams last long enough then to be in progress as their engine restarts.
 SLOW_EVENT_INTERVAL_S = 0.15
 COOL_DOWN_S = 3.5
+# By it a caller understands that its request did not run.
+UNAVAILABLE_STATUS = 503
 RECOVERY_WINDOW_S = 3.0
 # With these, no entry may know what the store has lost.
 UNSEEN_FAULTS = ("store", "unseen", "all entries")
@@ -229,10 +231,13 @@
             engine.is_breaking = True
         elif action == "copy":
             engine.is_copying = True
+        elif action == "refuse":
+            engine.failure_status = UNAVAILABLE_STATUS
         else:
             proxy.inject(action)
         await trio.sleep(fault.active_s)
         engine.is_breaking = engine.is_copying = False
+        engine.failure_status = None
         proxy.clear_faults()
 
     async def _replace_engine(self, action, engine, active_s):
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -167,6 +167,8 @@
         self.is_breaking = False
         # It sends some answers once more, if its connections do that.
         self.is_copying = False
+        # It runs requests, and answers them with this status, if any.
+        self.failure_status = None
         # Of its software; each event names it.
         self.version = "v1"
         # Changes when it starts again.
@@ -259,7 +261,8 @@
         if not self.is_stream:
             await trio.sleep(self.get_work_s(exchange))
             body = exchange.method + b" " + exchange.target
-            await exchange.answer(200, response_headers, body)
+            status = self.failure_status or 200
+            await exchange.answer(status, response_headers, body)
             return
         after = numbers.read_count(
             fields.get_value(headers, names.LAST_EVENT_ID.lower(), b"0"),
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -157,6 +157,7 @@
         ("trust-copies", "MIXED"),
         ("trust-copied-pieces", ""),
         ("trust-lifetimes", "ORDER"),
+        ("trust-statuses", "REFUSED"),
     ],
 )
 def test_closing_faults_detect_a_broken_build(tmp_path, build, rule):
