Let connections with many chunks take turns

An answer in chunks of one byte without end: one read of 64 KiB has 10,922 of them, which the parser went through in 0.11 s without a checkpoint, and each became an object that was held. Ten such answers kept every other task of the process waiting for 0.56 s at the worst.

Chunks that were received together are one part now, up to 64; a connection with more waits for its turn, of which one is under way in the process at a time. So all such connections together leave most of the time to the others, however many there are. Bodies of our own calls are held as bytes, not as objects.

--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -6,6 +6,7 @@
 from greengagetrack.connection import contained_error
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import heads
+from greengagetrack.connection.http.client import turns as turns_module
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing as framing_module
 from greengagetrack.connection.http import matching
@@ -28,9 +29,11 @@
         "_body",
         "_connection",
         "_has_received",
+        "_held_event",
         "_is_eof",
         "_is_last",
         "_is_sent",
+        "_is_turn_over",
         "_pool",
         "_protocol",
         "_request",
@@ -49,6 +52,9 @@
         self._is_last = False
         self._is_sent = False
         self._has_received = False
+        # Parsed already, and next to be returned.
+        self._held_event = None
+        self._is_turn_over = False
         self._send_failure = None
         self._send_scope = None
         self.is_complete = False
@@ -181,9 +187,14 @@
 
     async def receive_part(self):
         """Return body bytes, None after a complete body, or a failure."""
+        # Nothing may be awaited once a part is parsed: a caller that is
+        # cancelled there would lose it.
+        if self._is_turn_over:
+            await self._pool.turns.wait()
+            self._is_turn_over = False
         event = await self._receive_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._merge_chunks(event)
         if isinstance(event, h11.EndOfMessage):
             self.is_complete = True
             return None
@@ -193,6 +204,20 @@
             f"{type(event).__name__} within the response body"
         )
 
+    def _merge_chunks(self, first):
+        """Return the data of a chunk and of those received behind it."""
+        data = bytearray(first.data)
+        for _chunk in range(turns_module.CHUNKS_PER_TURN):
+            event = self._parse_event()
+            if event is h11.NEED_DATA:
+                return bytes(data)
+            if not isinstance(event, h11.Data):
+                self._held_event = event
+                return bytes(data)
+            data += event.data
+        self._is_turn_over = True
+        return bytes(data)
+
     async def receive_response(self, identify):
         """Return the `ResponseHead` and the body, or `ResponseFailure`.
 
@@ -223,23 +248,29 @@
 
     async def receive_body(self):
         """Return the whole body, or `ResponseFailure` if it is too long."""
-        parts, size = [], 0
-        while size <= RESPONSE_MAX_BYTES:
+        body = bytearray()
+        while len(body) <= RESPONSE_MAX_BYTES:
             part = await self.receive_part()
             if isinstance(part, _ResponseFailure):
                 return part
             if part is None:
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
+                return bytes(body)
+            body += part
         return _ResponseFailure("response exceeds the size limit")
 
+    def _parse_event(self):
+        """Return the next event that was received, or `NEED_DATA`."""
+        event, self._held_event = self._held_event, None
+        if event is not None:
+            return event
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            return _ResponseFailure(f"protocol error: {error}")
+
     async def _receive_event(self):
         while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                return _ResponseFailure(f"protocol error: {error}")
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return event
             try:
--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -6,6 +6,7 @@
 from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import persistent_connection
+from greengagetrack.connection.http.client import turns as turns_module
 
 CONNECT_TIMEOUT_S = 0.4
 FRESH_IDLE_MAX_S = 1.0
@@ -21,6 +22,7 @@
         "error_observer",
         "on_idle_closed",
         "opened_count",
+        "turns",
     )
 
     def __init__(self, nursery):
@@ -28,6 +30,7 @@
         self._idle_by_key = {}
         self.count_by_address = {}
         self.opened_count = 0
+        self.turns = turns_module.new_turns()
         # Called with the address if the server has closed idle connections.
         self.on_idle_closed = None
         # Counts the unforeseen errors that end a long send.
