Bound the bytes of answers that an entry holds at once

Each answer could hold 8 MiB and each event without end 1 MiB; nothing bounded them all.

All answers together may hold an eighth of the memory of the machine, which the node file names; those of one server a quarter of that, so that sound ones have room beside it; the first 16 KiB of each are free. What is past a bound ends that answer alone, as a failure of its server: repeated where the route allows it, else 502. An answer that is too long is such a failure now, too.

--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -37,6 +37,7 @@
                 min(node.bounds.drain_ms, node.bounds.config_apply_ms) / 1000
             ),
             cores=node.limits.cpu_share * node.limits.cores,
+            memory_bytes=node.limits.memory_mb * 1e6,
         )
 
     def get_caller_address(self):
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -15,6 +15,7 @@
 from greengagetrack.process.direct import durations
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import held_bytes
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import loop_lag
 from greengagetrack.process.direct import metrics as metrics_module
@@ -42,7 +43,8 @@
 
     A revoked key must be refused within `key_bound_s`, and other changes
     must be in force within `change_bound_s`. `cores` is the CPU time
-    available to the entry, in cores.
+    available to the entry, in cores, and `memory_bytes` the memory of its
+    machine.
     """
 
     name: str
@@ -56,6 +58,7 @@
     budget_window_s: float
     change_bound_s: float = 2.5
     cores: float = 1.0
+    memory_bytes: float = 256e6
 
 
 class DirectEntry:
@@ -181,6 +184,7 @@
                 self.directory, gateway, self.catalog_watcher.refresh
             ),
             durations.Durations(),
+            held_bytes.new_held_bytes(settings.memory_bytes),
         )
 
     async def run(self):
--- /dev/null
+++ b/greengagetrack/process/direct/held_bytes.py
@@ -0,0 +1,83 @@
+"""A bound on the bytes of answers that an entry holds at the same time.
+
+A whole answer is held until its caller has it, and so is an event that is
+not complete yet. Each has a limit of its own; without one for all of them a
+server whose answers have no end would take the memory of the process.
+"""
+
+# Of the memory of the machine, for all answers together.
+MEMORY_SHARE = 1 / 8
+# Of these, for the answers of one server: others need the rest.
+SERVER_SHARE = 1 / 4
+# Held without being counted, so that short answers are never given up.
+FREE_BYTES = 16 * 1024
+
+
+class HeldBytes:
+    """The bytes that are held, of all answers and by server."""
+
+    __slots__ = ("_max_bytes", "_size_by_server_id", "_total_bytes")
+
+    def __init__(self, max_bytes):
+        self._max_bytes = max_bytes
+        self._size_by_server_id = {}
+        self._total_bytes = 0
+
+    def get_total(self):
+        """Return the number of bytes that are held and counted."""
+        return self._total_bytes
+
+    def add(self, server_id, size):
+        """Hold more bytes of a server; return whether there is room."""
+        server_bytes = self._size_by_server_id.get(server_id, 0) + size
+        if server_bytes > self._max_bytes * SERVER_SHARE:
+            return False
+        if self._total_bytes + size > self._max_bytes:
+            return False
+        self._size_by_server_id[server_id] = server_bytes
+        self._total_bytes += size
+        return True
+
+    def remove(self, server_id, size):
+        """Hold less bytes of a server."""
+        self._total_bytes -= size
+        left_bytes = self._size_by_server_id.get(server_id, 0) - size
+        if left_bytes > 0:
+            self._size_by_server_id[server_id] = left_bytes
+        else:
+            self._size_by_server_id.pop(server_id, None)
+
+
+class HeldAnswer:
+    """The part of the bytes that one answer holds.
+
+    Example::
+
+        held = HeldAnswer(held_bytes, "server-1")
+        if not held.resize(len(body)):
+            give_up()
+        held.resize(0)
+    """
+
+    __slots__ = ("_held_bytes", "_server_id", "_size")
+
+    def __init__(self, held_bytes, server_id):
+        self._held_bytes = held_bytes
+        self._server_id = server_id
+        self._size = 0
+
+    def resize(self, size):
+        """Set the size of what is held; return whether there is room."""
+        counted = max(size - FREE_BYTES, 0)
+        more = counted - self._size
+        if more > 0 and not self._held_bytes.add(self._server_id, more):
+            return False
+        if more < 0:
+            self._held_bytes.remove(self._server_id, -more)
+        self._size = counted
+        return True
+
+
+def new_held_bytes(memory_bytes):
+    """Return the bytes of an entry on a machine with some memory."""
+    return HeldBytes(memory_bytes * MEMORY_SHARE)
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -2,6 +2,7 @@
 
 from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
+from greengagetrack.process.direct import held_bytes
 from greengagetrack.request import outcome
 
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
@@ -15,7 +16,14 @@
 class AnswerReader:
     """The answer of one attempt and what it says of its server."""
 
-    __slots__ = ("_answer", "_attempt", "_patience", "_request", "_services")
+    __slots__ = (
+        "_answer",
+        "_attempt",
+        "_held",
+        "_patience",
+        "_request",
+        "_services",
+    )
 
     def __init__(self, services, request, attempt, answer, patience):
         self._services = services
@@ -23,23 +31,37 @@
         self._attempt = attempt
         self._answer = answer
         self._patience = patience
+        self._held = held_bytes.HeldAnswer(
+            services.held_bytes, attempt.server.server_id
+        )
 
     async def read_body(self):
-        """Return the whole body, a `Failure`, or `Unknown` if too long."""
-        parts, size = [], 0
-        while True:
+        """Return the whole body, or a `Failure`.
+
+        The body is held until `release` is called.
+        """
+        body = bytearray()
+        while len(body) <= RESPONSE_MAX_BYTES:
             part = await self._answer.receive_part()
             if isinstance(part, gateway.Failure):
                 return part
             if part is None:
-                failure = await self.check_server()
-                return failure or b"".join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > RESPONSE_MAX_BYTES:
-                return outcome.Unknown(
-                    _Reason.BACKEND_FAILED, "answer exceeds the size limit"
-                )
+                return await self.check_server() or bytes(body)
+            body += part
+            failure = self.hold(len(body))
+            if failure is not None:
+                return failure
+        return _new_failure("answer exceeds the size limit")
+
+    def hold(self, size):
+        """Hold so many bytes of the answer; return a `Failure` if too many."""
+        if self._held.resize(size):
+            return None
+        return _new_failure("no room for more bytes of answers")
+
+    def release(self):
+        """Hold no bytes of the answer any more."""
+        self._held.resize(0)
 
     async def receive_part(self, progress_s, has_begun):
         """Return bytes of a stream, None at its end, or a `Failure`.
@@ -61,10 +83,8 @@
         checks = self._services.lifetime_checks
         if await checks.is_going_on(self._attempt.server):
             return None
-        return gateway.Failure(
-            _Reason.BACKEND_FAILED,
-            _Ran.UNKNOWN,
-            "the connection closed and the server may have crashed",
+        return _new_failure(
+            "the connection closed and the server may have crashed"
         )
 
     def record_progress(self, progress_s):
@@ -84,6 +104,10 @@
         self._services.crash_guard.record_whole(self._request)
 
 
+def _new_failure(detail):
+    return gateway.Failure(_Reason.BACKEND_FAILED, _Ran.UNKNOWN, detail)
+
+
 def new_answer_reader(services, request, attempt, answer, patience):
     """Return a reader of the answer of an attempt.
 
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -50,6 +50,7 @@
     streams: object
     lifetime_checks: object
     durations: object
+    held_bytes: object
 
 
 class DirectRun:
@@ -418,9 +419,13 @@
 
     async def _relay_response(self, attempt, answer):
         reader = self._new_reader(attempt, answer)
+        try:
+            return await self._relay_body(attempt, answer, reader)
+        finally:
+            reader.release()
+
+    async def _relay_body(self, attempt, answer, reader):
         body = await reader.read_body()
-        if isinstance(body, outcome_module.Unknown):
-            return body
         if isinstance(body, gateway.Failure):
             return self._handle_failure(attempt, body, is_counted=True)
         attempt.record_answer(answer.status)
@@ -462,6 +467,12 @@
 
     async def _relay_events(self, attempt, answer):
         reader = self._new_reader(attempt, answer)
+        try:
+            return await self._relay_stream(attempt, answer, reader)
+        finally:
+            reader.release()
+
+    async def _relay_stream(self, attempt, answer, reader):
         self._answering = attempt, answer.opened_s
         await self._relay.start(answer)
         # A caller that reads slowly is no sign of a server that goes on.
@@ -474,6 +485,9 @@
             if part is None:
                 break
             problem = await self._relay_part(attempt, part)
+            problem = problem or reader.hold(
+                self._relay.get_partial_event_bytes()
+            )
             reader.record_progress(self._relay.progress_s)
         if problem is None:
             problem = await self._relay.finish()
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -16,6 +16,7 @@
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import durations as durations_module
 from greengagetrack.process.direct import fetch_time as fetch_time_module
+from greengagetrack.process.direct import held_bytes
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import metrics as metrics_module
@@ -29,6 +30,7 @@
 from greengagetrack.request import outcome
 from greengagetrack.version import catalog
 
+MEMORY_BYTES = 256 * 1024 * 1024
 KEYS = seal.new_key_ring([b"k" * 16])
 REGIONS = {"dc-a": "north", "dc-b": "south"}
 BATCHING = catalog.Batching(
@@ -345,6 +347,7 @@
                 self.directory, fake_gateway, self.source_reader.refresh
             ),
             durations_module.Durations(),
+            held_bytes.new_held_bytes(MEMORY_BYTES),
         )
 
     def admit(self, route, left_s=3.0, **fields):
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -1,10 +1,16 @@
 """Answers without end cost others neither memory nor time."""
 
+import tracemalloc
+
 import trio
 
 from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import heads
 from greengagetrack.connection.http.client import pool as pool_module
+from greengagetrack.process.direct import held_bytes
+from greengagetrack.request import outcome as outcome_module
+from greengagetrack.version import catalog
+from tests.direct import fakes
 from tests.direct import loopback
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -13,6 +19,10 @@
 RUN_S = 1.5
 # An event has to be passed on within this time after its engine made it.
 PASS_S = 0.25
+PART_BYTES = 65536
+MIB = 1024 * 1024
+REQUEST_COUNT = 40
+HELD_MAX_BYTES = fakes.MEMORY_BYTES * held_bytes.MEMORY_SHARE
 
 
 async def _measure_lag(lags):
@@ -59,3 +69,80 @@
 
     trio.run(main)
     assert max(lags) < PASS_S
+
+
+class EndlessAnswer(fakes.ScriptedAnswer):
+    """An answer whose body has no end, or pauses once it is long."""
+
+    def __init__(self, pause_after_bytes, **flags):
+        super().__init__(200, (), **flags)
+        self._left_bytes = pause_after_bytes
+
+    async def receive_part(self):
+        await trio.lowlevel.checkpoint()
+        if self._left_bytes <= 0:
+            await trio.sleep_forever()
+        self._left_bytes -= PART_BYTES
+        return b"x" * PART_BYTES
+
+
+def _serve_endless(route, **flags):
+    """Return the outcomes of requests and the peak of memory, in bytes."""
+    outcomes = []
+
+    async def check(nursery):
+        # Less than one answer may have.
+        script = [EndlessAnswer(6 * MIB, **flags) for _ in range(100)]
+        fake_entry = fakes.FakeEntry(
+            nursery,
+            fakes.FakeGateway(script),
+            [fakes.new_server(f"s{number}") for number in range(2)],
+        )
+
+        async def ask():
+            outcome, _reply = await fake_entry.serve(route)
+            outcomes.append(outcome)
+
+        async with trio.open_nursery() as callers:
+            for _number in range(REQUEST_COUNT):
+                callers.start_soon(ask)
+
+    tracemalloc.start()
+    fakes.run_with_mock_clock(check)
+    _now, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return outcomes, peak_bytes
+
+
+def test_endless_bodies_do_not_fill_the_memory():
+    """Each was below its own limit; all together were not bounded."""
+    outcomes, peak_bytes = _serve_endless(fakes.new_route(attempts_max=1))
+    assert peak_bytes < 2 * HELD_MAX_BYTES
+    assert len(outcomes) == REQUEST_COUNT
+    # A server that fails so often gets no more requests for a moment.
+    refused = [o for o in outcomes if isinstance(o, outcome_module.Refused)]
+    unknown = [o for o in outcomes if isinstance(o, outcome_module.Unknown)]
+    assert len(refused) + len(unknown) == REQUEST_COUNT
+    assert unknown
+
+
+def test_events_without_end_do_not_fill_the_memory():
+    route = fakes.new_route(repeat=catalog.Repeat.STREAM, attempts_max=1)
+    outcomes, peak_bytes = _serve_endless(route, is_events=True)
+    assert peak_bytes < 2 * HELD_MAX_BYTES
+    assert len(outcomes) == REQUEST_COUNT
+
+
+def test_answers_of_a_sound_server_have_room_beside_a_faulty_one():
+    held = held_bytes.new_held_bytes(fakes.MEMORY_BYTES)
+    faulty = [held_bytes.HeldAnswer(held, "faulty") for _ in range(50)]
+    for size in range(0, 8 * MIB, PART_BYTES):
+        for answer in faulty:
+            answer.resize(size)
+    sound = held_bytes.HeldAnswer(held, "sound")
+    assert sound.resize(8 * MIB)
+    # What is short has room in any case.
+    assert held_bytes.HeldAnswer(held, "faulty").resize(1000)
+    for answer in [*faulty, sound]:
+        assert answer.resize(0)
+    assert held.get_total() == 0
