Bench: answers without end, beside sound ones

greengagebench endless plays each part of an answer that may have no end, on real entries, and counts what sound requests and memory come to.

--- a/bench/command.py
+++ b/bench/command.py
@@ -227,6 +227,7 @@
             "streams": soak_commands.streams,
             "stops": soak_commands.stops,
             "refusals": soak_commands.refusals,
+            "endless": soak_commands.endless,
             "fuzz": soak_commands.fuzz,
             "fleet": fleet,
             "capacity": capacity,
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bench.soak import broken
+from bench.soak import endless as endless_module
 from bench.soak import fuzz as fuzz_module
 from bench.soak import limits as limits_module
 from bench.soak import refusals as refusals_module
@@ -262,6 +263,37 @@
     )
 
 
+def endless(
+    *,
+    seed: int = 0,
+    shape: str = "",
+    duration: float = 12.0,
+    tree: str = "",
+    logs: str = "",
+):
+    """Run an engine whose answers have no end, beside sound ones.
+
+    Prints one JSON line per shape. Exit codes: 0 no entry ended; 1 one did.
+
+    :param seed: The seed of the requests.
+    :param shape: What has no end, or none; without one each of them.
+    :param duration: How long requests arrive, in seconds.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if an entry ended.
+    """
+    shapes = ("none", *endless_module.BYTES_BY_SHAPE)
+    check_choice("--shape", shape, ("", *shapes))
+    _run_seeds(
+        "endless",
+        (shape,) if shape else shapes,
+        logs,
+        lambda name, folder: endless_module.run_endless(
+            seed, name, duration, folder, tree
+        ),
+    )
+
+
 def fuzz(
     *,
     seed: int = 0,
