--- a/greengagetrack/process/direct/held_bytes.py
+++ b/greengagetrack/process/direct/held_bytes.py
@@ -14,7 +14,15 @@
 
 
 class HeldBytes:
-    """The bytes that are held, of all answers and by server."""
+    """The bytes that are held, of all answers and by server.
+
+    Example::
+
+        held = held_bytes.new_answer("server-1")
+        if not held.resize(len(body)):
+            give_up()
+        held.resize(0)
+    """
 
     __slots__ = ("_max_bytes", "_size_by_server_id", "_total_bytes")
 
@@ -23,6 +31,10 @@
         self._size_by_server_id = {}
         self._total_bytes = 0
 
+    def new_answer(self, server_id):
+        """Return the `HeldAnswer` of a server's answer, with no bytes yet."""
+        return HeldAnswer(self, server_id)
+
     def get_total(self):
         """Return the number of bytes that are held and counted."""
         return self._total_bytes
@@ -49,15 +61,7 @@
 
 
 class HeldAnswer:
-    """The part of the bytes that one answer holds.
-
-    Example::
-
-        held = HeldAnswer(held_bytes, "server-1")
-        if not held.resize(len(body)):
-            give_up()
-        held.resize(0)
-    """
+    """The part of the bytes that one answer holds."""
 
     __slots__ = ("_held_bytes", "_server_id", "_size")
 
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -2,7 +2,6 @@
 
 from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
-from greengagetrack.process.direct import held_bytes
 from greengagetrack.request import outcome
 
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
@@ -31,9 +30,7 @@
         self._attempt = attempt
         self._answer = answer
         self._patience = patience
-        self._held = held_bytes.HeldAnswer(
-            services.held_bytes, attempt.server.server_id
-        )
+        self._held = services.held_bytes.new_answer(attempt.server.server_id)
 
     async def read_body(self):
         """Return the whole body, or a `Failure`.
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -168,14 +168,14 @@
 
 def test_answers_of_a_sound_server_have_room_beside_a_faulty_one():
     held = held_bytes.new_held_bytes(fakes.MEMORY_BYTES)
-    faulty = [held_bytes.HeldAnswer(held, "faulty") for _ in range(50)]
+    faulty = [held.new_answer("faulty") for _ in range(50)]
     for size in range(0, 8 * MIB, PART_BYTES):
         for answer in faulty:
             answer.resize(size)
-    sound = held_bytes.HeldAnswer(held, "sound")
+    sound = held.new_answer("sound")
     assert sound.resize(8 * MIB)
     # What is short has room in any case.
-    assert held_bytes.HeldAnswer(held, "faulty").resize(1000)
+    assert held.new_answer("faulty").resize(1000)
     for answer in [*faulty, sound]:
         assert answer.resize(0)
     assert held.get_total() == 0
