--- a/bench/command.py
+++ b/bench/command.py
@@ -15,11 +15,12 @@
 from bench import experiment
 from bench import faults
 from bench import fleet as fleet_module
+from bench import output
 from bench import processes
 from bench import soak_commands
 
-EXIT_FAILURE = soak_commands.EXIT_FAILURE
-EXIT_USAGE = soak_commands.EXIT_USAGE
+EXIT_FAILURE = output.EXIT_FAILURE
+EXIT_USAGE = output.EXIT_USAGE
 
 
 def demo(*, logs: str = ""):
@@ -32,7 +33,7 @@
     """
     console = demo_module.new_console()
     summary, has_passed = trio.run(demo_module.run_demo, console, logs or None)
-    soak_commands.print_json(summary)
+    output.print_json(summary)
     sys.exit(0 if has_passed else EXIT_FAILURE)
 
 
@@ -56,10 +57,10 @@
     :param duration: How long requests arrive, in seconds.
     :param report: A folder for an HTML page with plots.
     """
-    soak_commands.check_choice("--system", system, ("greengagetrack", "naive"))
+    output.check_choice("--system", system, ("greengagetrack", "naive"))
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    soak_commands.check_choice("--deployment", deployment, deployments)
-    soak_commands.check_choice("--fault", fault, faults.FAULT_BY_NAME)
+    output.check_choice("--deployment", deployment, deployments)
+    output.check_choice("--fault", fault, faults.FAULT_BY_NAME)
     result = experiment.run_experiment(
         system, deployment, fault, seed, duration
     )
@@ -70,7 +71,7 @@
         path = report_module.write_report(result, report)
         print(f"report: {path}", file=sys.stderr)
     result.answers = []
-    soak_commands.print_json(result)
+    output.print_json(result)
     sys.exit(EXIT_FAILURE if result.counts.count_violations() else 0)
 
 
@@ -91,15 +92,13 @@
     :param duration: How long requests arrive, in seconds.
     """
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    soak_commands.check_choice("--deployment", deployment, deployments)
-    soak_commands.check_choice("--fault", fault, faults.FAULT_BY_NAME)
+    output.check_choice("--deployment", deployment, deployments)
+    output.check_choice("--fault", fault, faults.FAULT_BY_NAME)
     pairs = compare_module.compare(deployment, fault, seeds, duration)
     for pair in pairs:
         print(compare_module.format_pair(pair))
     print(compare_module.format_spread(pairs))
-    soak_commands.print_json(
-        compare_module.get_medians(deployment, fault, pairs)
-    )
+    output.print_json(compare_module.get_medians(deployment, fault, pairs))
 
 
 def run(
@@ -125,15 +124,15 @@
     :param logs: The folder for the daemons' logs; without one they are
         kept only if the run failed.
     """
-    soak_commands.check_choice("the run", name, ("smoke", "orders"))
-    soak_commands.check_choice("--system", system, ("greengagetrack", "naive"))
+    output.check_choice("the run", name, ("smoke", "orders"))
+    output.check_choice("--system", system, ("greengagetrack", "naive"))
     deployments = deployment_module.DEPLOYMENT_BY_NAME
-    soak_commands.check_choice("--deployment", deployment, deployments)
+    output.check_choice("--deployment", deployment, deployments)
     folder = logs or tempfile.mkdtemp(prefix="greengagebench-run-")
     result = processes.run_processes(
         name, system, deployment, seed, duration, folder
     )
-    soak_commands.print_json(result)
+    output.print_json(result)
     violations = (
         result.lost
         + result.misdelivered
@@ -141,7 +140,7 @@
         + result.untrue_refusals
         + result.cut_streams
     )
-    soak_commands.keep_or_delete_logs(folder, logs, violations)
+    output.keep_or_delete_logs(folder, logs, violations)
     sys.exit(EXIT_FAILURE if violations else 0)
 
 
@@ -165,11 +164,11 @@
     :param fault: The fault to inject.
     :param seed: A number to print with the result.
     """
-    soak_commands.check_choice("--fault", fault, fleet_module.FAULTS)
+    output.check_choice("--fault", fault, fleet_module.FAULTS)
     size = fleet_module.FleetSize(
         entries, agents, organisations, regions, data_centres
     )
-    soak_commands.print_json(fleet_module.run_fleet(size, fault, seed))
+    output.print_json(fleet_module.run_fleet(size, fault, seed))
 
 
 def capacity(*, measure: bool = False):
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -1,12 +1,10 @@
 """The commands of greengagebench that run entries as real processes."""
 
 import itertools
-import shutil
 import sys
 import tempfile
 
-import msgspec
-
+from bench import output
 from bench.soak import broken
 from bench.soak import endless as endless_module
 from bench.soak import fuzz as fuzz_module
@@ -17,48 +15,6 @@
 from bench.soak import streams as streams_module
 from bench.soak import versions as versions_module
 
-EXIT_FAILURE = 1
-EXIT_USAGE = 2
-
-
-def print_json(value):
-    """Print a value as one line of JSON."""
-    print(msgspec.json.encode(value).decode())
-
-
-def check_choice(name, value, choices):
-    """Exit with a text unless an option has one of its values."""
-    if value not in choices:
-        text = f"{name} must be one of {', '.join(choices)}, not '{value}'."
-        print(text, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-
-
-def keep_or_delete_logs(folder, is_requested, has_failed):
-    """Delete the logs unless the run failed or they were requested."""
-    if has_failed:
-        print(f"The logs were kept in '{folder}'.", file=sys.stderr)
-    elif not is_requested:
-        shutil.rmtree(folder)
-
-
-def _run_seeds(name, seeds, logs, run):
-    """Print the result of each seed; exit with 1 if one is broken.
-
-    `run(seed, folder)` returns it, with the logs in the folder. What is
-    needed beside the number may be part of a seed.
-    """
-    failed = 0
-    for seed in seeds:
-        folder = logs or tempfile.mkdtemp(prefix=f"greengagebench-{name}-")
-        result = run(seed, folder)
-        print_json(result)
-        for text in result.broken:
-            print(f"broken: {text}", file=sys.stderr)
-        failed += bool(result.broken)
-        keep_or_delete_logs(folder, logs, result.broken)
-    sys.exit(EXIT_FAILURE if failed else 0)
-
 
 def soak(
     *,
@@ -80,8 +36,8 @@
     :param logs: The folder for the entries' logs; without one they are
         kept only if a guarantee was violated.
     """
-    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    _run_seeds(
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.run_seeds(
         "soak",
         range(seed, seed + seeds),
         logs,
@@ -119,9 +75,9 @@
     result = limits_module.run_limits(
         seed, entries, rate, limit, duration, folder, step
     )
-    print_json(result)
-    keep_or_delete_logs(folder, logs, result.exceeded)
-    sys.exit(EXIT_FAILURE if result.exceeded else 0)
+    output.print_json(result)
+    output.keep_or_delete_logs(folder, logs, result.exceeded)
+    sys.exit(output.EXIT_FAILURE if result.exceeded else 0)
 
 
 def versions(
@@ -145,8 +101,10 @@
         kept only if a run failed.
     """
     chosen = [fault] if fault else list(versions_module.STEPS_BY_FAULT)
-    check_choice("--fault", fault, ("", *versions_module.STEPS_BY_FAULT))
-    _run_seeds(
+    output.check_choice(
+        "--fault", fault, ("", *versions_module.STEPS_BY_FAULT)
+    )
+    output.run_seeds(
         "versions",
         itertools.product(range(seed, seed + seeds), chosen),
         logs,
@@ -178,8 +136,8 @@
     :param logs: The folder for the entries' logs; without one they are
         kept only if a run failed.
     """
-    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    _run_seeds(
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.run_seeds(
         "streams",
         range(seed, seed + seeds),
         logs,
@@ -217,9 +175,9 @@
     :param logs: The folder for the entries' logs; without one they are
         kept only if an answer was lost.
     """
-    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    check_choice("--order", order, tuple(stops_module.GAP_S_BY_ORDER))
-    _run_seeds(
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.check_choice("--order", order, tuple(stops_module.GAP_S_BY_ORDER))
+    output.run_seeds(
         "stops",
         range(seed, seed + seeds),
         logs,
@@ -252,8 +210,8 @@
     :param logs: The folder for the entries' logs; without one they are
         kept only if something was broken.
     """
-    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
-    _run_seeds(
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.run_seeds(
         "refusals",
         range(seed, seed + seeds),
         logs,
@@ -283,8 +241,8 @@
         kept only if an entry ended.
     """
     shapes = ("none", *endless_module.BYTES_BY_SHAPE)
-    check_choice("--shape", shape, ("", *shapes))
-    _run_seeds(
+    output.check_choice("--shape", shape, ("", *shapes))
+    output.run_seeds(
         "endless",
         (shape,) if shape else shapes,
         logs,
@@ -316,10 +274,10 @@
     :param logs: The folder for the entries' logs; without one they are
         kept only if something was broken.
     """
-    check_choice("--reader", reader, ("", *fuzz_module.READERS))
-    check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.check_choice("--reader", reader, ("", *fuzz_module.READERS))
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
     readers = (reader,) if reader else fuzz_module.READERS
-    _run_seeds(
+    output.run_seeds(
         "fuzz",
         [seed],
         logs,
