Free a partial event with its answer

The bytes of an event that had not come to its end were counted as freed when their answer ended, but stayed: a run is part of reference cycles, and these are collected by the number of objects, not by their size.

--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -127,6 +127,10 @@
         """Return the number of bytes after the last complete event."""
         return len(self._splitter.get_rest()) if self._splitter else 0
 
+    def drop_partial_event(self):
+        """Free the bytes after the last complete event."""
+        self._splitter = None
+
     async def finish(self):
         """Complete the answer of the caller, after the server's ended.
 
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -323,6 +323,8 @@
                 self._relay.get_partial_event_bytes(),
                 answer.claim,
             )
+            # A run is part of reference cycles, which are collected late.
+            self._relay.drop_partial_event()
             answer.finish()
 
     def _new_server_request(self, server):
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Answers without end cost others neither memory nor time."""
 
+import gc
 import tracemalloc
 
 import trio
@@ -166,6 +167,30 @@
     assert len(outcomes) == REQUEST_COUNT
 
 
+def test_partial_event_is_freed_with_its_answer():
+    """An event of each stream stayed until cycles were collected."""
+    route = fakes.new_route(repeat=catalog.Repeat.STREAM, attempts_max=1)
+
+    async def check(nursery):
+        script = [EndlessAnswer(6 * MIB, is_events=True) for _ in range(20)]
+        fake_entry = fakes.FakeEntry(
+            nursery, fakes.FakeGateway(script), [fakes.new_server("s")]
+        )
+        while script:
+            await fake_entry.serve(route)
+            script.pop()
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        fakes.run_with_mock_clock(check)
+        _now, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert peak_bytes < 10 * MIB
+
+
 def test_answers_of_a_sound_server_have_room_beside_a_faulty_one():
     held = held_bytes.new_held_bytes(fakes.MEMORY_BYTES)
     faulty = [held.new_answer("faulty") for _ in range(50)]
