Log over which connection each request was sent

Cause: an 'attempt failed' with claim not_run looks the same whether the refusal is a server's or the copy of an earlier one on the same connection. The lines 'attempt failed' and 'request ended' now have 'connection', its number in the process, and 'connection_request', the number of the request on it.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -51,6 +51,17 @@
     check: object = None
 
 
+class ConnectionUse(msgspec.Struct, frozen=True):
+    """The connection that a request was sent over.
+
+    `connection` is its number in this process, 0 if nothing was sent.
+    `request` is the number of the request on it, 1 for the first one.
+    """
+
+    connection: int = 0
+    request: int = 0
+
+
 class Failure(msgspec.Struct, frozen=True):
     """A call that returned no usable answer.
 
@@ -64,6 +75,7 @@
     detail: str = ""
     is_connection_failure: bool = False
     is_other_server: bool = False
+    connection_use: ConnectionUse = ConnectionUse()
 
     def is_unreachable(self):
         """Return whether the server is possibly unreachable."""
@@ -101,6 +113,7 @@
 
     status: int
     claim: Claim
+    connection_use: ConnectionUse
     headers: list
     framing: framing.Framing
     is_other_server: bool
--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -64,10 +64,20 @@
         """Return when its connection was opened."""
         return self._connection.opened_s
 
+    @property
+    def connection_number(self):
+        """Return the number of its connection in this process."""
+        return self._connection.number
+
+    @property
+    def request_number(self):
+        """Return its number on its connection, 1 for the first request."""
+        return self._connection.request_count
+
     @property
     def is_first(self):
         """Return whether its connection had no request before."""
-        return self._connection.request_count == 1
+        return self.request_number == 1
 
     async def send(self, body, nursery):
         """Send the request, a long one as a task of `nursery`."""
--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -13,7 +13,8 @@
 class Connection:
     """A connection to a server, with its idle time and request count.
 
-    Only requests of one `lane` are sent over it.
+    Only requests of one `lane` are sent over it. `number` tells it from the
+    other connections of this process.
     """
 
     __slots__ = (
@@ -22,12 +23,14 @@
         "idle_since_s",
         "lane",
         "matcher",
+        "number",
         "opened_s",
         "request_count",
         "stream",
     )
 
-    def __init__(self, address, lane, stream):
+    def __init__(self, number, address, lane, stream):
+        self.number = number
         self.address = address
         self.lane = lane
         self.stream = stream
--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -142,7 +142,9 @@
         if not is_open:
             return failures.NotSent("connection timed out")
         self.opened_count += 1
-        return persistent_connection.Connection(address, lane, stream)
+        return persistent_connection.Connection(
+            self.opened_count, address, lane, stream
+        )
 
     def release(self, connection):
         """Return a reusable connection to the pool."""
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -68,6 +68,7 @@
     __slots__ = (
         "_call",
         "claim",
+        "connection_use",
         "framing",
         "headers",
         "is_events",
@@ -81,6 +82,7 @@
         self._call = call
         self.status = head.status
         self.claim = _get_claim(call, head, request_id)
+        self.connection_use = _get_connection_use(call)
         self.framing = head.framing
         self.headers = fields.keep_end_to_end(
             head.headers, kept=names.ALWAYS_RETURNED
@@ -113,6 +115,10 @@
     return gateway.Claim.RAN
 
 
+def _get_connection_use(call):
+    return gateway.ConnectionUse(call.connection_number, call.request_number)
+
+
 def _is_not_run(head):
     if head.status == names.MISDIRECTED_STATUS:
         return True
@@ -208,7 +214,10 @@
                 lambda head: _is_response_to(head, request.request_id)
             )
             if isinstance(response_head, failures.ResponseFailure):
-                return _convert_failure(response_head)
+                return msgspec.structs.replace(
+                    _convert_failure(response_head),
+                    connection_use=_get_connection_use(call),
+                )
             call.update_idle_limit(response_head.headers)
             if _get_id(response_head) is None:
                 # A copy of it could not be told from the next answer.
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from greengagetrack.connection import gateway
+
 SERVER_ERROR = 500
 
 
@@ -10,7 +12,7 @@
 
     `begun_s` is when the head of its answer was received. `is_sound` says
     that the answer went on well after that. `claim` is that of the answer,
-    None without one.
+    None without one. `connection_use` tells what the request was sent over.
     """
 
     __slots__ = (
@@ -20,6 +22,7 @@
         "_tokens_ahead",
         "begun_s",
         "claim",
+        "connection_use",
         "is_prefilled",
         "is_sound",
         "server",
@@ -34,6 +37,7 @@
         self._started_s = trio.current_time()
         self.begun_s = None
         self.claim = None
+        self.connection_use = gateway.ConnectionUse()
         self.is_prefilled = False
         self.is_sound = False
 
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from greengagetrack.connection import gateway
 from greengagetrack.request.direct import outcome as direct_outcome
 
 _log = logging.getLogger(__name__)
@@ -52,6 +53,8 @@
             "last_event": (last_event or b"").decode("latin-1"),
             "has_begun": attempt.has_begun,
             "claim": attempt.claim or "",
+            "connection": attempt.connection_use.connection,
+            "connection_request": attempt.connection_use.request,
             "parts": admitted.request.shared_parts,
         },
     )
@@ -62,12 +65,13 @@
 
     `framing` is what marked its end, `partial_event_bytes` the number of
     bytes after its last complete event. `claim` is what the answer says of
-    whether the request ran.
+    whether the request ran, `connection_use` what it came over.
     """
 
     framing: str = ""
     partial_event_bytes: int = 0
     claim: str = ""
+    connection_use: gateway.ConnectionUse = gateway.ConnectionUse()
 
 
 def log_outcome(admitted, sends, times, late, end, may_have_run, outcome):
@@ -99,6 +103,8 @@
             "framing": end.framing,
             "partial_event_bytes": end.partial_event_bytes,
             "claim": end.claim,
+            "connection": end.connection_use.connection,
+            "connection_request": end.connection_use.request,
             "may_have_run": may_have_run,
             "sends": sends,
             "left_ms": admitted.deadline.get_left_ms(),
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -303,6 +303,7 @@
             )
         )
         self._awaited_heads = 0
+        attempt.connection_use = answer.connection_use
         if isinstance(answer, gateway.Failure):
             if answer.ran is _Ran.NO:
                 self._may_have_run = may_have_run_before
@@ -322,6 +323,7 @@
                 answer.framing,
                 self._relay.get_partial_event_bytes(),
                 answer.claim,
+                answer.connection_use,
             )
             # A run is part of reference cycles, which are collected late.
             self._relay.drop_partial_event()
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -113,6 +113,7 @@
         self.is_input_gone = flags.get("is_input_gone", False)
         self.is_events = flags.get("is_events", False)
         self.opened_s = 0.0
+        self.connection_use = gateway.ConnectionUse(1, 1)
         self.is_finished = False
         self._parts = list(parts)
 
--- a/tests/direct/test_claims.py
+++ b/tests/direct/test_claims.py
@@ -236,3 +236,18 @@
         assert site.received_ids == [b"mine", b"mine"]
 
     run(check, answer, server_count=2)
+
+
+def test_log_tells_over_which_connection_a_request_was_sent(caplog):
+    async def check(site):
+        for number in range(2):
+            await site.ask(ORDER, b"r%d" % number)
+
+    caplog.set_level("INFO", "greengagetrack")
+    run(check, lambda _number, request_id: new_answer(200, request_id, SEAL))
+    uses = [
+        (record.connection, record.connection_request)
+        for record in caplog.records
+        if record.getMessage() == "request ended"
+    ]
+    assert uses == [(1, 1), (1, 2)]
