A connection carries no two requests with the same id

Callers were told 'not run' (503) of orders that a server ran. Cause: an id names a request, not a sending. A refused request was sent again over the connection that had just come back to the pool, where its server is listed under two ids or its caller comes back with the id; a copy of the refusal came before the answer, and fits it in status, X-Not-Run and id. The same with another answer than a refusal gave a request the body of an earlier one.

A connection knows the ids that it has carried, as digests, since callers choose them; the pool passes it over for a request that has one of them, and doesn't keep it after 1,024. So an id in an answer on a connection tells which sending it belongs to, whatever the answer is. Idle connections that are passed over stay in their order.

--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -37,15 +37,17 @@
         "_pool",
         "_protocol",
         "_request",
+        "_request_id",
         "_send_failure",
         "_send_scope",
         "is_complete",
     )
 
-    def __init__(self, pool, connection, request):
+    def __init__(self, pool, connection, request, request_id):
         self._pool = pool
         self._connection = connection
         self._request = request
+        self._request_id = request_id
         self._body = b""
         self._protocol = h11.Connection(h11.CLIENT)
         self._is_eof = False
@@ -86,7 +88,7 @@
             data = self._encode_request()
         except h11.LocalProtocolError as error:
             return failures.InvalidRequest(str(error))
-        self._connection.request_count += 1
+        self._connection.record_request(self._request_id)
         if len(data) <= INLINE_SEND_MAX_BYTES:
             return await self._send_all(data)
         # A server may respond before it has read a long body.
@@ -334,6 +336,7 @@
         if (
             self._is_last
             or self._is_eof
+            or self._connection.is_worn_out
             or not (self.is_complete and self._is_sent)
         ):
             return False
--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -7,6 +7,8 @@
 from greengagetrack.connection.http import matching
 
 DEFAULT_IDLE_MAX_S = 4.0
+# More ids on one connection would take memory without end.
+CARRIED_IDS_MAX = 1024
 TCP_USER_TIMEOUT_MS = 1500
 
 
@@ -15,9 +17,14 @@
 
     Only requests of one `lane` are sent over it. `number` tells it from the
     other connections of this process.
+
+    It carries no two requests with the same id: the server may write the
+    answer to the first one once more, which would be taken for the answer to
+    the second.
     """
 
     __slots__ = (
+        "_carried_digests",
         "address",
         "idle_max_s",
         "idle_since_s",
@@ -38,6 +45,23 @@
         self.opened_s = self.idle_since_s = trio.current_time()
         self.idle_max_s = DEFAULT_IDLE_MAX_S
         self.request_count = 0
+        self._carried_digests = set()
+
+    def has_carried(self, request_id):
+        """Return whether it may have carried a request with this id."""
+        return hash(request_id) in self._carried_digests
+
+    def record_request(self, request_id):
+        """Record that a request is sent over it; its id may be None."""
+        self.request_count += 1
+        if request_id is not None:
+            # Callers choose the ids, and their lengths.
+            self._carried_digests.add(hash(request_id))
+
+    @property
+    def is_worn_out(self):
+        """Whether it has carried as many ids as it may."""
+        return len(self._carried_digests) >= CARRIED_IDS_MAX
 
     def is_usable(self, idle_max_s):
         """Return whether another request may be sent over it."""
--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -56,6 +56,7 @@
         *,
         needs_fresh_connection=False,
         lane=b"",
+        request_id=None,
         check=None,
     ):
         """Send a request; return a `Call` or a failure.
@@ -68,19 +69,20 @@
         `needs_fresh_connection` limits the choice to a new connection or
         one idle for at most `FRESH_IDLE_MAX_S`, which the server is
         unlikely to be closing. Requests of different lanes share no
-        connection.
+        connection, nor do requests with the same `request_id`, by which
+        their responses are told apart.
         """
         idle_max_s = (
             FRESH_IDLE_MAX_S
             if needs_fresh_connection
             else persistent_connection.DEFAULT_IDLE_MAX_S
         )
-        connection = self._pop_idle((address, lane), idle_max_s)
+        connection = self._pop_idle((address, lane), idle_max_s, request_id)
         if connection is None:
             connection = await self._connect(address, lane)
         if isinstance(connection, failures.NotSent):
             return connection
-        call = call_module.Call(self, connection, request)
+        call = call_module.Call(self, connection, request, request_id)
         is_started = False
         try:
             if check is not None and not await check(connection.opened_s):
@@ -94,15 +96,19 @@
                 self.drop(connection)
         return call if is_started else failure
 
-    def _pop_idle(self, key, idle_max_s):
+    def _pop_idle(self, key, idle_max_s, request_id):
+        """Return the connection that was used last, or None."""
         idle = self._idle_by_key.get(key, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if connection.has_carried(request_id):
+                continue
             if connection.is_usable(idle_max_s):
+                idle.remove(connection)
                 return connection
             if connection.is_usable(connection.idle_max_s):
-                idle.insert(0, connection)
+                # The others have been idle for longer.
                 return None
+            idle.remove(connection)
             self._drop_idle(connection)
         return None
 
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -204,6 +204,7 @@
             head,
             request.body,
             needs_fresh_connection=request.needs_fresh_connection,
+            request_id=request.request_id,
             check=request.check,
         )
         if not isinstance(call, call_module.Call):
