--- a/tests/direct/test_claims.py
+++ b/tests/direct/test_claims.py
@@ -4,13 +4,10 @@
 import trio
 
 from greengagetrack.connection import gateway
-from greengagetrack.connection.http.client import pool as pool_module
-from greengagetrack.connection.http import exchange as exchange_module
-from greengagetrack.platform import callers
-from greengagetrack.platform import engines
 from greengagetrack.version import catalog
 from tests.direct import fakes
 from tests.direct import loopback
+from tests.direct import raw_entry
 
 ORDER = fakes.new_route(repeat=catalog.Repeat.UNSAFE, attempts_max=2)
 NOTE = fakes.new_route(repeat=catalog.Repeat.STREAM, attempts_max=2)
@@ -35,32 +32,16 @@
 INTERIM = b"HTTP/1.1 103 Early Hints\r\n" + MARK + b"\r\n"
 
 
-class CallerExchange(exchange_module.Exchange):
-    """An exchange that keeps what its caller would get."""
-
-    def __init__(self):
-        self.is_started = False
-        self.status = None
-        self.headers = []
-        self.body = b""
-
-    async def answer(self, status, headers, body=b"", framing=None):
-        self.is_started = True
-        self.status, self.headers, self.body = status, headers, body
-
-
 class Site:
-    """An entry without a process, and raw servers that record requests."""
+    """An entry, and raw servers that record requests."""
 
     def __init__(self, nursery, answer):
         self._nursery = nursery
         self._answer = answer
         # One for each request that reached a server.
         self.received_ids = []
-        self.pool = pool_module.new_pool(nursery)
-        self.gateway = engines.new_engine_gateway(self.pool)
         self.servers = []
-        self._entry = None
+        self.entry = None
 
     async def start(self, server_count):
         """Start servers and the entry."""
@@ -70,9 +51,7 @@
             )
             server = fakes.new_server(f"s{number}", address=address)
             self.servers.append(server)
-        self._entry = fakes.FakeEntry(
-            self._nursery, self.gateway, self.servers
-        )
+        self.entry = raw_entry.new_raw_entry(self._nursery, self.servers)
 
     async def _serve(self, stream):
         number = 0
@@ -82,21 +61,6 @@
             await stream.send_all(self._answer(number, request_id))
             number += 1
 
-    async def ask(self, route, request_id):
-        """Return the `CallerExchange` of a request, after its answer."""
-        exchange = CallerExchange()
-        headers = [(b"Host", b"h"), (b"X-Request-Id", request_id)]
-        outcome = await self._entry.run(
-            route,
-            callers.HttpReply(exchange),
-            request_id=request_id,
-            headers=headers,
-            method=b"GET",
-        )
-        if not exchange.is_started:
-            await exchange.answer(*callers.get_error_response(outcome))
-        return exchange
-
 
 def run(check, answer, server_count=1):
     """Run `await check(site)`.
@@ -122,7 +86,7 @@
     request = gateway.ServerRequest(
         request_id, b"GET", b"/", headers, b"", 500
     )
-    answer = await site.gateway.open_answer(site.servers[0], request)
+    answer = await site.entry.gateway.open_answer(site.servers[0], request)
     while await answer.receive_part():
         pass
     answer.finish()
@@ -176,7 +140,7 @@
     untrue = []
 
     async def check(site):
-        exchange = await site.ask(route, b"mine")
+        exchange = await site.entry.ask(route, b"mine")
         plain = (502, [], b"")
         if plain != (exchange.status, exchange.headers, exchange.body):
             untrue.append(exchange.status)
@@ -205,7 +169,9 @@
         statuses = set()
         for number in range(8):
             request_id = b"r%d" % number
-            exchange = await site.ask(ROUTE_BY_NAME[route_name], request_id)
+            exchange = await site.entry.ask(
+                ROUTE_BY_NAME[route_name], request_id
+            )
             statuses.add(exchange.status)
             assert site.received_ids.count(request_id) == 1
         assert statuses == {200, 502}
@@ -217,7 +183,7 @@
 @pytest.mark.parametrize("route", [ORDER, NOTE])
 def test_failure_that_promises_nothing_is_passed_on_unchanged(route, status):
     async def check(site):
-        exchange = await site.ask(route, b"mine")
+        exchange = await site.entry.ask(route, b"mine")
         assert (exchange.status, exchange.body) == (status, BODY)
         assert (b"X-Engine-Seal", b"s") in exchange.headers
 
@@ -232,7 +198,7 @@
         return refusals.pop() if refusals else own
 
     async def check(site):
-        assert (await site.ask(ORDER, b"mine")).status == 200
+        assert (await site.entry.ask(ORDER, b"mine")).status == 200
         assert site.received_ids == [b"mine", b"mine"]
 
     run(check, answer, server_count=2)
@@ -241,7 +207,7 @@
 def test_log_tells_over_which_connection_a_request_was_sent(caplog):
     async def check(site):
         for number in range(2):
-            await site.ask(ORDER, b"r%d" % number)
+            await site.entry.ask(ORDER, b"r%d" % number)
 
     caplog.set_level("INFO", "greengagetrack")
     run(check, lambda _number, request_id: new_answer(200, request_id, SEAL))
