Charge the retry after a server's error once

Callers got 502 where the shared budget allowed one more retry. Cause: after an answer of 500 or more to an idempotent request the run asked the budget whether it may retry, which charges it, and asked again in its loop; half of the budget was spent so, and the last retry refused. It asks without charging now; nothing is awaited between the two, so the charge in the loop can't fail.

test_retry_of_a_server_error_is_charged_once failed before.

--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -229,13 +229,18 @@
         sends = self._sends + self._awaited_heads
         return sends < route.attempts_max + SENDS_OVER_ATTEMPTS_MAX
 
+    def _is_retry_available(self):
+        """Return whether one more send is allowed, without charging it."""
+        if not self._is_repeatable():
+            return False
+        service = self._selector.service
+        return self._services.budgets.get(service).is_available()
+
     def _can_move_on(self):
         """Return whether another server is sure to take over in time."""
-        if not self._is_repeatable():
+        if not self._is_retry_available():
             return False
         selector = self._selector
-        if not self._services.budgets.get(selector.service).is_available():
-            return False
         if not selector.has_next(self._is_resumed):
             return False
         left_s = self._admitted.deadline.get_left_s()
@@ -442,7 +447,7 @@
                 _Ran.UNKNOWN,
                 f"status {answer.status}",
             )
-            if self._may_retry():
+            if self._is_retry_available():
                 self._log_failure(attempt, self._last_failure)
                 return None
         if self._reply.is_started:
--- a/tests/direct/test_run.py
+++ b/tests/direct/test_run.py
@@ -6,6 +6,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.process.direct import budget as budget_module
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request import outcome as outcome_module
 from greengagetrack.version import catalog
@@ -310,3 +311,27 @@
     )
     assert outcome == direct_outcome.Relayed(200)
     assert reply.body.endswith(_new_event(2))
+
+
+def test_retry_of_a_server_error_is_charged_once():
+    """A retry that the budget allowed was charged twice, and refused."""
+    script = [
+        fakes.ScriptedAnswer(500, [b"error"]),
+        fakes.ScriptedAnswer(200, [b"ok"]),
+    ]
+    results = []
+
+    async def check(nursery):
+        fake_entry = fakes.FakeEntry(
+            nursery, fakes.FakeGateway(script), SERVERS
+        )
+        # One retry for this entry, one of eight.
+        fake_entry.services.budgets = budget_module.new_retry_budgets(
+            0.0, 8.0, 10.0, lambda: 8
+        )
+        results.append(await fake_entry.serve(SAFE))
+
+    fakes.run_with_mock_clock(check)
+    outcome, reply = results[0]
+    assert outcome == direct_outcome.Relayed(200)
+    assert reply.body == b"ok"
