--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -22,6 +22,7 @@
 from greengagetrack.process.direct import lifetime
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import newest_version
+from greengagetrack.request.direct import answer_handler
 from greengagetrack.request.direct import patience
 from greengagetrack.request.direct import run as run_module
 
@@ -109,7 +110,7 @@
 
 def _trust_statuses():
     """Pass each status on, whatever it proves."""
-    run_module._UNPROVEN_CLAIMS = (gateway.Claim.UNNAMED,)
+    answer_handler._UNPROVEN_CLAIMS = (gateway.Claim.UNNAMED,)
 
 
 def _trust_unnamed():
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -11,10 +11,9 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.request.direct import abandonment
-from greengagetrack.request.direct import answer_reader
+from greengagetrack.request.direct import answer_handler
 from greengagetrack.request.direct import attempt as attempt_module
 from greengagetrack.request.direct import crash_check
-from greengagetrack.request.direct import event_relay
 from greengagetrack.request.direct import lateness
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import patience as patience_module
@@ -28,11 +27,9 @@
 RETRY_LEFT_MIN_MS = 5
 RETRY_AFTER_MIN_MS = 100
 FULL_CHECK_PERIOD_S = 0.05
-SKIP_BODY_MAX_S = 0.2
 
 _Reason = outcome_module.Reason
 _Ran = outcome_module.Ran
-_UNPROVEN_CLAIMS = (gateway.Claim.UNMARKED, gateway.Claim.UNNAMED)
 
 
 class RunServices(msgspec.Struct):
@@ -59,7 +56,7 @@
     __slots__ = (
         "_admitted",
         "_answer_end",
-        "_answering",
+        "_answers",
         "_attempts",
         "_awaited_heads",
         "_binding",
@@ -67,7 +64,6 @@
         "_may_have_run",
         "_last_failure",
         "_patience",
-        "_relay",
         "_reply",
         "_scope",
         "_selector",
@@ -80,8 +76,6 @@
         self._services = services
         self._admitted = admitted
         self._reply = reply
-        self._relay = event_relay.new_event_relay(reply, self._begin_stream)
-        self._answering = None
         self._scope = trio.CancelScope(deadline=admitted.deadline.at_s)
         self._patience = patience_module.Patience(admitted, self._can_move_on)
         self._inputs = stage_inputs.new_stage_inputs(
@@ -93,6 +87,16 @@
         self._binding = stream_binding.new_stream_binding(
             services, admitted, self._selector
         )
+        self._answers = answer_handler.new_answer_handler(
+            services,
+            admitted,
+            reply,
+            self._inputs,
+            self._selector,
+            self._binding,
+            self._patience,
+            self._is_retry_available,
+        )
         self._sends = 0
         self._attempts = 0
         # 1 while an attempt waits for the head of its answer: not counted yet.
@@ -162,14 +166,13 @@
             if not self._may_retry():
                 return self._combine_outcome(self._new_refusal())
 
-    def _begin_stream(self):
-        attempt, opened_s = self._answering
-        self._binding.begin(attempt.server, opened_s)
-
     @property
     def _is_resumed(self):
         """Whether the caller has a part of the answer already."""
-        return self._relay.last_event is not None or self._admitted.is_take_up
+        return (
+            self._answers.relay.last_event is not None
+            or self._admitted.is_take_up
+        )
 
     def _check_crashes(self):
         """Return `Refused` if the request crashes servers, else None."""
@@ -217,7 +220,7 @@
     def _is_repeatable(self):
         """Return whether one more send is allowed, apart from the budget."""
         route = self._admitted.route
-        if not self._relay.is_resumable:
+        if not self._answers.relay.is_resumable:
             return False
         if self._admitted.deadline.get_left_ms() < RETRY_LEFT_MIN_MS:
             return False
@@ -315,23 +318,30 @@
             if answer.reason is _Reason.BODY_INVALID:
                 # No server could be sent this request.
                 return outcome_module.Refused(answer.reason, answer.detail)
+            if answer.ran is _Ran.UNKNOWN:
+                self._sends += 1
+                self._attempts += 1
             return self._handle_failure(attempt, answer)
         self._sends += 1
         attempt.claim = answer.claim
         self._services.metrics.count_claim(answer.claim)
         if answer.claim is gateway.Claim.NOT_RUN:
             self._may_have_run = may_have_run_before
+        else:
+            self._attempts += 1
+            attempt.begin()
         try:
-            return await self._handle_answer(attempt, answer)
+            result = await self._answers.handle(attempt, answer)
+            return self._get_outcome(attempt, result)
         finally:
             self._answer_end = request_log.AnswerEnd(
                 answer.framing,
-                self._relay.get_partial_event_bytes(),
+                self._answers.relay.get_partial_event_bytes(),
                 answer.claim,
                 answer.connection_use,
             )
             # A run is part of reference cycles, which are collected late.
-            self._relay.drop_partial_event()
+            self._answers.relay.drop_partial_event()
             answer.finish()
 
     def _new_server_request(self, server):
@@ -349,7 +359,7 @@
             ),
             priority=min(max(admitted.priority, 0), 9),
             inputs=self._inputs.handles,
-            resume_after=self._relay.last_event,
+            resume_after=self._answers.relay.last_event,
             needs_fresh_connection=not admitted.route.is_idempotent,
             check=self._get_lifetime_check(server),
         )
@@ -361,17 +371,20 @@
             server, self._selector.is_bound
         )
 
-    def _handle_failure(self, attempt, failure, is_counted=False):
-        """Record a failed attempt; return None so that it may be retried.
+    def _get_outcome(self, attempt, result):
+        """Return the outcome of an answer, None if it may be retried."""
+        if isinstance(result, gateway.Failure):
+            return self._handle_failure(attempt, result)
+        if isinstance(result, answer_handler.RetryPreferred):
+            self._last_failure = result.failure
+            self._log_failure(attempt, result.failure)
+            return None
+        return result
 
-        `is_counted` says that the send was already counted, because the
-        server had begun to answer.
-        """
+    def _handle_failure(self, attempt, failure):
+        """Record a failed attempt; return None so that it may be retried."""
         server = attempt.server
         self._inputs.keep()
-        if failure.ran is _Ran.UNKNOWN and not is_counted:
-            self._sends += 1
-            self._attempts += 1
         server.record_failed_call(failure)
         self._record_break(attempt, failure)
         self._last_failure = failure
@@ -388,148 +401,11 @@
                 attempt.server, self._admitted.request, attempt
             )
 
-    async def _handle_answer(self, attempt, answer):
-        if answer.claim is gateway.Claim.NOT_RUN:
-            return await self._handle_rejection(attempt, answer)
-        attempt.begin()
-        self._attempts += 1
-        if answer.claim in _UNPROVEN_CLAIMS:
-            return await self._handle_unproven(attempt, answer)
-        if answer.is_events and answer.status < 300:
-            return await self._relay_events(attempt, answer)
-        return await self._relay_response(attempt, answer)
-
-    async def _handle_unproven(self, attempt, answer):
-        """Handle an answer that can't be passed on and proves nothing.
-
-        The body and the seal belong to the status that it has.
-        """
-        await _skip_body(answer)
-        failure = gateway.Failure(
-            _Reason.BACKEND_REFUSED,
-            _Ran.UNKNOWN,
-            f"status {answer.status} without proof, {answer.claim}",
-        )
-        return self._handle_failure(attempt, failure, is_counted=True)
-
-    async def _handle_rejection(self, attempt, answer):
-        await _skip_body(answer)
-        if answer.is_input_gone:
-            if self._inputs.is_freed:
-                self._get_fetch_time().record_missing()
-            self._inputs.free()
-        failure = gateway.Failure(
-            _Reason.BACKEND_REFUSED,
-            _Ran.NO,
-            f"status {answer.status}",
-            is_other_server=answer.is_other_server,
-        )
-        return self._handle_failure(attempt, failure)
-
-    async def _relay_response(self, attempt, answer):
-        reader = self._new_reader(attempt, answer)
-        try:
-            return await self._relay_body(attempt, answer, reader)
-        finally:
-            reader.release()
-
-    async def _relay_body(self, attempt, answer, reader):
-        body = await reader.read_body()
-        if isinstance(body, gateway.Failure):
-            return self._handle_failure(attempt, body, is_counted=True)
-        attempt.record_answer(answer.status)
-        if answer.status < attempt_module.SERVER_ERROR:
-            reader.record_whole()
-        if self._is_retry_preferred(answer.status):
-            attempt.server.record_failure()
-            self._last_failure = gateway.Failure(
-                _Reason.BACKEND_FAILED,
-                _Ran.UNKNOWN,
-                f"status {answer.status}",
-            )
-            if self._is_retry_available():
-                self._log_failure(attempt, self._last_failure)
-                return None
-        if self._reply.is_started:
-            return direct_outcome.Cut(
-                _Reason.BACKEND_FAILED, f"status {answer.status}"
-            )
-        await self._reply.send_whole(
-            answer.status, answer.headers, body, answer.framing
-        )
-        return direct_outcome.Relayed(answer.status)
-
-    def _new_reader(self, attempt, answer):
-        return answer_reader.new_answer_reader(
-            self._services,
-            self._admitted.request,
-            attempt,
-            answer,
-            self._patience,
-        )
-
-    def _is_retry_preferred(self, status):
-        return (
-            status >= attempt_module.SERVER_ERROR
-            and self._admitted.route.is_idempotent
-        )
-
-    async def _relay_events(self, attempt, answer):
-        reader = self._new_reader(attempt, answer)
-        try:
-            return await self._relay_stream(attempt, answer, reader)
-        finally:
-            reader.release()
-
-    async def _relay_stream(self, attempt, answer, reader):
-        self._answering = attempt, answer.opened_s
-        await self._relay.start(answer)
-        # A caller that reads slowly is no sign of a server that goes on.
-        attempt.begin()
-        problem = None
-        while problem is None:
-            part = await reader.receive_part(
-                self._relay.progress_s, self._relay.last_event is not None
-            )
-            if part is None:
-                break
-            problem = await self._relay_part(attempt, part)
-            problem = problem or reader.hold(
-                self._relay.get_partial_event_bytes()
-            )
-            reader.record_progress(self._relay.progress_s)
-        if problem is None:
-            problem = await self._relay.finish()
-        if problem is not None:
-            return self._handle_failure(attempt, problem, is_counted=True)
-        attempt.record_answer(answer.status)
-        reader.record_whole()
-        return direct_outcome.Relayed(answer.status)
-
-    async def _relay_part(self, attempt, part):
-        """Relay bytes of a stream; return a `Failure` if there is one."""
-        if isinstance(part, gateway.Failure):
-            return part
-        if not attempt.is_prefilled:
-            self._record_first_event(attempt)
-        return await self._relay.feed(part)
-
-    def _record_first_event(self, attempt):
-        attempt.record_first_event(
-            self._services.chooser.get_first_event_estimate(
-                self._selector.service
-            )
-        )
-        if self._inputs.is_freed:
-            self._get_fetch_time().record_fetched()
-        # The server no longer needs the inputs.
-        self._inputs.free()
-
     def _log_failure(self, attempt, failure):
         request_log.log_failure(
             self._admitted,
             self._sends,
-            self._relay.last_event,
+            self._answers.relay.last_event,
             attempt,
             failure,
         )
@@ -556,7 +432,7 @@
         )
 
     def _get_times(self):
-        first_event_s = self._relay.first_event_s
+        first_event_s = self._answers.relay.first_event_s
         if first_event_s is not None:
             first_event_s -= self._started_s
         return lateness.RunTimes(
@@ -565,17 +441,10 @@
             stages_s=self._inputs.spent_s,
             stage_times_s=self._inputs.get_stage_times(),
             first_event_s=first_event_s,
-            pause_s=self._relay.longest_pause_s,
+            pause_s=self._answers.relay.longest_pause_s,
         )
 
 
-async def _skip_body(answer):
-    """Read a body to its end, so that the connection can be reused."""
-    with trio.move_on_after(SKIP_BODY_MAX_S):
-        while isinstance(await answer.receive_part(), bytes):
-            pass
-
-
 def new_direct_run(services, admitted, reply):
     """Return the run of an admitted request."""
     return DirectRun(services, admitted, reply)
