A refusal of the version that a caller expects speaks against no server

Cause: a 421 is shared by two expectations, that of a server id, which the entry adds, and that of a version, which is the caller's and is passed on. Each 421 was taken for proof that another server has the address: one caller with X-Expect-Version had each server that it met suspected for 1 to 4 s, by all requests of the entry, and doubted.

A 421 to a request with X-Expect-Version proves that it did not run, as before, and no longer anything of the server: it is not suspected, doubted or counted as failing. If it was another server after all, the next request without that field tells.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -67,7 +67,8 @@
 
     `is_connection_failure` means that the server could not be connected to
     or had closed an idle connection, `is_other_server` that another server
-    answers at its address.
+    answers at its address, and `is_missing_version` that the server may not
+    have the version that the caller names, which is no fault of it.
     """
 
     reason: outcome.Reason
@@ -75,6 +76,7 @@
     detail: str = ""
     is_connection_failure: bool = False
     is_other_server: bool = False
+    is_missing_version: bool = False
     connection_use: ConnectionUse = ConnectionUse()
 
     def is_unreachable(self):
@@ -117,6 +119,7 @@
     headers: list
     framing: framing.Framing
     is_other_server: bool
+    is_missing_version: bool
     is_input_gone: bool
     is_events: bool
     opened_s: float
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -73,22 +73,27 @@
         "headers",
         "is_events",
         "is_input_gone",
+        "is_missing_version",
         "is_other_server",
         "opened_s",
         "status",
     )
 
-    def __init__(self, call, head, request_id):
+    def __init__(self, call, head, request):
         self._call = call
         self.status = head.status
-        self.claim = _get_claim(call, head, request_id)
+        self.claim = _get_claim(call, head, request.request_id)
         self.connection_use = _get_connection_use(call)
         self.framing = head.framing
         self.headers = fields.keep_end_to_end(
             head.headers, kept=names.ALWAYS_RETURNED
         )
         self.opened_s = call.opened_s
-        self.is_other_server = head.status == names.MISDIRECTED_STATUS
+        is_misdirected = head.status == names.MISDIRECTED_STATUS
+        # The status doesn't tell which expectation was not met.
+        is_versioned = _expects_version(request)
+        self.is_other_server = is_misdirected and not is_versioned
+        self.is_missing_version = is_misdirected and is_versioned
         self.is_input_gone = head.status == INPUT_GONE_STATUS
         content_type = fields.get_value(head.headers, b"content-type", b"")
         self.is_events = content_type.startswith(names.EVENT_STREAM)
@@ -115,6 +120,12 @@
     return gateway.Claim.RAN
 
 
+def _expects_version(request):
+    """Return whether a caller names the version that is to answer."""
+    name = names.EXPECT_VERSION.lower()
+    return fields.get_value(request.headers, name) is not None
+
+
 def _get_connection_use(call):
     return gateway.ConnectionUse(call.connection_number, call.request_number)
 
@@ -224,7 +235,7 @@
                 # A copy of it could not be told from the next answer.
                 call.end_connection()
             self._observe(server, response_head)
-            answer = EngineAnswer(call, response_head, request.request_id)
+            answer = EngineAnswer(call, response_head, request)
             return answer
         finally:
             if answer is None:
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -9,6 +9,7 @@
 SEAL = b"X-Engine-Seal"
 TENANT = b"X-Tenant"
 EXPECT_INSTANCE = b"X-Expect-Instance"
+EXPECT_VERSION = b"X-Expect-Version"
 NOT_RUN = b"X-Not-Run"
 REQUEST_PRIORITY = b"X-Request-Priority"
 PIECES = b"X-Pieces"
@@ -66,7 +67,7 @@
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
 
-# The status of a request that expects another engine.
+# The status of a request that expects another engine, or other weights.
 MISDIRECTED_STATUS = 421
 # Each of these tells a caller that its request did not run.
 NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -135,6 +135,8 @@
 
     def record_failed_call(self, failure):
         """Record a call that returned no usable answer."""
+        if failure.is_missing_version:
+            return
         if failure.is_unreachable() or failure.ran is outcome.Ran.UNKNOWN:
             self.lifetime.doubt()
         if failure.is_unreachable():
--- a/greengagetrack/request/direct/answer_handler.py
+++ b/greengagetrack/request/direct/answer_handler.py
@@ -114,6 +114,7 @@
             _Ran.NO,
             f"status {answer.status}",
             is_other_server=answer.is_other_server,
+            is_missing_version=answer.is_missing_version,
         )
 
     async def _relay_body(self, attempt, answer, reader):
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -110,6 +110,7 @@
             else gateway.Claim.RAN,
         )
         self.is_other_server = flags.get("is_other_server", False)
+        self.is_missing_version = False
         self.is_input_gone = flags.get("is_input_gone", False)
         self.is_events = flags.get("is_events", False)
         self.opened_s = 0.0
--- a/tests/direct/raw_entry.py
+++ b/tests/direct/raw_entry.py
@@ -46,10 +46,15 @@
             source_module.Update(1, servers=(server,))
         )
 
-    async def ask(self, route, request_id, method=b"GET"):
+    def get_server(self, server_id):
+        """Return what the entry knows of a server."""
+        return self._entry.directory.server_by_id[server_id]
+
+    async def ask(self, route, request_id, method=b"GET", more_headers=()):
         """Return the `CallerExchange` of a request, after its answer."""
         exchange = CallerExchange()
         headers = [(b"Host", b"h"), (b"X-Request-Id", request_id)]
+        headers += more_headers
         outcome = await self._entry.run(
             route,
             callers.HttpReply(exchange),
