Tell pieces of two requests with the same id apart in late copies

Cause: the results in an answer without an id were told apart by the request id, stage and number that they were asked for. Two requests with one id share these: the copy of the first one's answer, late on the same connection, gave the second one its results.

The key and the inputs that a piece is made from are part of its name now. test_copy_of_another_request_with_the_same_id_has_no_results failed before, for keys and for inputs. The copy for a piece with the same key or inputs is still taken, as the last answer on its connection: its result is of the same content.

--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -374,7 +374,11 @@
     items = _read_made_items(body) if head.status == 200 else ()
     if isinstance(items, gateway.Failure):
         items = ()
-    pieces = [(item.id, item.stage, item.piece) for item in asked_items]
+    # Two requests may have one id; then what they are made from differs.
+    pieces = [
+        (item.id, item.stage, item.piece, item.key, item.inputs)
+        for item in asked_items
+    ]
     return matching.Identity(
         None,
         {
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -263,6 +263,24 @@
     )
 
 
+@pytest.mark.parametrize("field", ["key", "inputs"])
+def test_copy_of_another_request_with_the_same_id_has_no_results(field):
+    """Two callers chose one id; their pieces have the same names."""
+
+    async def check(gateway, server, _pool):
+        for number, value in enumerate(("of one", "of another")):
+            values = {"key": "", "inputs": None}
+            values[field] = (value,) if field == "inputs" else value
+            pieces = [
+                gateway_module.Piece("r", 0, piece, 100, **values)
+                for piece in (0, 1)
+            ]
+            made = await gateway.run_pieces(server, pieces)
+            assert made == [f"s/{number}a", f"s/{number}b"]
+
+    _run(check, _new_copier(is_echoing=False))
+
+
 def test_a_late_copy_of_a_report_answers_no_request():
     report = _new_response(b'{"born":7}').replace(
         b"Content-Length", b"Content-Type: application/json\r\nContent-Length"
