Learn nothing of a server from an answer that may be to no request

Cause: what an answer says of its server (that it leaves, for how long it wants no requests, its limit) was taken before it was known whose the answer is. One that names no request, on a used connection, may be an old one: it took a sound server out for up to 60 s, or for good where it said that the server leaves.

The entry of the tests is told by its servers now, as real ones are.

--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -234,8 +234,10 @@
             if _get_id(response_head) is None:
                 # A copy of it could not be told from the next answer.
                 call.end_connection()
-            self._observe(server, response_head)
-            answer = EngineAnswer(call, response_head, request)
+            received = EngineAnswer(call, response_head, request)
+            if received.claim is not gateway.Claim.UNNAMED:
+                self._observe(server, response_head)
+            answer = received
             return answer
         finally:
             if answer is None:
--- a/tests/direct/raw_entry.py
+++ b/tests/direct/raw_entry.py
@@ -39,6 +39,7 @@
         self.pool = pool_module.new_pool(nursery)
         self.gateway = engines.new_engine_gateway(self.pool)
         self._entry = fakes.FakeEntry(nursery, self.gateway, servers)
+        self.gateway.set_observer(self._entry.directory)
 
     def publish(self, server):
         """Let the entry learn of one more server."""
--- a/tests/direct/test_shared_names.py
+++ b/tests/direct/test_shared_names.py
@@ -54,3 +54,35 @@
             assert server.lifetime.is_doubted() is is_suspect
 
     _run(check, lambda _head, request_id: ANSWER % (421, request_id))
+
+
+def _new_copier(request_id, status, fields):
+    """Return the answers of a server that writes one more before each.
+
+    It names `request_id`, which is None if it names no request.
+    """
+    stray = b"HTTP/1.1 %d Any\r\n%sContent-Length: 0\r\n" % (status, fields)
+    if request_id is not None:
+        stray += b"X-Request-Id: %s\r\n" % request_id
+
+    def answer(head, own_id):
+        is_first = own_id == b"r0"
+        return (b"" if is_first else stray + b"\r\n") + ANSWER % (200, own_id)
+
+    return answer
+
+
+def test_answer_that_names_no_request_tells_nothing_of_the_server():
+    """It is written over a used connection, and may be an old one."""
+
+    async def check(entry):
+        server = entry.get_server("s")
+        route = fakes.new_route(attempts_max=1)
+        for number in range(2):
+            await entry.ask(route, b"r%d" % number)
+        assert server.is_usable()
+        assert not server.published.is_leaving
+        assert server.limit.per_s is None
+
+    fields = b"Retry-After: 9\r\nServer-Leaving: 1\r\nServer-Limit: 2\r\n"
+    _run(check, _new_copier(None, 503, fields))
