Send no request over a connection that has brought an answer to its id

Cause: a connection knew the ids of its requests only. An answer that it brought to some other id was skipped, and could come once more where a request with that id was under way there: its refusal was then believed.

The id of a skipped answer counts as carried. test_answer_to_a_request_that_comes_later_is_not_its_own failed before (503 of what was answered 200).

--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -160,6 +160,10 @@
                 return failure
         return _ResponseFailure("only responses to other requests")
 
+    def record_other_id(self, request_id):
+        """Record the id of a response that is to be skipped."""
+        self._connection.record_id(request_id)
+
     def _new_head(self, event):
         headers = list(event.headers.raw_items())
         framing = framing_module.get_framing(
--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -20,7 +20,8 @@
 
     It carries no two requests with the same id: the server may write the
     answer to the first one once more, which would be taken for the answer to
-    the second.
+    the second. The same holds for a request with the id of an answer that
+    was skipped.
     """
 
     __slots__ = (
@@ -48,15 +49,19 @@
         self._carried_digests = set()
 
     def has_carried(self, request_id):
-        """Return whether it may have carried a request with this id."""
+        """Return whether it may have carried this id."""
         return hash(request_id) in self._carried_digests
 
     def record_request(self, request_id):
         """Record that a request is sent over it; its id may be None."""
         self.request_count += 1
         if request_id is not None:
-            # Callers choose the ids, and their lengths.
-            self._carried_digests.add(hash(request_id))
+            self.record_id(request_id)
+
+    def record_id(self, request_id):
+        """Record that a request or a response over it has this id."""
+        # Callers choose the ids, and their lengths.
+        self._carried_digests.add(hash(request_id))
 
     @property
     def is_worn_out(self):
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -223,7 +223,7 @@
         answer = None
         try:
             response_head = await call.receive_head(
-                lambda head: _is_response_to(head, request.request_id)
+                functools.partial(_check_id, call, request.request_id)
             )
             if isinstance(response_head, failures.ResponseFailure):
                 return msgspec.structs.replace(
@@ -360,6 +360,14 @@
     return fields.get_value(head.headers, names.REQUEST_ID.lower())
 
 
+def _check_id(call, request_id, head):
+    """Return whether a response is to a request; record its id if not."""
+    is_own = _is_response_to(head, request_id)
+    if not is_own:
+        call.record_other_id(_get_id(head))
+    return is_own
+
+
 def _is_response_to(head, request_id):
     return _get_id(head) in (None, request_id)
 
--- a/tests/direct/test_shared_names.py
+++ b/tests/direct/test_shared_names.py
@@ -14,14 +14,17 @@
 def _run(check, answer):
     """Run `await check(entry)` with an entry that knows one server, `s`.
 
-    `answer(head, request_id)` returns what the server writes for a request.
+    `answer(number, request_id)` returns what the server writes for the
+    request with that number on its connection.
     """
 
     async def main():
         async def serve(stream):
+            number = 0
             while head := await loopback.read_until(stream, b"\r\n\r\n"):
                 request_id = head.partition(b"X-Request-Id: ")[2].split()[0]
-                await stream.send_all(answer(head, request_id))
+                await stream.send_all(answer(number, request_id))
+                number += 1
 
         async with trio.open_nursery() as nursery:
             address = await loopback.start_raw_server(nursery, serve)
@@ -53,21 +56,22 @@
             assert server.is_suspect() is is_suspect
             assert server.lifetime.is_doubted() is is_suspect
 
-    _run(check, lambda _head, request_id: ANSWER % (421, request_id))
+    _run(check, lambda _number, request_id: ANSWER % (421, request_id))
 
 
 def _new_copier(request_id, status, fields):
     """Return the answers of a server that writes one more before each.
 
-    It names `request_id`, which is None if it names no request.
+    The first ones on their connections are sound. The one more names
+    `request_id`, which is None if it names no request.
     """
     stray = b"HTTP/1.1 %d Any\r\n%sContent-Length: 0\r\n" % (status, fields)
     if request_id is not None:
         stray += b"X-Request-Id: %s\r\n" % request_id
 
-    def answer(head, own_id):
-        is_first = own_id == b"r0"
-        return (b"" if is_first else stray + b"\r\n") + ANSWER % (200, own_id)
+    def answer(number, own_id):
+        own = ANSWER % (200, own_id)
+        return stray + b"\r\n" + own if number else own
 
     return answer
 
@@ -86,3 +90,16 @@
 
     fields = b"Retry-After: 9\r\nServer-Leaving: 1\r\nServer-Limit: 2\r\n"
     _run(check, _new_copier(None, 503, fields))
+
+
+def test_answer_to_a_request_that_comes_later_is_not_its_own():
+    """An answer was skipped by its id, and written again for that id."""
+
+    async def check(entry):
+        statuses = [
+            (await entry.ask(fakes.new_route(), request_id)).status
+            for request_id in (b"r0", b"r1", b"later")
+        ]
+        assert statuses == [200, 200, 200]
+
+    _run(check, _new_copier(b"later", 503, b"X-Not-Run: 1\r\n"))
