Take up no stream by an id that two streams share

Cause: the record of a stream is found by the id of its request. Of two streams with one id, the second was not recorded; of all streams without an id, one record was kept. Who took up such a stream went on at the version that began the other one, which joins the pieces of two versions.

Records of one id that differ leave the version unknown, at the entries that are told too, and a stream without an id has none: it goes on only where one version has served for as long as a stream may last. Three cases of test_streams failed before. What remains: an entry that began one of two such streams, and heard of no other, goes on with it.

--- a/greengagetrack/process/direct/stream_records.py
+++ b/greengagetrack/process/direct/stream_records.py
@@ -20,6 +20,10 @@
     is_own: bool = False
     is_told: bool = False
 
+    def is_like(self, other):
+        """Return whether another record may be of the same stream."""
+        return (self.service, self.version) == (other.service, other.version)
+
 
 class StreamRecords:
     """Records by key, as many per organisation as all others leave.
@@ -36,14 +40,22 @@
         self._count = 0
 
     def add(self, organisation, key, record):
-        """Add a record; one that is known stays as it is."""
+        """Add a record, or keep the known one; return it.
+
+        Two that differ are of two streams with the same id. Which of them
+        one goes on with can't be told, so its version is unknown.
+        """
         records = self._records_by_organisation.setdefault(organisation, {})
-        if key in records:
-            return
+        known = records.get(key)
+        if known is not None:
+            if not known.is_like(record):
+                known.version = None
+            return known
         records[key] = record
         self._count += 1
         while self._count > self._records_max:
             self._drop_oldest()
+        return record
 
     def _drop_oldest(self):
         by_organisation = self._records_by_organisation
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -99,16 +99,19 @@
         """Record a stream whose first event is passed on next.
 
         Others are told at once, if there are several `services` or versions
-        that it could be of: this entry may end any time.
+        that it could be of: this entry may end any time. A stream without an
+        id has no record, which would be that of all others without one.
         """
+        if not stream_id.request_id:
+            return
         now = trio.current_time()
         record = stream_records.StreamRecord(
             origin.service, origin.version, now, is_own=True
         )
         organisation = stream_id.organisation
         self._records.drop_before(now - self._get_life_s())
-        self._records.add(organisation, stream_id.key, record)
-        is_unknown = origin.version is None
+        record = self._records.add(organisation, stream_id.key, record)
+        is_unknown = record.version is None
         if is_unknown or len(services) > 1 or self._is_told(origin.service):
             self._tell(organisation, stream_id.key, record)
 
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -349,3 +349,50 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _begin_at(fleet, index, request_id, version):
+    """Begin a stream at an entry; return its id."""
+    stream_id = streams_module.StreamId("org", request_id)
+    entry = fleet.entry_by_address[f"entry-{index}:1"]
+    origin = streams_module.Origin(SERVICE, version)
+    entry.streams.begin(stream_id, origin, [SERVICE])
+    return stream_id
+
+
+@pytest.mark.parametrize("second_index", [0, 1])
+def test_two_streams_with_one_id_go_on_nowhere(second_index):
+    """Callers repeat ids, and two of them may choose the same one."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.published.add("v2")
+            await _poll_all(fleet)
+            stream_id = _begin_at(fleet, 0, b"1", "v1")
+            await trio.sleep(0.01)
+            assert stream_id == _begin_at(fleet, second_index, b"1", "v2")
+            await trio.sleep(0.01)
+            # The entries that began one of them know no more of the other.
+            for index in range(1 + second_index):
+                fleet.start(index)
+            for entry in fleet.entry_by_address.values():
+                assert await _find_version(entry, stream_id) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_stream_without_an_id_is_not_taken_for_another_one():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.published.add("v2")
+            await _poll_all(fleet)
+            stream_id = _begin_at(fleet, 0, b"", "v1")
+            await trio.sleep(0.01)
+            for entry in fleet.entry_by_address.values():
+                assert await _find_version(entry, stream_id) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
