Apply all changed bounds on SIGHUP, and say what needs a restart

Cause: the adapter read the node file again, but the entry kept copies of all bounds except grace_s; the log said 'changed'.

After a reload, revoke_ms, drain_ms, config_apply_ms, budget_*, cpu_share, cores and memory_mb are in force; the catalog is polled at once, so that a pause of the last bound doesn't delay it. Names, addresses, data centres and seeds need a restart: a warning names them at each reload until then. A file that can't be used is an error, and all settings stay. A bound of 0 ms for changes (polls without a pause) and a memory of 0 or less are refused.

Adapter.reload() returns a Reload in place of a text; the two tests of it check the same, and that a failed one names no change.

--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -13,11 +13,12 @@
 class PlatformAdapter(daemon.Adapter):
     """The settings, addresses and connections of a `front` node."""
 
-    __slots__ = ("_metrics_port", "_node", "_path")
+    __slots__ = ("_metrics_port", "_node", "_path", "_started_node")
 
     def __init__(self, path, node, metrics_port):
         self._path = path
         self._node = node
+        self._started_node = node
         self._metrics_port = metrics_port
 
     def get_settings(self):
@@ -78,15 +79,20 @@
         await exchange.answer(200 if entry.is_ready() else 503, [])
 
     def reload(self):
-        """Reload the settings; return a text that says what changed."""
+        """Reload the settings; return a `Reload`."""
         try:
             node = settings_module.read_node_file(self._path)
         except ValueError as error:
-            return str(error)
-        if node == self._node:
-            return "unchanged"
-        self._node = node
-        return "changed; new addresses take effect after a restart"
+            return daemon.Reload(problem=str(error))
+        before, self._node = self._node, node
+        return daemon.Reload(
+            settings_module.find_differences(
+                before, node, settings_module.RELOADED_SETTINGS
+            ),
+            settings_module.find_differences(
+                self._started_node, node, settings_module.START_SETTINGS
+            ),
+        )
 
 
 def new_adapter(path, metrics_port):
--- a/greengagetrack/platform/settings.py
+++ b/greengagetrack/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for a node."""
 
 import ipaddress
+import operator
 from typing import Annotated
 
 import msgspec
@@ -11,7 +12,35 @@
 FILE_MAX_BYTES = 1024 * 1024
 _Name = Annotated[str, msgspec.Meta(max_length=1000)]
 _Time = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Period = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 _Amount = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+_Memory = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+
+# In force from the reload on.
+RELOADED_SETTINGS = (
+    "bounds.revoke_ms",
+    "bounds.drain_ms",
+    "bounds.config_apply_ms",
+    "bounds.grace_s",
+    "bounds.budget_ratio",
+    "bounds.budget_window_s",
+    "bounds.budget_slack",
+    "limits.cpu_share",
+    "limits.cores",
+    "limits.memory_mb",
+)
+# Used at the start of the process only.
+START_SETTINGS = (
+    "node",
+    "ip",
+    "zone",
+    "zones",
+    "provider.address",
+    "listen.front",
+    "listen.ready",
+    "listen.control",
+    "seeds",
+)
 
 
 class Listen(msgspec.Struct):
@@ -26,11 +55,11 @@
     """The time limits and the retry budget that apply on the node."""
 
     revoke_ms: _Time = 5000
-    drain_ms: _Time = 2500
-    config_apply_ms: _Time = 2500
+    drain_ms: _Period = 2500
+    config_apply_ms: _Period = 2500
     grace_s: _Time = 8
     budget_ratio: _Amount = 0.2
-    budget_window_s: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 10
+    budget_window_s: _Period = 10
     budget_slack: _Time = 0
 
 
@@ -45,7 +74,7 @@
 
     cpu_share: _Amount = 1.0
     cores: _Amount = 1.0
-    memory_mb: float = 256
+    memory_mb: _Memory = 256
     max_fds: int = 4096
 
 
@@ -89,6 +118,16 @@
     return node
 
 
+def find_differences(before, after, names):
+    """Return those of the settings `names` in which two files differ."""
+    return tuple(
+        name
+        for name in names
+        if operator.attrgetter(name)(before)
+        != operator.attrgetter(name)(after)
+    )
+
+
 def _find_problem(node):
     """Return what the types of the fields don't say, or ""."""
     try:
--- a/greengagetrack/process/direct/budget.py
+++ b/greengagetrack/process/direct/budget.py
@@ -14,22 +14,14 @@
 class RetryBudget:
     """Limits this entry's retries for one service in a sliding window.
 
-    `get_slack()` returns this entry's part of the slack, which shrinks as
-    more entries become known.
+    `budgets` has the ratio, the window, and this entry's part of the slack,
+    which shrinks as more entries become known.
     """
 
-    __slots__ = (
-        "_first_attempt_times",
-        "_get_slack",
-        "_retry_times",
-        "_ratio",
-        "_window_s",
-    )
+    __slots__ = ("_budgets", "_first_attempt_times", "_retry_times")
 
-    def __init__(self, ratio, get_slack, window_s):
-        self._ratio = ratio
-        self._get_slack = get_slack
-        self._window_s = window_s
+    def __init__(self, budgets):
+        self._budgets = budgets
         self._first_attempt_times = collections.deque()
         self._retry_times = collections.deque()
 
@@ -43,7 +35,8 @@
         """Return whether one more retry is allowed."""
         self._drop_expired()
         allowed = (
-            self._ratio * len(self._first_attempt_times) + self._get_slack()
+            self._budgets.ratio * len(self._first_attempt_times)
+            + self._budgets.get_slack()
         )
         return len(self._retry_times) + 1 <= allowed
 
@@ -55,7 +48,7 @@
         return True
 
     def _drop_expired(self):
-        start_s = trio.current_time() - self._window_s
+        start_s = trio.current_time() - self._budgets.window_s
         for times in (self._first_attempt_times, self._retry_times):
             while times and times[0] < start_s:
                 times.popleft()
@@ -67,27 +60,33 @@
     __slots__ = (
         "_budget_by_service",
         "_count_entries",
-        "_ratio",
         "_slack",
-        "_window_s",
+        "ratio",
+        "window_s",
     )
 
     def __init__(self, ratio, slack, window_s, count_entries):
         self._budget_by_service = {}
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
         self._count_entries = count_entries
+        self.set_limits(ratio, slack, window_s)
+
+    def set_limits(self, ratio, slack, window_s):
+        """Set the limits; attempts that were made so far stay counted.
+
+        A longer window lacks those that the last one has dropped.
+        """
+        self.ratio = ratio
+        self._slack = slack
+        self.window_s = window_s
 
     def get(self, service):
         """Return the budget of a service."""
         if service not in self._budget_by_service:
-            self._budget_by_service[service] = RetryBudget(
-                self._ratio, self._get_slack, self._window_s
-            )
+            self._budget_by_service[service] = RetryBudget(self)
         return self._budget_by_service[service]
 
-    def _get_slack(self):
+    def get_slack(self):
+        """Return this entry's part of the slack."""
         return self._slack / max(self._count_entries(), ENTRIES_MIN)
 
 
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -31,6 +31,7 @@
         "_containment",
         "_is_source_behind",
         "_is_source_reachable",
+        "_change_bound_changed",
         "_poll_lock",
         "_poll_period_s",
         "_random",
@@ -50,7 +51,8 @@
     ):
         self._source = source
         self._containment = containment
-        self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
+        self._change_bound_changed = trio.Event()
+        self.set_change_bound(change_bound_s)
         self._directory = directory
         self._random = generator
         self._is_source_behind = False
@@ -65,6 +67,15 @@
         self.era = 0
         self.catalog_changed = trio.Event()
 
+    def set_change_bound(self, change_bound_s):
+        """Set the bound on applying a change; the next poll comes at once."""
+        self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
+        event, self._change_bound_changed = (
+            self._change_bound_changed,
+            trio.Event(),
+        )
+        event.set()
+
     def get_catalog(self):
         """Return the current catalog, or None before the first one."""
         return self.catalog
@@ -83,7 +94,8 @@
                     is_answered = await self._poll_once()
             if is_answered:
                 pause_s = self._poll_period_s * self._random.uniform(0.85, 1.0)
-                await trio.sleep(pause_s)
+                with trio.move_on_after(pause_s):
+                    await self._change_bound_changed.wait()
             else:
                 await trio.sleep(RETRY_S * self._random.uniform(0.8, 1.2))
 
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+import msgspec
 import trio
 
 from greengagetrack.connection import base as link_base
@@ -21,6 +22,19 @@
 _log = logging.getLogger(__name__)
 
 
+class Reload(msgspec.Struct, frozen=True):
+    """What a reload did: the names of settings, or a `problem`.
+
+    `changed` are in force from now on. `needs_restart` differ from those
+    that the process was started with, and stay as they were. A problem
+    leaves all settings as they were.
+    """
+
+    changed: tuple[str, ...] = ()
+    needs_restart: tuple[str, ...] = ()
+    problem: str = ""
+
+
 class Adapter(abc.ABC):
     """The interface to the platform on which an entry runs."""
 
@@ -62,7 +76,7 @@
 
     @abc.abstractmethod
     def reload(self):
-        """Reload the settings; return a text that says what changed."""
+        """Reload the settings; return a `Reload`."""
 
 
 async def run(adapter, peer_keys, stop, task_status=trio.TASK_STATUS_IGNORED):
@@ -96,7 +110,7 @@
         await nursery.start(peer_server.serve, entry.peers.handle)
         caller_server = await _start_servers(nursery, adapter, entry)
         nursery.start_soon(entry.run)
-        nursery.start_soon(_reload_on_sighup, adapter, entry.containment)
+        nursery.start_soon(_reload_on_sighup, adapter, entry)
         task_status.started(entry)
         await stop.drain_requested.wait()
         is_drained = await _drain(
@@ -138,20 +152,41 @@
     await exchange.answer(200, fields, body)
 
 
-async def _reload_on_sighup(adapter, containment):
+async def _reload_on_sighup(adapter, entry):
     with trio.open_signal_receiver(signal.SIGHUP) as received:
         # What came before was ignored.
-        _reload(adapter, containment)
+        _reload(adapter, entry)
         async for _signal in received:
-            _reload(adapter, containment)
-
-
-def _reload(adapter, containment):
-    with containment.contain("reload"):
-        result = adapter.reload()
-        _log.info(
-            "settings reload", extra={"decision": "reload", "outcome": result}
-        )
+            _reload(adapter, entry)
+
+
+def _reload(adapter, entry):
+    with entry.containment.contain("reload"):
+        reload = adapter.reload()
+        if reload.changed:
+            entry.apply_bounds(adapter.get_settings())
+        _log_reload(reload)
+
+
+def _log_reload(reload):
+    level, outcome = logging.INFO, "unchanged"
+    if reload.changed:
+        outcome = "changed"
+    if reload.needs_restart:
+        level = logging.WARNING
+    if reload.problem:
+        level, outcome = logging.ERROR, "failed"
+    _log.log(
+        level,
+        "settings reload",
+        extra={
+            "decision": "reload",
+            "outcome": outcome,
+            "changed": reload.changed,
+            "needs_restart": reload.needs_restart,
+            "detail": reload.problem,
+        },
+    )
 
 
 async def _drain(entry, caller_server, grace_s, stop):
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -100,7 +100,7 @@
             nursery, self.containment, "background"
         )
         self.lease = freshness.new_freshness_lease(
-            settings.key_bound_s - FRESHNESS_MARGIN_S
+            _get_lease_bound_s(settings)
         )
         self.directory = directory_module.new_directory(
             lambda server: gateway.drop_connections(server.published)
@@ -187,6 +187,21 @@
             held_bytes.new_held_bytes(settings.memory_bytes),
         )
 
+    def apply_bounds(self, settings):
+        """Apply the bounds of changed settings; other ones need a restart."""
+        # No await: a request sees the old bounds or the new ones.
+        self.lease.bound_s = _get_lease_bound_s(settings)
+        self.catalog_watcher.set_change_bound(settings.change_bound_s)
+        self._services.budgets.set_limits(
+            settings.budget_ratio,
+            settings.budget_slack,
+            settings.budget_window_s,
+        )
+        self._services.held_bytes.max_bytes = held_bytes.get_max_bytes(
+            settings.memory_bytes
+        )
+        self.peers.members.weight = settings.cores
+
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -338,6 +353,10 @@
         )
 
 
+def _get_lease_bound_s(settings):
+    return settings.key_bound_s - FRESHNESS_MARGIN_S
+
+
 def _new_draining_refusal(detail=""):
     return outcome.Refused(_Reason.DRAINING, detail, RETRY_AFTER_DRAINING_MS)
 
--- a/greengagetrack/process/direct/held_bytes.py
+++ b/greengagetrack/process/direct/held_bytes.py
@@ -24,10 +24,10 @@
         held.resize(0)
     """
 
-    __slots__ = ("_max_bytes", "_size_by_server_id", "_total_bytes")
+    __slots__ = ("_size_by_server_id", "_total_bytes", "max_bytes")
 
     def __init__(self, max_bytes):
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._size_by_server_id = {}
         self._total_bytes = 0
 
@@ -42,9 +42,9 @@
     def add(self, server_id, size):
         """Hold more bytes of a server; return whether there is room."""
         server_bytes = self._size_by_server_id.get(server_id, 0) + size
-        if server_bytes > self._max_bytes * SERVER_SHARE:
+        if server_bytes > self.max_bytes * SERVER_SHARE:
             return False
-        if self._total_bytes + size > self._max_bytes:
+        if self._total_bytes + size > self.max_bytes:
             return False
         self._size_by_server_id[server_id] = server_bytes
         self._total_bytes += size
@@ -82,6 +82,11 @@
         return True
 
 
+def get_max_bytes(memory_bytes):
+    """Return how many bytes an entry may hold on a machine."""
+    return memory_bytes * MEMORY_SHARE
+
+
 def new_held_bytes(memory_bytes):
     """Return the bytes of an entry on a machine with some memory."""
-    return HeldBytes(memory_bytes * MEMORY_SHARE)
+    return HeldBytes(get_max_bytes(memory_bytes))
--- a/tests/direct/test_node_signals.py
+++ b/tests/direct/test_node_signals.py
@@ -26,7 +26,14 @@
     def reload(self):
         """Count."""
         self.reload_count += 1
-        return "unchanged"
+        return daemon.Reload()
+
+
+class FakeEntry:
+    """Contains errors."""
+
+    def __init__(self):
+        self.containment = containment_module.new_containment()
 
 
 def test_sighup_at_the_start_does_not_end_the_process(tmp_path):
@@ -52,8 +59,7 @@
     adapter = FakeAdapter()
 
     async def check(nursery):
-        containment = containment_module.new_containment()
-        nursery.start_soon(daemon._reload_on_sighup, adapter, containment)
+        nursery.start_soon(daemon._reload_on_sighup, adapter, FakeEntry())
         await trio.sleep(0.1)
         for _signal in range(signals):
             os.kill(os.getpid(), signal.SIGHUP)
@@ -73,8 +79,7 @@
     adapter = FailingAdapter()
 
     async def check(nursery):
-        containment = containment_module.new_containment()
-        nursery.start_soon(daemon._reload_on_sighup, adapter, containment)
+        nursery.start_soon(daemon._reload_on_sighup, adapter, FakeEntry())
         for _signal in range(2):
             await trio.sleep(0.1)
             os.kill(os.getpid(), signal.SIGHUP)
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -734,6 +734,9 @@
         {"bounds": {"revoke_ms": 1e300}},
         {"bounds": {"grace_s": -1}},
         {"bounds": {"budget_window_s": 0}},
+        {"bounds": {"drain_ms": 0}},
+        {"bounds": {"config_apply_ms": 0}},
+        {"limits": {"memory_mb": -1}},
         {"limits": {"cores": -1}},
         {"limits": {"cpu_share": 1e308, "cores": 1e308}},
         {"node": "n" * 5000},
@@ -750,11 +753,13 @@
     path.write_bytes(data)
     with pytest.raises(ValueError, match="node.json' "):
         adapter_module.new_adapter(str(path), 9464)
-    assert "node.json' " in adapter.reload()
+    reload = adapter.reload()
+    assert "node.json' " in reload.problem
+    assert not reload.changed and not reload.needs_restart
     assert adapter.get_settings() == settings
     assert adapter.get_grace_s() == 8
     path.write_text(json.dumps({**NODE, "bounds": {"grace_s": 5}}))
-    assert adapter.reload().startswith("changed")
+    assert "bounds.grace_s" in adapter.reload().changed
     assert adapter.get_grace_s() == 5
 
 
