Handle SIGTERM from the first statement of the process to its last one

Cause: SIGTERM had its default action until the settings were read and the receiver stood, and again from the end of the receiver to the exit, so that a signal, or a repeated one, ended the process with -15 in place of its exit code. SIGHUP was ignored from the start before already.

A stop that comes before the entry is started ends the process with 0 and a line 'stopped'; no caller has seen it, so nothing is drained. What the interpreter does before its first statement stays as it is.

--- a/greengagetrack/command/greengagetrackd.py
+++ b/greengagetrack/command/greengagetrackd.py
@@ -1,9 +1,10 @@
 """The daemon: one entry or one agent."""
 
 import os
-import signal
 import sys
 
+from greengagetrack.command import early_signals
+
 NODE_FILE = "GREENGAGETRACK_NODE_FILE"
 
 
@@ -14,11 +15,12 @@
     modules are imported here to save the memory of those not needed.
     """
     if os.environ.get(NODE_FILE):
-        # Until the daemon handles it; its default action ends the process.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        early = early_signals.hold_signals()
         from greengagetrack.command import node
 
-        sys.exit(node.run_node(os.environ[NODE_FILE]))
+        code = node.run_node(os.environ[NODE_FILE], early)
+        early_signals.ignore_signals()
+        sys.exit(code)
     from greengagetrack.command import standalone
 
     standalone.main()
--- a/greengagetrack/command/node.py
+++ b/greengagetrack/command/node.py
@@ -20,8 +20,11 @@
 _log = logging.getLogger(__name__)
 
 
-def run_node(path):
-    """Run the entry that the node file at `path` describes."""
+def run_node(path, early):
+    """Run the entry that the node file at `path` describes.
+
+    `early` has the signals that came before the entry handles them.
+    """
     try:
         adapter = adapter_module.new_adapter(path, METRICS_PORT)
         peer_keys = settings_module.read_peer_keys(os.environ)
@@ -29,12 +32,17 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     logs.set_up_bounded(adapter.get_settings().name, "INFO")
+    if early.is_stop_requested():
+        # No caller has seen the process, so there is nothing to drain.
+        _log.info("stopped", extra={"decision": "stop", "drained": True})
+        return daemon.EXIT_OK
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
         return trio.run(
             stop_module.run_until_stopped,
             lambda stop: daemon.run(adapter, peer_keys, stop),
+            early.is_stop_requested,
         )
     except Exception:
         _log.critical(
--- a/greengagetrack/process/stop.py
+++ b/greengagetrack/process/stop.py
@@ -29,10 +29,11 @@
             self.exit_requested.set()
         self.drain_requested.set()
 
-    async def watch_signals(self):
+    async def watch_signals(self, task_status=trio.TASK_STATUS_IGNORED):
         """Request a stop on each SIGTERM and SIGINT."""
         signals = (signal.SIGTERM, signal.SIGINT)
         with trio.open_signal_receiver(*signals) as received:
+            task_status.started()
             async for number in received:
                 if number == signal.SIGINT:
                     self.interrupt()
@@ -40,11 +41,16 @@
                     self.request()
 
 
-async def run_until_stopped(run):
-    """Return the result of `await run(stop)`; signals request the stop."""
+async def run_until_stopped(run, was_requested=lambda: False):
+    """Return the result of `await run(stop)`; signals request the stop.
+
+    `was_requested()` returns whether one has come before.
+    """
     stop = Stop()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop.watch_signals)
+        await nursery.start(stop.watch_signals)
+        if was_requested():
+            stop.request()
         code = await run(stop)
         nursery.cancel_scope.cancel()
     return code
--- a/tests/direct/test_node_signals.py
+++ b/tests/direct/test_node_signals.py
@@ -1,5 +1,6 @@
 """Signals that reach a node's process while it starts."""
 
+import json
 import os
 import signal
 import subprocess
@@ -9,6 +10,8 @@
 import pytest
 import trio
 
+from bench import ports as ports_module
+from bench.soak import site as site_module
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import daemon
 from greengagetrack.process import stop as stop_module
@@ -54,6 +57,78 @@
     assert b"node.json" in errors
 
 
+def _start_daemon(path):
+    return subprocess.Popen(
+        [sys.executable, "-m", "greengagetrack.command.greengagetrackd"],
+        env={
+            **os.environ,
+            "GREENGAGETRACK_NODE_FILE": str(path),
+            "GREENGAGETRACK_PEER_KEYS": "6b" * 16,
+        },
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+def _new_node_file(ports):
+    caller, ready, control, store = (f"127.0.0.1:{port}" for port in ports)
+    node_file = {
+        "node": "node-1",
+        "role": "entry",
+        # The metrics port is the same on all machines.
+        "ip": site_module.find_network(os.getpid()) + ".1",
+        "zone": "dc-a",
+        "region": "north",
+        "listen": {"front": caller, "ready": ready, "control": control},
+        "bounds": {"grace_s": 4},
+        "provider": {"address": store},
+    }
+    return json.dumps(node_file).encode()
+
+
+def test_sigterm_at_the_start_stops_the_process_in_order(tmp_path):
+    """The process was killed by the signal, as if it had crashed."""
+    path = tmp_path / "node.json"
+    os.mkfifo(path)
+    process = _start_daemon(path)
+    with open(path, "wb") as file:
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        file.write(_new_node_file(ports_module.find_free_ports(4)))
+    output, errors = process.communicate(timeout=20)
+    assert process.returncode == daemon.EXIT_OK, errors
+    assert b'"stopped"' in output
+    assert b'"started"' not in output
+
+
+def test_sigterm_between_start_and_handlers_is_a_stop():
+    async def check(nursery):
+        async def run(stop):
+            return stop.drain_requested.is_set()
+
+        for was_requested in (True, False):
+            code = await stop_module.run_until_stopped(
+                run, lambda is_early=was_requested: is_early
+            )
+            assert code is was_requested
+
+    fakes.run_with_mock_clock(check)
+
+
+def test_sigterm_that_is_repeated_until_the_exit_does_not_change_its_code(
+    tmp_path,
+):
+    path = tmp_path / "node.json"
+    path.write_bytes(_new_node_file(ports_module.find_free_ports(4)))
+    process = _start_daemon(path)
+    while b'"started"' not in process.stdout.readline():
+        assert process.poll() is None, process.stderr.read()
+    while process.poll() is None:
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.0005)
+    assert process.returncode == daemon.EXIT_OK, process.stderr.read()
+
+
 @pytest.mark.parametrize("signals", [0, 1])
 def test_settings_changed_while_starting_are_read_again(signals):
     adapter = FakeAdapter()
