Tell requests that crashed servers apart by more than their id

Cause: the evidence of crashes counted one request for each id, at each server and in sum. Of two requests with one id that broke off together, the second was not blamed; a part with which requests without an id, or with the same one, crashed server after server was never held, as it takes two requests. On the users' platform each attempt has its own id.

The suspect parts, which end with the identity of the request, count as well. Two cases of test_crash_evidence failed before; that copies of one request with one id hold no part is their control.

--- a/greengagetrack/process/direct/decisions/blame.py
+++ b/greengagetrack/process/direct/decisions/blame.py
@@ -91,12 +91,26 @@
     """
     if is_identity(part):
         return bool(crashes)
-    request_ids = {crashed.suspect.request_id for crashed in crashes}
-    if len(request_ids) < REQUESTS_MIN:
+    if _count_requests(crashes) < REQUESTS_MIN:
         return False
     return crashes[-1].crashed_s - crashes[0].crashed_s >= MOMENT_S
 
 
+def _count_requests(crashes):
+    """Return how many requests there are for certain.
+
+    Those with the same id are one, unless their identities differ.
+    """
+    identities_by_id = {}
+    for crashed in crashes:
+        suspect = crashed.suspect
+        identities = identities_by_id.setdefault(suspect.request_id, set())
+        identities.update(filter(is_identity, suspect.parts))
+    return sum(
+        max(len(identities), 1) for identities in identities_by_id.values()
+    )
+
+
 def new_blame_of_runner_up(part, crashed_requests, sound_s, runner_up_since_s):
     """Return the `Blame` against a part that was nearly held before.
 
--- a/greengagetrack/process/direct/decisions/crash_evidence.py
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -107,7 +107,9 @@
 
     def add_crashed(self, crashed):
         """Add a request that broke off, here or at another entry."""
-        key = (crashed.lifetime, crashed.suspect.request_id)
+        suspect = crashed.suspect
+        # Callers choose the ids, so two requests may have the same.
+        key = (crashed.lifetime, suspect.request_id, suspect.parts)
         if key in self._crashed_by_key:
             return []
         self._crashed_by_key[key] = crashed
--- a/tests/direct/decisions/test_crash_evidence.py
+++ b/tests/direct/decisions/test_crash_evidence.py
@@ -230,3 +230,27 @@
     assert len(evidence.get_holds()) <= crash_evidence.HOLDS_MAX
     longest = max(len(request.suspect.parts[0]) for request in crashed)
     assert longest <= crash_evidence.PART_ID_MAX_CHARS
+
+
+def test_requests_with_the_same_id_on_one_server_are_told_apart():
+    story = Story()
+    for now_s in (1.0, 2.0, 3.0):
+        request_id = f"r{now_s}"
+        story.crash(now_s, (FIRST,), (FIRST, HARMFUL), request_id=request_id)
+        story.answer(now_s + 0.5, FIRST, count=3)
+    assert story.get_held(3.0 + LATER_S) == {HARMFUL}
+
+
+@pytest.mark.parametrize(
+    ("identities", "held"),
+    [(("c1", "c2", "c3"), {HARMFUL}), (("c1", "c1", "c1"), set())],
+)
+def test_requests_without_an_id_are_told_apart_by_what_they_are(
+    identities, held
+):
+    story = Story()
+    for now_s, name in zip((1.0, 2.0, 3.0), identities, strict=True):
+        identity = blame.IDENTITY_PREFIX + name
+        story.crash(now_s, (HARMFUL, identity), request_id="same")
+        story.answer(now_s + 0.5, FIRST, identity, count=3)
+    assert story.get_held(3.0 + LATER_S) == held
