Agent mode: no order key of an organisation is that of another one

Cause: the text by which processes know an order joins service, organisation and key by bars, and names and keys may contain bars: the key 'b|k' of organisation 'a' was the key 'k' of organisation 'a|b'. The second of two such orders with the same body didn't run, and got the result of the other organisation's.

Bars in names are replaced by what no name has, in one function for entries and agents; the texts of other names stay as they were. While processes of both versions run, the keys of an organisation with a bar in its name may have two homes, so these should not be used then. Two cases of test_order_keys failed before; the state machine of orders passes.

--- a/greengagetrack/process/orders.py
+++ b/greengagetrack/process/orders.py
@@ -14,6 +14,7 @@
 
 from greengagetrack.connection import agent_messages
 from greengagetrack.connection import base
+from greengagetrack.request import order_key
 from greengagetrack.request import outcome
 from greengagetrack.request import ticket as ticket_module
 from greengagetrack.version import rendezvous
@@ -212,7 +213,9 @@
 
     def _get_key(self, submit):
         order = submit.order
-        return f"{submit.service}|{order.organisation}|{order.key}"
+        return order_key.get_order_key(
+            submit.service, order.organisation, order.key
+        )
 
     def is_in_start_window(self):
         """Return whether keys may be in use that predate this process."""
--- a/greengagetrack/request/pipeline.py
+++ b/greengagetrack/request/pipeline.py
@@ -8,6 +8,7 @@
 
 from greengagetrack.connection import agent_messages
 from greengagetrack.process import routing
+from greengagetrack.request import order_key
 from greengagetrack.request import outcome as outcome_module
 from greengagetrack.request import stage as stage_module
 from greengagetrack.request import ticket as ticket_module
@@ -201,7 +202,9 @@
 
     def _pin_key(self, task, request):
         service = task.stage.stage.service
-        key = f"{service}|{request.organisation}|{request.idempotency_key}"
+        key = order_key.get_order_key(
+            service, request.organisation, request.idempotency_key
+        )
         agent_name = rendezvous.get_first(
             key, self._vm_view.get_agents(service)
         )
