Send a request without an id over a connection of its own

Cause: the answer to a request that names no id bears none, or not its own, and over a used connection such an answer proves nothing: an order that ran, and a refusal with X-Not-Run, were both told 502 (a plain call was sent again). Only the first answer on a connection is known to be the request's own, with or without an id.

The pool passes used connections over for an empty id. test_request_without_an_id_is_answered_over_a_connection_of_its_own failed before, for both.

--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -49,7 +49,13 @@
         self._carried_digests = set()
 
     def has_carried(self, request_id):
-        """Return whether it may have carried this id."""
+        """Return whether it may have carried this id.
+
+        An empty one, of a caller that names none, is that of no request: the
+        response to it is told by nothing but being the first.
+        """
+        if request_id == b"":
+            return self.request_count > 0
         return hash(request_id) in self._carried_digests
 
     def record_request(self, request_id):
--- a/tests/direct/test_shared_names.py
+++ b/tests/direct/test_shared_names.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from greengagetrack.version import catalog
 from tests.direct import fakes
 from tests.direct import loopback
 from tests.direct import raw_entry
@@ -22,7 +23,8 @@
         async def serve(stream):
             number = 0
             while head := await loopback.read_until(stream, b"\r\n\r\n"):
-                request_id = head.partition(b"X-Request-Id: ")[2].split()[0]
+                value = head.partition(b"X-Request-Id:")[2]
+                request_id = value.partition(b"\r\n")[0].strip() or b"none"
                 await stream.send_all(answer(number, request_id))
                 number += 1
 
@@ -103,3 +105,26 @@
         assert statuses == [200, 200, 200]
 
     _run(check, _new_copier(b"later", 503, b"X-Not-Run: 1\r\n"))
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_request_without_an_id_is_answered_over_a_connection_of_its_own(
+    status,
+):
+    """Only the first answer on a connection is known to be its own."""
+    nameless = b"HTTP/1.1 %d Any\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    sound = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    def answer(_number, request_id):
+        if request_id != b"none":
+            return ANSWER % (200, request_id)
+        return sound if status == 200 else nameless % status
+
+    async def check(entry):
+        route = fakes.new_route(repeat=catalog.Repeat.UNSAFE, attempts_max=1)
+        for _request in range(2):
+            assert (await entry.ask(route, b"named")).status == 200
+            exchange = await entry.ask(route, b"")
+            assert exchange.status == status
+
+    _run(check, answer)
