Let the freshness lease follow the published bound for keys

Cause: the lease was the bound for withdrawn keys less a second, and the polls and the questions to peers followed other times, so that an entry whose bound is a second or less was never ready. The class: a duration written for one published bound.

The lease is four fifths of the bound now, which is the same for 5 s. What is in flight and the time of a suspension already count as age; the rest is for a source that shows a change a moment late and for clocks of unequal rates. The poll period follows the lease too, where that is shorter than the bound on changes, with a least period, and peers are asked more often after six tenths of the lease instead of after 2.4 s.

--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -13,8 +13,10 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import newest_version
 
-# The poll period as a fraction of the bound on applying a change.
+# The poll period as a fraction of the bound on applying a change, and of the
+# lease: a confirmation must come before the last one ends.
 POLL_PERIOD_RATIO = 0.44
+POLL_PERIOD_MIN_S = 0.1
 RETRY_S = 0.25
 # Between two polls out of turn.
 REFRESH_PERIOD_S = 0.4
@@ -27,11 +29,11 @@
     """A poller of one source that applies its updates."""
 
     __slots__ = (
-        "_directory",
+        "_bounds_changed",
         "_containment",
+        "_directory",
         "_is_source_behind",
         "_is_source_reachable",
-        "_change_bound_changed",
         "_poll_lock",
         "_poll_period_s",
         "_random",
@@ -51,8 +53,6 @@
     ):
         self._source = source
         self._containment = containment
-        self._change_bound_changed = trio.Event()
-        self.set_change_bound(change_bound_s)
         self._directory = directory
         self._random = generator
         self._is_source_behind = False
@@ -61,19 +61,24 @@
         # When the last poll was sent, and the last one that was answered.
         self._sent_s = self._read_s = -math.inf
         self.lease = lease
+        self._bounds_changed = trio.Event()
+        self.apply_bounds(change_bound_s)
         self.newest = newest_version.new_newest_version(lease)
         self.catalog = None
         self.revision = None
         self.era = 0
         self.catalog_changed = trio.Event()
 
-    def set_change_bound(self, change_bound_s):
-        """Set the bound on applying a change; the next poll comes at once."""
-        self._poll_period_s = change_bound_s * POLL_PERIOD_RATIO
-        event, self._change_bound_changed = (
-            self._change_bound_changed,
-            trio.Event(),
+    def apply_bounds(self, change_bound_s):
+        """Poll as the bounds on changes and keys need it, at once first.
+
+        The lease has the bound on keys.
+        """
+        bound_s = min(change_bound_s, self.lease.bound_s)
+        self._poll_period_s = max(
+            bound_s * POLL_PERIOD_RATIO, POLL_PERIOD_MIN_S
         )
+        event, self._bounds_changed = self._bounds_changed, trio.Event()
         event.set()
 
     def get_catalog(self):
@@ -95,7 +100,7 @@
             if is_answered:
                 pause_s = self._poll_period_s * self._random.uniform(0.85, 1.0)
                 with trio.move_on_after(pause_s):
-                    await self._change_bound_changed.wait()
+                    await self._bounds_changed.wait()
             else:
                 await trio.sleep(RETRY_S * self._random.uniform(0.8, 1.2))
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -28,7 +28,6 @@
 from greengagetrack.request import outcome
 from greengagetrack.version import catalog as catalog_module
 
-FRESHNESS_MARGIN_S = 1.0
 RETRY_AFTER_START_MS = 300
 RETRY_AFTER_STALE_MS = 500
 RETRY_AFTER_DRAINING_MS = 50
@@ -100,7 +99,7 @@
             nursery, self.containment, "background"
         )
         self.lease = freshness.new_freshness_lease(
-            _get_lease_bound_s(settings)
+            freshness.get_lease_s(settings.key_bound_s)
         )
         self.directory = directory_module.new_directory(
             lambda server: gateway.drop_connections(server.published)
@@ -190,8 +189,8 @@
     def apply_bounds(self, settings):
         """Apply the bounds of changed settings; other ones need a restart."""
         # No await: a request sees the old bounds or the new ones.
-        self.lease.bound_s = _get_lease_bound_s(settings)
-        self.catalog_watcher.set_change_bound(settings.change_bound_s)
+        self.lease.bound_s = freshness.get_lease_s(settings.key_bound_s)
+        self.catalog_watcher.apply_bounds(settings.change_bound_s)
         self._services.budgets.set_limits(
             settings.budget_ratio,
             settings.budget_slack,
@@ -353,10 +352,6 @@
         )
 
 
-def _get_lease_bound_s(settings):
-    return settings.key_bound_s - FRESHNESS_MARGIN_S
-
-
 def _new_draining_refusal(detail=""):
     return outcome.Refused(_Reason.DRAINING, detail, RETRY_AFTER_DRAINING_MS)
 
--- a/greengagetrack/process/direct/freshness.py
+++ b/greengagetrack/process/direct/freshness.py
@@ -7,6 +7,10 @@
 
 import time
 
+# The rest of the bound is for clocks that run at different rates and for a
+# source that shows a change a moment after it was accepted.
+LEASE_RATIO = 0.8
+
 
 def get_boot_time_s():
     """Return seconds on a clock that includes suspended time."""
@@ -52,6 +56,15 @@
         return age_s is not None and 0 <= age_s < self.bound_s
 
 
+def get_lease_s(key_bound_s):
+    """Return how long a confirmation counts if a bound must be kept.
+
+    A revoked key must be refused within `key_bound_s`. Each moment in
+    flight counts already, since a lease begins before its request is sent.
+    """
+    return key_bound_s * LEASE_RATIO
+
+
 def new_freshness_lease(bound_s, now_s=get_boot_time_s):
     """Return a lease without a confirmation."""
     return FreshnessLease(bound_s, now_s)
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -32,7 +32,8 @@
 PERIOD_FACTOR = 0.45
 CENTRE_DIGEST_STALE_S = 2.4
 RECENT_USE_S = 3.0
-LEASE_AGING_S = 2.4
+# The part of the lease after which a peer is asked in each round.
+LEASE_AGING_RATIO = 0.6
 REQUEST_TIMEOUT_S = 0.6
 MISSED_REPLIES_MAX = 3
 LINK_CHECK_S = 0.1
@@ -207,7 +208,8 @@
         if peer.last_contact_s is None:
             return self._round % REMOTE_ROUNDS == 0
         if self.members.is_local(peer):
-            is_aging = (self._lease.get_age_s() or 0.0) > LEASE_AGING_S
+            aging_s = self._lease.bound_s * LEASE_AGING_RATIO
+            is_aging = (self._lease.get_age_s() or 0.0) > aging_s
             return is_aging or since_s > LOCAL_PERIOD_S * PERIOD_FACTOR
         if since_s < LOCAL_PERIOD_S * REMOTE_ROUNDS * PERIOD_FACTOR:
             return False
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -115,7 +115,7 @@
             address,
             tuple(f"{name}:1" for name in self._site.names),
             {"a": "north"},
-            KEY_BOUND_S,
+            self._site.key_bound_s,
             0.2,
             80.0,
             10.0,
@@ -174,6 +174,7 @@
     """Three entries in one data centre and their store."""
 
     names = ("a-0", "a-1", "a-2")
+    key_bound_s = KEY_BOUND_S
 
     def __init__(self, nursery):
         super().__init__(centres=(), entries_per_centre=0)
--- a/tests/direct/test_reload.py
+++ b/tests/direct/test_reload.py
@@ -51,7 +51,7 @@
     ("sections", "read", "before", "after"),
     [
         (
-            {"bounds": {"revoke_ms": 3000}},
+            {"bounds": {"revoke_ms": 2500}},
             lambda entry: entry.lease.bound_s,
             4.0,
             2.0,
@@ -112,9 +112,11 @@
     """A poll that waits for the time of the last bound is no longer late."""
 
     async def check(site, nodes, nursery):
-        _change_file(
-            tmp_path, bounds={"drain_ms": 60000, "config_apply_ms": 60000}
+        # Polls follow the bound on keys as well.
+        long_ms = dict.fromkeys(
+            ("revoke_ms", "drain_ms", "config_apply_ms"), 60000
         )
+        _change_file(tmp_path, bounds=long_ms)
         await _reload()
         await trio.sleep(1.2)
         calls = site.store.calls
