Entries ask their peers which servers left

Cause: peers told each other the newest version, not who left. An entry that started while the store showed an older copy, or that had been cut off when servers left, took servers that leave or were removed for ready ones (DRAIN).

At a start, and in each new era of the store, an entry asks each peer of its data centre and those of the inquiry once; the reply names the servers that left in the last minute, as the peer saw or heard it. Who said that it leaves never comes back in that incarnation; a removal counts only against the first list of a later era, until the record is published again. Directory keeps all of this in Departures, which replaces its list of gone servers; what several entries know merges in any order. The field of the digest and that of its reply are appended, with defaults, so entries of earlier versions understand both.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -134,6 +134,20 @@
     was_leaving: bool
 
 
+class Departure(message_base.Message):
+    """A server that left, as an entry saw it `age_ms` ago.
+
+    With `is_leaving` it said so, and never comes back in this incarnation.
+    Otherwise its record was removed, at last in the given era of the source.
+    """
+
+    server_id: str
+    incarnation: numbers.Count
+    is_leaving: bool
+    era: numbers.Count
+    age_ms: _AgeMs
+
+
 class EntryDigest(message_base.Message, tag="entry_digest"):
     """The state of one entry in direct mode, as it sends it to another.
 
@@ -148,7 +162,8 @@
     that it doesn't hold, and `newest_era` the first era of the source in
     which it was there. `confirmed_era` is the era of the confirmation.
     `started_ms` tells the lives of the sender apart, `earlier_life` tells
-    a receiver that has just started of its last one.
+    a receiver that has just started of its last one. With `asks_departures`
+    the reply is to tell which servers left.
     """
 
     name: str
@@ -172,12 +187,17 @@
     confirmed_era: numbers.Count = 0
     started_ms: _Amount = 0
     earlier_life: EarlierLife | None = None
+    asks_departures: bool = False
 
 
 class EntryDigestReply(message_base.Message, tag="entry_heard"):
-    """The reply to a digest: the digest of the replying entry."""
+    """The reply to a digest: the digest of the replying entry.
+
+    `departures` has the servers that left lately, if the digest asked.
+    """
 
     digest: EntryDigest
+    departures: list[Departure] = []
 
 
 class AcquirePermit(message_base.Message, tag="acquire_permit"):
--- a/greengagetrack/connection/source.py
+++ b/greengagetrack/connection/source.py
@@ -7,6 +7,9 @@
 from greengagetrack.connection import gateway
 from greengagetrack.version import catalog as catalog_module
 
+# That of a source that never came back from a copy: it rises each time.
+FIRST_ERA = 0
+
 
 class Unreachable(msgspec.Struct, frozen=True):
     """A request to the source without a usable answer."""
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -13,12 +13,13 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection import source
+from greengagetrack.process.direct import departures as departures_module
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
 from greengagetrack.process.direct import version_history
 
 REMOVAL_GRACE_S = 2.3
-GONE_SERVERS_MAX = 2000
 ANNOUNCED_PARTS_MAX = 256
 ANNOUNCED_TOKENS_MIN = 500
 ANNOUNCE_INTERVAL_S = 2.0
@@ -51,19 +52,24 @@
     """All known servers, by id and by service."""
 
     __slots__ = (
-        "_gone_by_id",
+        "_copied_ids",
+        "_era",
         "_on_removed",
         "_removal_grace_until_s",
         "_servers_by_service",
         "announced_parts",
         "changed",
+        "departures",
         "server_by_id",
         "versions",
     )
 
     def __init__(self, on_removed):
         self._on_removed = on_removed
-        self._gone_by_id = {}
+        # Those in the first list of an era, and not published since then.
+        self._copied_ids = set()
+        self._era = source.FIRST_ERA - 1
+        self.departures = departures_module.new_departures()
         self.server_by_id = {}
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
@@ -180,8 +186,10 @@
         Servers that are gone by then may be in it; those that live publish
         their records again.
         """
+        is_first = update.is_complete and update.era > self._era
+        self._record_source(update, is_first)
         for published in update.servers:
-            if not self._is_gone(published, is_restored):
+            if not self._is_gone(published, is_first, is_restored):
                 self._apply_server(published)
         for server_id in update.removed:
             self._apply_removal(server_id)
@@ -198,14 +206,39 @@
         event, self.changed = self.changed, trio.Event()
         event.set()
 
-    def _is_gone(self, published, is_restored):
-        """Return whether a record is of a server that has left before."""
-        gone = self._gone_by_id.get(published.server_id)
-        if gone is None or gone.incarnation != published.incarnation:
+    def _record_source(self, update, is_first):
+        """Record the era, and which records may be of an older copy."""
+        ids = {published.server_id for published in update.servers}
+        if is_first:
+            self._copied_ids = ids
+        elif not update.is_complete:
+            self._copied_ids -= ids
+        if is_first and update.era > source.FIRST_ERA:
+            self.departures.ask_peers()
+        self._era = max(self._era, update.era)
+
+    def _is_gone(self, published, is_first, is_restored):
+        """Return whether a record is of a server that was removed before.
+
+        One that said that it leaves is kept as such.
+        """
+        server_id, incarnation = published.server_id, published.incarnation
+        gone = self.departures.get(server_id, incarnation)
+        if gone is None or gone.is_leaving:
+            return False
+        if self.get_same(server_id, incarnation) is not None:
             return False
-        return is_restored or gone.is_leaving
+        return is_restored or (is_first and gone.era < self._era)
 
     def _apply_server(self, published):
+        gone = self.departures.get(published.server_id, published.incarnation)
+        if gone is not None and gone.is_leaving:
+            # A server that leaves never comes back in the same incarnation.
+            published = _to_leaving(published)
+        elif published.is_leaving:
+            self._record_departure(published)
+        elif gone is not None:
+            self.departures.forget(published.server_id, published.incarnation)
         server = self.server_by_id.get(published.server_id)
         if (
             server is None
@@ -216,8 +249,8 @@
             )
             self._log_change("server added", published)
             return
-        if server.published.is_leaving and not published.is_leaving:
-            # A server that leaves never comes back in the same incarnation.
+        if server.published.is_leaving:
+            # The record of its departure may be forgotten by now.
             published = _to_leaving(published)
         if server.published.is_leaving != published.is_leaving:
             self._log_change("server state changed", published)
@@ -242,16 +275,40 @@
                 server.removal_due_s is not None
                 and server.removal_due_s <= now
             ):
-                del self.server_by_id[server_id]
-                self._record_gone(server)
-                self._on_removed(server)
-                self._log_change("server removed", server.published)
+                self._record_departure(server.published)
+                self._remove(server)
+
+    def _remove(self, server):
+        del self.server_by_id[server.server_id]
+        self._on_removed(server)
+        self._log_change("server removed", server.published)
+
+    def _record_departure(self, published):
+        self.departures.record(
+            departures_module.new_departure(published, self._era)
+        )
+
+    def apply_departures(self, messages):
+        """Apply what a peer tells of servers that left."""
+        for message in messages[: departures_module.TOLD_MAX]:
+            self._apply_departure(departures_module.from_message(message))
+        self._index_by_service()
+
+    def _apply_departure(self, departure):
+        server = self.get_same(departure.server_id, departure.incarnation)
+        if server is None or departure.is_leaving:
+            self.departures.record(departure)
+        if server is None:
+            return
+        if departure.is_leaving:
+            self.record_leaving(server.published)
+        elif self._is_copied(server) and departure.era < self._era:
+            self.departures.record(departure)
+            self._remove(server)
 
-    def _record_gone(self, server):
-        self._gone_by_id.pop(server.server_id, None)
-        self._gone_by_id[server.server_id] = server.published
-        while len(self._gone_by_id) > GONE_SERVERS_MAX:
-            self._gone_by_id.pop(next(iter(self._gone_by_id)))
+    def _is_copied(self, server):
+        """Return whether the record of a server may be of an older copy."""
+        return server.server_id in self._copied_ids
 
     def doubt_all(self):
         """Record that any server may have started again unnoticed."""
@@ -282,6 +339,7 @@
         server = self._get_same(published)
         if server is not None and not server.published.is_leaving:
             server.published = _to_leaving(server.published)
+            self._record_departure(server.published)
             self._log_change("server says it leaves", server.published)
 
     def record_pause(self, published, pause_s):
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -36,7 +36,9 @@
     when the last exchange of digests with it ended, and `last_used_s` when it
     last made pieces for this entry. `last_sent_part` is the number of the
     last announced prompt part that was sent to it. `is_informed` says that
-    its last digest had a recent confirmation of its catalog.
+    its last digest had a recent confirmation of its catalog. `told_sent_s` is
+    when it was sent the last question, which it answered, for servers that
+    left.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "missed_replies",
         "name",
         "peers_known",
+        "told_sent_s",
         "was_lost",
         "weight",
     )
@@ -73,6 +76,7 @@
         self.peers_known = 0
         self.centres_sent_s = -math.inf
         self.last_sent_part = 0
+        self.told_sent_s = None
 
     def is_alive(self, is_local):
         """Return whether the peer had recent contact and is not leaving."""
--- a/greengagetrack/process/direct/newest_version.py
+++ b/greengagetrack/process/direct/newest_version.py
@@ -11,8 +11,7 @@
 
 import trio
 
-# That of a source that never came back from a copy: it rises each time.
-FIRST_ERA = 0
+from greengagetrack.connection import source
 
 _log = logging.getLogger(__name__)
 
@@ -58,7 +57,7 @@
 
     def is_word_certain(self):
         """Return whether a word has come from a source never restored."""
-        return self._word is not None and self._word[1] == FIRST_ERA
+        return self._word is not None and self._word[1] == source.FIRST_ERA
 
     def end_asking(self):
         """Take the last word that came meanwhile."""
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -133,6 +133,8 @@
         self._lives.record(digest)
         # A peer that was unknown so far needs all addresses in the reply.
         reply = direct_messages.EntryDigestReply(self._new_digest(peer))
+        if digest.asks_departures:
+            reply.departures = self._directory.departures.new_messages()
         peer.last_exchange_s = trio.current_time()
         return reply
 
@@ -208,6 +210,8 @@
         if peer.last_contact_s is None:
             return self._round % REMOTE_ROUNDS == 0
         if self.members.is_local(peer):
+            if self._directory.departures.is_open(peer.told_sent_s):
+                return True
             aging_s = self._lease.bound_s * LEASE_AGING_RATIO
             is_aging = (self._lease.get_age_s() or 0.0) > aging_s
             return is_aging or since_s > LOCAL_PERIOD_S * PERIOD_FACTOR
@@ -240,13 +244,21 @@
 
     async def _exchange(self, peer):
         sent_s = self._lease.now_s()
+        asked_s = trio.current_time()
         link = self._links.get_link(peer.address)
-        reply = await link.request(self._new_digest(peer), REQUEST_TIMEOUT_S)
+        digest = self._new_digest(peer)
+        digest.asks_departures = self._directory.departures.is_open(
+            peer.told_sent_s
+        )
+        reply = await link.request(digest, REQUEST_TIMEOUT_S)
         if not isinstance(reply, direct_messages.EntryDigestReply):
             self._count_missed_reply(peer)
             return
         peer.missed_replies = 0
         peer.last_exchange_s = trio.current_time()
+        if digest.asks_departures:
+            peer.told_sent_s = asked_s
+            self._directory.apply_departures(reply.departures)
         if self._digests.apply(reply.digest) is not None:
             self._lives.record(reply.digest)
         self._open_links()
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -54,6 +54,13 @@
         self.revision = 1
         self.catalog = BEFORE
 
+    def list_servers(self, revision):
+        """Return the servers published and the ids removed after a revision.
+
+        With None, return all servers.
+        """
+        return (fakes.new_server("s1"),), ()
+
 
 class StoreSource(source_module.Source):
     """The store as one entry reads it."""
@@ -64,28 +71,30 @@
 
     async def list_all(self):
         """Return all that there is."""
-        return await self._answer(True)
+        return await self._answer(None)
 
     async def list_changes(self, revision):
         """Return all that there is, as changes."""
-        return await self._answer(False)
+        return await self._answer(revision)
 
     async def list_history(self, revision):
         """Return no history."""
         return source_module.HistoryLost()
 
-    async def _answer(self, is_complete):
+    async def _answer(self, after):
         await trio.sleep(0.01)
         if self._store.is_standing:
             await trio.sleep(CALL_TIMEOUT_S)
             return source_module.Unreachable("no answer in time")
         if self._name in self._store.turned_away:
             return source_module.Unreachable("503")
+        servers, removed = self._store.list_servers(after)
         return source_module.Update(
             self._store.revision,
             self._store.catalog,
-            (fakes.new_server("s1"),),
-            is_complete=is_complete,
+            servers,
+            removed,
+            is_complete=after is None,
             era=self._store.era,
         )
 
@@ -304,7 +313,7 @@
 
     async def check(nursery):
         site = Site(nursery)
-        site.store.era = newest_version.FIRST_ERA
+        site.store.era = source_module.FIRST_ERA
         site.start_all()
         await trio.sleep(4.0)
         for node in site.nodes:
