Split streams into events in turns, and line ends without events at once

Cause: each empty event became an object and went through the relay by itself, each line of an event was copied to look for its id, and all events of a part were relayed before anything else ran.

--- a/greengagetrack/connection/http/client/turns.py
+++ b/greengagetrack/connection/http/client/turns.py
@@ -1,18 +1,19 @@
 """Turns of connections that have much to parse.
 
-A chunk of one byte costs as much as one of many kilobytes. Connections with
-many chunks at hand take turns, so that all of them together leave most of
-the processor time to the others.
+A chunk of one byte costs as much as one of many kilobytes, and so does an
+event. Connections with many of them at hand take turns, so that all of them
+together leave most of the processor time to the others.
 """
 
 import trio
 
 CHUNKS_PER_TURN = 64
+EVENTS_PER_TURN = 256
 TURN_PAUSE_S = 0.004
 
 
 class Turns:
-    """The turns of all connections of a pool, in the order they ask."""
+    """The turns of several connections, in the order they ask."""
 
     __slots__ = ("_lock",)
 
@@ -20,11 +21,11 @@
         self._lock = trio.Lock()
 
     async def wait(self):
-        """Wait until it is this connection's turn to parse more chunks."""
+        """Wait until it is this connection's turn to parse more."""
         async with self._lock:
             await trio.sleep(TURN_PAUSE_S)
 
 
 def new_turns():
-    """Return the turns of a pool without waiting connections."""
+    """Return the turns of connections of which none waits."""
     return Turns()
--- a/greengagetrack/request/direct/answer_handler.py
+++ b/greengagetrack/request/direct/answer_handler.py
@@ -69,7 +69,9 @@
         self._patience = patience
         self._is_retry_available = is_retry_available
         self._answering = None
-        self.relay = event_relay.new_event_relay(reply, self._begin_stream)
+        self.relay = event_relay.new_event_relay(
+            reply, self._begin_stream, services.event_turns
+        )
 
     async def handle(self, attempt, answer):
         """Return `Relayed`, `Cut`, `RetryPreferred` or a `gateway.Failure`."""
--- a/greengagetrack/request/direct/event_relay.py
+++ b/greengagetrack/request/direct/event_relay.py
@@ -4,6 +4,7 @@
 
 from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http.client import turns as turns_module
 from greengagetrack.connection.http import events
 from greengagetrack.request import outcome
 
@@ -34,6 +35,7 @@
         "_reply",
         "_reply_framing",
         "_splitter",
+        "_turns",
         "first_event_s",
         "is_resumable",
         "last_event",
@@ -41,9 +43,10 @@
         "progress_s",
     )
 
-    def __init__(self, reply, on_begin):
+    def __init__(self, reply, on_begin, turns):
         self._reply = reply
         self._on_begin = on_begin
+        self._turns = turns
         self._framing = None
         self._is_join_open = False
         self._reply_framing = None
@@ -74,14 +77,24 @@
         """
         if self.first_event_s is None:
             self.first_event_s = trio.current_time()
-        forwarded, problem = self._check(self._splitter.feed(data))
+        problem = await self._feed_turn(data)
+        while problem is None and self._splitter.has_more:
+            await self._turns.wait()
+            problem = await self._feed_turn(b"")
+        if problem is None and self._splitter.is_too_long():
+            problem = _new_problem("event exceeds the size limit")
+        return problem
+
+    async def _feed_turn(self, data):
+        """Send those events of one turn that are in sequence."""
+        forwarded, problem = self._check(
+            self._splitter.feed(data, turns_module.EVENTS_PER_TURN)
+        )
         if forwarded:
             if self._last_sent_s is None:
                 self._on_begin()
             await self._reply.send_part(b"".join(forwarded))
             self._record_sent()
-        if problem is None and self._splitter.is_too_long():
-            problem = _new_problem("event exceeds the size limit")
         return problem
 
     def _record_sent(self):
@@ -157,6 +170,9 @@
     return gateway.Failure(_Reason.BACKEND_FAILED, _Ran.UNKNOWN, detail)
 
 
-def new_event_relay(reply, on_begin):
-    """Return the relay of a stream of which nothing was sent yet."""
-    return EventRelay(reply, on_begin)
+def new_event_relay(reply, on_begin, turns):
+    """Return the relay of a stream of which nothing was sent yet.
+
+    `turns` are those of all streams of the process.
+    """
+    return EventRelay(reply, on_begin, turns)
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -10,6 +10,7 @@
 import trio
 
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http.client import turns
 from greengagetrack.request.direct import abandonment
 from greengagetrack.request.direct import answer_handler
 from greengagetrack.request.direct import attempt as attempt_module
@@ -48,6 +49,7 @@
     lifetime_checks: object
     durations: object
     held_bytes: object
+    event_turns: object = msgspec.field(default_factory=turns.new_turns)
 
 
 class DirectRun:
