Let HEAD and other requests share no connection

Cause: an answer to HEAD has the length of a body and no body, which only its request tells. A copy of it that came where another request was under way took the head of that one's answer for its body, and the body for an answer; the other way round, the body of a copy was read as an answer. If such a body was a refusal in the form of an answer, it was believed.

HEAD requests have a lane of their own. test_copy_of_an_answer_is_read_as_long_as_it_is failed before, both ways.

--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -126,6 +126,15 @@
     return fields.get_value(request.headers, name) is not None
 
 
+def _get_lane(request):
+    """Return the lane of the connection of a request.
+
+    An answer to HEAD has the length of a body, and none. If it comes once
+    more, it is read as one to the request that is under way by then.
+    """
+    return request.method if request.method == b"HEAD" else b""
+
+
 def _get_connection_use(call):
     return gateway.ConnectionUse(call.connection_number, call.request_number)
 
@@ -215,6 +224,7 @@
             head,
             request.body,
             needs_fresh_connection=request.needs_fresh_connection,
+            lane=_get_lane(request),
             request_id=request.request_id,
             check=request.check,
         )
--- a/tests/direct/test_late_copies.py
+++ b/tests/direct/test_late_copies.py
@@ -281,6 +281,43 @@
     _run(check, _new_copier(is_echoing=False))
 
 
+@pytest.mark.parametrize("methods", [(b"HEAD", b"GET"), (b"GET", b"HEAD")])
+def test_copy_of_an_answer_is_read_as_long_as_it_is(methods):
+    """The head of an answer was read as the body of a copy, or its reverse.
+
+    An answer to HEAD has the length of a body, and none.
+    """
+    fields = b"X-Request-Id: %s\r\n"
+    body = HEAD % (BUSY, fields % b"r1" + b"X-Not-Run: 1\r\n", 0)
+    own_head = HEAD % (OK, fields % b"r1", len(body))
+    copy = HEAD % (OK, fields % b"r0", len(own_head))
+    if methods[0] == b"GET":
+        copy = HEAD % (OK, fields % b"r0", len(body)) + body
+
+    def answer(number, request):
+        first = copy if b"r0" in request or number else b""
+        is_last = b"r1" in request
+        own = own_head if request.startswith(b"HEAD") else own_head + body
+        return first + own if is_last else first
+
+    async def check(gateway, server, _pool):
+        for number, method in enumerate(methods):
+            request_id = b"r%d" % number
+            headers = [(b"Host", b"h"), (b"X-Request-Id", request_id)]
+            answered = await gateway.open_answer(
+                server,
+                gateway_module.ServerRequest(
+                    request_id, method, b"/", headers, b"", 500
+                ),
+            )
+            assert answered.status == 200
+            while await answered.receive_part():
+                pass
+            answered.finish()
+
+    _run(check, answer)
+
+
 def test_a_late_copy_of_a_report_answers_no_request():
     report = _new_response(b'{"born":7}').replace(
         b"Content-Length", b"Content-Type: application/json\r\nContent-Length"
