Stop with a short grace once the last answers have ended

Cause: callers have 2.6 s to see that an entry is not ready, which a grace of 2 s doesn't have.

The wait for callers ends with the last answers. Then the entry stops listening, writes the answers in hand and exits. Exit code 3 and 'drained' are for requests whose callers got no outcome; a stream that was cut at the end of the grace has one, as test_planned_stops demands already. 'stopped' says how many requests were in hand.

--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -113,12 +113,20 @@
         nursery.start_soon(_reload_on_sighup, adapter, entry)
         task_status.started(entry)
         await stop.drain_requested.wait()
-        is_drained = await _drain(
+        requests = await _drain(
             entry, caller_server, adapter.get_grace_s(), stop
         )
         links.close()
         nursery.cancel_scope.cancel()
-    _log.info("stopped", extra={"decision": "stop", "drained": is_drained})
+    is_drained = not requests
+    _log.info(
+        "stopped",
+        extra={
+            "decision": "stop",
+            "drained": is_drained,
+            "requests": requests,
+        },
+    )
     return EXIT_OK if is_drained else EXIT_DRAIN_INCOMPLETE
 
 
@@ -190,11 +198,12 @@
 
 
 async def _drain(entry, caller_server, grace_s, stop):
-    """Drain the entry; return whether all requests ended.
+    """Drain the entry; return the number of requests that are in hand.
 
     New requests arrive until callers have seen that the entry is not
     ready. They are served, and their connections are closed afterwards.
-    Every request is answered before the process ends.
+    Every request is answered before the process ends. One that is ended
+    before, with whatever outcome, is not in hand.
     """
     plan = drain_plan.new_drain_plan(trio.current_time(), grace_s)
     entry.start_draining(plan)
@@ -208,4 +217,4 @@
         while caller_server.in_progress and not stop.exit_requested.is_set():
             await trio.sleep(DRAIN_CHECK_S)
     caller_server.is_closing = True
-    return caller_server.in_progress == 0
+    return caller_server.in_progress
--- a/greengagetrack/process/direct/decisions/drain_plan.py
+++ b/greengagetrack/process/direct/decisions/drain_plan.py
@@ -49,10 +49,13 @@
     """
     kill_s = signal_s + grace_s
     answer_margin_s = min(ANSWER_MARGIN_MAX_S, grace_s * ANSWER_MARGIN_SHARE)
+    answer_until_s = kill_s - answer_margin_s
     exit_margin_s = min(EXIT_MARGIN_MAX_S, grace_s * EXIT_MARGIN_SHARE)
     return DrainPlan(
         refuse_from_s=signal_s + ACCEPT_MAX_S,
-        idle_exit_s=signal_s + DEREGISTRATION_S,
-        answer_until_s=kill_s - answer_margin_s,
+        # With a short grace, callers that have not seen it yet are refused
+        # until all answers have ended, and no connection is taken after it.
+        idle_exit_s=min(signal_s + DEREGISTRATION_S, answer_until_s),
+        answer_until_s=answer_until_s,
         exit_by_s=kill_s - exit_margin_s,
     )
--- a/tests/direct/test_planned_stop.py
+++ b/tests/direct/test_planned_stop.py
@@ -1,9 +1,11 @@
 """A planned stop: what is taken ends whole, or is refused at once."""
 
+import pytest
 import trio
 
 from bench.standins import site as site_module
 from greengagetrack.process.direct import daemon
+from tests.direct import test_reload
 from tests.direct import test_site
 
 # That of the stand-in's node files.
@@ -56,7 +58,10 @@
     test_site.run_with_nodes(tmp_path, check)
 
 
-def test_callers_that_are_refused_and_come_back_do_not_hold_the_exit(tmp_path):
+@pytest.mark.parametrize("grace_s", [GRACE_S, 2.0])
+def test_callers_that_are_refused_and_come_back_do_not_hold_the_exit(
+    tmp_path, grace_s
+):
     """The exit came late, with the code of a drain that is incomplete."""
 
     async def check(site, nodes, nursery):
@@ -65,6 +70,8 @@
             while nodes[0].exit_code is None:
                 await consumer.send("/open/1", b"c%d" % number, key="")
 
+        test_reload.change_file(tmp_path, bounds={"grace_s": grace_s})
+        await test_reload.reload()
         async with trio.open_nursery() as callers:
             for number in range(16):
                 callers.start_soon(come_back, number)
@@ -72,6 +79,7 @@
             nodes[0].stop.request()
             await _wait_for_exit(nodes[0])
         assert nodes[0].exit_code == daemon.EXIT_OK
-        assert trio.current_time() - stopped_s < LAST_PART_S
+        exit_max_s = LAST_PART_S if grace_s == GRACE_S else grace_s
+        assert trio.current_time() - stopped_s < exit_max_s
 
     test_site.run_with_nodes(tmp_path, check)
--- a/tests/direct/test_reload.py
+++ b/tests/direct/test_reload.py
@@ -16,7 +16,7 @@
 WAIT_S = 0.3
 
 
-def _change_file(tmp_path, **sections):
+def change_file(tmp_path, **sections):
     """Change sections of the node file in place."""
     path = tmp_path / "node-0.json"
     node_file = json.loads(path.read_text())
@@ -27,7 +27,8 @@
     path.write_text(json.dumps(node_file))
 
 
-async def _reload():
+async def reload():
+    """Let the process read its node file again."""
     os.kill(os.getpid(), signal.SIGHUP)
     await trio.sleep(WAIT_S)
 
@@ -87,8 +88,8 @@
 ):
     async def check(site, nodes, nursery):
         assert read(nodes[0].entry) == before
-        _change_file(tmp_path, **sections)
-        await _reload()
+        change_file(tmp_path, **sections)
+        await reload()
         assert read(nodes[0].entry) == after
 
     test_site.run_with_nodes(tmp_path, check)
@@ -100,8 +101,8 @@
         assert not _can_retry_each(entry)
         budget = entry._services.budgets.get("svc")
         assert not budget.is_available()
-        _change_file(tmp_path, bounds={"budget_window_s": 0.1})
-        await _reload()
+        change_file(tmp_path, bounds={"budget_window_s": 0.1})
+        await reload()
         assert budget.is_available()
 
     test_site.run_with_nodes(tmp_path, check)
@@ -116,14 +117,14 @@
         long_ms = dict.fromkeys(
             ("revoke_ms", "drain_ms", "config_apply_ms"), 60000
         )
-        _change_file(tmp_path, bounds=long_ms)
-        await _reload()
+        change_file(tmp_path, bounds=long_ms)
+        await reload()
         await trio.sleep(1.2)
         calls = site.store.calls
         await trio.sleep(1.2)
         assert site.store.calls == calls
-        _change_file(tmp_path, bounds={name: 500})
-        await _reload()
+        change_file(tmp_path, bounds={name: 500})
+        await reload()
         await trio.sleep(0.5)
         assert site.store.calls > calls + 1
 
@@ -143,14 +144,14 @@
 
     async def check(site, nodes, nursery):
         seeds = ["127.0.0.1:1"]
-        _change_file(tmp_path, seeds=seeds, bounds={"revoke_ms": 3000})
-        await _reload()
+        change_file(tmp_path, seeds=seeds, bounds={"revoke_ms": 3000})
+        await reload()
         record = _get_reloads(caplog)[-1]
         assert (record.levelname, record.outcome) == ("WARNING", "changed")
         assert record.changed == ("bounds.revoke_ms",)
         assert record.needs_restart == ("seeds",)
         # It still does.
-        await _reload()
+        await reload()
         record = _get_reloads(caplog)[-1]
         assert (record.levelname, record.outcome) == ("WARNING", "unchanged")
         assert record.needs_restart == ("seeds",)
@@ -163,7 +164,7 @@
 
     async def check(site, nodes, nursery):
         entry = nodes[0].entry
-        _change_file(
+        change_file(
             tmp_path,
             bounds={
                 "revoke_ms": 3000,
@@ -171,7 +172,7 @@
                 "budget_ratio": -1,
             },
         )
-        await _reload()
+        await reload()
         record = _get_reloads(caplog)[-1]
         assert (record.levelname, record.outcome) == ("ERROR", "failed")
         assert "node-0.json" in record.detail
