End an answer that comes at the moment in which its request ends

Cause: a call that can be given up runs beside the task that gives it up. If the deadline passed, or the caller left, between the head of the answer and the end of that task, the answer was lost unfinished: its connection stayed open and counted until it was collected as garbage, and the server went on for nobody. Deadlines and the answers at them come together.

The answer is finished then. test_answer_that_comes_as_the_request_ends_is_ended failed before; its answer comes at that moment by construction. How often it happens on real processes was not measured.

--- a/greengagetrack/request/direct/patience.py
+++ b/greengagetrack/request/direct/patience.py
@@ -49,11 +49,18 @@
             return await open_answer()
         answer = new_silence("no answer in time")
         end_s = trio.current_time() + self._get_answer_s()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._give_up, end_s, nursery.cancel_scope)
-            answer = await open_answer()
-            nursery.cancel_scope.cancel()
-        return answer
+        is_kept = False
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._give_up, end_s, nursery.cancel_scope)
+                answer = await open_answer()
+                nursery.cancel_scope.cancel()
+            is_kept = True
+            return answer
+        finally:
+            if not is_kept and isinstance(answer, gateway.Answer):
+                # The request may end at the moment in which its answer comes.
+                answer.finish()
 
     def _get_answer_s(self):
         return max(ANSWER_MIN_S, self._route.target_ms / 1000)
--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.request.direct import outcome as direct_outcome
+from greengagetrack.request.direct import patience as patience_module
 from greengagetrack.request import outcome as outcome_module
 from greengagetrack.version import catalog
 from tests.direct import fakes
@@ -118,6 +119,28 @@
     _play(check, [ONE], (PAUSE_S, _new_answer(1)))
 
 
+def test_answer_that_comes_as_the_request_ends_is_ended():
+    """It was lost, and its connection stayed open."""
+    answer = fakes.ScriptedAnswer()
+
+    async def main(nursery):
+        entry = fakes.FakeEntry(nursery, fakes.FakeGateway(), [ONE])
+        with trio.CancelScope() as scope:
+
+            async def open_answer():
+                await trio.lowlevel.checkpoint()
+                scope.cancel()
+                return answer
+
+            patience = patience_module.Patience(
+                entry.admit(SAFE), lambda: False
+            )
+            await patience.wait_for_answer(open_answer)
+        assert answer.is_finished
+
+    fakes.run_with_mock_clock(main)
+
+
 @pytest.mark.parametrize("attempts_max", [1, 2])
 def test_last_attempt_is_not_given_up(attempts_max):
     """There are other servers, but no attempt is left for them."""
