A rejection by the HTTP server names its request

Cause: 408, 413 and 400 are answered before the handler is called, and only the handler read the request id. So such an answer had a line without an id even where the head, with X-Request-Id, had been read; and an error in the reading of a request was logged without its id as well. Change: the server reads the id field, which the adapter names, with the head. A head that can't be read still has none. The line is a warning, as the line of any other refusal of an admitted request.

The five cases of the new test of the server failed before and pass now.

No decision about a request changes.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -61,6 +61,7 @@
         "_exchange",
         "_has_caller_left",
         "_is_body_ended_by_close",
+        "_request_id",
         "_server",
         "_stream",
         "protocol",
@@ -73,6 +74,8 @@
         self._exchange = None
         self._has_caller_left = False
         self._is_body_ended_by_close = False
+        # Of the request whose head was read last, for logs.
+        self._request_id = ""
         self.protocol = self._new_protocol()
         self.request_count = 0
 
@@ -173,11 +176,13 @@
     async def _serve_next(self):
         """Serve one request; return None if the connection is reusable."""
         self._exchange = None
+        self._request_id = ""
         request = await self._read_head()
         if isinstance(request, _CloseReason):
             return request
         body = await self._read_body()
         exchange = exchange_module.Exchange(self, request, body)
+        exchange.request_id = self._request_id
         self._exchange = exchange
         self.request_count += 1
         self._server.in_progress += 1
@@ -268,6 +273,7 @@
             raise _RequestError(408)
         if not isinstance(event, h11.Request):
             return _CloseReason.CALLER_CLOSED
+        self._request_id = self._server.read_request_id(event.headers)
         self._check_head(event, limits)
         return event
 
@@ -349,9 +355,13 @@
                 )
 
     async def _reject(self, status):
-        _log.info(
+        _log.warning(
             "request rejected by the HTTP server",
-            extra={"decision": "refuse", "status": status},
+            extra={
+                "decision": "refuse",
+                "request": self._request_id,
+                "status": status,
+            },
         )
         await self._send_error_response(status)
 
@@ -386,6 +396,7 @@
     __slots__ = (
         "_address",
         "_listening",
+        "_request_id_field",
         "get_limits",
         "handle",
         "in_progress",
@@ -394,9 +405,12 @@
         "observer",
     )
 
-    def __init__(self, address, handle, get_limits, observer):
+    def __init__(
+        self, address, handle, get_limits, observer, request_id_field
+    ):
         self._address = address
         self._listening = trio.CancelScope()
+        self._request_id_field = request_id_field
         self.handle = handle
         self.observer = observer
         self.get_limits = get_limits
@@ -419,6 +433,11 @@
                     task_status=task_status,
                 )
 
+    def read_request_id(self, headers):
+        """Return the request id of a head as text, empty without one."""
+        value = fields.get_value(headers, self._request_id_field, b"")
+        return value.decode("latin-1")
+
     def stop_listening(self):
         """Refuse new connections; those that are open are served on."""
         self._listening.cancel()
@@ -431,12 +450,20 @@
             stream.socket.close()
 
 
-def new_server(address, handle, get_limits, observer=None):
+def new_server(
+    address, handle, get_limits, observer=None, request_id_field=b""
+):
     """Return a server that awaits `handle` for each `Exchange`.
 
     `get_limits()` returns the `catalog.CallerLimits` in force. `observer` is
     the `ConnectionObserver`; without one, losses are only logged.
+    `request_id_field` is the field, in lowercase, whose value names a
+    request in logs before its handler is called.
     """
     return Server(
-        address, handle, get_limits, observer or closing.LoggingObserver()
+        address,
+        handle,
+        get_limits,
+        observer or closing.LoggingObserver(),
+        request_id_field,
     )
--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -67,6 +67,10 @@
         """Return the `Gateway` to the platform's engines."""
         return engines.new_engine_gateway(connection_pool)
 
+    def get_request_id_field(self):
+        """Return the field, in lowercase, that names a caller's request."""
+        return names.REQUEST_ID.lower()
+
     async def serve_exchange(self, entry, exchange):
         """Serve one HTTP exchange of a caller."""
         await callers.serve_exchange(entry, exchange)
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -66,6 +66,10 @@
     def new_gateway(self, connection_pool):
         """Return the `Gateway` to backend servers."""
 
+    @abc.abstractmethod
+    def get_request_id_field(self):
+        """Return the field, in lowercase, that names a caller's request."""
+
     @abc.abstractmethod
     async def serve_exchange(self, entry, exchange):
         """Serve one HTTP exchange of a caller."""
@@ -137,6 +141,7 @@
         lambda exchange: adapter.serve_exchange(entry, exchange),
         entry.get_limits,
         entry.metrics,
+        adapter.get_request_id_field(),
     )
     readiness_server = server_module.new_server(
         adapter.get_readiness_address(),
--- a/tests/direct/test_http_server.py
+++ b/tests/direct/test_http_server.py
@@ -1,5 +1,6 @@
 """Parsing of callers' requests, responses, disconnects and timeouts."""
 
+import logging
 import socket
 import tracemalloc
 
@@ -44,7 +45,10 @@
         async with trio.open_nursery() as nursery:
             handler = _RecordingHandler(answer)
             server = server_module.new_server(
-                "", handler.handle, lambda: LIMITS
+                "",
+                handler.handle,
+                lambda: LIMITS,
+                request_id_field=b"x-request-id",
             )
             address = await loopback.start_raw_server(
                 nursery, server.serve_connection
@@ -123,6 +127,54 @@
     _run(check)
 
 
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nX-Request-Id: q2\r\nHost: h\r\n"
+            b"Content-Length: 6000\r\n\r\n",
+            413,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nX-Request-Id: q2\r\nHost: h\r\n"
+            b"Content-Length: 5\r\n\r\nab",
+            408,
+        ),
+        (
+            b"GET http://h/ HTTP/1.1\r\nX-Request-Id: q2\r\nHost: h\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nX-Request-Id: q2\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nno size\r\n",
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: half", 408),
+    ],
+)
+def test_rejection_names_its_request_and_no_earlier_one(sent, status, caplog):
+    first = b"GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\n\r\n"
+
+    async def check(handler, _server, address):
+        stream = await loopback.open_stream(address)
+        await stream.send_all(first)
+        await loopback.read_until(stream, b"yes")
+        await stream.send_all(sent)
+        answer = await loopback.read_all(stream)
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert len(handler.exchanges) == 1
+
+    with caplog.at_level(logging.INFO):
+        _run(check)
+    lines = [
+        record for record in caplog.records if hasattr(record, "decision")
+    ]
+    assert [(line.levelname, line.status) for line in lines] == [
+        ("WARNING", status)
+    ]
+    assert lines[0].request == ("q2" if b"q2" in sent else "")
+
+
 def test_disconnect_cancels_handler():
     async def sleep_forever(_exchange):
         await trio.sleep_forever()
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -1,6 +1,7 @@
 """Tests of complete entries on loopback with a stand-in platform."""
 
 import json
+import logging
 
 import pytest
 import trio
@@ -13,6 +14,7 @@
 from greengagetrack.platform import names
 from greengagetrack.process.direct import daemon
 from greengagetrack.process import stop as stop_module
+from tests.direct import loopback
 
 KEYS = seal.new_key_ring([b"k" * 16])
 LIMIT_S = 20.0
@@ -102,6 +104,26 @@
     run_with_nodes(tmp_path, check)
 
 
+def test_rejection_by_the_http_server_names_its_request(tmp_path, caplog):
+    async def check(_site, nodes, _nursery):
+        stream = await loopback.open_stream(nodes[0].address)
+        await stream.send_all(
+            b"POST /order/1 HTTP/1.1\r\nHost: site.example\r\n"
+            b"X-Request-Id: q1\r\nContent-Length: 2000000000\r\n\r\n"
+        )
+        answer = await loopback.read_all(stream)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+
+    with caplog.at_level(logging.INFO):
+        run_with_nodes(tmp_path, check)
+    lines = [
+        record
+        for record in caplog.records
+        if getattr(record, "request", None) == "q1"
+    ]
+    assert [line.status for line in lines] == [413]
+
+
 def test_engine_gets_exactly_results_of_its_request(tmp_path):
     async def check(site, nodes, nursery):
         consumer = site_module.Consumer(nursery, nodes[0].address)
