Play engines that send an answer again where its id comes again

`greengagebench repeats`: three real entries; engines keep the last answer to each id, per connection, and send it before the run begins or while it runs; they start again under other ids at their addresses, with their connections; they refuse as if full, and callers come back with the same id. Each sending has a target of its own, so the play tells what ran for which sending. The stand-in's 421 names its request now, as engines do, and streams can wait before their head.

--- a/bench/command.py
+++ b/bench/command.py
@@ -226,6 +226,7 @@
             "streams": soak_commands.streams,
             "stops": soak_commands.stops,
             "refusals": soak_commands.refusals,
+            "repeats": soak_commands.repeats,
             "endless": soak_commands.endless,
             "fuzz": soak_commands.fuzz,
             "fleet": fleet,
--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -11,6 +11,7 @@
 from greengagetrack.command import greengagetrackd
 from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
+from greengagetrack.connection.http.client import persistent_connection
 from greengagetrack.connection.http import matching
 from greengagetrack.connection.http import numbers
 from greengagetrack.platform import engines
@@ -123,6 +124,12 @@
     engines._get_claim = get_claim
 
 
+def _share_ids():
+    """Send a request again over a connection that has carried its id."""
+    connection = persistent_connection.Connection
+    connection.has_carried = lambda self, request_id: False
+
+
 def _trust_numbers():
     """Read numbers of others as if they always were some."""
     numbers.read_count = lambda text, maximum: int(text)
@@ -139,6 +146,7 @@
     "trust-addresses": _trust_addresses,
     "trust-lifetimes": _trust_lifetimes,
     "trust-restored": _trust_restored,
+    "share-ids": _share_ids,
     "trust-numbers": _trust_numbers,
     "trust-statuses": _trust_statuses,
     "trust-unnamed": _trust_unnamed,
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -10,6 +10,7 @@
 from bench.soak import fuzz as fuzz_module
 from bench.soak import limits as limits_module
 from bench.soak import refusals as refusals_module
+from bench.soak import repeats as repeats_module
 from bench.soak import run as soak_run
 from bench.soak import stops as stops_module
 from bench.soak import streams as streams_module
@@ -221,6 +222,47 @@
     )
 
 
+def repeats(
+    *,
+    seed: int = 0,
+    seeds: int = 1,
+    duration: float = 15.0,
+    trouble: str = "repeats",
+    build: str = "",
+    tree: str = "",
+    logs: str = "",
+):
+    """Run engines that send an answer again where its id comes again.
+
+    Prints one JSON line per seed. Exit codes: 0 no caller was told "not
+    run" of a request that ran or got the answer to another sending, and none
+    ran twice that must not; 1 otherwise.
+
+    :param seed: The first seed of the requests and of the trouble.
+    :param seeds: The number of seeds, run one after the other.
+    :param duration: How long requests arrive, in seconds.
+    :param trouble: repeats: engines repeat answers, are renamed and refuse,
+        and callers come back with an id; renames: without the last two;
+        refusals: engines refuse, no more; none.
+    :param build: A deliberately broken build, which must show.
+    :param tree: The checkout whose entries run; this one by default.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if something was broken.
+    """
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    output.check_choice(
+        "--trouble", trouble, tuple(repeats_module.TROUBLE_BY_NAME)
+    )
+    output.run_seeds(
+        "repeats",
+        range(seed, seed + seeds),
+        logs,
+        lambda number, folder: repeats_module.run_repeats(
+            number, trouble, duration, folder, build, tree
+        ),
+    )
+
+
 def endless(
     *,
     seed: int = 0,
--- a/bench/standins/engine_process.py
+++ b/bench/standins/engine_process.py
@@ -124,6 +124,8 @@
         """The id of this life."""
         return self.parameters.engine_id
 
+    instance_id = engine_id
+
     @property
     def version(self):
         """The software version of this life."""
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -148,6 +148,8 @@
 
     def __init__(self, engine_id, service, data_centre, is_stream=False):
         self.engine_id = engine_id
+        # Under which it is registered now.
+        self.instance_id = engine_id
         self.service = service
         self.data_centre = data_centre
         self.is_stream = is_stream
@@ -167,6 +169,13 @@
         self.is_breaking = False
         # It sends some answers once more, if its connections do that.
         self.is_copying = False
+        # It sends an answer once more where its request comes again.
+        self.is_repeating = False
+        self.open_connections = set()
+        self.connection_count = 0
+        # Requests whose id an open connection has carried, and the copies.
+        self.came_again_count = 0
+        self.repeated_count = 0
         # It runs requests, and answers them with this status, if any.
         self.failure_status = None
         # Of its software; each event names it.
@@ -175,6 +184,9 @@
         self.born = 1
         self.event_count = EVENT_COUNT
         self.work_s = REQUEST_WORK_S
+        # Before the head of a stream, and before a 421.
+        self.head_s = 0.0
+        self.misdirected_s = 0.0
         self.event_interval_s = EVENT_INTERVAL_S
 
     def get_registration(self, state=names.READY):
@@ -197,6 +209,13 @@
         """Return the time before an event of a request."""
         return self.event_interval_s
 
+    def get_event(self, exchange, number):
+        """Return an event of a stream."""
+        request_id = fields.get_value(
+            exchange.headers, names.REQUEST_ID.lower()
+        )
+        return new_event(number, request_id, self.version)
+
     def get_copy(self, answer):
         """Return what is sent where an answer is sent once more."""
         return answer
@@ -206,8 +225,8 @@
         self.arrival_times.append(trio.current_time())
         headers = exchange.headers
         expected_id = fields.get_value(headers, names.EXPECT_INSTANCE.lower())
-        if expected_id is not None and expected_id != self.engine_id.encode():
-            await exchange.answer(421, [(names.NOT_RUN, b"1")])
+        if expected_id not in (None, self.instance_id.encode()):
+            await self._refuse(exchange, names.MISDIRECTED_STATUS)
         elif exchange.target == names.REPORT_PATH:
             body = msgspec.json.encode({"born": self.born})
             await exchange.answer(200, JSON_HEADERS, body)
@@ -220,6 +239,18 @@
         else:
             await self._run(exchange)
 
+    async def _refuse(self, exchange, status):
+        """Refuse a request, which has not run."""
+        if status == names.MISDIRECTED_STATUS:
+            await trio.sleep(self.misdirected_s)
+        request_id = fields.get_value(
+            exchange.headers, names.REQUEST_ID.lower()
+        )
+        headers = [(names.NOT_RUN, b"1")]
+        if request_id is not None:
+            headers.append((names.REQUEST_ID, request_id))
+        await exchange.answer(status, headers)
+
     async def _make_pieces(self, exchange):
         items = msgspec.json.decode(exchange.body)["items"]
         self.calls.append(items)
@@ -274,6 +305,7 @@
         response_headers.append((b"Content-Type", names.EVENT_STREAM))
         is_breaking = self.is_breaking
         is_unframed = is_breaking or self.is_unframed
+        await trio.sleep(self.head_s)
         await exchange.start(
             200,
             response_headers,
@@ -282,7 +314,7 @@
         last = self.event_count
         for number in range(after + 1, last + 1):
             await trio.sleep(self.get_event_interval_s(exchange, number))
-            event = new_event(number, request_id, self.version)
+            event = self.get_event(exchange, number)
             is_cut = is_breaking and number == last
             await exchange.send(event[:CUT_EVENT_BYTES] if is_cut else event)
         await exchange.finish()
@@ -365,9 +397,22 @@
 
     def publish(self, engine, state=names.READY):
         """Write the record of an engine to the store."""
-        key = names.SERVERS_PREFIX + engine.engine_id
+        key = names.SERVERS_PREFIX + engine.instance_id
         self.store.put(key, engine.get_registration(state))
 
+    def rename(self, engine, instance_id):
+        """Start an engine again under another id, with its connections.
+
+        The old id stays listed.
+        """
+        engine.instance_id = instance_id
+        engine.born += 1
+        self.publish(engine)
+
+    def withdraw(self, instance_id):
+        """Remove the record of an engine from the store."""
+        self.store.delete(names.SERVERS_PREFIX + instance_id)
+
     def count_runs(self, request_id):
         """Return how many times engines ran a request."""
         return sum(
