Send no request to a peer again while its reply is under way

Cause: nng sends a request again that has no reply after its resend time, 2 s, over a sound connection too, and then each second. A request for pieces waits for as long as their request has left, one for a permit for as long as its target: where many wait, the owner of the pool or of the limit took one request for several. The pieces were made again and nobody used or freed the results, more permits were given than requests sent, and permits that were given back counted twice. Messages say of themselves that they may come twice, and these two may not.

The resend time is the longest that nng takes. After a lost connection a request is still sent again, as before (seen: handled by the peer that listens there next). All other requests end within 2 s by themselves.

--- a/greengagetrack/connection/nng.py
+++ b/greengagetrack/connection/nng.py
@@ -16,7 +16,9 @@
 
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
-RESEND_MS = 2000
+# The longest that nng takes. A reply may take as long as the work that was
+# asked for, which a second request would have done twice.
+RESEND_MS = 2**31 - 1
 CONTEXTS_MAX = 1024
 ACCEPT_RETRY_S = 0.1
 
