--- a/greengagetrack/connection/nng.py
+++ b/greengagetrack/connection/nng.py
@@ -15,7 +15,8 @@
 from greengagetrack.connection import seal
 
 RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 1000
+# Shorter than an entry that starts waits for what its peers know.
+RECONNECT_MAX_MS = 500
 # The longest that nng takes. A reply may take as long as the work that was
 # asked for, which a second request would have done twice.
 RESEND_MS = 2**31 - 1
--- a/greengagetrack/process/direct/inquiry.py
+++ b/greengagetrack/process/direct/inquiry.py
@@ -8,6 +8,7 @@
 # Peers of other regions may answer later than the first one.
 ROUNDS_MIN = 3
 ROUNDS_MAX = 10
+QUESTION_ROUNDS = 3
 PEERS_MAX = 8
 
 _log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
     and the others had a moment to answer, or after `ROUNDS_MAX` rounds. If
     the source was never restored, the answers of all known peers are enough:
     there may be others, who know no more than the source.
+    Those that knew nothing themselves are asked again, also in the last round.
     Rounds are counted and not seconds, as the entry may stand still.
     """
 
@@ -60,6 +62,8 @@
     async def _run_rounds(self):
         async with trio.open_nursery() as nursery:
             for number in range(1, ROUNDS_MAX + 1):
+                if number % QUESTION_ROUNDS == 1:
+                    self._ask_uninformed_again()
                 for peer in self._choose():
                     if peer.address not in self._asked:
                         nursery.start_soon(self._ask, peer)
@@ -76,6 +80,14 @@
         peers.sort(key=lambda peer: peer.address not in self._members.seeds)
         return peers[:PEERS_MAX]
 
+    def _ask_uninformed_again(self):
+        """Let those be asked again that may have been told since."""
+        self._asked.difference_update(
+            peer.address
+            for peer in self._choose()
+            if self._has_answered(peer) and not peer.is_informed
+        )
+
     async def _ask(self, peer):
         # Links open in the background; a question needs an open one.
         if not self._links.get_link(peer.address).is_up():
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -38,7 +38,7 @@
     last announced prompt part that was sent to it. `is_informed` says that
     its last digest had a recent confirmation of its catalog. `told_sent_s` is
     when it was sent the last question, which it answered, for servers that
-    left.
+    left. `was_connected` says whether its link was up when last checked.
     """
 
     __slots__ = (
@@ -56,6 +56,7 @@
         "name",
         "peers_known",
         "told_sent_s",
+        "was_connected",
         "was_lost",
         "weight",
     )
@@ -70,6 +71,7 @@
         self.missed_replies = 0
         self.is_informed = False
         self.is_leaving = False
+        self.was_connected = False
         self.was_lost = False
         self.catalog_version = 0
         self.weight = 1.0
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -11,10 +11,13 @@
 import trio
 
 from greengagetrack.connection import base
+from greengagetrack.connection import nng
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import entry as entry_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import newest_version
+from greengagetrack.process.direct import peers
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request import outcome
 from tests.direct import fakes
@@ -102,8 +105,9 @@
 class Node:
     """An entry that can be stopped and started again."""
 
-    def __init__(self, site, name):
+    def __init__(self, site, name, data_centre="a"):
         self.name = name
+        self._data_centre = data_centre
         self._site = site
         self._cancel_scope = None
         self._starts = 0
@@ -120,10 +124,10 @@
         )
         settings = entry_module.DirectSettings(
             self.name,
-            "a",
+            self._data_centre,
             address,
             tuple(f"{name}:1" for name in self._site.names),
-            {"a": "north"},
+            dict.fromkeys("abcde", "north"),
             self._site.key_bound_s,
             0.2,
             80.0,
@@ -270,44 +274,83 @@
 
     far_from_s = 0.0
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, far_name):
         super().__init__(nursery)
-        self.far = Node(self, "a-3")
-        self.nodes.append(self.far)
-        self.node_by_address["a-3:1"] = self.far
+        self.far = self.add(far_name)
+
+    def add(self, name):
+        """Return a new entry, which is no seed, of the centre in its name."""
+        node = Node(self, name, name.partition("-")[0])
+        self.nodes.append(node)
+        self.node_by_address[f"{name}:1"] = node
+        return node
 
     def is_connected(self, source, address):
         """Return whether messages go from one address to another."""
-        if "a-3" in source and trio.current_time() < self.far_from_s:
+        is_far = f"{self.far.name}:1" in (source, address)
+        if is_far and trio.current_time() < self.far_from_s:
             return False
         return super().is_connected(source, address)
 
 
-@pytest.mark.parametrize("late_s", [0.0, 0.2, 0.6])
+async def _restart_beside_far_entry(site, late_s, shift_s=0.0):
+    """Restart all entries but the far one on an older copy."""
+    site.start_all()
+    await trio.sleep(4.0)
+    site.store.publish(AFTER)
+    await trio.sleep(3.0 + shift_s)
+    site.store.restore()
+    restarted = [node for node in site.nodes if node is not site.far]
+    for node in restarted:
+        node.stop()
+    await trio.sleep(0.3)
+    site.far_from_s = trio.current_time() + late_s
+    for node in restarted:
+        node.start()
+    for _moment in range(300):
+        await trio.sleep(0.01)
+        assert not any(node.runs("withdrawn") for node in site.nodes)
+
+
+@pytest.mark.parametrize("far_name", ["a-3", "b-0"])
+@pytest.mark.parametrize("late_s", [0.0, 0.2, 0.5, 0.6, 0.8])
 def test_restarted_seeds_run_no_key_that_an_unknown_peer_knows_withdrawn(
-    late_s,
+    far_name, late_s
 ):
     async def check(nursery):
-        site = SiteWithFarEntry(nursery)
-        site.start_all()
-        await trio.sleep(4.0)
-        site.store.publish(AFTER)
-        await trio.sleep(3.0)
-        site.store.restore()
-        seeds = [node for node in site.nodes if node is not site.far]
-        for node in seeds:
-            node.stop()
-        await trio.sleep(0.3)
-        site.far_from_s = trio.current_time() + late_s
-        for node in seeds:
-            node.start()
-        for _moment in range(300):
-            await trio.sleep(0.01)
-            assert not any(node.runs("withdrawn") for node in site.nodes)
+        site = SiteWithFarEntry(nursery, far_name)
+        await _restart_beside_far_entry(site, late_s)
 
     fakes.run_with_mock_clock(check)
 
 
+@pytest.mark.parametrize(
+    ("late_s", "shift_s"), [(0.5, 0.26), (0.7, 0.13), (0.7, 0.26), (0.8, 0.0)]
+)
+def test_entries_that_restart_with_their_seeds_hear_of_a_withdrawn_key(
+    late_s, shift_s
+):
+    """They reach the entry that knows better by way of the seeds only."""
+
+    async def check(nursery):
+        site = SiteWithFarEntry(nursery, "d-2")
+        for centre in "bcde":
+            for number in range(4):
+                if f"{centre}-{number}" != site.far.name:
+                    site.add(f"{centre}-{number}")
+        await _restart_beside_far_entry(site, late_s, shift_s)
+
+    fakes.run_with_mock_clock(check)
+
+
+def test_a_link_is_open_again_while_an_entry_still_waits_for_news():
+    """An entry that runs on greets those that have started."""
+    wait_s = inquiry.ROUNDS_MAX * inquiry.ROUND_S
+    last_question_s = inquiry.QUESTION_ROUNDS * inquiry.ROUND_S
+    reconnect_s = nng.RECONNECT_MAX_MS / 1000
+    assert reconnect_s + peers.LINK_CHECK_S + last_question_s < wait_s
+
+
 def test_entries_that_restart_at_once_at_a_sound_store_are_ready_at_once():
     """The store was never restored, so it shows no older copy."""
 
