Soak: engines of orders that are renamed and repeat their answers

Among the closing faults, so that what the seeds draw stays as it is: both engines of orders start again under other ids at their addresses for 3 s, with their connections, and send an answer once more where the id of its request comes again.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -66,6 +66,8 @@
 CLOSING_FAULTS = (
     Fault("silent engine", 0.0, 1.0, 0, "desk"),
     Fault("refuse engine", 2.0, 3.3, 1, "desk"),
+    Fault("rename engine", 2.0, 3.0, 0, "desk"),
+    Fault("rename engine", 2.0, 3.0, 1, "desk"),
     Fault("copy engine", 0.0, CLOSING_S, 0, "prepare"),
     Fault("copy engine", 0.0, CLOSING_S, 1, "prepare"),
     Fault("copy engine", 0.0, CLOSING_S, 1, "desk"),
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,6 +9,7 @@
 
 from bench.soak import checker as checker_module
 from bench.soak import faults as faults_module
+from bench.soak import renames as renames_module
 from bench.soak import restored_store
 from bench.soak import site as site_module
 from bench.soak import unseen_crash
@@ -227,6 +228,9 @@
         if action in ("leave", "restart"):
             await self._replace_engine(action, engine, fault.active_s)
             return
+        if action == "rename":
+            await self._rename_engine(engine, fault.active_s)
+            return
         if action == "break":
             engine.is_breaking = True
         elif action == "copy":
@@ -246,12 +250,25 @@
         if action == "leave":
             self._site.publish(engine, names.DRAINING)
         else:
-            self._site.store.delete(names.SERVERS_PREFIX + engine.engine_id)
+            self._site.withdraw(engine.instance_id)
         self._checker.departure_s_by_engine[engine.engine_id] = (
             trio.current_time()
         )
         await trio.sleep(active_s)
 
+    async def _rename_engine(self, engine, active_s):
+        """Let an engine start again under other ids, and repeat answers."""
+        engine_id = engine.engine_id
+        renames = renames_module.new_renames(
+            self._site,
+            engine,
+            random.Random(f"renames-{self._seed}-{engine_id}"),
+            lambda: engine_id not in self._checker.departure_s_by_engine,
+        )
+        engine.is_repeating = True
+        await renames.run(trio.current_time() + active_s)
+        engine.is_repeating = False
+
     async def _crash_engines(self, span):
         """Let the engines of streams crash while entries stand still."""
         entries = [e for e in self._site.entries if not e.has_fault]
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -158,6 +158,7 @@
         ("trust-copied-pieces", ""),
         ("trust-lifetimes", "ORDER"),
         ("trust-statuses", "REFUSED"),
+        ("share-ids", "REFUSED"),
     ],
 )
 def test_closing_faults_detect_a_broken_build(tmp_path, build, rule):
