Move the greeting of connected peers to a module of its own

No change of what it does: the tests of the newest version, departures, peers and containment pass as before.

--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -17,6 +17,7 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import greeting
 from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import lives as lives_module
 from greengagetrack.process.direct import members as members_module
@@ -160,7 +161,13 @@
             exchanges = containment_module.new_contained_nursery(
                 nursery, self._containment, "peer_exchange"
             )
-            nursery.start_soon(self._greet_connected, exchanges)
+            nursery.start_soon(
+                greeting.run,
+                self.members,
+                self._links,
+                functools.partial(exchanges.start_soon, self._exchange),
+                self._containment,
+            )
             while True:
                 self._start_round(exchanges)
                 with self._contain_step():
@@ -170,33 +177,6 @@
                     await self._exchange_now.wait()
                     self._exchange_now = trio.Event()
 
-    async def _greet_connected(self, exchanges):
-        """Exchange digests at once with peers that are connected again.
-
-        One that has just started may know less than this entry, and asks
-        for a moment only; it may not know whom to ask.
-        """
-        while True:
-            with self._contain_step():
-                for peer in self._find_connected():
-                    exchanges.start_soon(self._exchange, peer)
-            await trio.sleep(LINK_CHECK_S)
-
-    def _find_connected(self):
-        """Return the peers to greet whose links were down until now."""
-        connected = []
-        for peer in list(self.members.peer_by_address.values()):
-            is_connected = self._links.get_link(peer.address).is_up()
-            if is_connected and not peer.was_connected:
-                connected.append(peer)
-            peer.was_connected = is_connected
-        return [
-            peer
-            for peer in connected
-            if self.members.is_local(peer)
-            or peer.address in self.members.seeds
-        ]
-
     def _contain_step(self):
         return self._containment.contain("peer_round")
 
--- a/tests/direct/test_newest_version.py
+++ b/tests/direct/test_newest_version.py
@@ -15,9 +15,9 @@
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import entry as entry_module
 from greengagetrack.process.direct import freshness
+from greengagetrack.process.direct import greeting
 from greengagetrack.process.direct import inquiry
 from greengagetrack.process.direct import newest_version
-from greengagetrack.process.direct import peers
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request import outcome
 from tests.direct import fakes
@@ -348,7 +348,7 @@
     wait_s = inquiry.ROUNDS_MAX * inquiry.ROUND_S
     last_question_s = inquiry.QUESTION_ROUNDS * inquiry.ROUND_S
     reconnect_s = nng.RECONNECT_MAX_MS / 1000
-    assert reconnect_s + peers.LINK_CHECK_S + last_question_s < wait_s
+    assert reconnect_s + greeting.CHECK_S + last_question_s < wait_s
 
 
 def test_entries_that_restart_at_once_at_a_sound_store_are_ready_at_once():
