Lines on refused and failed requests are the last to be dropped

Cause: 'request refused' was INFO and shared its part of the rate with 'server chosen' and other lines of what goes well; all warnings shared the rest, so failed attempts crowded out what became of requests. What was dropped was counted as one number, and the number was lost itself where the buffer was full.

Change: a line has a rank. Routine lines about requests may use a third of the burst and of the buffer, events and failed attempts two thirds, lines that tell what became of a refused, failed or unanswered request all of it. The rate and the burst are as before. The next line that is written counts what was left out by message, and lists the ids of the requests whose lines of the last rank were left out, by outcome, 16 KB at the most; `greengagectl explain logs` finds them there. 'request refused' is a warning.

--- a/greengagetrack/command/request_log.py
+++ b/greengagetrack/command/request_log.py
@@ -35,7 +35,10 @@
 def _is_about(fields, request_id):
     if fields.get("request") == request_id:
         return True
-    return request_id in fields.get("requests", ())
+    if request_id in fields.get("requests", ()):
+        return True
+    listed = fields.get("left_out_requests", {})
+    return any(request_id in ids for ids in listed.values())
 
 
 def format_line(fields):
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -337,7 +337,7 @@
 
     def _record_refusal(self, request, refused):
         self.metrics.count_refusal(refused.reason)
-        _log.info(
+        _log.warning(
             "request refused",
             extra={
                 "decision": "refuse",
--- a/greengagetrack/process/logs.py
+++ b/greengagetrack/process/logs.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import enum
 import logging
 import os
 import sys
@@ -9,17 +10,50 @@
 
 import msgspec
 
+from greengagetrack.process import left_out_lines
+
 DECISIONS_MAX = 2000
 LINES_PER_S = 300
 LINES_BURST = 1500
-RESERVED_FOR_WARNINGS = 500
 UNWRITTEN_MAX_BYTES = 262144
 
+# Decisions after which a request has no other line.
+_FATE_DECISIONS = frozenset(("refuse", "end", "close"))
+
 _STANDARD_ATTRIBUTES = frozenset(
     vars(logging.makeLogRecord({})).keys() | {"message", "asctime"}
 )
 
 
+class Rank(enum.Enum):
+    """How long a line is kept where not all can be written.
+
+    `ROUTINE` lines tell of requests that go well, `FATE` lines what became
+    of one that was refused, failed or may have run.
+    """
+
+    ROUTINE = enum.auto()
+    EVENT = enum.auto()
+    FATE = enum.auto()
+
+
+# Of the burst and of the buffer, what lines of a rank may use; chosen.
+_SHARES = {Rank.ROUTINE: 1 / 3, Rank.EVENT: 2 / 3, Rank.FATE: 1.0}
+
+
+def get_rank(record):
+    """Return the `Rank` of a log record."""
+    if record.levelno >= logging.ERROR:
+        return Rank.FATE
+    if record.levelno >= logging.WARNING:
+        if getattr(record, "decision", None) in _FATE_DECISIONS:
+            return Rank.FATE
+        return Rank.EVENT
+    if hasattr(record, "request") or hasattr(record, "requests"):
+        return Rank.ROUTINE
+    return Rank.EVENT
+
+
 def get_fields(record):
     """Return the fields of the JSON line of a log record."""
     created = datetime.datetime.fromtimestamp(
@@ -83,9 +117,9 @@
 class BoundedHandler(logging.Handler):
     """A rate-limited handler that never blocks on its file descriptor.
 
-    If the reader stops reading, lines are dropped and requests continue. A
-    part of the rate budget is reserved for warnings and errors. The next
-    line that is written has the number of dropped lines in `left_out`.
+    If the reader stops reading, lines are dropped and requests continue.
+    What a rank may use of the rate and of the buffer grows with the rank.
+    The next line that is written tells what was dropped.
     """
 
     def __init__(self, descriptor, now_s=time.monotonic):
@@ -94,40 +128,48 @@
         self._now_s = now_s
         self._budget = float(LINES_BURST)
         self._refilled_s = now_s()
-        self._dropped_lines = 0
+        self._left_out = left_out_lines.new_left_out_lines()
         self._unwritten = b""
 
+    def get_left_out(self):
+        """Return how many lines were dropped, by message."""
+        return self._left_out.total_by_message
+
     def emit(self, record):
         """Write a record; drop it above the rate or buffer limit."""
-        if not self._try_acquire(record.levelno >= logging.WARNING):
-            self._dropped_lines += 1
+        rank = get_rank(record)
+        if not self._has_space(rank) or not self._try_acquire(rank):
+            self._left_out.add(record, rank is Rank.FATE)
             return
-        if self._dropped_lines:
-            record.left_out = self._dropped_lines
+        self._left_out.describe_in(record)
         try:
             line = self.format(record).encode() + b"\n"
         except Exception:
             # Who logs has work to do, and no better place to tell of this.
-            self._dropped_lines += 1
+            self._left_out.add(record, is_listed=False)
             return
-        self._dropped_lines = 0
-        self._write(line)
-
-    def _try_acquire(self, is_warning):
+        self._left_out.clear()
+        self._unwritten += line
+        self._write()
+
+    def _has_space(self, rank):
+        if len(self._unwritten) <= UNWRITTEN_MAX_BYTES * _SHARES[rank]:
+            return True
+        # The reader may have read meanwhile.
+        self._write()
+        return len(self._unwritten) <= UNWRITTEN_MAX_BYTES * _SHARES[rank]
+
+    def _try_acquire(self, rank):
         now_s = self._now_s()
         refilled = self._budget + (now_s - self._refilled_s) * LINES_PER_S
         self._budget = min(LINES_BURST, refilled)
         self._refilled_s = now_s
-        if self._budget < (1 if is_warning else RESERVED_FOR_WARNINGS):
+        if self._budget < max(LINES_BURST * (1 - _SHARES[rank]), 1):
             return False
         self._budget -= 1
         return True
 
-    def _write(self, line):
-        if len(self._unwritten) > UNWRITTEN_MAX_BYTES:
-            self._dropped_lines += 1
-        else:
-            self._unwritten += line
+    def _write(self):
         try:
             written = os.write(self._descriptor, self._unwritten)
         except OSError:
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -13,6 +13,7 @@
 from greengagetrack.platform import adapter as adapter_module
 from greengagetrack.platform import names
 from greengagetrack.process.direct import daemon
+from greengagetrack.process import logs
 from greengagetrack.process import stop as stop_module
 from tests.direct import loopback
 
@@ -124,6 +125,24 @@
     assert [line.status for line in lines] == [413]
 
 
+def test_line_of_a_request_that_is_not_admitted_is_kept_longest(
+    tmp_path, caplog
+):
+    async def check(_site, nodes, nursery):
+        consumer = site_module.Consumer(nursery, nodes[0].address)
+        status, _headers, _body = await consumer.send("/nothing/1", b"q1")
+        assert status == 404
+
+    with caplog.at_level(logging.INFO):
+        run_with_nodes(tmp_path, check)
+    (line,) = [
+        record
+        for record in caplog.records
+        if getattr(record, "request", None) == "q1"
+    ]
+    assert logs.get_rank(line) is logs.Rank.FATE
+
+
 def test_engine_gets_exactly_results_of_its_request(tmp_path):
     async def check(site, nodes, nursery):
         consumer = site_module.Consumer(nursery, nodes[0].address)
