--- a/bench/soak/endless.py
+++ b/bench/soak/endless.py
@@ -1,6 +1,8 @@
 """Engines whose answers have no end, beside sound ones.
 
-One of two engines of orders writes bytes until its caller closes. It is asked
+One of two engines of orders writes bytes until its caller closes. Those that
+make pieces are processes of their own, since this one is busy with that, and
+late pieces would be late answers. It is asked
 what matters then: no entry ends, its memory stays bounded, and requests that
 only sound engines serve are served as before.
 """
@@ -13,12 +15,16 @@
 import msgspec
 import trio
 
+from bench import ports as ports_module
 from bench.soak import site as site_module
+from bench.standins import engine_process
 from bench.standins import site as standin_site
 from greengagetrack.connection.http.client import pool as pool_module
 
 CALLERS_PER_ENTRY = 30
 SOUND_CALLERS_PER_ENTRY = 6
+PIECES_SERVICE = "prepare"
+LAG_CHECK_S = 0.05
 PAUSE_MAX_S = 0.2
 STATUS = b"HTTP/1.1 200 OK\r\n"
 FILLER = b"x" * 16384
@@ -54,7 +60,10 @@
 
 
 class EndlessResult(msgspec.Struct):
-    """The JSON result of a run of one shape."""
+    """The JSON result of a run of one shape.
+
+    `bench_lag_s` is the longest time by which this process itself was late.
+    """
 
     shape: str
     requests: int
@@ -62,6 +71,7 @@
     sound_served: int
     exits: int
     peak_mib: list[float]
+    bench_lag_s: float = 0.0
 
     @property
     def broken(self):
@@ -74,10 +84,16 @@
 class EndlessSite(site_module.SoakSite):
     """A site without proxies, with one engine whose answers have no end."""
 
-    shape = "none"
+    def __init__(self, nursery, seed, logs, shape, tree):
+        super().__init__(nursery, seed, logs, "", tree=tree)
+        self.shape = shape
+        self._engine_processes = []
 
     async def add_engine(self, engine_id, service, is_stream=False):
         """Start an engine; the first of the desk is the faulty one."""
+        if service == PIECES_SERVICE:
+            await self._add_engine_process(engine_id, service)
+            return
         engine = standin_site.EngineStandIn(
             engine_id, service, "dc-a", is_stream
         )
@@ -88,6 +104,30 @@
         self.engine_by_id[engine_id] = engine
         self.publish(engine)
 
+    async def _add_engine_process(self, engine_id, service):
+        engine = engine_process.RestartingEngine(
+            engine_process.EngineParameters(
+                engine_id,
+                service,
+                ports_module.find_free_ports(1)[0],
+                version="v1",
+                born=0,
+                event_count=0,
+                event_interval_s=0.0,
+                unframed_every=0,
+                is_stream=False,
+            )
+        )
+        self._engine_processes.append(engine)
+        await engine.listen()
+        self.publish(engine)
+
+    async def stop(self):
+        """Kill the processes that this site started."""
+        await super().stop()
+        for engine in self._engine_processes:
+            engine.stop()
+
     async def _start_endless(self):
         listeners = await trio.open_tcp_listeners(0, host=standin_site.HOST)
         self.nursery.start_soon(trio.serve_listeners, self._write, listeners)
@@ -127,10 +167,20 @@
             result.sound_served += is_sound and status == 200
             await trio.sleep(generator.uniform(0.0, PAUSE_MAX_S))
 
-    async with trio.open_nursery() as nursery:
-        for entry in site.entries:
-            for number in range(CALLERS_PER_ENTRY):
-                nursery.start_soon(call, entry, number)
+    async def watch_lag():
+        while True:
+            due_s = trio.current_time() + LAG_CHECK_S
+            await trio.sleep_until(due_s)
+            lag_s = round(trio.current_time() - due_s, 3)
+            result.bench_lag_s = max(result.bench_lag_s, lag_s)
+
+    async with trio.open_nursery() as watcher:
+        watcher.start_soon(watch_lag)
+        async with trio.open_nursery() as nursery:
+            for entry in site.entries:
+                for number in range(CALLERS_PER_ENTRY):
+                    nursery.start_soon(call, entry, number)
+        watcher.cancel_scope.cancel()
     for entry in site.entries:
         is_running = entry.process.poll() is None
         result.exits += not is_running
@@ -150,9 +200,7 @@
     """Run callers beside one shape of endless answers, or none."""
 
     def new_site(nursery):
-        site = EndlessSite(nursery, seed, logs, "", tree=tree)
-        site.shape = shape
-        return site
+        return EndlessSite(nursery, seed, logs, shape, tree)
 
     async def run(site):
         return await _play(site, seed, duration_s)
--- a/bench/standins/engine_process.py
+++ b/bench/standins/engine_process.py
@@ -27,7 +27,7 @@
     """What a process needs to be an engine.
 
     Of its answers, each `unframed_every`th has neither a length nor chunks;
-    with 0 none has.
+    with 0 none has. Without `is_stream` it answers whole or makes pieces.
     """
 
     engine_id: str
@@ -38,6 +38,12 @@
     event_count: int
     event_interval_s: float
     unframed_every: int
+    is_stream: bool = True
+
+    @property
+    def address(self):
+        """The address at which the process listens."""
+        return f"{site_module.HOST}:{self.port}"
 
 
 class ProcessEngine(site_module.EngineStandIn):
@@ -45,8 +51,12 @@
 
     def __init__(self, parameters):
         super().__init__(
-            parameters.engine_id, parameters.service, "dc-a", is_stream=True
+            parameters.engine_id,
+            parameters.service,
+            "dc-a",
+            parameters.is_stream,
         )
+        self.address = parameters.address
         self.version = parameters.version
         self.born = parameters.born
         self.event_count = parameters.event_count
@@ -135,7 +145,7 @@
         """Return the record that the engine registers in the store."""
         return {
             "service": self.parameters.service,
-            "address": f"{site_module.HOST}:{self.parameters.port}",
+            "address": self.parameters.address,
             "zone": "dc-a",
             "state": state,
             "version": self.parameters.version,
