--- a/greengagetrack/process/left_out_lines.py
+++ b/greengagetrack/process/left_out_lines.py
@@ -2,7 +2,7 @@
 
 import collections
 
-# Of all ids that are kept between two lines that are written; chosen.
+# Of all ids that are kept between two lines that are written.
 LISTED_MAX_BYTES = 16384
 
 
--- a/greengagetrack/process/logs.py
+++ b/greengagetrack/process/logs.py
@@ -18,7 +18,7 @@
 UNWRITTEN_MAX_BYTES = 262144
 
 # Decisions after which a request has no other line.
-_FATE_DECISIONS = frozenset(("refuse", "end", "close"))
+_OUTCOME_DECISIONS = frozenset(("refuse", "end", "close"))
 
 _STANDARD_ATTRIBUTES = frozenset(
     vars(logging.makeLogRecord({})).keys() | {"message", "asctime"}
@@ -28,26 +28,26 @@
 class Rank(enum.Enum):
     """How long a line is kept where not all can be written.
 
-    `ROUTINE` lines tell of requests that go well, `FATE` lines what became
+    `ROUTINE` lines tell of requests that go well, `OUTCOME` lines what became
     of one that was refused, failed or may have run.
     """
 
     ROUTINE = enum.auto()
     EVENT = enum.auto()
-    FATE = enum.auto()
+    OUTCOME = enum.auto()
 
 
-# Of the burst and of the buffer, what lines of a rank may use; chosen.
-_SHARES = {Rank.ROUTINE: 1 / 3, Rank.EVENT: 2 / 3, Rank.FATE: 1.0}
+# Of the burst and of the buffer, what lines of a rank may use.
+_SHARES = {Rank.ROUTINE: 1 / 3, Rank.EVENT: 2 / 3, Rank.OUTCOME: 1.0}
 
 
 def get_rank(record):
     """Return the `Rank` of a log record."""
     if record.levelno >= logging.ERROR:
-        return Rank.FATE
+        return Rank.OUTCOME
     if record.levelno >= logging.WARNING:
-        if getattr(record, "decision", None) in _FATE_DECISIONS:
-            return Rank.FATE
+        if getattr(record, "decision", None) in _OUTCOME_DECISIONS:
+            return Rank.OUTCOME
         return Rank.EVENT
     if hasattr(record, "request") or hasattr(record, "requests"):
         return Rank.ROUTINE
@@ -139,7 +139,7 @@
         """Write a record; drop it above the rate or buffer limit."""
         rank = get_rank(record)
         if not self._has_space(rank) or not self._try_acquire(rank):
-            self._left_out.add(record, rank is Rank.FATE)
+            self._left_out.add(record, rank is Rank.OUTCOME)
             return
         self._left_out.describe_in(record)
         try:
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -140,7 +140,7 @@
         for record in caplog.records
         if getattr(record, "request", None) == "q1"
     ]
-    assert logs.get_rank(line) is logs.Rank.FATE
+    assert logs.get_rank(line) is logs.Rank.OUTCOME
 
 
 def test_engine_gets_exactly_results_of_its_request(tmp_path):
