Count log lines that are left out in a metric

greengagetrack_left_out_log_lines_total counts, by message, the lines that the rate or a slow reader kept from being written: where no later line tells of them, the metric does. The handler counts; the number is read when the metrics are. test_metrics covers the rendering.

--- a/greengagetrack/command/node.py
+++ b/greengagetrack/command/node.py
@@ -31,7 +31,7 @@
     except ValueError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    logs.set_up_bounded(adapter.get_settings().name, "INFO")
+    handler = logs.set_up_bounded(adapter.get_settings().name, "INFO")
     if early.is_stop_requested():
         # No caller has seen the process, so there is nothing to drain.
         _log.info("stopped", extra={"decision": "stop", "drained": True})
@@ -41,7 +41,12 @@
     try:
         return trio.run(
             stop_module.run_until_stopped,
-            lambda stop: daemon.run(adapter, peer_keys, stop),
+            lambda stop: daemon.run(
+                adapter,
+                peer_keys,
+                stop,
+                get_left_out=handler.get_left_out,
+            ),
             early.is_stop_requested,
         )
     except Exception:
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -83,8 +83,17 @@
         """Reload the settings; return a `Reload`."""
 
 
-async def run(adapter, peer_keys, stop, task_status=trio.TASK_STATUS_IGNORED):
-    """Run an entry until it is asked to stop; return the exit code."""
+async def run(
+    adapter,
+    peer_keys,
+    stop,
+    task_status=trio.TASK_STATUS_IGNORED,
+    get_left_out=dict,
+):
+    """Run an entry until it is asked to stop; return the exit code.
+
+    `get_left_out()` returns how many log lines were left out, by message.
+    """
     settings = adapter.get_settings()
     _log.info(
         "started",
@@ -108,6 +117,7 @@
             random.Random(settings.name),
             peer_keys.get_digest,
         )
+        entry.metrics.watch_log(get_left_out)
         peer_server = nng.new_server(
             settings.peer_address, peer_keys, entry.containment.contain
         )
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -19,8 +19,10 @@
         "_claims",
         "_closed_connections",
         "_contained_errors",
+        "_get_left_out",
         "_late",
         "_latency",
+        "_left_out",
         "_loop_lag",
         "_requests",
         "_routes",
@@ -67,6 +69,13 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._get_left_out = dict
+        self._left_out = aioprometheus.Counter(
+            "greengagetrack_left_out_log_lines_total",
+            "Log lines that were not written, by message.",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._loop_lag = aioprometheus.Histogram(
             "greengagetrack_loop_lag_seconds",
             "How late the entry wakes for want of processor time.",
@@ -131,8 +140,14 @@
         labels = {"route": "", "outcome": "refused", "reason": str(reason)}
         self._requests.inc(labels)
 
+    def watch_log(self, get_left_out):
+        """Let `get_left_out()` return the lines left out, by message."""
+        self._get_left_out = get_left_out
+
     def render(self, accept):
         """Return `(body, headers)` in a format that `accept` names."""
+        for message, count in self._get_left_out().items():
+            self._left_out.set({"message": message}, count)
         return aioprometheus.render(self.registry, accept)
 
 
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -53,3 +53,19 @@
     assert len(lines) == 1
     assert 'boundary="peer_message"' in lines[0]
     assert lines[0].endswith(" 2")
+
+
+def test_left_out_lines_are_a_metric_by_message():
+    metrics = direct_metrics.new_direct_metrics("e")
+    metrics.watch_log(lambda: {"server chosen": 7, "request refused": 2})
+    body, _headers = metrics.render(["text/plain"])
+    lines = [
+        line
+        for line in body.decode().splitlines()
+        if line.startswith("greengagetrack_left_out_log_lines_total{")
+    ]
+    assert len(lines) == 2
+    assert any(
+        'message="server chosen"' in line and line.endswith(" 7")
+        for line in lines
+    )
