Bench: the build that cuts on a stop reports no request in hand, as before

Since a drain returns the number of requests in hand in place of whether all had ended, and True would be one. No test reads the exit code of that build; test_planned_stops and test_broken pass.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -53,7 +53,7 @@
         plan = drain_plan.new_drain_plan(trio.current_time(), math.inf)
         entry.start_draining(plan)
         await trio.sleep(0.05)
-        return True
+        return 0
 
     daemon._drain = drain
 
