--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -251,6 +251,27 @@
     _play(check, [ONE, OTHER, POOL], _new_answer(1, 6.0), _new_answer(2))
 
 
+def test_stages_made_anew_keep_to_budget():
+    """Each new try of a begun stream counted as a first attempt."""
+    slack = 2
+
+    async def check(entry):
+        def make(server, pieces):
+            if len(entry.gateway.calls) == 1:
+                return [f"{server.server_id}/1"]
+            return [gateway.PieceFailure.NOT_TAKEN]
+
+        entry.gateway.call_handler = make
+        # This entry has one of so many shares.
+        entry.budgets.set_limits(0.0, slack * budget_module.ENTRIES_MIN, 10.0)
+        await entry.serve(
+            STAGED, left_s=LEFT_S, piece_counts=(1,), piece_key="k"
+        )
+        assert 1 < len(entry.gateway.calls) <= 1 + slack
+
+    _play(check, [ONE, OTHER, POOL], _new_answer(1, 6.0))
+
+
 def test_begun_stream_without_its_stages_ends_once_it_is_too_late():
     async def check(entry):
         def make(server, pieces):
