Let requests that repeat an id pile up no connections

Cause: a connection that had carried the id was passed over and kept beside the new one.

The new one takes its place now. test_requests_with_one_id_pile_up_no_ connections failed before; test_connection_carries_no_two_requests_with_ one_id asks for one connection in place of the three that were kept, and opens as many as before.

--- a/greengagetrack/connection/http/client/pool.py
+++ b/greengagetrack/connection/http/client/pool.py
@@ -99,17 +99,23 @@
     def _pop_idle(self, key, idle_max_s, request_id):
         """Return the connection that was used last, or None."""
         idle = self._idle_by_key.get(key, [])
+        passed_over = None
         for connection in reversed(idle.copy()):
             if connection.has_carried(request_id):
+                passed_over = passed_over or connection
                 continue
             if connection.is_usable(idle_max_s):
                 idle.remove(connection)
                 return connection
             if connection.is_usable(connection.idle_max_s):
                 # The others have been idle for longer.
-                return None
+                break
             idle.remove(connection)
             self._drop_idle(connection)
+        if passed_over is not None:
+            # Requests that repeat an id would pile up connections.
+            idle.remove(passed_over)
+            self._drop_idle(passed_over)
         return None
 
     def _drop_idle(self, connection):
--- a/tests/direct/test_http_client.py
+++ b/tests/direct/test_http_client.py
@@ -108,11 +108,23 @@
             assert await _call(pool, address, request_id=request_id)
             opened_counts.append(pool.opened_count)
         assert opened_counts == [1, 2, 2, 3, 3, 3]
-        assert pool.count_idle(address) == 3
+        assert pool.count(address) == 1
 
     _run(check, *[RESPONSE % (b"mine", b"ab")] * 6)
 
 
+@pytest.mark.parametrize("request_id", [b"same", b""])
+def test_requests_with_one_id_pile_up_no_connections(request_id):
+    """A caller that repeated an id opened one for each request."""
+
+    async def check(pool, address):
+        for _call_number in range(50):
+            assert await _call(pool, address, request_id=request_id)
+            assert pool.count(address) == 1
+
+    _run(check, *[RESPONSE % (b"mine", b"ab")] * 50)
+
+
 def test_requests_without_id_share_a_connection():
     async def check(pool, address):
         for _call_number in range(3):
