Let an older copy hide no server that has started again

A server that had left and started again under its id got no new work once the store came back from a copy that lists its start before. Cause: since a record of a start that has left is applied as leaving, also in place of a later start.

--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -220,13 +220,17 @@
     def _is_gone(self, published, is_first, is_restored):
         """Return whether a record is of a server that was removed before.
 
-        One that said that it leaves is kept as such.
+        One that said that it leaves is kept as such, unless it has started
+        again since.
         """
         server_id, incarnation = published.server_id, published.incarnation
         gone = self.departures.get(server_id, incarnation)
-        if gone is None or gone.is_leaving:
+        if gone is None:
             return False
-        if self.get_same(server_id, incarnation) is not None:
+        known = self.server_by_id.get(server_id)
+        if known is not None and known.published.incarnation >= incarnation:
+            return known.published.incarnation > incarnation
+        if gone.is_leaving:
             return False
         return is_restored or (is_first and gone.era < self._era)
 
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -175,6 +175,29 @@
         assert first.get(*key) == second.get(*key)
 
 
+@pytest.mark.parametrize("era", [0, 1])
+def test_an_older_copy_hides_no_server_that_has_started_again(era):
+    """It lists the start before, which has left."""
+    first = fakes.new_server("s0", incarnation=1)
+    leaving = msgspec.structs.replace(first, is_leaving=True)
+    second = msgspec.structs.replace(first, incarnation=2)
+
+    async def check(directory):
+        _list_all(directory, first, era=0)
+        directory.apply_update(source_module.Update(2, servers=(leaving,)))
+        directory.apply_update(source_module.Update(3, removed=("s0",)))
+        assert _get_ids(directory) == set()
+        directory.apply_update(source_module.Update(4, servers=(second,)))
+        copy = source_module.Update(
+            2, servers=(first,), is_complete=True, era=era
+        )
+        directory.apply_update(copy, is_restored=True)
+        servers = directory.get_servers("svc")
+        assert [server.published for server in servers] == [second]
+
+    _run_directory(check)
+
+
 def test_a_peer_is_asked_once_until_the_next_question():
     async def check(_nursery):
         departures = departures_module.new_departures()
