Leave room in the log for errors, and read counts as counts

Three findings of the review. Refusals and rejections used up the whole rate since, and an error of the process had no line. The lines 'stopped' and 'draining' count requests in a field that names requests elsewhere, so they went with the routine lines, and 'explain logs' ended with a TypeError where such a line lists ids that were left out.

Errors have a reserve beyond that of refusals; the count is 'request_count'; a number in 'requests' is no list.

--- a/greengagetrack/command/request_log.py
+++ b/greengagetrack/command/request_log.py
@@ -35,7 +35,8 @@
 def _is_about(fields, request_id):
     if fields.get("request") == request_id:
         return True
-    if request_id in fields.get("requests", ()):
+    requests = fields.get("requests")
+    if isinstance(requests, list) and request_id in requests:
         return True
     listed = fields.get("left_out_requests", {})
     return any(request_id in ids for ids in listed.values())
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -138,7 +138,7 @@
         extra={
             "decision": "stop",
             "drained": is_drained,
-            "requests": requests,
+            "request_count": requests,
         },
     )
     return EXIT_OK if is_drained else EXIT_DRAIN_INCOMPLETE
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -254,7 +254,7 @@
             "draining",
             extra={
                 "decision": "drain",
-                "requests": len(self._runs),
+                "request_count": len(self._runs),
                 "left_s": round(plan.answer_until_s - trio.current_time(), 2),
             },
         )
--- a/greengagetrack/process/logs.py
+++ b/greengagetrack/process/logs.py
@@ -29,22 +29,30 @@
     """How long a line is kept where not all can be written.
 
     `ROUTINE` lines tell of requests that go well, `OUTCOME` lines what became
-    of one that was refused, failed or may have run.
+    of one that was refused, failed or may have run. What callers send can't
+    crowd out `ERROR` lines.
     """
 
     ROUTINE = enum.auto()
     EVENT = enum.auto()
     OUTCOME = enum.auto()
+    ERROR = enum.auto()
 
 
 # Of the burst and of the buffer, what lines of a rank may use.
-_SHARES = {Rank.ROUTINE: 1 / 3, Rank.EVENT: 2 / 3, Rank.OUTCOME: 1.0}
+_SHARES = {
+    Rank.ROUTINE: 1 / 3,
+    Rank.EVENT: 2 / 3,
+    Rank.OUTCOME: 1.0,
+    # A reserve beyond both, so that others leave room for errors.
+    Rank.ERROR: 1.1,
+}
 
 
 def get_rank(record):
     """Return the `Rank` of a log record."""
     if record.levelno >= logging.ERROR:
-        return Rank.OUTCOME
+        return Rank.ERROR
     if record.levelno >= logging.WARNING:
         if getattr(record, "decision", None) in _OUTCOME_DECISIONS:
             return Rank.OUTCOME
@@ -139,7 +147,7 @@
         """Write a record; drop it above the rate or buffer limit."""
         rank = get_rank(record)
         if not self._has_space(rank) or not self._try_acquire(rank):
-            self._left_out.add(record, rank is Rank.OUTCOME)
+            self._left_out.add(record, rank in (Rank.OUTCOME, Rank.ERROR))
             return
         self._left_out.describe_in(record)
         try:
@@ -164,7 +172,8 @@
         refilled = self._budget + (now_s - self._refilled_s) * LINES_PER_S
         self._budget = min(LINES_BURST, refilled)
         self._refilled_s = now_s
-        if self._budget < max(LINES_BURST * (1 - _SHARES[rank]), 1):
+        reserved = LINES_BURST * (1 - _SHARES[rank])
+        if self._budget < (reserved or 1):
             return False
         self._budget -= 1
         return True
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -221,3 +221,33 @@
     texts = [json.dumps(line) for line in log.read()]
     for number in range(400):
         assert len(request_log.find_lines(f"r{number}", texts)) == 1
+
+
+def test_refusals_leave_room_for_errors_of_the_process():
+    """What a caller sent crowded out the trace of an error."""
+    log = Log()
+    for number in range(2 * logs.LINES_BURST):
+        emit(log, REFUSED, f"r{number}")
+    error = {"level": logging.ERROR, "msg": "unforeseen error"}
+    lines = emit_and_read(log, error)
+    assert lines[-1]["message"] == "unforeseen error"
+
+
+@pytest.mark.parametrize(
+    ("fields", "rank"),
+    [
+        ({"request": "r"}, logs.Rank.ROUTINE),
+        ({"requests": ["r"]}, logs.Rank.ROUTINE),
+        ({"request_count": 3}, logs.Rank.EVENT),
+    ],
+)
+def test_line_that_counts_requests_is_no_routine_line(fields, rank):
+    """The line 'stopped' was among the first to be dropped."""
+    record = logging.makeLogRecord({"levelno": logging.INFO, **fields})
+    assert logs.get_rank(record) is rank
+
+
+def test_line_with_a_number_of_requests_is_no_line_about_one():
+    """The log of a version before could not be searched."""
+    line = json.dumps({"message": "stopped", "requests": 3})
+    assert request_log.find_lines("r", [line]) == []
