Read allowed regions, warming rates and evacuations from what is published

Cause: two deployments publish what the catalog and the server list had no field for, and nothing inside could act on it. Change: routes and organisations have allowed regions, services a warming rate, server records the warming time that is left, updates of the source the evacuated data centres, settings their bounds. Nothing acts on them yet.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -14,7 +14,8 @@
 
     `incarnation` changes when the server restarts under the same id.
     `software_version` is that of its program: what two versions write does
-    not fit into one stream.
+    not fit into one stream. `warming_left_s` is how much longer the server
+    said that it is warming, when it published its record.
     """
 
     server_id: str
@@ -25,6 +26,7 @@
     is_leaving: bool = False
     incarnation: int = 0
     software_version: str = ""
+    warming_left_s: float = 0.0
 
 
 class ServerRequest(msgspec.Struct, frozen=True):
--- a/greengagetrack/connection/source.py
+++ b/greengagetrack/connection/source.py
@@ -28,7 +28,9 @@
     ids of servers that are removed or whose record can't be read. With
     `is_complete`, servers that are not listed are removed. `era` rises when
     the source was restored from an older copy; revisions compare within
-    one era only.
+    one era only. `evacuated` has the data centres whose servers are to get
+    nothing, `readmitted` those for which that was taken back; a complete
+    update names all that are evacuated.
     """
 
     revision: int
@@ -38,6 +40,8 @@
     is_complete: bool = False
     problems: tuple[str, ...] = ()
     era: int = 0
+    evacuated: tuple[str, ...] = ()
+    readmitted: tuple[str, ...] = ()
 
 
 class History(msgspec.Struct, frozen=True):
--- a/greengagetrack/platform/adapter.py
+++ b/greengagetrack/platform/adapter.py
@@ -39,6 +39,10 @@
             ),
             cores=node.limits.cpu_share * node.limits.cores,
             memory_bytes=node.limits.memory_mb * 1e6,
+            descriptors_max=node.limits.max_fds,
+            warming_ratio=node.bounds.cold_over,
+            warming_slack=node.bounds.cold_slack,
+            evacuation_bound_s=node.bounds.get_evacuation_s(),
         )
 
     def get_caller_address(self):
--- a/greengagetrack/platform/document.py
+++ b/greengagetrack/platform/document.py
@@ -53,6 +53,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: _TimeMs = 0
+    allowed_regions: list[_Name] | None = None
 
 
 class _Pieces(msgspec.Struct):
@@ -77,6 +78,8 @@
     max_conns: _SmallCount = 64
     pieces: _Pieces | None = None
     engine: _Engine | None = None
+    cold_start_s: _TimeMs = 0
+    cold_per_s: _Amount = 0
 
 
 class _Limits(msgspec.Struct):
@@ -90,6 +93,7 @@
     name: _Name
     api_keys: list[str] = []
     priority: _Rank | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -107,7 +111,7 @@
     state: _Name
     version: _Name
     slots: numbers.Count = 1
-    cold_left_ms: float = 0
+    cold_left_ms: _TimeMs = 0
     born: numbers.Count = 0
 
 
@@ -178,7 +182,11 @@
     )
     organisation_by_key = {}
     for tenant in config.tenants or ():
-        organisation = catalog.Organisation(tenant.name, tenant.priority)
+        organisation = catalog.Organisation(
+            tenant.name,
+            tenant.priority,
+            frozenset(tenant.allowed_regions or ()),
+        )
         for key in tenant.api_keys:
             organisation_by_key[key] = organisation
     return catalog.new_catalog(
@@ -213,6 +221,7 @@
             catalog.Stage(stage.service, tuple(stage.after), int(stage.bytes))
             for stage in route.stages or ()
         ),
+        allowed_regions=frozenset(route.allowed_regions or ()),
     )
 
 
@@ -240,6 +249,8 @@
         connections_max=service.max_conns,
         batching=batching,
         engine=engine,
+        warming_s=service.cold_start_s,
+        warming_per_s=service.cold_per_s,
     )
 
 
@@ -266,4 +277,5 @@
         is_leaving=entry.state == names.DRAINING,
         incarnation=entry.born,
         software_version=entry.version,
+        warming_left_s=entry.cold_left_ms / 1000,
     )
--- a/greengagetrack/platform/names.py
+++ b/greengagetrack/platform/names.py
@@ -20,6 +20,8 @@
 SERVER_LIMIT = b"Server-Limit"
 STORE_ERA = b"Store-Era"
 RETRY_AFTER = b"Retry-After"
+ENGINE_LOAD = b"X-Engine-Load"
+COLD_MS = b"X-Cold-Ms"
 
 # Not forwarded from callers: fields that only this system may set, or
 # whose values it replaces.
@@ -66,6 +68,7 @@
 WATCH_PATH = "/api/kv-watch"
 SERVERS_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 
 # The status of a request that expects another engine, or other weights.
 MISDIRECTED_STATUS = 421
--- a/greengagetrack/platform/settings.py
+++ b/greengagetrack/platform/settings.py
@@ -25,6 +25,9 @@
     "bounds.budget_ratio",
     "bounds.budget_window_s",
     "bounds.budget_slack",
+    "bounds.cold_over",
+    "bounds.cold_slack",
+    "bounds.evac_ms",
     "limits.cpu_share",
     "limits.cores",
     "limits.memory_mb",
@@ -61,6 +64,16 @@
     budget_ratio: _Amount = 0.2
     budget_window_s: _Period = 10
     budget_slack: _Time = 0
+    cold_over: _Amount = 1.0
+    cold_slack: _Amount = 0
+    evac_ms: _Period | None = None
+
+    def get_evacuation_s(self):
+        """Return the time in which an evacuation must be in force."""
+        bound_ms = (
+            self.config_apply_ms if self.evac_ms is None else self.evac_ms
+        )
+        return bound_ms / 1000
 
 
 class Provider(msgspec.Struct):
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -207,6 +207,7 @@
     """Return an `Update` with the last item of each key in `items`."""
     item_by_key = {item.key: item for item in items}
     servers, removed = [], []
+    evacuated, readmitted = [], []
     problems = list(problems)
     catalog = None
     for key, item in item_by_key.items():
@@ -215,6 +216,9 @@
             if isinstance(catalog, str):
                 problems.append(catalog)
                 catalog = None
+        elif key.startswith(names.EVACUATION_PREFIX):
+            data_centre = key[len(names.EVACUATION_PREFIX) :]
+            (readmitted if item.tombstone else evacuated).append(data_centre)
         elif key.startswith(names.SERVERS_PREFIX):
             server_id = key[len(names.SERVERS_PREFIX) :]
             server = None
@@ -234,6 +238,8 @@
         is_complete=is_complete,
         problems=tuple(problems),
         era=era,
+        evacuated=tuple(evacuated),
+        readmitted=tuple(readmitted),
     )
 
 
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -42,8 +42,11 @@
 
     A revoked key must be refused within `key_bound_s`, and other changes
     must be in force within `change_bound_s`. `cores` is the CPU time
-    available to the entry, in cores, and `memory_bytes` the memory of its
-    machine.
+    available to the entry, in cores, `memory_bytes` the memory of its
+    machine and `descriptors_max` the files and sockets it may have open. In
+    a second all entries together may send a warming server `warming_ratio`
+    times what it takes, and `warming_slack` more. An evacuated data centre
+    must get nothing any more after `evacuation_bound_s`.
     """
 
     name: str
@@ -58,6 +61,10 @@
     change_bound_s: float = 2.5
     cores: float = 1.0
     memory_bytes: float = 256e6
+    descriptors_max: int = 4096
+    warming_ratio: float = 1.0
+    warming_slack: float = 0.0
+    evacuation_bound_s: float = 2.5
 
 
 class DirectEntry:
--- a/greengagetrack/version/catalog.py
+++ b/greengagetrack/version/catalog.py
@@ -43,7 +43,9 @@
     `attempts_max` bounds the backend servers that one request may run on.
     `timeout_ms` is the longest time that a caller waits for the response,
     `target_ms` the latency within which a response is worth most, and
-    `target_gap_ms` the target time between two events of a stream.
+    `target_gap_ms` the target time between two events of a stream. A
+    request is only sent to servers in the `allowed_regions`, if there are
+    some.
     """
 
     name: str
@@ -59,6 +61,7 @@
     is_resumable: bool = False
     target_gap_ms: float = 0.0
     stages: tuple[Stage, ...] = ()
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_idempotent(self):
@@ -100,13 +103,20 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service and the limits of each of its backend servers."""
+    """A service and the limits of each of its backend servers.
+
+    A server is warming for `warming_s` after its start, and takes
+    `warming_per_s` requests per second meanwhile. Without a rate, servers
+    of the service need no warming.
+    """
 
     name: str
     health_path: str = ""
     connections_max: int = 64
     batching: Batching | None = None
     engine: EngineCapacity | None = None
+    warming_s: float = 0.0
+    warming_per_s: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -119,10 +129,14 @@
 
 
 class Organisation(msgspec.Struct, frozen=True):
-    """An organisation; its priority overrides the priority of a route."""
+    """An organisation; its priority overrides the priority of a route.
+
+    Its `allowed_regions`, if there are some, bind beside those of the route.
+    """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class Catalog:
