Keep pieces in their region while it serves them in time

Change: a data centre of the same region costs its own delay, and a region is only left where that saves a step.

--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -173,6 +173,7 @@
             self.peers,
             generator,
             self.containment,
+            settings.region_by_data_centre,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import placement
+from greengagetrack.process.direct import distance
 
 WAKE_INTERVAL_S = 0.1
 POOLS_TRIED_MAX = 3
@@ -21,7 +22,12 @@
     gateway_module.PieceFailure.NO_SERVER,
     gateway_module.PieceFailure.NOT_TAKEN,
 )
-REMOTE_DELAY_S = 0.03
+# Of the pieces of a stage: the way to the pool, and that of its inputs.
+DELAY_S_BY_DISTANCE = {
+    distance.Distance.SAME: 0.0,
+    distance.Distance.REGION: 0.005,
+    distance.Distance.OTHER_REGION: 0.03,
+}
 SENT_WINDOW_S = 0.8
 WAIT_DEFAULT_S = 0.15
 SHORTEST_WAIT_MAX_S = 2.0
@@ -93,6 +99,7 @@
         "_data_centre",
         "_dependencies",
         "_directory",
+        "_distances",
         "_get_catalog",
         "_peers",
         "_pool_by_key",
@@ -100,9 +107,16 @@
     )
 
     def __init__(
-        self, data_centre, dependencies, peers, generator, containment
+        self,
+        data_centre,
+        dependencies,
+        peers,
+        generator,
+        containment,
+        distances,
     ):
         self._containment = containment
+        self._distances = distances
         self._data_centre = data_centre
         self._dependencies = dependencies
         self._directory = dependencies.directory
@@ -185,10 +199,15 @@
         def get_cost(centre):
             pool = self.get_pool(service, centre)
             finish_s = self._get_finish_s(services, centre, flow)
-            if centre != self._data_centre:
-                finish_s += REMOTE_DELAY_S
+            far = self._distances.get(centre)
+            finish_s += DELAY_S_BY_DISTANCE[far]
             moved_bytes = self._count_moved_bytes(pool, tasks, inputs)
-            return placement.get_cost(finish_s, left_s, moved_bytes)
+            return placement.get_cost(
+                finish_s,
+                left_s,
+                moved_bytes,
+                far is distance.Distance.OTHER_REGION,
+            )
 
         return self.get_pool(service, min(sorted(centres), key=get_cost))
 
@@ -202,7 +221,7 @@
             if wait_s == math.inf:
                 # The data centre has no server: another one takes the stage.
                 wait_s = self._get_shortest_wait_s(service, flow)
-                finish_s += REMOTE_DELAY_S
+                finish_s += DELAY_S_BY_DISTANCE[distance.Distance.OTHER_REGION]
             finish_s += max(wait_s, WAIT_MIN_S) + self.get_call_s(
                 service, CALL_FILL_RATIO
             )
@@ -345,7 +364,14 @@
                     pool.batcher.wake()
 
 
-def new_pools(data_centre, dependencies, peers, generator, containment=None):
+def new_pools(
+    data_centre,
+    dependencies,
+    peers,
+    generator,
+    containment=None,
+    region_by_data_centre=None,
+):
     """Return the pools of an entry in `data_centre`."""
     return Pools(
         data_centre,
@@ -353,4 +379,5 @@
         peers,
         generator,
         containment or containment_module.new_containment(),
+        distance.Distances(data_centre, region_by_data_centre or {}),
     )
--- a/tests/direct/decisions/test_placement.py
+++ b/tests/direct/decisions/test_placement.py
@@ -23,3 +23,12 @@
     gone = placement.get_cost(math.inf, 1.5, 0)
     assert math.isfinite(gone)
     assert gone > placement.get_cost(20.0, 1.5, 0)
+
+
+def test_late_reports_of_waits_move_no_work_out_of_its_region():
+    """Waits that differ by a call at most are errors of late reports."""
+    here = placement.get_cost(0.6, 1.5, 0)
+    assert here < placement.get_cost(0.45, 1.5, 0, is_other_region=True)
+    assert here > placement.get_cost(0.45, 1.5, 0)
+    burst_here = placement.get_cost(2.0, 1.5, 0)
+    assert burst_here > placement.get_cost(1.0, 1.5, 0, is_other_region=True)
