--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -227,7 +227,8 @@
     numbers. `due_ms` is the time left until they should be made,
     `left_ms` until they are of no use any more. `is_first` means that a
     started answer is resumed, so its pieces go first. `kind` is that of
-    the request.
+    the request. `input_servers` has the ids of the servers of the inputs, if
+    nothing else reads these.
     """
 
     service: str
@@ -243,6 +244,7 @@
     inputs: tuple[str, ...] | None = None
     is_first: bool = False
     kind: str = ""
+    input_servers: tuple[str, ...] = ()
 
 
 class FreeResults(message_base.Message, tag="free_results"):
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -9,6 +9,7 @@
 
 from greengagetrack.connection import gateway as gateway_module
 from greengagetrack.process.direct.decisions import forecast
+from greengagetrack.process.direct import input_release
 from greengagetrack.process.direct import piece_call
 from greengagetrack.process.direct import piece_queue
 from greengagetrack.process.direct import result_freer
@@ -32,6 +33,7 @@
         "_nursery",
         "_permits",
         "_queue",
+        "_release",
         "_usages",
         "service",
     )
@@ -46,6 +48,12 @@
         self._nursery = dependencies.nursery
         self._permits = dependencies.permits
         self._queue = piece_queue.new_piece_queue()
+        self._release = input_release.new_input_release(
+            dependencies.fetch_times.get(service),
+            self._queue.has_inputs,
+            dependencies.free_inputs,
+            dependencies.nursery,
+        )
         self._freer = result_freer.new_result_freer(
             dependencies, self._needs_room, self.wake
         )
@@ -149,6 +157,7 @@
         usage.busy_until_s = trio.current_time() + call_s
         call = piece_call.new_piece_call(usage, batch, batching)
         self._nursery.start_soon(self._run_call, call)
+        self._release.start(batch)
 
     async def _run_call(self, call):
         error = await call.run(self._gateway)
@@ -174,6 +183,7 @@
 
     def _handle_result(self, usage, batching, task, result):
         failure = gateway_module.PieceFailure
+        self._release.record(task, result)
         if not isinstance(result, failure):
             keep_s = batching.result_ttl_s + KEEP_MARGIN_S
             until_s = trio.current_time() + keep_s
@@ -238,11 +248,17 @@
 
 
 class BatcherDependencies:
-    """The objects that all batchers of an entry share."""
+    """The objects that all batchers of an entry share.
+
+    `free_inputs(handles, server_ids)` frees results that were read, where
+    their servers are short of memory, and returns whether it did.
+    """
 
     __slots__ = (
         "budgets",
         "directory",
+        "fetch_times",
+        "free_inputs",
         "gateway",
         "get_catalog",
         "nursery",
@@ -250,7 +266,14 @@
     )
 
     def __init__(
-        self, directory, gateway, budgets, get_catalog, nursery, permits
+        self,
+        directory,
+        gateway,
+        budgets,
+        get_catalog,
+        nursery,
+        permits,
+        fetch_times,
     ):
         self.directory = directory
         self.gateway = gateway
@@ -258,6 +281,8 @@
         self.get_catalog = get_catalog
         self.nursery = nursery
         self.permits = permits
+        self.fetch_times = fetch_times
+        self.free_inputs = None
 
 
 def new_batcher(service, data_centre, dependencies):
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -159,6 +159,7 @@
             nursery,
             self.containment,
         )
+        fetch_times = fetch_time.FetchTimes()
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
             gateway,
@@ -166,6 +167,7 @@
             get_catalog,
             nursery,
             self.peers.permits,
+            fetch_times,
         )
         self._pools = pools_module.new_pools(
             settings.data_centre,
@@ -179,7 +181,7 @@
         self._services = run_module.RunServices(
             chooser,
             self.directory,
-            fetch_time.FetchTimes(),
+            fetch_times,
             gateway,
             self._pools,
             budgets,
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -400,6 +400,7 @@
         inputs=first.inputs,
         is_first=first.is_resumed,
         kind=first.kind,
+        input_servers=first.input_servers,
     )
 
 
@@ -419,6 +420,8 @@
         task.due_s = due_s
         task.deadline = deadline
         task.kind = message.kind
+        if len(message.input_servers) == len(message.inputs or ()):
+            task.input_servers = message.input_servers
         task.priority = message.priority
         task.result_bytes = message.result_bytes
         task.is_resumed = message.is_first
--- a/greengagetrack/process/direct/piece_queue.py
+++ b/greengagetrack/process/direct/piece_queue.py
@@ -30,6 +30,10 @@
         """Return the number of pieces that wait."""
         return sum(len(group.tasks) for group in self._groups)
 
+    def has_inputs(self, inputs):
+        """Return whether a piece waits that reads these inputs."""
+        return any(group.tasks[0].inputs == inputs for group in self._groups)
+
     def get_first_bytes(self):
         """Return the size of a result of the first group, in bytes."""
         return self._groups[0].tasks[0].result_bytes
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -119,6 +119,7 @@
         self._distances = distances
         self._data_centre = data_centre
         self._dependencies = dependencies
+        dependencies.free_inputs = self.free_inputs
         self._directory = dependencies.directory
         self._get_catalog = dependencies.get_catalog
         self._peers = peers
@@ -293,13 +294,41 @@
                 key = (task.pool, task.server.server_id)
                 handles_by_server.setdefault(key, []).append(task.result)
         for (pool, server_id), handles in handles_by_server.items():
-            peer = self.get_owner(pool)
-            if peer is None:
-                pool.batcher.free_results(server_id, handles)
-            else:
-                self._dependencies.nursery.start_soon(
-                    self._peers.request_free, peer, pool, server_id, handles
-                )
+            self._free_at(pool, server_id, handles)
+
+    def _free_at(self, pool, server_id, handles):
+        peer = self.get_owner(pool)
+        if peer is None:
+            pool.batcher.free_results(server_id, handles)
+        else:
+            self._dependencies.nursery.start_soon(
+                self._peers.request_free, peer, pool, server_id, handles
+            )
+
+    def free_inputs(self, handles, server_ids):
+        """Free results that were read, where memory is short.
+
+        That is where more than a call waits in the pool of their server.
+        Return whether any are freed.
+        """
+        handles_by_server_id = {}
+        for handle, server_id in zip(handles, server_ids, strict=True):
+            handles_by_server_id.setdefault(server_id, []).append(handle)
+        is_any_freed = False
+        for server_id, server_handles in handles_by_server_id.items():
+            server = self._directory.server_by_id.get(server_id)
+            if server is None:
+                continue
+            published = server.published
+            pool = self.get_pool(published.service, published.data_centre)
+            if self._is_short_of_room(pool):
+                self._free_at(pool, server_id, server_handles)
+                is_any_freed = True
+        return is_any_freed
+
+    def _is_short_of_room(self, pool):
+        call_s = self.get_call_s(pool.service, 1.0)
+        return self._get_waits(pool).late_s > call_s
 
     def start_task(self, function, *arguments):
         """Start a task that may outlive the request that it is for."""
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -204,6 +204,9 @@
             for dependency in stage.after
             for task in self._tasks.get(dependency, ())
         ]
+        input_servers = self._get_last_read_servers(index, input_tasks)
+        for task in tasks:
+            task.input_servers = input_servers
         await self._pools.make_pieces(
             stage.service,
             tasks,
@@ -226,15 +229,30 @@
                 ]
         return []
 
+    def _get_dependents(self, index):
+        """Return the stages with pieces that read the results of a stage."""
+        return [
+            dependent
+            for dependent, stage in enumerate(self._admitted.route.stages)
+            if index in stage.after and self._count_pieces(dependent)
+        ]
+
+    def _get_last_read_servers(self, index, input_tasks):
+        """Return the ids of the servers of inputs that no other stage reads.
+
+        There are none if another one reads some of the inputs.
+        """
+        after = self._admitted.route.stages[index].after
+        if any(self._get_dependents(stage) != [index] for stage in after):
+            return ()
+        if any(task.server is None for task in input_tasks):
+            return ()
+        return tuple(task.server.server_id for task in input_tasks)
+
     def _free_consumed(self, indexes):
         """Free the results of stages whose dependents are all complete."""
-        stages = self._admitted.route.stages
         for index in indexes:
-            dependents = [
-                dependent
-                for dependent, stage in enumerate(stages)
-                if index in stage.after and self._count_pieces(dependent)
-            ]
+            dependents = self._get_dependents(index)
             if all(self._is_complete(dependent) for dependent in dependents):
                 self._free_stages([index])
 
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -9,14 +9,17 @@
 class PieceTask:
     """A piece that waits for a server, is in a call or has its outcome.
 
-    `server` is the backend server that holds the result.
+    `server` is the backend server that holds the result. `input_servers` are
+    the ids of those that hold the inputs, none if these must outlast it.
     """
 
     __slots__ = (
+        "are_inputs_freed",
         "completed_s",
         "deadline",
         "done",
         "due_s",
+        "input_servers",
         "inputs",
         "is_resumed",
         "key",
@@ -38,6 +41,8 @@
         self.number = number
         self.key = key
         self.inputs = inputs
+        self.input_servers = ()
+        self.are_inputs_freed = False
         self.due_s = 0.0
         self.deadline = None
         self.kind = ""
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -330,6 +330,7 @@
             lambda: self.catalog,
             nursery,
             self.permits,
+            fetch_time_module.FetchTimes(),
         )
         self.pools = pools_module.new_pools(
             "dc-a", dependencies, peers, random.Random(2)
