--- a/greengagetrack/process/direct/decisions/batch.py
+++ b/greengagetrack/process/direct/decisions/batch.py
@@ -4,15 +4,16 @@
 and results of earlier calls still use most of a server's memory.
 """
 
+SPLIT_QUEUE_CALLS = 1.5
+
 
 def may_split_groups(waiting_pieces, batch_max):
     """Return whether a call is filled with a part of a group.
 
-    With less than a call waiting, a split group would end later than it
-    would whole. With more, its rest goes into the next call, as all of it
-    would otherwise, and full calls shorten the wait of the others.
+    With few pieces waiting, a split group ends later than it would whole.
+    With more than a call and a half, full calls shorten the wait of all.
     """
-    return waiting_pieces > batch_max
+    return waiting_pieces > batch_max * SPLIT_QUEUE_CALLS
 
 
 def pop_batch(queue, batch_max, free_bytes):
