Regions: send requests only to servers in allowed regions

Cause: nothing read the allowed regions of routes and organisations, so bound requests went to any server. Whether a server may get a request was asked in several places, each with rules of its own. Change: one value, the eligibility, says why a server may not get a request: region, evacuated, leaving, removed, paused or version. It is resolved once from route and organisation, which both bind, and again when the catalog changes; requests bound to the same regions share it. Choices of a server, retries, resumed streams, reserved permits, choices of a pool and pieces that wait ask it. Pieces are batched by a peer only where their results may lie; results that may not lie where they are any more are made anew. Without a server in an allowed region a request is refused at once, 503 without a time to return, reason region_unavailable. Tests: the stand-in of predict_first_event_s in test_silent_servers takes the new argument; it checks what it did.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -51,6 +51,8 @@
     "pipeline_unknown": "The table has no such pipeline.",
     "rate_limit": "The row's rate is used up; retry later.",
     "records_full": "The records are full; none is deleted early.",
+    "region_unavailable": "No server is in a region that the route and the "
+    "organisation allow.",
     "request_crashes_servers": "Copies of the request crashed servers.",
     "shed": "The queue was full, and this had the lowest priority.",
     "stream_version_gone": "No server of the software version that began the "
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -111,6 +111,7 @@
 
     def _dispatch(self):
         """Start calls with waiting pieces at servers with a free slot."""
+        self._queue.fail_misplaced(self._data_centre)
         batching = self._get_batching()
         usages = self._usages.get_unsuspected()
         if batching is None or not usages:
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -93,18 +93,20 @@
         priority=0,
         patience_s=math.inf,
         software_version=None,
+        eligibility=None,
     ):
         """Return the `Choice` of lowest cost, or None without candidates.
 
         `input_bytes` maps each data centre to the bytes of the request's
         inputs that are stored there. A server at its limit is a candidate
         if a request of the priority gets a permit within `patience_s`. With a
-        `software_version`, no others are candidates.
+        `software_version`, no others are candidates, and with an
+        `Eligibility` none that it excludes.
         """
         servers = [
             server
             for server in self._get_candidates(
-                service, excluded, software_version
+                service, excluded, software_version, eligibility
             )
             if server.limit.get_wait_s(priority) <= patience_s
         ]
@@ -133,29 +135,39 @@
         )
 
     def has_other(
-        self, service, excluded, priority, patience_s, software_version
+        self,
+        service,
+        excluded,
+        priority,
+        patience_s,
+        software_version,
+        eligibility=None,
     ):
         """Return whether a server is there that nothing speaks against."""
         return any(
             server.limit.get_wait_s(priority) <= patience_s
             and not server.is_suspect()
             for server in self._get_candidates(
-                service, excluded, software_version
+                service, excluded, software_version, eligibility
             )
         )
 
-    def is_limited(self, service, excluded):
+    def is_limited(self, service, excluded, eligibility=None):
         """Return whether all servers of a service name limits."""
-        servers = self._get_candidates(service, excluded)
+        servers = self._get_candidates(
+            service, excluded, eligibility=eligibility
+        )
         return bool(servers) and all(
             server.limit.per_s is not None for server in servers
         )
 
-    def get_permit_wait_s(self, service, excluded, priority):
+    def get_permit_wait_s(self, service, excluded, priority, eligibility=None):
         """Return the shortest wait for a permit, 0 if none is needed."""
         waits = [
             server.limit.get_wait_s(priority)
-            for server in self._get_candidates(service, excluded)
+            for server in self._get_candidates(
+                service, excluded, eligibility=eligibility
+            )
         ]
         return min(waits, default=0.0)
 
@@ -174,12 +186,12 @@
             )
         return self._first_event_by_service[service]
 
-    def predict_first_event_s(self, service, request):
+    def predict_first_event_s(self, service, request, eligibility=None):
         """Return the time to the first event at the likely server.
 
         That is the one with most of the prompt cached.
         """
-        servers = self._get_candidates(service, ())
+        servers = self._get_candidates(service, (), eligibility=eligibility)
         if not servers:
             return 0.0
         server = max(
@@ -199,31 +211,32 @@
             for server in servers
         )
 
-    def has_servers(self, service, software_version, excluded=()):
+    def has_servers(
+        self, service, software_version, excluded=(), eligibility=None
+    ):
         """Return whether servers of a software version are in service.
 
         They may all be full.
         """
         return any(
             server.lifetime.may_go_on(software_version)
-            for server in self._directory.get_servers(service)
+            for server in self._directory.get_servers(service, eligibility)
             if server.server_id not in excluded
         )
 
-    def _get_candidates(self, service, excluded, software_version=None):
+    def _get_candidates(
+        self, service, excluded, software_version=None, eligibility=None
+    ):
         catalog = self._get_catalog()
         definition = catalog.service_by_name.get(service)
         limit = definition.connections_max if definition else CONNECTIONS_MIN
         limit = max(limit // CONNECTIONS_DIVISOR, CONNECTIONS_MIN)
         return [
             server
-            for server in self._directory.get_servers(service)
-            if server.server_id not in excluded
-            and server.outstanding < limit
-            and (
-                software_version is None
-                or server.lifetime.may_go_on(software_version)
+            for server in self._directory.get_servers(
+                service, eligibility, software_version
             )
+            if server.server_id not in excluded and server.outstanding < limit
         ]
 
     def _predict(self, server, request, input_bytes, preferred, recent_tokens):
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -14,6 +14,7 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection import source
+from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import departures as departures_module
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
@@ -52,6 +53,7 @@
     """All known servers, by id and by service."""
 
     __slots__ = (
+        "_anywhere",
         "_copied_ids",
         "_era",
         "_on_removed",
@@ -60,6 +62,7 @@
         "announced_parts",
         "changed",
         "departures",
+        "evacuated",
         "server_by_id",
         "versions",
     )
@@ -70,6 +73,8 @@
         self._copied_ids = set()
         self._era = source.FIRST_ERA - 1
         self.departures = departures_module.new_departures()
+        self.evacuated = set()
+        self._anywhere = eligibility.Eligibility(evacuated=self.evacuated)
         self.server_by_id = {}
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
@@ -163,14 +168,22 @@
             origin = PartOrigin.LOCAL if is_local else PartOrigin.REMOTE
             self._announce_part(part_id, server_id, origin)
 
-    def get_servers(self, service):
-        """Return the servers of a service that may get new work."""
+    def get_servers(self, service, eligibility=None, software_version=None):
+        """Return the servers of a service that may get new work.
+
+        With an `Eligibility`, it is that of a request that is bound by it.
+        """
+        eligibility = eligibility or self._anywhere
         return [
             server
             for server in self._servers_by_service.get(service, ())
-            if server.is_usable()
+            if eligibility.find_exclusion(server, software_version) is None
         ]
 
+    def get_known(self, service):
+        """Return all servers of a service, also those that get no work."""
+        return self._servers_by_service.get(service, ())
+
     def _index_by_service(self):
         """Rebuild the lists of servers by service."""
         servers_by_service = {}
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -13,6 +13,7 @@
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import durations
+from greengagetrack.process.direct import eligibilities
 from greengagetrack.process.direct import fetch_time
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import held_bytes
@@ -73,6 +74,7 @@
     __slots__ = (
         "_connection_pool",
         "_drain_plan",
+        "_eligibilities",
         "_pools",
         "_runs",
         "_services",
@@ -123,6 +125,11 @@
             self.containment,
         )
         get_catalog = self.catalog_watcher.get_catalog
+        self._eligibilities = eligibilities.new_eligibilities(
+            get_catalog,
+            settings.region_by_data_centre,
+            self.directory.evacuated,
+        )
         chooser = chooser_module.new_chooser(
             self.directory,
             get_catalog,
@@ -306,7 +313,14 @@
             if not self._is_accepting(needed_s):
                 return _new_draining_refusal(f"it may take {needed_s:.2f} s")
         return request_module.Admitted(
-            request, route, organisation, deadline, catalog.version
+            request,
+            route,
+            organisation,
+            deadline,
+            catalog.version,
+            self._eligibilities.new_request_eligibility(
+                request, route, organisation
+            ),
         )
 
     def _is_accepting(self, needed_s=0.0):
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import lifetime as lifetime_module
 from greengagetrack.process.direct import server_limit
 from greengagetrack.request import outcome
@@ -68,11 +69,18 @@
 
     def is_usable(self):
         """Return whether the server may get new work."""
+        return self.find_exclusion() is None
+
+    def find_exclusion(self):
+        """Return why the server may get no new work at all, or None."""
         if self.published.is_leaving:
-            return False
+            return eligibility.Exclusion.LEAVING
         now = trio.current_time()
-        is_there = self.removal_due_s is None or self.removal_due_s > now
-        return is_there and now >= self.paused_until_s
+        if self.removal_due_s is not None and self.removal_due_s <= now:
+            return eligibility.Exclusion.REMOVED
+        if now < self.paused_until_s:
+            return eligibility.Exclusion.PAUSED
+        return None
 
     async def wait_until_unpaused(self):
         """Wait for the end of a pause that the server has asked for."""
--- a/greengagetrack/process/direct/piece_queue.py
+++ b/greengagetrack/process/direct/piece_queue.py
@@ -69,6 +69,20 @@
         groups, self._groups = self._groups, []
         _fail_groups(groups, failure)
 
+    def fail_misplaced(self, data_centre):
+        """Fail the pieces that may not lie in a data centre any more.
+
+        All pieces of a group are of one request.
+        """
+        misplaced = [
+            group
+            for group in self._groups
+            if not group.tasks[0].is_allowed_place(data_centre)
+        ]
+        if misplaced:
+            _fail_groups(misplaced, gateway_module.PieceFailure.NO_SERVER)
+            self.drop_completed()
+
     def drop_completed(self):
         """Remove the pieces that were completed while they waited."""
         for group in self._groups:
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -165,7 +165,8 @@
         for task in tasks:
             task.pool = pool
         peer = self.get_owner(pool)
-        if peer is not None:
+        # Pieces that may not lie where the owner is are batched here.
+        if peer is not None and tasks[0].is_allowed_place(peer.data_centre):
             pool.sent_batches.append((trio.current_time(), len(tasks)))
             pool.waits_valid_until_s = -math.inf
             if await self._peers.request_pieces(peer, pool, tasks):
@@ -175,7 +176,8 @@
     def _choose_pool(self, services, tasks, inputs, end_s, tried_centres):
         """Return the pool of lowest cost, or None without servers."""
         service = services[0]
-        centres = self._get_centres(service) - tried_centres
+        eligibility = tasks[0].eligibility and tasks[0].eligibility.get()
+        centres = self._get_centres(service, eligibility) - tried_centres
         if self.get_batching(service) is None or not centres:
             return None
 
@@ -184,7 +186,7 @@
 
         def get_cost(centre):
             pool = self.get_pool(service, centre)
-            finish_s = self._get_finish_s(services, centre, flow)
+            finish_s = self._get_finish_s(services, centre, flow, eligibility)
             if centre != self._data_centre:
                 finish_s += REMOTE_DELAY_S
             moved_bytes = self._count_moved_bytes(pool, tasks, inputs)
@@ -192,7 +194,7 @@
 
         return self.get_pool(service, min(sorted(centres), key=get_cost))
 
-    def _get_finish_s(self, services, centre, flow):
+    def _get_finish_s(self, services, centre, flow, eligibility):
         """Return the time that services in sequence will take."""
         finish_s = 0.0
         for service in services:
@@ -201,7 +203,7 @@
             wait_s = self._get_waits(pool).get_later(flow, finish_s)
             if wait_s == math.inf:
                 # The data centre has no server: another one takes the stage.
-                wait_s = self._get_shortest_wait_s(service, flow)
+                wait_s = self._get_shortest_wait_s(service, flow, eligibility)
                 finish_s += REMOTE_DELAY_S
             finish_s += max(wait_s, WAIT_MIN_S) + self.get_call_s(
                 service, CALL_FILL_RATIO
@@ -223,11 +225,11 @@
             transferred_bytes += sum(task.result_bytes for task in tasks)
         return transferred_bytes
 
-    def _get_centres(self, service):
-        """Return the data centres that have servers of a service."""
+    def _get_centres(self, service, eligibility):
+        """Return the data centres that have eligible servers."""
         return {
             server.published.data_centre
-            for server in self._directory.get_servers(service)
+            for server in self._directory.get_servers(service, eligibility)
         }
 
     def _get_waits(self, pool):
@@ -292,26 +294,26 @@
             pool.batcher.is_busy() for pool in self._pool_by_key.values()
         )
 
-    def get_shortest_wait_s(self, service, flow):
+    def get_shortest_wait_s(self, service, flow, eligibility=None):
         """Return the shortest wait among the pools of a service, capped."""
-        wait_s = self._get_shortest_wait_s(service, flow)
+        wait_s = self._get_shortest_wait_s(service, flow, eligibility)
         return min(0.0 if wait_s == math.inf else wait_s, SHORTEST_WAIT_MAX_S)
 
-    def _get_shortest_wait_s(self, service, flow):
+    def _get_shortest_wait_s(self, service, flow, eligibility):
         waits = [
             self._get_waits(self.get_pool(service, centre)).get(flow)
-            for centre in self._get_centres(service)
+            for centre in self._get_centres(service, eligibility)
         ]
         return min(waits, default=math.inf)
 
-    def predict_duration_s(self, services, flow):
+    def predict_duration_s(self, services, flow, eligibility=None):
         """Return the shortest time that services in sequence may take.
 
         For `forecast.LATE` it is that of work that takes what others leave.
         """
         durations = [
-            self._get_finish_s(services, centre, flow)
-            for centre in self._get_centres(services[0])
+            self._get_finish_s(services, centre, flow, eligibility)
+            for centre in self._get_centres(services[0], eligibility)
         ]
         return min(durations, default=math.inf)
 
--- a/greengagetrack/request/direct/graph.py
+++ b/greengagetrack/request/direct/graph.py
@@ -100,7 +100,9 @@
 
     def _predict_needed_s(self, chains, flow):
         return max(
-            self._pools.predict_duration_s(services, flow)
+            self._pools.predict_duration_s(
+                services, flow, self._admitted.eligibility.get()
+            )
             for services in chains
         )
 
@@ -108,7 +110,7 @@
         """Return a refusal with a time at which the request can be served."""
         route = self._admitted.route
         waits = [
-            self._pools.get_shortest_wait_s(stage.service, forecast.LATE)
+            self._get_shortest_wait_s(stage, forecast.LATE)
             for stage in route.stages
         ]
         service_s = self._generation_s + sum(
@@ -123,6 +125,11 @@
         )
         return outcome.Refused(reason, detail, int(return_s * 1000))
 
+    def _get_shortest_wait_s(self, stage, flow):
+        return self._pools.get_shortest_wait_s(
+            stage.service, flow, self._admitted.eligibility.get()
+        )
+
     @property
     def lacks_servers(self):
         """Return whether the last run failed as no server took a piece."""
@@ -249,6 +256,7 @@
         )
         task.deadline = deadline_module.Deadline(last_s)
         task.due_s = due_s
+        task.eligibility = self._admitted.eligibility
         task.kind = self._admitted.route.name
         task.priority = self._admitted.queue_priority
         # The caller is already reading this answer and waits for the rest.
@@ -287,9 +295,7 @@
         for dependent, stage in enumerate(self._admitted.route.stages):
             if index in stage.after:
                 call_s = self._pools.get_call_s(stage.service, CALL_FILL_RATIO)
-                call_s += self._pools.get_shortest_wait_s(
-                    stage.service, self._admitted.flow
-                )
+                call_s += self._get_shortest_wait_s(stage, self._admitted.flow)
                 downstream_s = max(
                     downstream_s, call_s + self._get_downstream_s(dependent)
                 )
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -9,7 +9,8 @@
 class PieceTask:
     """A piece that waits for a server, is in a call or has its outcome.
 
-    `server` is the backend server that holds the result.
+    `server` is the backend server that holds the result, `eligibility` the
+    `RequestEligibility` of the request, None at a peer that makes the piece.
     """
 
     __slots__ = (
@@ -17,6 +18,7 @@
         "deadline",
         "done",
         "due_s",
+        "eligibility",
         "inputs",
         "is_resumed",
         "key",
@@ -40,6 +42,7 @@
         self.inputs = inputs
         self.due_s = 0.0
         self.deadline = None
+        self.eligibility = None
         self.kind = ""
         self.priority = 0
         self.is_resumed = False
@@ -56,6 +59,12 @@
         """The `Flow` of the request."""
         return forecast.Flow(self.kind, self.priority)
 
+    def is_allowed_place(self, data_centre):
+        """Return whether the result may lie in a data centre."""
+        if self.eligibility is None:
+            return True
+        return self.eligibility.get().is_allowed_place(data_centre)
+
     def is_completed(self):
         """Return whether the piece has a result or has failed."""
         return self.done.is_set()
--- a/greengagetrack/request/direct/request.py
+++ b/greengagetrack/request/direct/request.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from greengagetrack.process.direct.decisions import forecast
+from greengagetrack.process.direct import eligibilities
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.version import catalog
 
@@ -56,13 +57,17 @@
 
 
 class Admitted(msgspec.Struct):
-    """An admitted request with its route, organisation and deadline."""
+    """An admitted request with its route, organisation and deadline.
+
+    Its `RequestEligibility` says which servers may get it.
+    """
 
     request: DirectRequest
     route: catalog.Route
     organisation: catalog.Organisation | None
     deadline: deadline_module.Deadline
     catalog_version: int
+    eligibility: eligibilities.RequestEligibility
 
     @property
     def is_take_up(self):
@@ -93,6 +98,15 @@
         """
         return self.priority + self.route.priority
 
+    def get_stage_services(self):
+        """Return the services of the stages that have pieces."""
+        counts = self.request.piece_counts or ()
+        return [
+            stage.service
+            for stage, count in zip(self.route.stages, counts, strict=False)
+            if count
+        ]
+
     @property
     def flow(self):
         """The `Flow` of its work in the queues of pools."""
--- a/greengagetrack/request/direct/run.py
+++ b/greengagetrack/request/direct/run.py
@@ -18,6 +18,7 @@
 from greengagetrack.request.direct import lateness
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import patience as patience_module
+from greengagetrack.request.direct import region_check
 from greengagetrack.request.direct import request_log
 from greengagetrack.request.direct import server_selector
 from greengagetrack.request.direct import stage_inputs
@@ -156,8 +157,9 @@
         if refused is not None:
             return refused
         while True:
-            outcome = self._check_crashes()
-            if outcome is None and not self._inputs.are_usable():
+            outcome = self._check_regions() or self._check_crashes()
+            # The regions of the request may change while stages run.
+            while outcome is None and not self._inputs.are_usable():
                 outcome = await self._run_stages()
                 # It may have been found harmful meanwhile.
                 outcome = outcome or self._check_crashes()
@@ -176,6 +178,15 @@
             or self._admitted.is_take_up
         )
 
+    def _check_regions(self):
+        """Return `Refused` if no server is where the request may go."""
+        services = [self._selector.service]
+        if not self._inputs.are_usable():
+            services += self._admitted.get_stage_services()
+        return region_check.check(
+            self._admitted, self._services.directory, services
+        )
+
     def _check_crashes(self):
         """Return `Refused` if the request crashes servers, else None."""
         services = self._services
@@ -253,7 +264,9 @@
 
     def _predict_first_event_s(self):
         return self._services.chooser.predict_first_event_s(
-            self._selector.service, self._admitted.request
+            self._selector.service,
+            self._admitted.request,
+            self._admitted.eligibility.get(),
         )
 
     async def _try_server(self):
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -57,8 +57,19 @@
     def has_servers(self):
         """Return whether there may be a server of the bound version."""
         return not self.is_bound or self._chooser.has_servers(
-            self.service, self.software_version
+            self.service,
+            self.software_version,
+            eligibility=self._get_eligibility(),
+        )
+
+    def _get_eligibility(self):
+        return self._admitted.eligibility.get()
+
+    def _is_eligible(self, server):
+        exclusion = self._get_eligibility().find_exclusion(
+            server, self.software_version
         )
+        return exclusion is None
 
     def has_untried(self):
         """Return whether a server of the bound version was not tried yet.
@@ -66,7 +77,10 @@
         It may be full.
         """
         return self.software_version is not None and self._chooser.has_servers(
-            self.service, self.software_version, self._excluded
+            self.service,
+            self.software_version,
+            self._excluded,
+            self._get_eligibility(),
         )
 
     async def reserve(self, stages_s):
@@ -75,7 +89,10 @@
         Where all servers name limits, choose one and get its permit before
         the stages, which take `stages_s`: their results would be of no use.
         """
-        if not self._chooser.is_limited(self.service, self._excluded):
+        self.give_back()
+        if not self._chooser.is_limited(
+            self.service, self._excluded, self._get_eligibility()
+        ):
             return True
         patience_s = self._get_target_left_s() - stages_s
         choice = await self._choose({}, patience_s, self._get_priority(False))
@@ -108,6 +125,7 @@
             self._get_priority(is_resumed),
             self._get_patience_s(is_resumed),
             self.software_version,
+            self._get_eligibility(),
         )
 
     def _pop_reserved(self):
@@ -115,7 +133,7 @@
         if choice is None:
             return None
         if trio.current_time() <= self._reserved_until_s:
-            if choice.server.is_usable():
+            if self._is_eligible(choice.server):
                 return choice
         self.give_back()
         return None
@@ -152,6 +170,7 @@
                 priority,
                 patience_s,
                 self.software_version,
+                self._get_eligibility(),
             )
             if choice is None:
                 return None
@@ -159,7 +178,7 @@
             self._permit = await self._permits.acquire(
                 server, priority, max(patience_s - choice.wait_ms / 1000, 0.0)
             )
-            if self._permit is not None and server.is_usable():
+            if self._permit is not None and self._is_eligible(server):
                 return choice
             self.give_back()
             without_permit.add(server.server_id)
@@ -170,7 +189,10 @@
         That is when a permit is to be had, if servers are at their limits.
         """
         wait_s = self._chooser.get_permit_wait_s(
-            self.service, self._excluded, self._admitted.queue_priority
+            self.service,
+            self._excluded,
+            self._admitted.queue_priority,
+            self._get_eligibility(),
         )
         if not wait_s:
             return None
--- a/greengagetrack/request/direct/stage_inputs.py
+++ b/greengagetrack/request/direct/stage_inputs.py
@@ -41,8 +41,16 @@
         self.spent_s = 0.0
 
     def are_usable(self):
-        """Return whether a server can be sent the inputs now."""
-        return self.handles is not None and not self.is_freed
+        """Return whether a server can be sent the inputs now.
+
+        Results that lie where the request may not go any more are made anew.
+        """
+        if self.handles is None or self.is_freed:
+            return False
+        eligibility = self._admitted.eligibility.get()
+        return all(
+            map(eligibility.is_allowed_place, self.bytes_by_data_centre)
+        )
 
     @property
     def is_freed(self):
@@ -51,6 +59,7 @@
 
     def prepare(self, is_resumed):
         """Take a new graph of the stages, if the route has some."""
+        self.free()
         self.handles = ()
         if not self._admitted.route.stages:
             return
--- a/greengagetrack/request/outcome.py
+++ b/greengagetrack/request/outcome.py
@@ -51,6 +51,7 @@
     PIPELINE_UNKNOWN = "pipeline_unknown"
     RATE_LIMIT = "rate_limit"
     RECORDS_FULL = "records_full"
+    REGION_UNAVAILABLE = "region_unavailable"
     REQUEST_CRASHES_SERVERS = "request_crashes_servers"
     SHED = "shed"
     STREAM_VERSION_GONE = "stream_version_gone"
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -15,6 +15,7 @@
 from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import durations as durations_module
+from greengagetrack.process.direct import eligibilities
 from greengagetrack.process.direct import fetch_time as fetch_time_module
 from greengagetrack.process.direct import held_bytes
 from greengagetrack.process.direct import lifetime_check
@@ -303,6 +304,9 @@
         self.budgets = budget_module.new_retry_budgets(
             0.2, 80.0, 10.0, lambda: 8
         )
+        self.eligibilities = eligibilities.new_eligibilities(
+            lambda: self.catalog, REGIONS, self.directory.evacuated
+        )
         self.chooser = chooser_module.new_chooser(
             self.directory,
             lambda: self.catalog,
@@ -352,7 +356,7 @@
             held_bytes.new_held_bytes(MEMORY_BYTES),
         )
 
-    def admit(self, route, left_s=3.0, **fields):
+    def admit(self, route, left_s=3.0, organisation=None, **fields):
         """Return an admitted request of a route."""
         now = trio.current_time()
         values = {
@@ -364,12 +368,16 @@
             "body": b"",
             "received_s": now,
         }
+        request = request_module.DirectRequest(**{**values, **fields})
         return request_module.Admitted(
-            request_module.DirectRequest(**{**values, **fields}),
+            request,
             route,
-            None,
+            organisation,
             deadline_module.Deadline(now + left_s),
             1,
+            self.eligibilities.new_request_eligibility(
+                request, route, organisation
+            ),
         )
 
     async def serve(self, route, **fields):
--- a/tests/direct/test_silent_servers.py
+++ b/tests/direct/test_silent_servers.py
@@ -87,7 +87,7 @@
     monkeypatch.setattr(
         chooser_module.Chooser,
         "predict_first_event_s",
-        lambda self, service, request: LEFT_S,
+        lambda self, service, request, eligibility: LEFT_S,
     )
 
 
