--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -9,8 +9,10 @@
 class PieceTask:
     """A piece that waits for a server, is in a call or has its outcome.
 
-    `server` is the backend server that holds the result. `input_servers` are
-    the ids of those that hold the inputs, none if these must outlast it.
+    `server` is the backend server that holds the result, `eligibility` the
+    `RequestEligibility` of the request, None at a peer that makes the piece.
+    `input_servers` are the ids of the servers that hold the inputs, none if
+    these must outlast it.
     """
 
     __slots__ = (
@@ -19,6 +21,7 @@
         "deadline",
         "done",
         "due_s",
+        "eligibility",
         "input_servers",
         "inputs",
         "is_resumed",
@@ -45,6 +48,7 @@
         self.are_inputs_freed = False
         self.due_s = 0.0
         self.deadline = None
+        self.eligibility = None
         self.kind = ""
         self.priority = 0
         self.is_resumed = False
@@ -61,6 +65,12 @@
         """The `Flow` of the request."""
         return forecast.Flow(self.kind, self.priority)
 
+    def is_allowed_place(self, data_centre):
+        """Return whether the result may lie in a data centre."""
+        if self.eligibility is None:
+            return True
+        return self.eligibility.get().is_allowed_place(data_centre)
+
     def is_completed(self):
         """Return whether the piece has a result or has failed."""
         return self.done.is_set()
