--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -166,6 +166,7 @@
             nursery,
             self.containment,
         )
+        fetch_times = fetch_time.FetchTimes()
         batcher_dependencies = batcher_module.BatcherDependencies(
             self.directory,
             gateway,
@@ -173,6 +174,7 @@
             get_catalog,
             nursery,
             self.peers.permits,
+            fetch_times,
         )
         self._pools = pools_module.new_pools(
             settings.data_centre,
@@ -180,12 +182,13 @@
             self.peers,
             generator,
             self.containment,
+            settings.region_by_data_centre,
         )
         self.peers.set_pools(self._pools)
         self._services = run_module.RunServices(
             chooser,
             self.directory,
-            fetch_time.FetchTimes(),
+            fetch_times,
             gateway,
             self._pools,
             budgets,
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -14,6 +14,7 @@
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct.decisions import forecast
 from greengagetrack.process.direct.decisions import placement
+from greengagetrack.process.direct import distance
 
 WAKE_INTERVAL_S = 0.1
 POOLS_TRIED_MAX = 3
@@ -21,7 +22,12 @@
     gateway_module.PieceFailure.NO_SERVER,
     gateway_module.PieceFailure.NOT_TAKEN,
 )
-REMOTE_DELAY_S = 0.03
+# Of the pieces of a stage: the way to the pool, and that of its inputs.
+DELAY_S_BY_DISTANCE = {
+    distance.Distance.SAME: 0.0,
+    distance.Distance.REGION: 0.005,
+    distance.Distance.OTHER_REGION: 0.03,
+}
 SENT_WINDOW_S = 0.8
 WAIT_DEFAULT_S = 0.15
 SHORTEST_WAIT_MAX_S = 2.0
@@ -93,6 +99,7 @@
         "_data_centre",
         "_dependencies",
         "_directory",
+        "_distances",
         "_get_catalog",
         "_peers",
         "_pool_by_key",
@@ -100,11 +107,19 @@
     )
 
     def __init__(
-        self, data_centre, dependencies, peers, generator, containment
+        self,
+        data_centre,
+        dependencies,
+        peers,
+        generator,
+        containment,
+        distances,
     ):
         self._containment = containment
+        self._distances = distances
         self._data_centre = data_centre
         self._dependencies = dependencies
+        dependencies.free_inputs = self.free_inputs
         self._directory = dependencies.directory
         self._get_catalog = dependencies.get_catalog
         self._peers = peers
@@ -187,10 +202,15 @@
         def get_cost(centre):
             pool = self.get_pool(service, centre)
             finish_s = self._get_finish_s(services, centre, flow, eligibility)
-            if centre != self._data_centre:
-                finish_s += REMOTE_DELAY_S
+            far = self._distances.get(centre)
+            finish_s += DELAY_S_BY_DISTANCE[far]
             moved_bytes = self._count_moved_bytes(pool, tasks, inputs)
-            return placement.get_cost(finish_s, left_s, moved_bytes)
+            return placement.get_cost(
+                finish_s,
+                left_s,
+                moved_bytes,
+                far is distance.Distance.OTHER_REGION,
+            )
 
         return self.get_pool(service, min(sorted(centres), key=get_cost))
 
@@ -204,7 +224,7 @@
             if wait_s == math.inf:
                 # The data centre has no server: another one takes the stage.
                 wait_s = self._get_shortest_wait_s(service, flow, eligibility)
-                finish_s += REMOTE_DELAY_S
+                finish_s += DELAY_S_BY_DISTANCE[distance.Distance.OTHER_REGION]
             finish_s += max(wait_s, WAIT_MIN_S) + self.get_call_s(
                 service, CALL_FILL_RATIO
             )
@@ -276,13 +296,41 @@
                 key = (task.pool, task.server.server_id)
                 handles_by_server.setdefault(key, []).append(task.result)
         for (pool, server_id), handles in handles_by_server.items():
-            peer = self.get_owner(pool)
-            if peer is None:
-                pool.batcher.free_results(server_id, handles)
-            else:
-                self._dependencies.nursery.start_soon(
-                    self._peers.request_free, peer, pool, server_id, handles
-                )
+            self._free_at(pool, server_id, handles)
+
+    def _free_at(self, pool, server_id, handles):
+        peer = self.get_owner(pool)
+        if peer is None:
+            pool.batcher.free_results(server_id, handles)
+        else:
+            self._dependencies.nursery.start_soon(
+                self._peers.request_free, peer, pool, server_id, handles
+            )
+
+    def free_inputs(self, handles, server_ids):
+        """Free results that were read, where memory is short.
+
+        That is where more than a call waits in the pool of their server.
+        Return whether any are freed.
+        """
+        handles_by_server_id = {}
+        for handle, server_id in zip(handles, server_ids, strict=True):
+            handles_by_server_id.setdefault(server_id, []).append(handle)
+        is_any_freed = False
+        for server_id, server_handles in handles_by_server_id.items():
+            server = self._directory.server_by_id.get(server_id)
+            if server is None:
+                continue
+            published = server.published
+            pool = self.get_pool(published.service, published.data_centre)
+            if self._is_short_of_room(pool):
+                self._free_at(pool, server_id, server_handles)
+                is_any_freed = True
+        return is_any_freed
+
+    def _is_short_of_room(self, pool):
+        call_s = self.get_call_s(pool.service, 1.0)
+        return self._get_waits(pool).late_s > call_s
 
     def start_task(self, function, *arguments):
         """Start a task that may outlive the request that it is for."""
@@ -347,7 +395,14 @@
                     pool.batcher.wake()
 
 
-def new_pools(data_centre, dependencies, peers, generator, containment=None):
+def new_pools(
+    data_centre,
+    dependencies,
+    peers,
+    generator,
+    containment=None,
+    region_by_data_centre=None,
+):
     """Return the pools of an entry in `data_centre`."""
     return Pools(
         data_centre,
@@ -355,4 +410,5 @@
         peers,
         generator,
         containment or containment_module.new_containment(),
+        distance.Distances(data_centre, region_by_data_centre or {}),
     )
--- a/greengagetrack/request/direct/piece.py
+++ b/greengagetrack/request/direct/piece.py
@@ -11,14 +11,18 @@
 
     `server` is the backend server that holds the result, `eligibility` the
     `RequestEligibility` of the request, None at a peer that makes the piece.
+    `input_servers` are the ids of the servers that hold the inputs, none if
+    these must outlast it.
     """
 
     __slots__ = (
+        "are_inputs_freed",
         "completed_s",
         "deadline",
         "done",
         "due_s",
         "eligibility",
+        "input_servers",
         "inputs",
         "is_resumed",
         "key",
@@ -40,6 +44,8 @@
         self.number = number
         self.key = key
         self.inputs = inputs
+        self.input_servers = ()
+        self.are_inputs_freed = False
         self.due_s = 0.0
         self.deadline = None
         self.eligibility = None
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -327,6 +327,7 @@
             self.source_reader,
             nursery,
         )
+        fetch_times = fetch_time_module.FetchTimes()
         dependencies = batcher_module.BatcherDependencies(
             self.directory,
             fake_gateway,
@@ -334,6 +335,7 @@
             lambda: self.catalog,
             nursery,
             self.permits,
+            fetch_times,
         )
         self.pools = pools_module.new_pools(
             "dc-a", dependencies, peers, random.Random(2)
@@ -341,7 +343,7 @@
         self.services = run_module.RunServices(
             self.chooser,
             self.directory,
-            fetch_time_module.FetchTimes(),
+            fetch_times,
             fake_gateway,
             self.pools,
             self.budgets,
