--- a/tests/direct/loopback.py
+++ b/tests/direct/loopback.py
@@ -38,9 +38,16 @@
             data += more
 
 
-async def start_raw_server(nursery, handle):
+async def start_raw_server(nursery, handle, receive_buffer_bytes=None):
     """Serve each connection with `handle(stream)`; return the address."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    if receive_buffer_bytes is not None:
+        # Its connections inherit it.
+        listeners[0].socket.setsockopt(
+            trio.socket.SOL_SOCKET,
+            trio.socket.SO_RCVBUF,
+            receive_buffer_bytes,
+        )
     nursery.start_soon(trio.serve_listeners, handle, listeners)
     host, port = listeners[0].socket.getsockname()[:2]
     return f"{host}:{port}"
--- a/tests/direct/raw_entry.py
+++ b/tests/direct/raw_entry.py
@@ -13,12 +13,13 @@
 
     def __init__(self):
         self.is_started = False
+        self.is_finished = False
         self.status = None
         self.headers = []
         self.body = b""
 
     async def answer(self, status, headers, body=b"", framing=None):
-        self.is_started = True
+        self.is_started = self.is_finished = True
         self.status, self.headers, self.body = status, headers, body
 
     async def start(self, status, headers, framing=None):
@@ -29,7 +30,8 @@
         self.body += data
 
     async def finish(self):
-        """Mark the response as complete; nothing is kept of that."""
+        """Mark the response as complete."""
+        self.is_finished = True
 
 
 class RawEntry:
@@ -51,7 +53,9 @@
         """Return what the entry knows of a server."""
         return self._entry.directory.server_by_id[server_id]
 
-    async def ask(self, route, request_id, method=b"GET", more_headers=()):
+    async def ask(
+        self, route, request_id, method=b"GET", more_headers=(), body=b""
+    ):
         """Return the `CallerExchange` of a request, after its answer."""
         exchange = CallerExchange()
         headers = [(b"Host", b"h"), (b"X-Request-Id", request_id)]
@@ -62,6 +66,7 @@
             request_id=request_id,
             headers=headers,
             method=method,
+            body=body,
         )
         if not exchange.is_started:
             await exchange.answer(*callers.get_error_response(outcome))
