Believe no end of a connection while the request is on its way

Cause: a reset is told once. Where the task that writes a long request heard of it, its failure was dropped, and the task that reads found the end of an orderly close, which is that of an answer without a length. A half close while the request was written was believed too. Any status that h11 reads (200 to 999) was passed on, and one of 600 and more with X-Not-Run was taken for a promise. Change: answer_end judges how far the request came: an answer without a length is whole only if its request was written, the server's system has received all of it (SIOCOUTQ) and nothing has happened to the connection (SO_ERROR), at the end and again after the server was asked. A final status outside 200 to 599, or a response of another version than HTTP/1, is no response.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -130,6 +130,10 @@
     async def receive_part(self):
         """Return bytes, None after a complete body, or a `Failure`."""
 
+    @abc.abstractmethod
+    def find_end_problem(self):
+        """Return what speaks against the end of an ended answer, or ""."""
+
     @abc.abstractmethod
     def finish(self):
         """End the call; an incomplete answer is cancelled."""
--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -3,6 +3,7 @@
 import h11
 import trio
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection import contained_error
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import heads
@@ -16,6 +17,11 @@
 IDLE_MARGIN_S = 1.0
 STALE_RESPONSES_MAX = 2
 INFORMATIONAL_RESPONSES_MAX = 8
+# Those of the protocol; others tell nothing.
+FINAL_STATUSES = range(200, 600)
+VERSION_PREFIX = b"1."
+# A task that has handed its last bytes to the system is next run within these.
+WRITER_CHECKPOINTS = 2
 # Of responses to requests of this process itself.
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
 
@@ -28,6 +34,7 @@
     __slots__ = (
         "_body",
         "_connection",
+        "_framing",
         "_has_received",
         "_held_event",
         "_is_eof",
@@ -50,6 +57,8 @@
         self._request_id = request_id
         self._body = b""
         self._protocol = h11.Connection(h11.CLIENT)
+        # That of the response whose head was received last.
+        self._framing = None
         self._is_eof = False
         self._is_last = False
         self._is_sent = False
@@ -152,6 +161,9 @@
                 return _ResponseFailure(
                     f"{type(event).__name__} instead of a response head"
                 )
+            problem = _find_head_problem(event)
+            if problem:
+                return _ResponseFailure(problem)
             head = self._new_head(event)
             if is_expected(head):
                 return head
@@ -166,10 +178,10 @@
 
     def _new_head(self, event):
         headers = list(event.headers.raw_items())
-        framing = framing_module.get_framing(
+        self._framing = framing_module.get_framing(
             self._request.method, event.status_code, headers
         )
-        return heads.ResponseHead(event.status_code, headers, framing)
+        return heads.ResponseHead(event.status_code, headers, self._framing)
 
     async def _receive_final_head(self):
         """Return the next event that is no informational response."""
@@ -217,14 +229,40 @@
         if isinstance(event, h11.Data):
             return self._merge_chunks(event)
         if isinstance(event, h11.EndOfMessage):
-            self.is_complete = True
-            return None
+            return await self._end_body()
         if isinstance(event, _ResponseFailure):
             return event
         return _ResponseFailure(
             f"{type(event).__name__} within the response body"
         )
 
+    async def _end_body(self):
+        """Return None after a complete body, or a failure."""
+        if not answer_end.is_body_end_proven(self._framing):
+            for _checkpoint in range(WRITER_CHECKPOINTS):
+                # Shielded: an end that was parsed must not get lost.
+                await trio.lowlevel.cancel_shielded_checkpoint()
+            problem = self.find_end_problem()
+            if problem:
+                return _ResponseFailure(problem)
+        self.is_complete = True
+        return None
+
+    def find_end_problem(self):
+        """Return why the end of the connection is no end, or "".
+
+        It may be asked again: a reset can come after an orderly end.
+        """
+        sending = answer_end.Sending(self._is_sent)
+        if self._is_sent:
+            # Else it may be closed already.
+            sending = answer_end.Sending(
+                True,
+                self._connection.get_unreceived_bytes(),
+                self._connection.take_error(),
+            )
+        return answer_end.find_sending_problem(self._framing, sending)
+
     def _merge_chunks(self, first):
         """Return the data of a chunk and of those received behind it."""
         data = bytearray(first.data)
@@ -356,3 +394,12 @@
         if timeout_s is not None:
             idle_max_s = max(0.0, timeout_s - IDLE_MARGIN_S)
             self._connection.idle_max_s = idle_max_s
+
+
+def _find_head_problem(response):
+    """Return why a response is none of HTTP/1, or ""."""
+    if not response.http_version.startswith(VERSION_PREFIX):
+        return "response of another protocol version"
+    if response.status_code not in FINAL_STATUSES:
+        return f"odd status {response.status_code}"
+    return ""
--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -1,6 +1,10 @@
 """A persistent connection to a server."""
 
+import fcntl
+import os
 import socket
+import struct
+import termios
 
 import trio
 
@@ -87,6 +91,27 @@
         """Return whether data or an EOF has arrived."""
         return self.stream.socket.is_readable()
 
+    def get_unreceived_bytes(self):
+        """Return how many written bytes the server hasn't acknowledged.
+
+        An answer that comes after the server has read the request
+        acknowledges all of it.
+        """
+        size = fcntl.ioctl(
+            self.stream.socket.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
+        )
+        return struct.unpack("i", size)[0]
+
+    def take_error(self):
+        """Return what has happened to the connection, "" if nothing.
+
+        The system tells it once, here or to a task that reads or writes.
+        """
+        code = self.stream.socket.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        )
+        return os.strerror(code) if code else ""
+
     def close(self):
         """Close the socket at once, without a graceful shutdown."""
         self.stream.socket.close()
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -105,6 +105,10 @@
             return _convert_failure(part)
         return part
 
+    def find_end_problem(self):
+        """Return what speaks against the end of an ended answer, or ""."""
+        return self._call.find_end_problem()
+
     def finish(self):
         """End the call; an incomplete answer is cancelled."""
         self._call.finish()
--- a/greengagetrack/request/direct/answer_reader.py
+++ b/greengagetrack/request/direct/answer_reader.py
@@ -78,11 +78,13 @@
         if answer_end.is_body_end_proven(self._answer.framing):
             return None
         checks = self._services.lifetime_checks
-        if await checks.is_going_on(self._attempt.server):
-            return None
-        return _new_failure(
-            "the connection closed and the server may have crashed"
-        )
+        if not await checks.is_going_on(self._attempt.server):
+            return _new_failure(
+                "the connection closed and the server may have crashed"
+            )
+        # It may have been reset meanwhile.
+        problem = self._answer.find_end_problem()
+        return _new_failure(problem) if problem else None
 
     def record_progress(self, progress_s):
         """Record an event at `progress_s`."""
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -136,6 +136,9 @@
             self._parts.insert(0, end_s - trio.current_time())
             raise
 
+    def find_end_problem(self):
+        return ""
+
     def finish(self):
         self.is_finished = True
 
