Early answers: leave their connections, and read no part of a report

Cause, found by looking for the same class elsewhere: a connection whose answer came before its request was written was used again if the rest was written by the end of the answer; a server that doesn't drain takes it for a request. A report without a length that broke off was read as one that names no incarnation, so the source spoke for a server that may just have crashed. In agent mode a refusal was believed with any status.

--- a/greengagetrack/connection/backend/http.py
+++ b/greengagetrack/connection/backend/http.py
@@ -14,6 +14,8 @@
 ORDER_TIMEOUT_S = 30.0
 LINE_MAX_BYTES = 1024 * 1024
 RESULT_MAX_BYTES = 1024 * 1024
+# Others promise nothing, whatever they say.
+REFUSAL_STATUSES = range(400, 600)
 
 
 class _Line(msgspec.Struct):
@@ -58,6 +60,10 @@
 
 
 def _decode_failure(response):
+    if response.status_code not in REFUSAL_STATUSES:
+        return _new_unknown_failure(
+            ValueError(f"odd status {response.status_code}")
+        )
     try:
         problem = _problem_decoder.decode(response.content)
     except (msgspec.MsgspecError, UnicodeError, RecursionError):
--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -166,6 +166,9 @@
                 return _ResponseFailure(problem)
             head = self._new_head(event)
             if is_expected(head):
+                if not self._is_sent:
+                    # What is left of it may be taken for the next request.
+                    self.end_connection()
                 return head
             failure = await self._skip_response()
             if failure is not None:
@@ -290,7 +293,8 @@
                 return response
             match = self._connection.matcher.match(identify(*response))
             if match is not matching.Match.OTHER:
-                self._is_last = match is matching.Match.UNPROVEN
+                if match is matching.Match.UNPROVEN:
+                    self.end_connection()
                 self.update_idle_limit(response[0].headers)
                 return response
             failure = self._expect_next()
--- a/greengagetrack/platform/reports.py
+++ b/greengagetrack/platform/reports.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection import gateway
 from greengagetrack.connection.http.client import call as call_module
 from greengagetrack.connection.http.client import failures
@@ -70,4 +71,6 @@
     try:
         return msgspec.json.decode(body, type=_Report).born
     except document.DECODING_ERRORS:
-        return None
+        if answer_end.is_body_end_proven(response.framing):
+            return None
+        return failures.ResponseFailure("the report may be cut off")
--- a/tests/direct/test_early_answers.py
+++ b/tests/direct/test_early_answers.py
@@ -185,6 +185,36 @@
     _call(check, size, end, answer)
 
 
+def test_connection_of_an_early_answer_is_not_reused():
+    """Its server may take the rest of the body for the next request."""
+
+    async def handle(stream):
+        await stream.receive_some(1)
+        await stream.send_all(WHOLE_LENGTH)
+        await loopback.read_all(stream)
+
+    async def main():
+        async with (
+            trio.open_nursery() as server_nursery,
+            trio.open_nursery() as nursery,
+        ):
+            address = await loopback.start_raw_server(server_nursery, handle)
+            pool = pool_module.new_pool(nursery)
+            with trio.fail_after(loopback.LIMIT_S):
+                call = await pool.open_call(
+                    address, _new_head(LONG_BYTES), b"x" * LONG_BYTES
+                )
+                await call.receive_head(lambda _head: True)
+                while nursery.child_tasks:
+                    await trio.lowlevel.checkpoint()
+                assert await call.receive_body() == PART
+            call.finish()
+            assert pool.count(address) == 0
+            server_nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 class _EarlyServer:
     """A server that answers before it reads, or after with `is_reading`.
 
--- a/tests/direct/test_reports.py
+++ b/tests/direct/test_reports.py
@@ -74,6 +74,15 @@
     assert isinstance(_ask(response), failures.ResponseFailure)
 
 
+@pytest.mark.parametrize("size", [0, 1, 8, 9])
+def test_a_part_of_a_report_without_length_is_a_failure(size):
+    """It was one that names no incarnation; the source spoke instead."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+    report = b'{"born":1}'
+    assert isinstance(_ask(head + report[:size]), failures.ResponseFailure)
+    assert _ask(head + report) == 1
+
+
 def test_a_report_of_another_server_is_none_of_the_one_that_was_asked():
     answer = _ask(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
     assert answer == gateway.OtherServer()
--- a/tests/unit/test_late_refusals.py
+++ b/tests/unit/test_late_refusals.py
@@ -65,6 +65,12 @@
     assert (first.result, second.result) == (b"1", b'{"number": 2}')
 
 
+@pytest.mark.parametrize("status", [302, 600, 999])
+def test_odd_status_promises_nothing(status):
+    first, _second = _call_twice(_new_answer(status, REFUSAL))
+    assert first.ran is outcome.Ran.UNKNOWN
+
+
 @pytest.mark.parametrize("reason", list(outcome.Reason))
 def test_status_of_an_unknown_outcome_promises_nothing(reason):
     """An order that may have run was told 429, by its reason."""
