--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -17,9 +17,6 @@
 IDLE_MARGIN_S = 1.0
 STALE_RESPONSES_MAX = 2
 INFORMATIONAL_RESPONSES_MAX = 8
-# Those of the protocol; others tell nothing.
-FINAL_STATUSES = range(200, 600)
-VERSION_PREFIX = b"1."
 # A task that has handed its last bytes to the system is next run within these.
 WRITER_CHECKPOINTS = 2
 # Of responses to requests of this process itself.
@@ -161,7 +158,7 @@
                 return _ResponseFailure(
                     f"{type(event).__name__} instead of a response head"
                 )
-            problem = _find_head_problem(event)
+            problem = heads.find_problem(event)
             if problem:
                 return _ResponseFailure(problem)
             head = self._new_head(event)
@@ -256,15 +253,9 @@
 
         It may be asked again: a reset can come after an orderly end.
         """
-        sending = answer_end.Sending(self._is_sent)
-        if self._is_sent:
-            # Else it may be closed already.
-            sending = answer_end.Sending(
-                True,
-                self._connection.get_unreceived_bytes(),
-                self._connection.take_error(),
-            )
-        return answer_end.find_sending_problem(self._framing, sending)
+        return answer_end.find_sending_problem(
+            self._framing, self._connection.read_sending(self._is_sent)
+        )
 
     def _merge_chunks(self, first):
         """Return the data of a chunk and of those received behind it."""
@@ -398,12 +389,3 @@
         if timeout_s is not None:
             idle_max_s = max(0.0, timeout_s - IDLE_MARGIN_S)
             self._connection.idle_max_s = idle_max_s
-
-
-def _find_head_problem(response):
-    """Return why a response is none of HTTP/1, or ""."""
-    if not response.http_version.startswith(VERSION_PREFIX):
-        return "response of another protocol version"
-    if response.status_code not in FINAL_STATUSES:
-        return f"odd status {response.status_code}"
-    return ""
--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection.http import matching
 
 DEFAULT_IDLE_MAX_S = 4.0
@@ -91,22 +92,27 @@
         """Return whether data or an EOF has arrived."""
         return self.stream.socket.is_readable()
 
-    def get_unreceived_bytes(self):
-        """Return how many written bytes the server hasn't acknowledged.
+    def read_sending(self, is_written):
+        """Return the `Sending` of a request, at the end of its answer.
 
         An answer that comes after the server has read the request
-        acknowledges all of it.
+        acknowledges all of it. The system tells an error once, here or to a
+        task that reads or writes.
         """
+        if not is_written:
+            # The connection may be closed already.
+            return answer_end.Sending(is_written)
+        return answer_end.Sending(
+            is_written, self._get_unacknowledged_bytes(), self._take_error()
+        )
+
+    def _get_unacknowledged_bytes(self):
         size = fcntl.ioctl(
             self.stream.socket.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
         )
         return struct.unpack("i", size)[0]
 
-    def take_error(self):
-        """Return what has happened to the connection, "" if nothing.
-
-        The system tells it once, here or to a task that reads or writes.
-        """
+    def _take_error(self):
         code = self.stream.socket.getsockopt(
             socket.SOL_SOCKET, socket.SO_ERROR
         )
