--- a/greengagetrack/connection/http/client/call.py
+++ b/greengagetrack/connection/http/client/call.py
@@ -3,6 +3,7 @@
 import h11
 import trio
 
+from greengagetrack.connection import answer_end
 from greengagetrack.connection import contained_error
 from greengagetrack.connection.http.client import failures
 from greengagetrack.connection.http.client import heads
@@ -16,6 +17,8 @@
 IDLE_MARGIN_S = 1.0
 STALE_RESPONSES_MAX = 2
 INFORMATIONAL_RESPONSES_MAX = 8
+# A task that has handed its last bytes to the system is next run within these.
+WRITER_CHECKPOINTS = 2
 # Of responses to requests of this process itself.
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
 
@@ -28,6 +31,7 @@
     __slots__ = (
         "_body",
         "_connection",
+        "_framing",
         "_has_received",
         "_held_event",
         "_is_eof",
@@ -50,6 +54,8 @@
         self._request_id = request_id
         self._body = b""
         self._protocol = h11.Connection(h11.CLIENT)
+        # That of the response whose head was received last.
+        self._framing = None
         self._is_eof = False
         self._is_last = False
         self._is_sent = False
@@ -152,8 +158,14 @@
                 return _ResponseFailure(
                     f"{type(event).__name__} instead of a response head"
                 )
+            problem = heads.find_problem(event)
+            if problem:
+                return _ResponseFailure(problem)
             head = self._new_head(event)
             if is_expected(head):
+                if not self._is_sent:
+                    # What is left of it may be taken for the next request.
+                    self.end_connection()
                 return head
             failure = await self._skip_response()
             if failure is not None:
@@ -166,10 +178,10 @@
 
     def _new_head(self, event):
         headers = list(event.headers.raw_items())
-        framing = framing_module.get_framing(
+        self._framing = framing_module.get_framing(
             self._request.method, event.status_code, headers
         )
-        return heads.ResponseHead(event.status_code, headers, framing)
+        return heads.ResponseHead(event.status_code, headers, self._framing)
 
     async def _receive_final_head(self):
         """Return the next event that is no informational response."""
@@ -217,14 +229,34 @@
         if isinstance(event, h11.Data):
             return self._merge_chunks(event)
         if isinstance(event, h11.EndOfMessage):
-            self.is_complete = True
-            return None
+            return await self._end_body()
         if isinstance(event, _ResponseFailure):
             return event
         return _ResponseFailure(
             f"{type(event).__name__} within the response body"
         )
 
+    async def _end_body(self):
+        """Return None after a complete body, or a failure."""
+        if not answer_end.is_body_end_proven(self._framing):
+            for _checkpoint in range(WRITER_CHECKPOINTS):
+                # Shielded: an end that was parsed must not get lost.
+                await trio.lowlevel.cancel_shielded_checkpoint()
+            problem = self.find_end_problem()
+            if problem:
+                return _ResponseFailure(problem)
+        self.is_complete = True
+        return None
+
+    def find_end_problem(self):
+        """Return why the end of the connection is no end, or "".
+
+        It may be asked again: a reset can come after an orderly end.
+        """
+        return answer_end.find_sending_problem(
+            self._framing, self._connection.read_sending(self._is_sent)
+        )
+
     def _merge_chunks(self, first):
         """Return the data of a chunk and of those received behind it."""
         data = bytearray(first.data)
@@ -252,7 +284,8 @@
                 return response
             match = self._connection.matcher.match(identify(*response))
             if match is not matching.Match.OTHER:
-                self._is_last = match is matching.Match.UNPROVEN
+                if match is matching.Match.UNPROVEN:
+                    self.end_connection()
                 self.update_idle_limit(response[0].headers)
                 return response
             failure = self._expect_next()
