Crowd: one account of what callers take of a process

Cause: limits held for one request at a time; together callers took the memory and the descriptors of an entry.

Change: the HTTP servers of a process share an account of bytes (caller_account, on held_bytes.HeldBytes): heads, bodies and requests sent ahead, taken before they are read and given back on every way out. Without room those that stand still give way first (decisions/shedding); a request that was not read is told 503 with Retry-After, which is true.

--- a/greengagetrack/connection/http/closing.py
+++ b/greengagetrack/connection/http/closing.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagetrack.connection import contained_error
+from greengagetrack.connection.http import bounds
 
 _log = logging.getLogger(__name__)
 
@@ -19,10 +20,12 @@
     """
 
     CALLER_CLOSED = "caller_closed"
+    TOO_MANY = "too_many"
     IDLE = "idle"
     DRAINING = "draining"
     NOT_KEPT = "not_kept"
     REQUEST_INVALID = "request_invalid"
+    NO_ROOM = "no_room"
     CALLER_LEFT = "caller_left"
     CALLER_SLOW = "caller_slow"
     ANSWER_UNFINISHED = "answer_unfinished"
@@ -30,6 +33,13 @@
     STOPPED = "stopped"
 
 
+def get_shed_reason(cause):
+    """Return the reason for a `bounds.Cause`; None is a refusal."""
+    if cause is bounds.Cause.TOO_MANY:
+        return CloseReason.TOO_MANY
+    return CloseReason.NO_ROOM
+
+
 class ClosedConnection(msgspec.Struct, frozen=True):
     """How a connection of a caller ended.
 
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -15,22 +15,28 @@
 import trio
 
 from greengagetrack.connection import contained_error
+from greengagetrack.connection.http import bounds as bounds_module
 from greengagetrack.connection.http import closing
 from greengagetrack.connection.http import exchange as exchange_module
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import framing as framing_module
+from greengagetrack.connection.http import request_reader
 
-RECEIVE_BYTES = 65536
 BACKLOG = 1024
+DISCARD_BYTES = 65536
+PIPELINED_BYTES = 16384
 PIPELINED_MAX_BYTES = 262144
 LINGER_S = 0.5
-IDLE_SLACK_S = 1.0
+SEND_BYTES = 32768
 SEND_TIMEOUT_S = 10.0
+# After it a caller that was refused for want of room may come back.
+RETRY_AFTER_S = b"1"
 
 _LINGER_OFF = struct.pack("ii", 0, 0)
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _Framing = framing_module.Framing
 _CloseReason = closing.CloseReason
+_Wait = bounds_module.Wait
 
 _log = logging.getLogger(__name__)
 
@@ -43,17 +49,6 @@
 )
 
 
-class _RequestError(Exception):
-    """A request that can't be read, with the status of its response.
-
-    It is raised and caught within this module and ends the connection.
-    """
-
-    def __init__(self, status):
-        super().__init__(status)
-        self.status = status
-
-
 class _CallerConnection:
     """A connection of a caller, which serves its requests in order."""
 
@@ -61,29 +56,29 @@
         "_exchange",
         "_has_caller_left",
         "_is_body_ended_by_close",
-        "_request_id",
+        "_reader",
         "_server",
+        "_share",
         "_stream",
         "protocol",
         "request_count",
     )
 
-    def __init__(self, server, stream):
+    def __init__(self, server, stream, share):
         self._server = server
         self._stream = stream
+        self._share = share
         self._exchange = None
         self._has_caller_left = False
         self._is_body_ended_by_close = False
-        # Of the request whose head was read last, for logs.
-        self._request_id = ""
-        self.protocol = self._new_protocol()
-        self.request_count = 0
-
-    def _new_protocol(self):
-        limits = self._server.get_limits()
-        return h11.Connection(
+        limits = server.get_limits()
+        self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
         )
+        self._reader = request_reader.RequestReader(
+            server, stream, self.protocol, share, self.send
+        )
+        self.request_count = 0
 
     def is_draining(self):
         """Return whether the next response closes the connection."""
@@ -121,13 +116,28 @@
         caller has read the response.
         """
         with trio.move_on_after(LINGER_S):
-            while await self._stream.receive_some(RECEIVE_BYTES):
+            while await self._stream.receive_some(DISCARD_BYTES):
                 pass
 
     async def send(self, data):
         """Send bytes; raise `TooSlowError` if the caller reads too slowly."""
-        with trio.fail_after(SEND_TIMEOUT_S):
-            await self._stream.send_all(data)
+        share = self._share
+        share.restart_clock()
+        with share.wait_for(_Wait.READER, SEND_TIMEOUT_S) as scope:
+            if len(data) <= SEND_BYTES:
+                await self._stream.send_all(data)
+            else:
+                await self._send_parts(data)
+        share.end_wait()
+        if scope.cancelled_caught:
+            raise trio.TooSlowError
+
+    async def _send_parts(self, data):
+        """Send bytes, and tell the parts that the caller has read."""
+        with memoryview(data) as view:
+            for start in range(0, len(view), SEND_BYTES):
+                await self._stream.send_all(view[start : start + SEND_BYTES])
+                self._share.restart_clock()
 
     async def serve(self):
         """Serve requests until the connection closes."""
@@ -167,8 +177,10 @@
                 if reason is not None:
                     return reason
                 self.protocol.start_next_cycle()
-        except _RequestError as error:
+        except request_reader.RequestError as error:
             await self._reject(error.status)
+            if error.status == request_reader.NO_ROOM_STATUS:
+                return self._get_shed_reason()
             return _CloseReason.REQUEST_INVALID
         except _DISCONNECT_ERRORS:
             return _CloseReason.CALLER_LEFT
@@ -176,13 +188,12 @@
     async def _serve_next(self):
         """Serve one request; return None if the connection is reusable."""
         self._exchange = None
-        self._request_id = ""
-        request = await self._read_head()
+        request = await self._reader.read_head()
         if isinstance(request, _CloseReason):
             return request
-        body = await self._read_body()
+        body = await self._reader.read_body(request)
         exchange = exchange_module.Exchange(self, request, body)
-        exchange.request_id = self._request_id
+        exchange.request_id = self._reader.request_id
         self._exchange = exchange
         self.request_count += 1
         self._server.in_progress += 1
@@ -192,16 +203,25 @@
             self._server.in_progress -= 1
         if reason is not None:
             return reason
-        return await self._find_reason_to_close()
+        reason = await self._find_reason_to_close()
+        self._reader.end_request()
+        return reason
+
+    def _get_shed_reason(self):
+        return closing.get_shed_reason(self._share.shed_for)
 
     async def _find_reason_to_close(self):
         """Return why the connection ends after a whole answer, or None."""
+        if self._share.shed_for is not None:
+            return self._get_shed_reason()
         if self._is_body_ended_by_close:
             await self._wait_for_close()
             return _CloseReason.NOT_KEPT
         protocol = self.protocol
         if protocol.our_state is protocol.their_state is h11.DONE:
-            return None
+            bounds = self._server.bounds
+            if bounds.allows_pipelining or not self._reader.count_buffered():
+                return None
         if self.is_draining():
             return _CloseReason.DRAINING
         return _CloseReason.NOT_KEPT
@@ -225,8 +245,13 @@
                 reason = _CloseReason.ERROR
                 self._record_error(exchange)
             nursery.cancel_scope.cancel()
-        if self._has_caller_left and not exchange.is_finished:
-            return _CloseReason.CALLER_LEFT
+        if not exchange.is_finished:
+            if self._share.shed_for is not None:
+                # Nobody reads what the socket still holds.
+                self._set_linger(_LINGER_RESET)
+                return self._get_shed_reason()
+            if self._has_caller_left:
+                return _CloseReason.CALLER_LEFT
         if reason is None and not exchange.is_finished:
             return _CloseReason.ANSWER_UNFINISHED
         if reason is _CloseReason.ERROR and not exchange.is_started:
@@ -241,10 +266,15 @@
 
     async def _cancel_on_disconnect(self, scope):
         """Cancel the handler when the caller disconnects."""
-        buffered_bytes = 0
+        buffered_bytes = self._reader.count_buffered()
         while buffered_bytes < PIPELINED_MAX_BYTES:
+            if not self._reader.take_room(buffered_bytes + PIPELINED_BYTES):
+                self._share.end_after_answer(bounds_module.Cause.NO_ROOM)
+                if not self._exchange.is_started:
+                    scope.cancel()
+                return
             try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._stream.receive_some(PIPELINED_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -255,117 +285,24 @@
             buffered_bytes += len(data)
             self.protocol.receive_data(data)
 
-    async def _read_head(self):
-        """Return the head of the next request, or why there is none."""
-        event = self._next_event()
-        if event is h11.NEED_DATA and not self._has_buffered_data():
-            reason = await self._wait_for_request()
-            if reason is not None:
-                return reason
-            event = self._next_event()
-        limits = self._server.get_limits()
-        with trio.move_on_after(limits.header_timeout_s):
-            while event is h11.NEED_DATA:
-                if not await self._receive_data():
-                    return _CloseReason.CALLER_CLOSED
-                event = self._next_event()
-        if event is h11.NEED_DATA:
-            raise _RequestError(408)
-        if not isinstance(event, h11.Request):
-            return _CloseReason.CALLER_CLOSED
-        self._request_id = self._server.read_request_id(event.headers)
-        self._check_head(event, limits)
-        return event
-
-    def _has_buffered_data(self):
-        return bool(self.protocol.trailing_data[0])
-
-    async def _wait_for_request(self):
-        """Wait for data; return why none will be read, or None.
-
-        The timeout is read repeatedly, since a new catalog may change it.
-        """
-        start_s = trio.current_time()
-        while True:
-            timeout_s = self._server.get_limits().idle_timeout_s + IDLE_SLACK_S
-            remaining_s = start_s + timeout_s - trio.current_time()
-            if self._server.is_closing:
-                return _CloseReason.DRAINING
-            if remaining_s <= 0:
-                return _CloseReason.IDLE
-            try:
-                with trio.move_on_after(min(remaining_s, IDLE_SLACK_S)):
-                    if await self._receive_data():
-                        return None
-                    return _CloseReason.CALLER_CLOSED
-            except trio.BrokenResourceError:
-                # No request is in hand, so a reset loses as little as an EOF.
-                return _CloseReason.CALLER_CLOSED
-
-    async def _receive_data(self):
-        data = await self._stream.receive_some(RECEIVE_BYTES)
-        self.protocol.receive_data(data)
-        return bool(data)
-
-    def _next_event(self):
-        try:
-            return self.protocol.next_event()
-        except h11.RemoteProtocolError as error:
-            raise _RequestError(error.error_status_hint) from None
-
-    def _check_head(self, request, limits):
-        headers = list(request.headers)
-        size = sum(len(name) + len(value) + 4 for name, value in headers)
-        if size + len(request.target) > limits.header_max_bytes:
-            raise _RequestError(431)
-        if not request.target.startswith(b"/"):
-            raise _RequestError(400)
-        lengths = fields.get_values(headers, b"content-length")
-        # Both framings in one message allow request smuggling.
-        if lengths and fields.get_values(headers, b"transfer-encoding"):
-            raise _RequestError(400)
-        if lengths and int(lengths[0]) > limits.body_max_bytes:
-            raise _RequestError(413)
-
-    async def _read_body(self):
-        limits = self._server.get_limits()
-        if self.protocol.they_are_waiting_for_100_continue:
-            informational = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await self.send(self.protocol.send(informational))
-        # Tiny chunks would take many times their size as objects.
-        body = bytearray()
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_max_bytes:
-                    raise _RequestError(413)
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            elif event is h11.NEED_DATA:
-                with trio.move_on_after(limits.idle_timeout_s) as scope:
-                    await self._receive_data()
-                if scope.cancelled_caught:
-                    raise _RequestError(408)
-            else:
-                raise trio.BrokenResourceError(
-                    "caller disconnected within the request body"
-                )
-
     async def _reject(self, status):
+        if status == request_reader.NO_ROOM_STATUS:
+            # The bounds log these, not line by line.
+            await self._send_error_response(
+                status, [(b"Retry-After", RETRY_AFTER_S)]
+            )
+            return
         _log.warning(
             "request rejected by the HTTP server",
             extra={
                 "decision": "refuse",
-                "request": self._request_id,
+                "request": self._reader.request_id,
                 "status": status,
             },
         )
         await self._send_error_response(status)
 
-    async def _send_error_response(self, status):
+    async def _send_error_response(self, status, more_headers=()):
         """Send an error response and EOF, unless a response was begun.
 
         Return whether it was sent.
@@ -374,7 +311,11 @@
             return False
         response = h11.Response(
             status_code=status,
-            headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+            headers=[
+                (b"Content-Length", b"0"),
+                (b"Connection", b"close"),
+                *more_headers,
+            ],
         )
         data = self.protocol.send(response)
         data += self.protocol.send(h11.EndOfMessage())
@@ -397,6 +338,7 @@
         "_address",
         "_listening",
         "_request_id_field",
+        "bounds",
         "get_limits",
         "handle",
         "in_progress",
@@ -406,9 +348,10 @@
     )
 
     def __init__(
-        self, address, handle, get_limits, observer, request_id_field
+        self, address, handle, get_limits, observer, request_id_field, bounds
     ):
         self._address = address
+        self.bounds = bounds
         self._listening = trio.CancelScope()
         self._request_id_field = request_id_field
         self.handle = handle
@@ -424,6 +367,8 @@
         listeners = await trio.open_tcp_listeners(
             int(port), host=host, backlog=BACKLOG
         )
+        for listener in listeners:
+            self._set_receive_buffer(listener.socket)
         async with trio.open_nursery() as nursery:
             with self._listening:
                 await trio.serve_listeners(
@@ -433,6 +378,17 @@
                     task_status=task_status,
                 )
 
+    def _set_receive_buffer(self, listening_socket):
+        """Set the size that the sockets of connections begin and stay with.
+
+        What a caller sends and nobody reads takes memory of the machine.
+        """
+        size = self.bounds.receive_buffer_bytes
+        if size is not None:
+            listening_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, size
+            )
+
     def read_request_id(self, headers):
         """Return the request id of a head as text, empty without one."""
         value = fields.get_value(headers, self._request_id_field, b"")
@@ -444,21 +400,34 @@
 
     async def serve_connection(self, stream):
         """Serve the requests of one connection until it closes."""
+        share = self.bounds.open()
         try:
-            await _CallerConnection(self, stream).serve()
+            if share is None:
+                closed = closing.ClosedConnection(_CloseReason.TOO_MANY)
+                self.observer.record_close(closed)
+            else:
+                await _CallerConnection(self, stream, share).serve()
         finally:
             stream.socket.close()
+            if share is not None:
+                self.bounds.close(share)
 
 
 def new_server(
-    address, handle, get_limits, observer=None, request_id_field=b""
+    address,
+    handle,
+    get_limits,
+    observer=None,
+    request_id_field=b"",
+    bounds=None,
 ):
     """Return a server that awaits `handle` for each `Exchange`.
 
     `get_limits()` returns the `catalog.CallerLimits` in force. `observer` is
     the `ConnectionObserver`; without one, losses are only logged.
     `request_id_field` is the field, in lowercase, whose value names a
-    request in logs before its handler is called.
+    request in logs before its handler is called. `bounds` are the
+    `ConnectionBounds`; without them nothing is bounded beyond the limits.
     """
     return Server(
         address,
@@ -466,4 +435,5 @@
         get_limits,
         observer or closing.LoggingObserver(),
         request_id_field,
+        bounds or bounds_module.Unbounded(),
     )
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -12,6 +12,7 @@
 from greengagetrack.connection.http.client import pool as pool_module
 from greengagetrack.connection.http import server as server_module
 from greengagetrack.connection import nng
+from greengagetrack.process.direct import caller_account
 from greengagetrack.process.direct.decisions import drain_plan
 from greengagetrack.process.direct import entry as entry_module
 
@@ -146,22 +147,33 @@
 
 async def _start_servers(nursery, adapter, entry):
     """Start all HTTP servers; return the one for callers."""
+    account = entry.caller_account
+    caller_connections = caller_account.get_caller_connections(
+        entry.settings.descriptors_max
+    )
     caller_server = server_module.new_server(
         adapter.get_caller_address(),
         lambda exchange: adapter.serve_exchange(entry, exchange),
         entry.get_limits,
         entry.metrics,
         adapter.get_request_id_field(),
+        account.new_bounds(caller_connections),
     )
     readiness_server = server_module.new_server(
         adapter.get_readiness_address(),
         lambda exchange: adapter.serve_readiness(entry, exchange),
         entry.get_limits,
+        bounds=account.new_bounds(
+            caller_account.READINESS_CONNECTIONS, allows_pipelining=False
+        ),
     )
     metrics_server = server_module.new_server(
         adapter.get_metrics_address(),
         lambda exchange: _serve_metrics(entry, exchange),
         entry.get_limits,
+        bounds=account.new_bounds(
+            caller_account.METRICS_CONNECTIONS, allows_pipelining=False
+        ),
     )
     await nursery.start(readiness_server.serve)
     await nursery.start(metrics_server.serve)
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -7,6 +7,7 @@
 
 from greengagetrack.process.direct import batcher as batcher_module
 from greengagetrack.process.direct import budget as budget_module
+from greengagetrack.process.direct import caller_account
 from greengagetrack.process.direct import catalog_watcher
 from greengagetrack.process.direct import chooser as chooser_module
 from greengagetrack.process.direct import containment as containment_module
@@ -76,6 +77,7 @@
         "_pools",
         "_runs",
         "_services",
+        "caller_account",
         "catalog_watcher",
         "directory",
         "containment",
@@ -122,6 +124,9 @@
             generator,
             self.containment,
         )
+        self.caller_account = caller_account.new_caller_account(
+            settings.memory_bytes, self.get_limits
+        )
         get_catalog = self.catalog_watcher.get_catalog
         chooser = chooser_module.new_chooser(
             self.directory,
@@ -206,6 +211,7 @@
         self._services.held_bytes.max_bytes = held_bytes.get_max_bytes(
             settings.memory_bytes
         )
+        self.caller_account.set_memory(settings.memory_bytes)
         self.peers.members.weight = settings.cores
 
     async def run(self):
--- a/greengagetrack/process/direct/held_bytes.py
+++ b/greengagetrack/process/direct/held_bytes.py
@@ -1,8 +1,9 @@
-"""A bound on the bytes of answers that an entry holds at the same time.
+"""Bounds on the bytes that an entry holds at the same time.
 
 A whole answer is held until its caller has it, and so is an event that is
 not complete yet. Each has a limit of its own; without one for all of them a
-server whose answers have no end would take the memory of the process.
+server whose answers have no end would take the memory of the process. What
+callers send is bounded in the same way.
 """
 
 # Of the memory of the machine, for all answers together.
@@ -14,7 +15,9 @@
 
 
 class HeldBytes:
-    """The bytes that are held, of all answers and by server.
+    """The bytes that are held, of all and by owner, such as a server.
+
+    An owner may hold `owner_share` of them.
 
     Example::
 
@@ -24,11 +27,12 @@
         held.resize(0)
     """
 
-    __slots__ = ("_size_by_server_id", "_total_bytes", "max_bytes")
+    __slots__ = ("_owner_share", "_size_by_owner", "_total_bytes", "max_bytes")
 
-    def __init__(self, max_bytes):
+    def __init__(self, max_bytes, owner_share):
         self.max_bytes = max_bytes
-        self._size_by_server_id = {}
+        self._owner_share = owner_share
+        self._size_by_owner = {}
         self._total_bytes = 0
 
     def new_answer(self, server_id):
@@ -39,25 +43,29 @@
         """Return the number of bytes that are held and counted."""
         return self._total_bytes
 
-    def add(self, server_id, size):
-        """Hold more bytes of a server; return whether there is room."""
-        server_bytes = self._size_by_server_id.get(server_id, 0) + size
-        if server_bytes > self.max_bytes * SERVER_SHARE:
+    def has_owner_room(self, owner, size):
+        """Return whether an owner's share has room for more bytes."""
+        owner_bytes = self._size_by_owner.get(owner, 0) + size
+        return owner_bytes <= self.max_bytes * self._owner_share
+
+    def add(self, owner, size):
+        """Hold more bytes of an owner; return whether there is room."""
+        if not self.has_owner_room(owner, size):
             return False
         if self._total_bytes + size > self.max_bytes:
             return False
-        self._size_by_server_id[server_id] = server_bytes
+        self._size_by_owner[owner] = self._size_by_owner.get(owner, 0) + size
         self._total_bytes += size
         return True
 
-    def remove(self, server_id, size):
-        """Hold less bytes of a server."""
+    def remove(self, owner, size):
+        """Hold less bytes of an owner."""
         self._total_bytes -= size
-        left_bytes = self._size_by_server_id.get(server_id, 0) - size
+        left_bytes = self._size_by_owner.get(owner, 0) - size
         if left_bytes > 0:
-            self._size_by_server_id[server_id] = left_bytes
+            self._size_by_owner[owner] = left_bytes
         else:
-            self._size_by_server_id.pop(server_id, None)
+            self._size_by_owner.pop(owner, None)
 
 
 class HeldAnswer:
@@ -83,10 +91,10 @@
 
 
 def get_max_bytes(memory_bytes):
-    """Return how many bytes an entry may hold on a machine."""
+    """Return how many bytes of answers an entry may hold."""
     return memory_bytes * MEMORY_SHARE
 
 
 def new_held_bytes(memory_bytes):
-    """Return the bytes of an entry on a machine with some memory."""
-    return HeldBytes(get_max_bytes(memory_bytes))
+    """Return the bytes of answers of an entry, none so far."""
+    return HeldBytes(get_max_bytes(memory_bytes), SERVER_SHARE)
--- a/tests/direct/crowds.py
+++ b/tests/direct/crowds.py
@@ -81,6 +81,17 @@
         await self._send_pieces(_PIECE, BODY_BYTES)
 
 
+class WholeChunkedBody(Caller):
+    """Sends a request of legal size in chunks."""
+
+    async def send(self):
+        """Send the whole request."""
+        chunked = [(b"Transfer-Encoding", b"chunked")]
+        await self._stream.send_all(new_head(chunked))
+        await self._send_pieces(_CHUNK, BODY_BYTES)
+        await self._stream.send_all(b"0\r\n\r\n")
+
+
 class OversizedAnnouncedBody(Caller):
     """Announces a body far over the limit and sends it."""
 
--- a/tests/direct/test_crowds.py
+++ b/tests/direct/test_crowds.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from bench.soak import raw_client
 from bench.soak import site as soak_site
 from greengagetrack.platform import names
 from tests.direct import crowds
@@ -66,6 +67,13 @@
     return False
 
 
+def _run(tmp_path, check):
+    def new_site(nursery):
+        return SmallSite(nursery, 1, str(tmp_path), "", entry_count=1)
+
+    trio.run(soak_site.play, str(tmp_path), new_site, check)
+
+
 def _play(tmp_path, *parts):
     """Play crowds, as `(caller, is_at_readiness_port, size)`, and check."""
 
@@ -101,10 +109,20 @@
         assert use.memory_mb < MEMORY_MB, figures
         assert use.descriptors < DESCRIPTORS_MAX, figures
 
-    def new_site(nursery):
-        return SmallSite(nursery, 1, str(tmp_path), "", entry_count=1)
+    _run(tmp_path, check)
 
-    trio.run(soak_site.play, str(tmp_path), new_site, check)
+
+def test_single_request_of_the_largest_size_is_served(tmp_path):
+    """The bounds of a small machine hold nothing back in calm."""
+
+    async def check(site):
+        stream = await raw_client.open_stream(site.entries[0].caller_address)
+        async with stream:
+            for new_caller in (crowds.WholeBody, crowds.WholeChunkedBody):
+                await new_caller(stream).send()
+                assert await raw_client.AnswerReader(stream).read() == 200
+
+    _run(tmp_path, check)
 
 
 def test_announced_bodies_stop_before_their_end(tmp_path):
