Send nothing more to servers of an evacuated data centre

Cause: evacuations that the source published were read and acted on by nobody; servers there went on getting requests and pieces. Change: each entry keeps the last word on each data centre, by era and revision, and the eligibility of a server asks it. The source is polled for the shorter of the bounds on changes and evacuations. Tests: test_entries_of_earlier_versions cut the last field of a digest, which is evacuations now; it cuts one and two, and checks both.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -148,6 +148,18 @@
     age_ms: _AgeMs
 
 
+class Evacuation(message_base.Message):
+    """Whether a data centre is evacuated, at a revision of the source.
+
+    If so, its servers get no requests and no pieces.
+    """
+
+    data_centre: str
+    is_evacuated: bool
+    era: numbers.Count
+    revision: numbers.Count
+
+
 class EntryDigest(message_base.Message, tag="entry_digest"):
     """The state of one entry in direct mode, as it sends it to another.
 
@@ -163,7 +175,8 @@
     which it was there. `confirmed_era` is the era of the confirmation.
     `started_ms` tells the lives of the sender apart, `earlier_life` tells
     a receiver that has just started of its last one. With `asks_departures`
-    the reply is to tell which servers left.
+    the reply is to tell which servers left. `evacuations` has those that
+    are in force, and those that were just taken back.
     """
 
     name: str
@@ -188,6 +201,7 @@
     started_ms: _Amount = 0
     earlier_life: EarlierLife | None = None
     asks_departures: bool = False
+    evacuations: list[Evacuation] = []
 
 
 class EntryDigestReply(message_base.Message, tag="entry_heard"):
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -121,6 +121,7 @@
             newest_version=newest.version,
             newest_era=newest.era,
             confirmed_era=newest.confirmed_era,
+            evacuations=self._directory.evacuations.new_messages(),
         )
 
     def _new_centre(self):
@@ -182,6 +183,7 @@
         self._apply_parts(peer, digest)
         self._crash_guard.apply_news(digest.crash_news)
         self._apply_limits(digest.limits)
+        self._directory.apply_evacuations(digest.evacuations)
         if self._members.is_local(peer):
             self._directory.update_reported_loads(
                 digest.name, digest.loads, now
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -16,6 +16,7 @@
 from greengagetrack.connection import source
 from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import departures as departures_module
+from greengagetrack.process.direct import evacuations as evacuations_module
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
 from greengagetrack.process.direct import version_history
@@ -62,7 +63,7 @@
         "announced_parts",
         "changed",
         "departures",
-        "evacuated",
+        "evacuations",
         "server_by_id",
         "versions",
     )
@@ -73,8 +74,10 @@
         self._copied_ids = set()
         self._era = source.FIRST_ERA - 1
         self.departures = departures_module.new_departures()
-        self.evacuated = set()
-        self._anywhere = eligibility.Eligibility(evacuated=self.evacuated)
+        self.evacuations = evacuations_module.new_evacuations()
+        self._anywhere = eligibility.Eligibility(
+            evacuated=self.evacuations.data_centres
+        )
         self.server_by_id = {}
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
@@ -199,6 +202,7 @@
         Servers that are gone by then may be in it; those that live publish
         their records again.
         """
+        self.evacuations.apply_update(update)
         is_first = update.is_complete and update.era > self._era
         self._record_source(update, is_first)
         for published in update.servers:
@@ -216,9 +220,17 @@
             [server.published for server in self.server_by_id.values()],
             trio.current_time(),
         )
+        self._announce_change()
+
+    def _announce_change(self):
         event, self.changed = self.changed, trio.Event()
         event.set()
 
+    def apply_evacuations(self, messages):
+        """Apply what a peer tells of evacuated data centres."""
+        if self.evacuations.apply_messages(messages):
+            self._announce_change()
+
     def _record_source(self, update, is_first):
         """Record the era, and which records may be of an older copy."""
         ids = {published.server_id for published in update.servers}
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -67,6 +67,10 @@
     warming_slack: float = 0.0
     evacuation_bound_s: float = 2.5
 
+    def get_source_bound_s(self):
+        """Return the time within which all that is published must hold."""
+        return min(self.change_bound_s, self.evacuation_bound_s)
+
 
 class DirectEntry:
     """The components that the requests of one entry share."""
@@ -120,7 +124,7 @@
             source,
             self.directory,
             self.lease,
-            settings.change_bound_s,
+            settings.get_source_bound_s(),
             generator,
             self.containment,
         )
@@ -128,7 +132,7 @@
         self._eligibilities = eligibilities.new_eligibilities(
             get_catalog,
             settings.region_by_data_centre,
-            self.directory.evacuated,
+            self.directory.evacuations.data_centres,
         )
         chooser = chooser_module.new_chooser(
             self.directory,
@@ -204,7 +208,7 @@
         """Apply the bounds of changed settings; other ones need a restart."""
         # No await: a request sees the old bounds or the new ones.
         self.lease.bound_s = freshness.get_lease_s(settings.key_bound_s)
-        self.catalog_watcher.apply_bounds(settings.change_bound_s)
+        self.catalog_watcher.apply_bounds(settings.get_source_bound_s())
         self._services.budgets.set_limits(
             settings.budget_ratio,
             settings.budget_slack,
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -305,7 +305,9 @@
             0.2, 80.0, 10.0, lambda: 8
         )
         self.eligibilities = eligibilities.new_eligibilities(
-            lambda: self.catalog, REGIONS, self.directory.evacuated
+            lambda: self.catalog,
+            REGIONS,
+            self.directory.evacuations.data_centres,
         )
         self.chooser = chooser_module.new_chooser(
             self.directory,
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -234,13 +234,19 @@
 
 
 def test_entries_of_earlier_versions_are_understood():
-    """They send neither the question nor the answer."""
+    """They send neither the question nor the answer, nor evacuations."""
+    evacuation = direct_messages.Evacuation("dc", True, 0, 1)
     digest = direct_messages.EntryDigest(
-        "a", "a:1", "dc", asks_departures=True
+        "a", "a:1", "dc", asks_departures=True, evacuations=[evacuation]
     )
     decoded = msgspec.msgpack.decode(
         _cut(digest, 1), type=direct_messages.EntryDigest
     )
+    assert decoded.asks_departures
+    assert decoded.evacuations == []
+    decoded = msgspec.msgpack.decode(
+        _cut(digest, 2), type=direct_messages.EntryDigest
+    )
     assert not decoded.asks_departures
     reply = direct_messages.EntryDigestReply(digest, [_new_departure()])
     decoded = msgspec.msgpack.decode(
