Regions: take back pieces that a peer holds when regions change

Cause: pieces that wait in the queue of another entry were made where a newer catalog doesn't allow them. Change: the entry stops waiting, tells the owner to drop them (DropPieces) and has them made elsewhere. Result: the new test fails without the message to the owner, or without the check while waiting. tests/direct: test_regions, test_peers, test_batcher, test_shared_names and tests/unit/test_broken pass.

--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -60,7 +60,7 @@
 
 def _use_leaving():
     """Send new work to servers that are leaving."""
-    known_server.KnownServer.is_usable = lambda self: True
+    known_server.KnownServer.find_exclusion = lambda self: None
     directory.Directory._apply_removal = lambda self, server_id: None
 
 
--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -268,6 +268,18 @@
     handles: list[str]
 
 
+class DropPieces(message_base.Message, tag="drop_pieces"):
+    """A notice to a pool owner of pieces that may not be made there.
+
+    Those that are in a call already are not held up.
+    """
+
+    service: str
+    data_centre: str
+    request_id: str
+    stage: _Amount
+
+
 class PieceResult(message_base.Message):
     """The handle of a result and its server, or the reason of a failure."""
 
--- a/greengagetrack/connection/messages.py
+++ b/greengagetrack/connection/messages.py
@@ -30,6 +30,7 @@
     | direct_messages.EntryDigest
     | direct_messages.MakePieces
     | direct_messages.FreeResults
+    | direct_messages.DropPieces
     | direct_messages.AcquirePermit
     | direct_messages.TellStreams
     | direct_messages.FindStream
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -209,6 +209,11 @@
             return
         self._queue.add_again(task)
 
+    def drop_pieces(self, request_id, stage):
+        """Make no piece any more of those that a peer has requested."""
+        failure = gateway_module.PieceFailure.NO_SERVER
+        self._queue.fail_stage(request_id, stage, failure)
+
     def free_results(self, server_id, handles):
         """Release results that are no longer needed.
 
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -67,10 +67,6 @@
         """Return the id under which the server is published."""
         return self.published.server_id
 
-    def is_usable(self):
-        """Return whether the server may get new work."""
-        return self.find_exclusion() is None
-
     def find_exclusion(self):
         """Return why the server may get no new work at all, or None."""
         if self.published.is_leaving:
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -119,6 +119,8 @@
             return await self._make_pieces(message)
         if isinstance(message, direct_messages.FreeResults):
             return self._free_results(message)
+        if isinstance(message, direct_messages.DropPieces):
+            return self._drop_pieces(message)
         if isinstance(message, direct_messages.AcquirePermit):
             return await self.permits.handle(message)
         if isinstance(
@@ -302,7 +304,11 @@
             self._links.get_link(peer.address)
 
     async def request_pieces(self, peer, pool, tasks):
-        """Request pieces from a peer; return whether all are completed."""
+        """Request pieces from a peer; return whether all are completed.
+
+        They are not, if the peer is lost, or if the results may not lie in
+        the pool's data centre any more.
+        """
         reply = None
         peer.last_used_s = trio.current_time()
         async with trio.open_nursery() as nursery:
@@ -316,20 +322,11 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(send_request)
-            while self._is_reachable(peer):
+            while self._is_reachable(peer) and _is_in_place(pool, tasks):
                 await trio.sleep(LINK_CHECK_S)
             nursery.cancel_scope.cancel()
         if not isinstance(reply, direct_messages.MakePiecesReply):
-            _log.warning(
-                "pool owner lost",
-                extra={
-                    "decision": "gather here",
-                    "peer": peer.name,
-                    "service": pool.service,
-                    "data_centre": pool.data_centre,
-                    "requests": sorted({task.request_id for task in tasks}),
-                },
-            )
+            _log_unmade(peer, pool, tasks)
             return False
         self._apply_reply(tasks, reply)
         if reply.wait is not None:
@@ -345,6 +342,17 @@
         link = self._links.get_link(peer.address)
         await link.request(message, REQUEST_TIMEOUT_S)
 
+    async def request_drop(self, peer, pool, tasks):
+        """Request the owner of a pool to make some pieces no more."""
+        message = direct_messages.DropPieces(
+            pool.service,
+            pool.data_centre,
+            tasks[0].request_id,
+            tasks[0].stage,
+        )
+        link = self._links.get_link(peer.address)
+        await link.request(message, REQUEST_TIMEOUT_S)
+
     def _is_reachable(self, peer):
         """Return whether work that a peer has begun may still end there.
 
@@ -377,12 +385,36 @@
             ),
         )
 
+    def _drop_pieces(self, message):
+        pool = self.pools.get_pool(message.service, message.data_centre)
+        pool.batcher.drop_pieces(message.request_id, message.stage)
+        return direct_messages.MakePiecesReply([])
+
     def _free_results(self, message):
         pool = self.pools.get_pool(message.service, message.data_centre)
         pool.batcher.free_results(message.server_id, message.handles)
         return direct_messages.MakePiecesReply([])
 
 
+def _is_in_place(pool, tasks):
+    """Return whether the results may lie in a pool's data centre."""
+    return tasks[0].is_allowed_place(pool.data_centre)
+
+
+def _log_unmade(peer, pool, tasks):
+    is_lost = _is_in_place(pool, tasks)
+    _log.warning(
+        "pool owner lost" if is_lost else "regions of pieces changed",
+        extra={
+            "decision": "gather here" if is_lost else "choose again",
+            "peer": peer.name,
+            "service": pool.service,
+            "data_centre": pool.data_centre,
+            "requests": sorted({task.request_id for task in tasks}),
+        },
+    )
+
+
 def _new_make_pieces(pool, tasks):
     """Return the message that requests pieces of one stage."""
     first = tasks[0]
--- a/greengagetrack/process/direct/piece_queue.py
+++ b/greengagetrack/process/direct/piece_queue.py
@@ -83,6 +83,17 @@
             _fail_groups(misplaced, gateway_module.PieceFailure.NO_SERVER)
             self.drop_completed()
 
+    def fail_stage(self, request_id, stage, failure):
+        """Fail the pieces of one stage of a request."""
+        found = [
+            group
+            for group in self._groups
+            if group.tasks[0].request_id == request_id
+            and group.tasks[0].stage == stage
+        ]
+        _fail_groups(found, failure)
+        self.drop_completed()
+
     def drop_completed(self):
         """Remove the pieces that were completed while they waited."""
         for group in self._groups:
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -171,6 +171,8 @@
             pool.waits_valid_until_s = -math.inf
             if await self._peers.request_pieces(peer, pool, tasks):
                 return
+            if not tasks[0].is_allowed_place(pool.data_centre):
+                self.start_task(self._peers.request_drop, peer, pool, tasks)
         await pool.batcher.make_pieces(tasks)
 
     def _choose_pool(self, services, tasks, inputs, end_s, tried_centres):
--- a/tests/direct/test_regions.py
+++ b/tests/direct/test_regions.py
@@ -1,10 +1,14 @@
 """Tests of requests that are bound to regions, on the way to servers."""
 
+import types
+
 import msgspec
 import pytest
 import trio
 
+from greengagetrack.connection import messages
 from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import pools as pools_module
 from greengagetrack.request.direct import outcome as direct_outcome
 from greengagetrack.request.direct import piece as piece_module
@@ -149,11 +153,88 @@
     _play(check, [*SERVERS, *POOLS])
 
 
-def _new_tasks(entry, route):
+class Link:
+    """A link to one peer, which works on when a request is given up."""
+
+    def __init__(self, peers, nursery):
+        self._peers = peers
+        self._nursery = nursery
+
+    def get_link(self, _address):
+        """Return the link itself."""
+        return self
+
+    def is_up(self):
+        """Return that the peer is connected."""
+        return True
+
+    async def request(self, message, _timeout_s):
+        """Pass a message and its reply through the codec."""
+        decoded = messages.decode_request(messages.encode(message))
+        sender, receiver = trio.open_memory_channel(1)
+
+        async def handle():
+            await sender.send(await self._peers.handle(decoded))
+
+        self._nursery.start_soon(handle)
+        reply = await receiver.receive()
+        return messages.decode_reply(messages.encode(reply))
+
+
+def _new_peers(nursery, entry, other=None):
+    """Return the peers of a `FakeEntry` with a link to `other`."""
+    settings = types.SimpleNamespace(
+        name="me", peer_address="me:1", data_centre="dc-a", cores=1.0, seeds=()
+    )
+    peers = peers_module.new_peers(
+        settings, Link(other, nursery), None, None, entry.directory, None, None
+    )
+    peers.set_pools(entry.pools)
+    return peers
+
+
+def test_change_of_regions_takes_back_pieces_that_a_peer_holds(monkeypatch):
+    """They wait in the queue of the owner, which doesn't know the caller."""
+    route = fakes.new_route(stages=STAGES)
+    replies = []
+
+    async def check(nursery):
+        owner = fakes.FakeEntry(nursery, fakes.FakeGateway(), POOLS)
+        entry = fakes.FakeEntry(nursery, fakes.FakeGateway(), POOLS)
+        owner_peers = _new_peers(nursery, owner)
+        entry.pools._peers = _new_peers(nursery, entry, owner_peers)
+        peer = entry.pools._peers.members.get_or_add("owner:1")
+        peer.last_contact_s, peer.data_centre = trio.current_time(), "dc-a"
+        monkeypatch.setattr(
+            pools_module.Pools,
+            "get_owner",
+            lambda self, pool: (
+                peer
+                if self is entry.pools and pool.data_centre == "dc-a"
+                else None
+            ),
+        )
+        entry.catalog = fakes.new_catalog(1, [route])
+        owner.gateway.call_handler = lambda server, pieces: (
+            replies.append(pieces) or ["h"] * len(pieces)
+        )
+        nursery.start_soon(_keep_busy, owner, route)
+        nursery.start_soon(_change, entry, route, 0.02)
+        await trio.sleep(0.01)
+        tasks = _new_tasks(entry, route, "waits")
+        await entry.pools.make_pieces("pool", tasks, [], [], 1.0)
+        await trio.sleep(1.0)
+        assert [call[0] for call in entry.gateway.calls] == ["south-pool"]
+        assert [pieces[0].request_id for pieces in replies] == ["other"]
+
+    fakes.run_with_mock_clock(check)
+
+
+def _new_tasks(entry, route, request_id="other"):
     """Return the pieces of the first stage of a request."""
     admitted = entry.admit(route)
     tasks = [
-        piece_module.PieceTask("other", 0, number, "k", None)
+        piece_module.PieceTask(request_id, 0, number, "k", None)
         for number in range(2)
     ]
     for task in tasks:
--- a/tests/direct/test_shared_names.py
+++ b/tests/direct/test_shared_names.py
@@ -86,7 +86,7 @@
         route = fakes.new_route(attempts_max=1)
         for number in range(2):
             await entry.ask(route, b"r%d" % number)
-        assert server.is_usable()
+        assert server.find_exclusion() is None
         assert not server.published.is_leaving
         assert server.limit.per_s is None
 
