--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -5,8 +5,6 @@
 over the list when a server is chosen.
 """
 
-import collections
-import enum
 import logging
 
 import msgspec
@@ -14,41 +12,21 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection import source
+from greengagetrack.process.direct import announced_parts
 from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import departures as departures_module
+from greengagetrack.process.direct import evacuations as evacuations_module
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
 from greengagetrack.process.direct import version_history
 
 REMOVAL_GRACE_S = 2.3
-ANNOUNCED_PARTS_MAX = 256
 ANNOUNCED_TOKENS_MIN = 500
 ANNOUNCE_INTERVAL_S = 2.0
 
 _log = logging.getLogger(__name__)
 
 
-class PartOrigin(enum.Enum):
-    """The entry that reported a prompt part on a server.
-
-    `OWN` is this entry, `LOCAL` a peer in the same data centre, `REMOTE`
-    one in another data centre.
-    """
-
-    OWN = enum.auto()
-    LOCAL = enum.auto()
-    REMOTE = enum.auto()
-
-
-class AnnouncedPart(msgspec.Struct, frozen=True):
-    """A large prompt part on a server, to be announced to peers."""
-
-    number: int
-    part_id: str
-    server_id: str
-    origin: PartOrigin
-
-
 class Directory(gateway.ServerObserver):
     """All known servers, by id and by service."""
 
@@ -62,7 +40,7 @@
         "announced_parts",
         "changed",
         "departures",
-        "evacuated",
+        "evacuations",
         "server_by_id",
         "versions",
     )
@@ -73,14 +51,16 @@
         self._copied_ids = set()
         self._era = source.FIRST_ERA - 1
         self.departures = departures_module.new_departures()
-        self.evacuated = set()
-        self._anywhere = eligibility.Eligibility(evacuated=self.evacuated)
+        self.evacuations = evacuations_module.new_evacuations()
+        self._anywhere = eligibility.Eligibility(
+            evacuated=self.evacuations.data_centres
+        )
         self.server_by_id = {}
         self.changed = trio.Event()
         self._removal_grace_until_s = 0.0
         self._servers_by_service = {}
         self.versions = version_history.new_version_history()
-        self.announced_parts = collections.deque(maxlen=ANNOUNCED_PARTS_MAX)
+        self.announced_parts = announced_parts.new_announced_parts()
 
     def start_removal_grace(self):
         """Delay removals, since a source outage may have expired records."""
@@ -93,38 +73,13 @@
         for part_id, tokens in parts[:-1]:
             is_recent = server.cached_part_times.get(part_id, -1.0) > recent_s
             if tokens >= ANNOUNCED_TOKENS_MIN and not is_recent:
-                self._announce_part(part_id, server.server_id, PartOrigin.OWN)
+                self.announced_parts.add(
+                    part_id,
+                    server.server_id,
+                    announced_parts.PartOrigin.OWN,
+                )
         server.record_cached_parts(parts)
 
-    def _announce_part(self, part_id, server_id, origin):
-        number = self.get_last_announced_number() + 1
-        self.announced_parts.append(
-            AnnouncedPart(number, part_id, server_id, origin)
-        )
-
-    def get_last_announced_number(self):
-        """Return the number of the last announced part, 0 if none."""
-        return self.announced_parts[-1].number if self.announced_parts else 0
-
-    def get_announced_parts(self, after, is_local):
-        """Return the parts announced after the one numbered `after`.
-
-        The first list has the parts recorded in this data centre, the
-        second those from other data centres, only for local peers.
-        """
-        local_parts, remote_parts = [], []
-        for announced in self.announced_parts:
-            pair = (announced.part_id, announced.server_id)
-            if announced.number <= after:
-                continue
-            if announced.origin is PartOrigin.OWN:
-                local_parts.append(pair)
-            elif announced.origin is PartOrigin.LOCAL and not is_local:
-                local_parts.append(pair)
-            elif announced.origin is PartOrigin.REMOTE and is_local:
-                remote_parts.append(pair)
-        return local_parts, remote_parts
-
     def get_own_loads(self):
         """Return this entry's outstanding work for each server."""
         return [
@@ -165,8 +120,9 @@
             return
         server.record_cached_part(part_id)
         if is_forwarded:
-            origin = PartOrigin.LOCAL if is_local else PartOrigin.REMOTE
-            self._announce_part(part_id, server_id, origin)
+            origins = announced_parts.PartOrigin
+            origin = origins.LOCAL if is_local else origins.REMOTE
+            self.announced_parts.add(part_id, server_id, origin)
 
     def get_servers(self, service, eligibility=None, software_version=None):
         """Return the servers of a service that may get new work.
@@ -199,6 +155,7 @@
         Servers that are gone by then may be in it; those that live publish
         their records again.
         """
+        self.evacuations.apply_update(update)
         is_first = update.is_complete and update.era > self._era
         self._record_source(update, is_first)
         for published in update.servers:
@@ -216,9 +173,17 @@
             [server.published for server in self.server_by_id.values()],
             trio.current_time(),
         )
+        self._announce_change()
+
+    def _announce_change(self):
         event, self.changed = self.changed, trio.Event()
         event.set()
 
+    def apply_evacuations(self, messages):
+        """Apply what a peer tells of evacuated data centres."""
+        if self.evacuations.apply_messages(messages):
+            self._announce_change()
+
     def _record_source(self, update, is_first):
         """Record the era, and which records may be of an older copy."""
         ids = {published.server_id for published in update.servers}
