Warming: keep to the rate of servers that have just started

Cause: a server that has started, or is warming again, crashes above its rate. Change: a spell of warming is a limit with an end, beside the limit that a server names, with the same permits, owner and turns. An owner gives permits only while it sees most entries; the end is reached in steps; news travels in the digests and with each question for a permit. The new method of ServerObserver made the test's observer grow; the checks on what it records are the same, in a function that two tests share.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -11,6 +11,8 @@
 AMOUNT_MAX = 2**53
 TIME_MAX_MS = 2**40
 LIMIT_MAX_PER_S = 1e9
+# The number of the observation of a server that nobody has observed.
+NOT_OBSERVED = 0
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
 _Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 # A time in the future would make news the last that is believed.
@@ -112,7 +114,9 @@
     """The limit that an answer of a server named `age_ms` ago.
 
     `limit_per_s` is None if that answer named none. `observer` is the entry
-    that got it, and `number` counts what it has seen of this server.
+    that got it, and `number` counts what it has seen of this server, with
+    `NOT_OBSERVED` for none. `warming_left_ms` is how much longer the server
+    is warming.
     """
 
     server_id: str
@@ -121,6 +125,7 @@
     age_ms: _AgeMs
     observer: str
     number: numbers.Count
+    warming_left_ms: _AgeMs = 0
 
 
 class EarlierLife(message_base.Message):
--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -175,6 +175,10 @@
         `limit_per_s` is None if the answer names no limit.
         """
 
+    @abc.abstractmethod
+    def record_warming(self, published, left_s):
+        """Record that a server says it is warming for `left_s` longer."""
+
 
 class Gateway(abc.ABC):
     """A client of backend servers; implementations add the protocol."""
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -188,9 +188,12 @@
             if pause_s is not None:
                 self._observer.record_pause(server, pause_s)
         limit_text = _get_text(head, names.SERVER_LIMIT)
-        limit_per_s = _read_limit(limit_text)
+        limit_per_s = _read_amount(limit_text)
         if limit_per_s is not None or not limit_text:
             self._observer.record_limit(server, limit_per_s)
+        warming_ms = _read_amount(_get_text(head, names.COLD_MS))
+        if warming_ms:
+            self._observer.record_warming(server, warming_ms / 1000)
 
     def drop_connections(self, server):
         """Close the idle connections to a server that was removed."""
@@ -356,14 +359,13 @@
     return min(seconds, PAUSE_MAX_S) if seconds >= 0 else None
 
 
-def _read_limit(text):
-    """Return a limit in requests per second, or None if it is no number."""
+def _read_amount(text):
+    """Return a number that is finite and not negative, or None."""
     try:
-        limit_per_s = float(text)
+        amount = float(text)
     except ValueError:
         return None
-    is_valid = math.isfinite(limit_per_s) and limit_per_s >= 0
-    return limit_per_s if is_valid else None
+    return amount if math.isfinite(amount) and amount >= 0 else None
 
 
 def _get_id(head):
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -219,8 +219,9 @@
         is_restored = is_restored and self.catalog is not None
         if is_restored:
             self.newest.start_asking()
-        self._directory.apply_update(update, is_restored)
+        # Before the servers: it says how they are while they are warming.
         self._apply_catalog(update.catalog, update.era)
+        self._directory.apply_update(update, is_restored)
         self.revision = update.revision
         self.era = update.era
         self._read_s = self._sent_s
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -144,8 +144,22 @@
             )
         )
 
+    def is_any_warming(self, service, excluded):
+        """Return whether a server of a service is warming."""
+        return any(
+            server.limit.is_warming
+            for server in self._get_candidates(service, excluded)
+        )
+
+    def has_permit(self, service, excluded, priority, patience_s):
+        """Return whether a server may give a permit within `patience_s`."""
+        return any(
+            server.limit.get_wait_s(priority) <= patience_s
+            for server in self._get_candidates(service, excluded)
+        )
+
     def is_limited(self, service, excluded):
-        """Return whether all servers of a service name limits."""
+        """Return whether all servers of a service have limits."""
         servers = self._get_candidates(service, excluded)
         return bool(servers) and all(
             server.limit.per_s is not None for server in servers
--- a/greengagetrack/process/direct/decisions/permit_queue.py
+++ b/greengagetrack/process/direct/decisions/permit_queue.py
@@ -60,10 +60,12 @@
     """The permits of one server, at the owner of its limit.
 
     It begins without any: whoever owned the limit before may just have
-    given some. Times are seconds on the clock of the process.
+    given some. `burst` is how many are saved up, by default what a server
+    allows for. Times are seconds on the clock of the process.
     """
 
     __slots__ = (
+        "_burst",
         "_level",
         "_limit_per_s",
         "_next_number",
@@ -71,18 +73,20 @@
         "_waiting",
     )
 
-    def __init__(self, limit_per_s, now_s):
+    def __init__(self, limit_per_s, now_s, burst=None):
         self._limit_per_s = limit_per_s
+        self._burst = burst
         self._level = 0.0
         self._updated_s = now_s
         self._next_number = 0
         self._waiting = []
 
-    def set_limit(self, limit_per_s, now_s):
+    def set_limit(self, limit_per_s, now_s, burst=None):
         """Change the limit; permits already saved up are kept within it."""
-        if limit_per_s != self._limit_per_s:
+        if (limit_per_s, burst) != (self._limit_per_s, self._burst):
             self._refill(now_s)
             self._limit_per_s = limit_per_s
+            self._burst = burst
 
     def add(self, priority, last_s, now_s):
         """Add a request; return its `Ticket`, which may be decided already."""
@@ -129,7 +133,9 @@
         self._waiting = kept
 
     def _refill(self, now_s):
-        capacity = max(BURST_MIN, self._limit_per_s * BURST_S)
+        capacity = self._burst
+        if capacity is None:
+            capacity = max(BURST_MIN, self._limit_per_s * BURST_S)
         grown = (now_s - self._updated_s) * self._limit_per_s
         self._level = min(self._level + max(grown, 0.0), capacity)
         self._updated_s = max(now_s, self._updated_s)
@@ -165,7 +171,7 @@
     """What an entry may send that does not reach the owner of a limit.
 
     Each of all entries has a short turn in which it may send one request;
-    for all together, turns come at `TURN_SHARE` of the limit, at times that
+    for all together, turns come at a share of the limit, at times that
     are drawn. What is not used is not saved up: else all entries could send
     at the same moment.
     """
@@ -176,11 +182,14 @@
         self._draw = draw
         self._next_s = None
 
-    def try_acquire(self, limit_per_s, entry_count, now_s):
-        """Return whether a request may be sent now."""
+    def try_acquire(self, limit_per_s, entry_count, now_s, share=TURN_SHARE):
+        """Return whether a request may be sent now.
+
+        All turns together take `share` of the limit.
+        """
         if limit_per_s <= 0:
             return False
-        turns_per_s = max(limit_per_s * TURN_SHARE, TOLERANCE)
+        turns_per_s = max(limit_per_s * share, TOLERANCE)
         period_s = max(entry_count / turns_per_s, PERIOD_MIN_S)
         turn_s = min(TURN_MAX_S, period_s)
         if self._next_s is None:
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -206,11 +206,7 @@
 
     def _apply_limits(self, limits):
         for limit in limits:
-            server = self._directory.get_same(
-                limit.server_id, limit.incarnation
-            )
-            if server is not None:
-                limit_news.apply_message(server, limit, self.observer)
+            limit_news.apply(self._directory, limit, self.observer)
 
     def _apply_waits(self, data_centre, waits, reported_s):
         for wait in waits:
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -18,6 +18,7 @@
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import limit_news
 from greengagetrack.process.direct import version_history
+from greengagetrack.process.direct import warming_servers
 
 REMOVAL_GRACE_S = 2.3
 ANNOUNCED_PARTS_MAX = 256
@@ -62,10 +63,12 @@
         "departures",
         "server_by_id",
         "versions",
+        "warming",
     )
 
-    def __init__(self, on_removed):
+    def __init__(self, on_removed, warming):
         self._on_removed = on_removed
+        self.warming = warming
         # Those in the first list of an era, and not published since then.
         self._copied_ids = set()
         self._era = source.FIRST_ERA - 1
@@ -188,9 +191,11 @@
         """
         is_first = update.is_complete and update.era > self._era
         self._record_source(update, is_first)
+        # The first list says nothing of when its servers started.
+        has_list = bool(self.server_by_id)
         for published in update.servers:
             if not self._is_gone(published, is_first, is_restored):
-                self._apply_server(published)
+                self._apply_server(published, has_list)
         for server_id in update.removed:
             self._apply_removal(server_id)
         if update.is_complete:
@@ -234,7 +239,7 @@
             return False
         return is_restored or (is_first and gone.era < self._era)
 
-    def _apply_server(self, published):
+    def _apply_server(self, published, has_list):
         gone = self.departures.get(published.server_id, published.incarnation)
         if gone is not None and gone.is_leaving:
             # A server that leaves never comes back in the same incarnation.
@@ -248,10 +253,12 @@
             server is None
             or server.published.incarnation != published.incarnation
         ):
-            self.server_by_id[published.server_id] = known_server.KnownServer(
-                published
-            )
+            if server is not None:
+                self.warming.forget(server)
+            server = known_server.KnownServer(published)
+            self.server_by_id[published.server_id] = server
             self._log_change("server added", published)
+            self.warming.record_published(server, is_new=has_list)
             return
         if server.published.is_leaving:
             # The record of its departure may be forgotten by now.
@@ -260,6 +267,7 @@
             self._log_change("server state changed", published)
         server.published = published
         server.removal_due_s = None
+        self.warming.record_published(server, is_new=False)
 
     def _apply_removal(self, server_id):
         server = self.server_by_id.get(server_id)
@@ -284,6 +292,7 @@
 
     def _remove(self, server):
         del self.server_by_id[server.server_id]
+        self.warming.forget(server)
         self._on_removed(server)
         self._log_change("server removed", server.published)
 
@@ -358,6 +367,12 @@
         if server is not None and server.limit.observe(limit_per_s):
             limit_news.log_change(server)
 
+    def record_warming(self, published, left_s):
+        """Record that a server says it is warming for `left_s` longer."""
+        server = self._get_same(published)
+        if server is not None:
+            self.warming.record_answer(server, left_s)
+
     def get_limited(self):
         """Return the servers of whose limits peers are told."""
         return [
@@ -377,6 +392,17 @@
         is_same = server.published.incarnation == incarnation
         return server if is_same else None
 
+    def get_up_to(self, server_id, incarnation):
+        """Return a server in this incarnation or an earlier one, or None.
+
+        An entry that can't read the source may know only the earlier one,
+        and reaches the server all the same.
+        """
+        server = self.server_by_id.get(server_id)
+        if server is None or server.published.incarnation > incarnation:
+            return None
+        return server
+
     def _log_change(self, message, published):
         _log.info(
             message,
@@ -395,6 +421,11 @@
     return msgspec.structs.replace(published, is_leaving=True)
 
 
-def new_directory(on_removed):
-    """Return an empty directory; calls `on_removed(server)` on removal."""
-    return Directory(on_removed)
+def new_directory(on_removed, warming=None):
+    """Return an empty directory; calls `on_removed(server)` on removal.
+
+    `warming` has the `WarmingServers`; without it, none ever are.
+    """
+    return Directory(
+        on_removed, warming or warming_servers.new_warming_servers()
+    )
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -22,6 +22,7 @@
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import pools as pools_module
 from greengagetrack.process.direct import streams as streams_module
+from greengagetrack.process.direct import warming_servers
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import request as request_module
 from greengagetrack.request.direct import run as run_module
@@ -83,6 +84,7 @@
         "metrics",
         "peers",
         "settings",
+        "warming",
     )
 
     def __init__(
@@ -108,8 +110,13 @@
         self.lease = freshness.new_freshness_lease(
             freshness.get_lease_s(settings.key_bound_s)
         )
+        self.warming = warming_servers.new_warming_servers(
+            lambda: self.catalog_watcher.get_catalog()
+        )
+        self.warming.set_bound(settings.warming_ratio, settings.warming_slack)
         self.directory = directory_module.new_directory(
-            lambda server: gateway.drop_connections(server.published)
+            lambda server: gateway.drop_connections(server.published),
+            self.warming,
         )
         gateway.set_observer(self.directory)
         connection_pool.on_idle_closed = self.directory.doubt_address
@@ -150,6 +157,9 @@
         if self.peers.members.peer_by_address:
             self.catalog_watcher.newest.start_asking()
         guard.announce = self.peers.exchange_now
+        self.metrics.watch_warming(
+            self.warming.count, self.peers.permits.counts
+        )
         self.peers.streams = streams_module.new_streams(
             self.peers.members,
             links,
@@ -206,6 +216,7 @@
         self._services.held_bytes.max_bytes = held_bytes.get_max_bytes(
             settings.memory_bytes
         )
+        self.warming.set_bound(settings.warming_ratio, settings.warming_slack)
         self.peers.members.weight = settings.cores
 
     async def run(self):
@@ -216,6 +227,7 @@
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.peers.streams.run)
             nursery.start_soon(self._drop_idle_connections)
+            nursery.start_soon(self.warming.run, self.containment)
             nursery.start_soon(
                 loop_lag.watch,
                 self.metrics,
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -20,6 +20,7 @@
 SLOWNESS_MAX = 6.0
 CACHED_PARTS_MAX = 2000
 
+_Reason = outcome.Reason
 _log = logging.getLogger(__name__)
 
 
@@ -137,6 +138,9 @@
         """Record a call that returned no usable answer."""
         if failure.is_missing_version:
             return
+        if self.limit.is_warming and failure.reason is _Reason.AGENT_SILENT:
+            # It is slow, which says nothing of how sound it is.
+            return
         if failure.is_unreachable() or failure.ran is outcome.Ran.UNKNOWN:
             self.lifetime.doubt()
         if failure.is_unreachable():
@@ -144,6 +148,10 @@
         else:
             self.record_failure()
 
+    def record_warmed_up(self):
+        """Forget how slow the server was while it was warming."""
+        self.slowness = 1.0
+
     def record_unreachable(self):
         """Record that the server can't be reached."""
         self.unreachable_count += 1
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -19,6 +19,8 @@
 # A peer that is slow to report may still be at work for this entry.
 WORK_SILENCE_MAX_S = 3.2
 PEER_EXPIRY_S = 30.0
+# More than the time between two contacts.
+HEARD_SINCE_LOSS_S = 1.0
 PEERS_MAX = 2000
 DELEGATE_KEY = "speaker"  # hashed: must be the same on all entries
 # Estimate of the fleet size: a margin over the most entries ever known, and
@@ -168,6 +170,35 @@
             return ENTRIES_DEFAULT
         return math.ceil((self._most_peers + 1) * ENTRIES_FACTOR)
 
+    def sees_majority(self):
+        """Return whether more than half of the known entries are alive.
+
+        Of groups of entries that are cut off from each other, one at most
+        does. Those that said that they leave are no part of any. Of those
+        that are taken for alive, only those count that were heard well
+        after the last one was lost: silence is noticed sooner in the own
+        data centre than in others.
+        """
+        alive, silent = [], []
+        for peer in self.peer_by_address.values():
+            if peer.is_alive(self.is_local(peer)):
+                alive.append(peer)
+            elif not peer.is_leaving:
+                silent.append(peer)
+        lost_s = max(
+            (
+                peer.last_contact_s
+                for peer in silent
+                if peer.last_contact_s is not None
+            ),
+            default=-math.inf,
+        )
+        heard = sum(
+            peer.last_contact_s > lost_s + HEARD_SINCE_LOSS_S for peer in alive
+        )
+        # This entry is one of both.
+        return 2 * (heard + 1) > len(alive) + len(silent) + 1
+
     def is_local(self, peer):
         """Return whether a peer is in this entry's data centre."""
         return peer.data_centre == self.data_centre
--- a/greengagetrack/process/direct/metrics.py
+++ b/greengagetrack/process/direct/metrics.py
@@ -19,13 +19,17 @@
         "_claims",
         "_closed_connections",
         "_contained_errors",
+        "_count_warming",
         "_get_left_out",
         "_late",
         "_latency",
         "_left_out",
         "_loop_lag",
+        "_permit_counts",
         "_requests",
         "_routes",
+        "_warming",
+        "_warming_permits",
         "registry",
     )
 
@@ -76,6 +80,20 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self._warming = aioprometheus.Gauge(
+            "greengagetrack_warming_servers",
+            "Servers that are warming, as far as this entry knows.",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self._count_warming = lambda: 0
+        self._permit_counts = {}
+        self._warming_permits = aioprometheus.Counter(
+            "greengagetrack_warming_permits_total",
+            "Requests for permits to warming servers, granted or refused.",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self._loop_lag = aioprometheus.Histogram(
             "greengagetrack_loop_lag_seconds",
             "How late the entry wakes for want of processor time.",
@@ -144,10 +162,21 @@
         """Let `get_left_out()` return the lines left out, by message."""
         self._get_left_out = get_left_out
 
+    def watch_warming(self, count, permit_counts):
+        """Let `count()` return the number of servers that are warming.
+
+        `permit_counts` counts requests for permits to them by their result.
+        """
+        self._count_warming = count
+        self._permit_counts = permit_counts
+
     def render(self, accept):
         """Return `(body, headers)` in a format that `accept` names."""
         for message, count in self._get_left_out().items():
             self._left_out.set({"message": message}, count)
+        self._warming.set({}, self._count_warming())
+        for result, count in self._permit_counts.items():
+            self._warming_permits.set({"result": result}, count)
         return aioprometheus.render(self.registry, accept)
 
 
--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -3,8 +3,13 @@
 One entry owns the limit of a server: the one that owns the pool of its
 service in its data centre. It gives a permit for each request that any entry
 sends there. An entry that gets no answer from it keeps to its own turns.
+
+A warming server crashes above its rate, so its permits are given only by an
+owner that is alive to most entries: never by more than two, see
+`decisions.warming`.
 """
 
+import collections
 import logging
 
 import msgspec
@@ -21,6 +26,8 @@
 SILENT_OWNER_S = 1.0
 # A request that waits may be refused meanwhile, or the limit may end.
 CHECK_S = 0.1
+# A warming server is not worth a longer wait: others are there.
+WARMING_PATIENCE_S = 0.5
 # Longer waits are not told exactly.
 WAIT_MAX_S = 60.0
 MS = 1000
@@ -51,6 +58,7 @@
         "_members",
         "_observer",
         "_silent_until_s_by_address",
+        "counts",
     )
 
     def __init__(self, members, links, directory, observer, generator):
@@ -60,6 +68,8 @@
         self._observer = observer
         self._generator = generator
         self._silent_until_s_by_address = {}
+        # Requests for permits to warming servers, by what became of them.
+        self.counts = collections.Counter()
 
     async def acquire(self, server, priority, patience_s):
         """Return a `Permit` to send a request to a server, or None.
@@ -70,21 +80,49 @@
         limit = server.limit
         if limit.per_s is None:
             return Permit(limit)
+        if not limit.is_warming:
+            return await self._acquire(server, priority, patience_s)
+        permit = await self._acquire(
+            server, priority, min(patience_s, WARMING_PATIENCE_S)
+        )
+        self.counts["refused" if permit is None else "granted"] += 1
+        return permit
+
+    async def _acquire(self, server, priority, patience_s):
+        limit = server.limit
         owner = self._find_owner(server)
-        if owner is None:
+        if owner is not None:
+            permit = Permit(limit, owner=owner.address)
+            answer = await self._ask(owner, server, priority, patience_s)
+        elif self._may_grant(server):
             permit = Permit(limit, queue=limit.get_queue())
             answer = await self._wait_here(server, priority, patience_s)
         else:
-            permit = Permit(limit, owner=owner.address)
-            answer = await self._ask(owner, server, priority, patience_s)
+            answer = None
         if answer is None:
             return Permit(limit) if self._try_turn(server) else None
         limit.record_answer(answer)
         return permit if answer.is_granted else None
 
+    def _may_grant(self, server):
+        """Return whether this entry may give permits as their owner.
+
+        For a warming server there must never be many that do so.
+        """
+        if not server.limit.is_warming:
+            return True
+        is_owner = self._find_owner(server) is None
+        return is_owner and self._members.sees_majority()
+
     def give_back(self, permit):
-        """Give back a `Permit` with which no request was sent."""
+        """Give back a `Permit` with which no request was sent.
+
+        That of a warming server is lost: used later, it would fall together
+        with others.
+        """
         limit = permit.limit
+        if limit.is_warming:
+            return
         if permit.owner:
             limit.add_unused(permit.owner)
         elif permit.queue is not None and limit.queue is permit.queue:
@@ -99,6 +137,8 @@
             return True
         if self._find_owner(server) is not None:
             return self._try_turn(server)
+        if not self._may_grant(server):
+            return self._try_turn(server)
         return server.limit.get_queue().try_acquire(trio.current_time())
 
     def _find_owner(self, server):
@@ -115,7 +155,10 @@
         if limit.turns is None:
             limit.turns = permit_queue.Turns(self._generator.random)
         return limit.turns.try_acquire(
-            limit.per_s, self._members.count_entries(), trio.current_time()
+            limit.per_s,
+            self._members.count_entries(),
+            trio.current_time(),
+            limit.turn_share,
         )
 
     async def _wait_here(self, server, priority, patience_s):
@@ -180,14 +223,15 @@
 
     async def handle(self, message):
         """Return the reply to an `AcquirePermit` of another entry."""
-        server = self._directory.get_same(
-            message.limit.server_id, message.limit.incarnation
+        server = limit_news.apply(
+            self._directory, message.limit, self._observer
         )
         if server is None:
             return messages.Rejected("no such server")
-        limit_news.apply_message(server, message.limit, self._observer)
         if server.limit.per_s is None:
             return direct_messages.PermitReply(True)
+        if not self._may_grant(server):
+            return messages.Rejected("not the owner of the limit")
         if message.unused:
             server.limit.get_queue().give_back(
                 message.unused, trio.current_time()
--- a/greengagetrack/process/direct/server_limit.py
+++ b/greengagetrack/process/direct/server_limit.py
@@ -1,4 +1,8 @@
-"""The limit of one server, as one entry knows it."""
+"""The limit of one server, as one entry knows it.
+
+Two things limit a server: a rate that it names in its answers, and a spell
+of warming, see `decisions.warming`. The lower rate holds.
+"""
 
 import msgspec
 import trio
@@ -40,13 +44,18 @@
         "_unused",
         "_unused_owner",
         "named",
+        "pace",
         "queue",
+        "spell",
         "turns",
     )
 
     def __init__(self):
         self.named = None
+        # That of the spell at its last update, None if the server is warm.
+        self.pace = None
         self.queue = None
+        self.spell = None
         self.turns = None
         self._observations = 0
         self._due_priority = 0
@@ -57,8 +66,30 @@
     @property
     def per_s(self):
         """The requests per second for all entries, None without a limit."""
+        named_per_s = self.named_per_s
+        if self.pace is None:
+            return named_per_s
+        if named_per_s is None:
+            return self.pace.per_s
+        return min(self.pace.per_s, named_per_s)
+
+    @property
+    def named_per_s(self):
+        """The requests per second that the server names, or None."""
         return None if self.named is None else self.named.limit_per_s
 
+    @property
+    def is_warming(self):
+        """Whether the server is warming, or is led back from it."""
+        return self.pace is not None
+
+    @property
+    def turn_share(self):
+        """The part of the limit that entries without an owner may use."""
+        if self.pace is None:
+            return permit_queue.TURN_SHARE
+        return self.pace.turns_per_s / self.pace.per_s
+
     def observe(self, limit_per_s):
         """Record what an answer says; return whether the limit changed."""
         if self.named is None and limit_per_s is None:
@@ -79,13 +110,43 @@
         """
         if not self._is_news(named):
             return False
-        last_per_s = self.per_s
+        last_per_s = self.named_per_s
         self.named = named
-        if named.limit_per_s is None:
+        self._update_queue()
+        return named.limit_per_s != last_per_s
+
+    def _update_queue(self):
+        """Give the queue the limit that holds now, or drop it."""
+        if self.per_s is None:
             self.queue = None
         elif self.queue is not None:
-            self.queue.set_limit(named.limit_per_s, trio.current_time())
-        return named.limit_per_s != last_per_s
+            self.queue.set_limit(
+                self.per_s, trio.current_time(), self._get_burst()
+            )
+
+    def _get_burst(self):
+        return None if self.pace is None else self.pace.burst
+
+    def set_spell(self, spell):
+        """Set the `Spell` of warming; return whether the server was warm."""
+        was_warm = self.spell is None
+        self.spell = spell
+        self.update_spell()
+        return was_warm
+
+    def update_spell(self):
+        """Apply the time that has passed; return whether the spell is over.
+
+        Until it is called the last limit holds, so that it can't end
+        between two steps of a request.
+        """
+        if self.spell is None:
+            return True
+        self.pace = self.spell.get_pace(trio.current_time())
+        self._update_queue()
+        if self.pace is None:
+            self.spell = None
+        return self.spell is None
 
     def _is_news(self, named):
         known = self.named
@@ -100,17 +161,19 @@
         return not is_same and named.observed_s >= known.observed_s
 
     def is_told(self):
-        """Return whether peers are told of the last observation."""
+        """Return whether peers are told of the limit."""
+        if self.spell is not None:
+            return True
         if self.named is None:
             return False
         age_s = trio.current_time() - self.named.observed_s
-        return self.per_s is not None or age_s < ENDED_TOLD_S
+        return self.named_per_s is not None or age_s < ENDED_TOLD_S
 
     def get_queue(self):
         """Return the `PermitQueue` of the owner, begun on first use."""
         if self.queue is None:
             self.queue = permit_queue.PermitQueue(
-                self.per_s, trio.current_time()
+                self.per_s, trio.current_time(), self._get_burst()
             )
         return self.queue
 
@@ -143,9 +206,12 @@
         """Return how long a request would wait for a permit, 0 if unknown."""
         if self.per_s is None or priority < self._due_priority:
             return 0.0
-        return max(self._due_s - trio.current_time(), 0.0)
+        due_s = self._due_s
+        if self.spell is not None and self.named_per_s is None:
+            due_s = min(due_s, self.spell.until_s)
+        return max(due_s - trio.current_time(), 0.0)
 
 
 def new_server_limit():
-    """Return the limit of a server that has named none."""
+    """Return the limit of a server that has none."""
     return ServerLimit()
--- a/greengagetrack/request/direct/attempt.py
+++ b/greengagetrack/request/direct/attempt.py
@@ -70,7 +70,9 @@
         self.record_prefill_done()
         spent_ms = (trio.current_time() - self._started_s) * 1000
         self.server.update_slowness(spent_ms, max(self._predicted_ms, 1.0))
-        estimate.record(units, spent_ms)
+        # A warming server says nothing of the others of its service.
+        if not self.server.limit.is_warming:
+            estimate.record(units, spent_ms)
 
     def record_answer(self, status):
         """Update the server's statistics after a complete answer."""
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -72,13 +72,19 @@
     async def reserve(self, stages_s):
         """Return whether the request may be sent to a server.
 
-        Where all servers name limits, choose one and get its permit before
+        Where all servers have limits, choose one and get its permit before
         the stages, which take `stages_s`: their results would be of no use.
+        A warming server has none to reserve, as they must be used at once.
         """
         if not self._chooser.is_limited(self.service, self._excluded):
             return True
         patience_s = self._get_target_left_s() - stages_s
-        choice = await self._choose({}, patience_s, self._get_priority(False))
+        priority = self._get_priority(False)
+        if self._chooser.is_any_warming(self.service, self._excluded):
+            return self._chooser.has_permit(
+                self.service, self._excluded, priority, patience_s
+            )
+        choice = await self._choose({}, patience_s, priority)
         self._reserved = choice
         self._reserved_until_s = trio.current_time() + RESERVED_MAX_S
         return choice is not None
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -475,6 +475,7 @@
         self.leaving = []
         self.pauses = []
         self.limits = []
+        self.warming = []
 
     def record_leaving(self, published):
         self.leaving.append(published.server_id)
@@ -485,6 +486,9 @@
     def record_limit(self, published, limit_per_s):
         self.limits.append(limit_per_s)
 
+    def record_warming(self, published, left_s):
+        self.warming.append(left_s)
+
 
 @pytest.mark.parametrize(
     ("status", "headers", "leaving", "pauses", "limits"),
@@ -507,6 +511,33 @@
 def test_what_engines_say_of_themselves_is_observed(
     status, headers, leaving, pauses, limits
 ):
+    observer = observe_answers(status, headers)
+    # Both calls, the request and the one for pieces, are observed.
+    assert observer.leaving == leaving * 2
+    assert observer.pauses == pauses * 2
+    assert observer.limits == limits * 2
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "warming"),
+    [
+        (200, b"1500", [1.5]),
+        (503, b"40.5", [0.0405]),
+        (200, b"0", []),
+        (200, b"soon", []),
+        (200, b"inf", []),
+        (421, b"1500", []),
+    ],
+)
+def test_warming_that_engines_tell_of_is_observed(status, value, warming):
+    observer = observe_answers(status, [(b"X-Cold-Ms", value)])
+    assert observer.warming == warming * 2
+
+
+def observe_answers(status, headers):
+    """Return the `Observer` of two answers of an engine."""
+    observer = Observer()
+
     async def handle(exchange):
         await exchange.answer(status, headers, b"{}")
 
@@ -519,7 +550,6 @@
             engine_gateway = engines.new_engine_gateway(
                 pool_module.new_pool(nursery)
             )
-            observer = Observer()
             engine_gateway.set_observer(observer)
             published = gateway.Server("i-1", "svc", address, "z")
             host = [(b"Host", b"h")]
@@ -530,12 +560,9 @@
             answer.finish()
             await engine_gateway.run_pieces(published, [])
             nursery.cancel_scope.cancel()
-        # Both calls, the request and the one for pieces, are observed.
-        assert observer.leaving == leaving * 2
-        assert observer.pauses == pauses * 2
-        assert observer.limits == limits * 2
 
     trio.run(main)
+    return observer
 
 
 def test_list_changes_returns_removals_and_problems():
