--- a/greengagetrack/connection/http/client/persistent_connection.py
+++ b/greengagetrack/connection/http/client/persistent_connection.py
@@ -107,9 +107,15 @@
         )
 
     def _get_unacknowledged_bytes(self):
-        size = fcntl.ioctl(
-            self.stream.socket.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
-        )
+        """Return the bytes that the system keeps, 0 if it can't tell."""
+        try:
+            size = fcntl.ioctl(
+                self.stream.socket.fileno(),
+                termios.TIOCOUTQ,
+                struct.pack("i", 0),
+            )
+        except OSError:
+            return 0
         return struct.unpack("i", size)[0]
 
     def _take_error(self):
