Mix: weigh what a long prompt does to the streams of a server

Cause: a request chose the server with the shortest wait for itself, so a long prompt went beside forty streams as soon as beside four, and all of them paused while it was read.

Change: the cost of a server includes the delay of due events that reading the prompt causes there, for what the prompt has above the mean of the service's last seconds. Zero for prompts of one size.

--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -2,7 +2,8 @@
 
 A filter drops servers that are leaving, already tried or full. Among the
 rest the lowest cost in milliseconds wins: the predicted wait, the network
-cost between data centres and regions, and the saving of a cached prefix.
+cost between data centres and regions, the saving of a cached prefix, and the
+delay of the streams that already run there.
 """
 
 import math
@@ -10,6 +11,7 @@
 import msgspec
 import trio
 
+from greengagetrack.process.direct.decisions import interference
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import linear_estimate
 from greengagetrack.process.direct import rendezvous
@@ -38,7 +40,10 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """The chosen server, its predicted cost and the candidate count."""
+    """The chosen server, its predicted cost and the candidate count.
+
+    `inflicted_ms` is the part of the cost that others there pay.
+    """
 
     server: known_server.KnownServer
     cost_ms: float
@@ -46,6 +51,7 @@
     new_tokens: int
     candidates: int
     tokens_ahead: int = 0
+    inflicted_ms: float = 0.0
 
 
 class Chooser:
@@ -56,6 +62,7 @@
         "_directory",
         "_first_event_by_service",
         "_get_catalog",
+        "_recent_prompts_by_service",
         "_region_by_data_centre",
         "generator",
     )
@@ -70,6 +77,7 @@
     ):
         self._directory = directory
         self._first_event_by_service = {}
+        self._recent_prompts_by_service = {}
         self._get_catalog = get_catalog
         self._data_centre = data_centre
         self._region_by_data_centre = region_by_data_centre
@@ -123,14 +131,11 @@
         choices = [_add_permit_wait(choice, priority) for choice in choices]
         self.generator.shuffle(choices)
         best = min(choices, key=lambda choice: choice.cost_ms)
-        return Choice(
-            best.server,
-            best.cost_ms,
-            best.wait_ms,
-            best.new_tokens,
-            len(servers),
-            best.tokens_ahead,
-        )
+        if request.prompt_tokens:
+            self._get_recent_prompts(service).record(
+                best.new_tokens, trio.current_time()
+            )
+        return msgspec.structs.replace(best, candidates=len(servers))
 
     def has_other(
         self, service, excluded, priority, patience_s, software_version
@@ -174,6 +179,13 @@
             )
         return self._first_event_by_service[service]
 
+    def _get_recent_prompts(self, service):
+        if service not in self._recent_prompts_by_service:
+            self._recent_prompts_by_service[service] = (
+                interference.RecentPrompts()
+            )
+        return self._recent_prompts_by_service[service]
+
     def predict_first_event_s(self, service, request):
         """Return the time to the first event at the likely server.
 
@@ -240,7 +252,22 @@
             cost_ms += SUSPECT_PENALTY_MS
         if server is preferred:
             cost_ms -= PREFERRED_BONUS_MS
-        return Choice(server, cost_ms, wait_ms, new_tokens, 0, tokens_ahead)
+        inflicted_ms = self._get_inflicted_ms(server, new_tokens)
+        cost_ms += inflicted_ms
+        return Choice(
+            server, cost_ms, wait_ms, new_tokens, 0, tokens_ahead, inflicted_ms
+        )
+
+    def _get_inflicted_ms(self, server, new_tokens):
+        if not new_tokens:
+            return 0.0
+        service = server.published.service
+        return interference.get_inflicted_ms(
+            new_tokens,
+            self._get_recent_prompts(service).get_mean_tokens(),
+            server.count_running(),
+            self.get_first_event_estimate(service).per_unit,
+        )
 
     def _predict_wait(self, server, request, new_tokens):
         """Return the wait in ms and the prompt tokens ahead."""
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -25,6 +25,7 @@
             "data_centre": server.published.data_centre,
             "cost_ms": round(choice.cost_ms, 1),
             "wait_ms": round(choice.wait_ms, 1),
+            "inflicted_ms": round(choice.inflicted_ms, 1),
             "outstanding": server.outstanding,
             "candidates": choice.candidates,
             "new_tokens": choice.new_tokens,
