Peers: take a late reply of a peer as one, and keep its link

Cause: on the new sites entries have links of 5 Mbit/s. In a burst replies to digests come later than 0.6 s.

Change: a reply to a digest is awaited for 2 s.

--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -36,6 +36,8 @@
 # The part of the lease after which a peer is asked in each round.
 LEASE_AGING_RATIO = 0.6
 REQUEST_TIMEOUT_S = 0.6
+# A reply that comes late over a congested link is news all the same.
+EXCHANGE_TIMEOUT_S = 2.0
 MISSED_REPLIES_MAX = 3
 LINK_CHECK_S = 0.1
 
@@ -258,7 +260,7 @@
         digest.asks_departures = self._directory.departures.is_open(
             peer.told_sent_s
         )
-        reply = await link.request(digest, REQUEST_TIMEOUT_S)
+        reply = await link.request(digest, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, direct_messages.EntryDigestReply):
             self._count_missed_reply(peer)
             return
