Explain where a request would go, without sending it

Cause: operators had to send a request to learn where one goes and why. Change: greengagectl explain route asks a running entry, at its metrics address: regions, data centres of stages, and each server with its cost or the reason why it gets nothing. The choice itself answers, without a record.

--- a/greengagetrack/command/greengagectl.py
+++ b/greengagetrack/command/greengagectl.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from greengagetrack.command import request_log
+from greengagetrack.command import route_report
 from greengagetrack.command import standalone
 from greengagetrack.platform import document
 from greengagetrack.process import settings as settings_module
@@ -150,17 +151,22 @@
 
 
 def _get(address, path):
-    url = f"http://{address}/admin/v1/{path}"
+    return _get_json(f"http://{address}/admin/v1/{path}")
+
+
+def _get_json(url, query=None):
     try:
-        response = httpx.get(url, timeout=TIMEOUT_S, trust_env=False)
+        response = httpx.get(
+            url, params=query, timeout=TIMEOUT_S, trust_env=False
+        )
         response.raise_for_status()
-    except httpx.HTTPError as error:
+        return response.json()
+    except (httpx.HTTPError, ValueError) as error:
         _exit_with_error(
             EXIT_UNREACHABLE,
             f"{url}: request failed ({error}). Is this the process's "
-            f"--admin-address?",
+            f"address for operators?",
         )
-    return response.json()
 
 
 def status(address: str):
@@ -238,6 +244,36 @@
         print(request_log.format_line(fields))
 
 
+def explain_route(
+    address: str,
+    host: str,
+    path: str,
+    organisation: str = "",
+    parts: str = "",
+):
+    """Show where a request would go now, and why, without sending it.
+
+    Exit codes: 0 a server would get it; 1 none would; 4 no reply.
+
+    :param address: The metrics address of the entry, HOST:PORT.
+    :param host: The host that the request names.
+    :param path: The path of the request.
+    :param organisation: The name of the organisation that sends it.
+    :param parts: The parts of its prompt, ID:TOKENS,ID:TOKENS.
+    """
+    question = {
+        "host": host,
+        "path": path,
+        "organisation": organisation,
+        "parts": parts,
+    }
+    explanation = _get_json(f"http://{address}/explain", question)
+    for line in route_report.format_lines(explanation):
+        print(line)
+    if explanation["refused"]:
+        sys.exit(EXIT_FINDINGS)
+
+
 def drain():
     """Explain how to take a process out of service."""
     print(
@@ -279,7 +315,11 @@
         {
             "table": {"check": check, "diff": diff, "explain": explain},
             "status": status,
-            "explain": {"request": explain_request, "logs": explain_logs},
+            "explain": {
+                "request": explain_request,
+                "logs": explain_logs,
+                "route": explain_route,
+            },
             "drain": drain,
             "settings": standalone.add_settings_flags(settings),
         },
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -111,6 +111,42 @@
         `software_version`, no others are candidates, and with an
         `Eligibility` none that it excludes.
         """
+        choices = self.predict_choices(
+            service,
+            request,
+            excluded,
+            input_bytes,
+            priority,
+            patience_s,
+            software_version,
+            eligibility,
+        )
+        if not choices:
+            return None
+        self.generator.shuffle(choices)
+        best = min(choices, key=lambda choice: choice.cost_ms)
+        if request.prompt_tokens:
+            self._get_recent_prompts(service).record(
+                best.new_tokens, trio.current_time()
+            )
+        return msgspec.structs.replace(best, candidates=len(choices))
+
+    def predict_choices(
+        self,
+        service,
+        request,
+        excluded=(),
+        input_bytes=None,
+        priority=0,
+        patience_s=math.inf,
+        software_version=None,
+        eligibility=None,
+    ):
+        """Return a `Choice` for each candidate of `choose_server`.
+
+        Nothing is recorded, so it may also be asked without a request to
+        send.
+        """
         servers = [
             server
             for server in self._get_candidates(
@@ -119,7 +155,7 @@
             if server.limit.get_wait_s(priority) <= patience_s
         ]
         if not servers:
-            return None
+            return []
         preferred = _get_preferred_server(servers, request.parts)
         recent_tokens = self._count_recently_cached_tokens(
             servers, request.parts
@@ -130,14 +166,7 @@
             )
             for server in servers
         ]
-        choices = [_add_permit_wait(choice, priority) for choice in choices]
-        self.generator.shuffle(choices)
-        best = min(choices, key=lambda choice: choice.cost_ms)
-        if request.prompt_tokens:
-            self._get_recent_prompts(service).record(
-                best.new_tokens, trio.current_time()
-            )
-        return msgspec.structs.replace(best, candidates=len(servers))
+        return [_add_permit_wait(choice, priority) for choice in choices]
 
     def has_other(
         self,
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -15,8 +15,11 @@
 from greengagetrack.process.direct import caller_account
 from greengagetrack.process.direct.decisions import drain_plan
 from greengagetrack.process.direct import entry as entry_module
+from greengagetrack.process.direct import route_explanation
 
 DRAIN_CHECK_S = 0.05
+# Beside the metrics, at the address that callers don't know.
+EXPLAIN_PATH = b"/explain"
 EXIT_OK = 0
 EXIT_DRAIN_INCOMPLETE = 3
 
@@ -169,7 +172,7 @@
     )
     metrics_server = server_module.new_server(
         adapter.get_metrics_address(),
-        lambda exchange: _serve_metrics(entry, exchange),
+        lambda exchange: _serve_operator(entry, exchange),
         entry.get_limits,
         bounds=account.new_bounds(
             caller_account.METRICS_CONNECTIONS, allows_pipelining=False
@@ -181,6 +184,19 @@
     return caller_server
 
 
+async def _serve_operator(entry, exchange):
+    path, _separator, query = exchange.target.partition(b"?")
+    if path == EXPLAIN_PATH:
+        explanation = entry.explain(route_explanation.read_question(query))
+        await exchange.answer(
+            200,
+            [(b"Content-Type", b"application/json")],
+            msgspec.json.encode(explanation),
+        )
+        return
+    await _serve_metrics(entry, exchange)
+
+
 async def _serve_metrics(entry, exchange):
     body, headers = entry.metrics.render([])
     fields = [(key.encode(), value.encode()) for key, value in headers.items()]
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -23,6 +23,7 @@
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import pools as pools_module
+from greengagetrack.process.direct import route_explanation
 from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.process.direct import warming_servers
 from greengagetrack.request import deadline as deadline_module
@@ -366,6 +367,19 @@
             RETRY_AFTER_STALE_MS,
         )
 
+    def explain(self, question):
+        """Return the `Explanation` of where a request would go now."""
+        return route_explanation.explain(
+            question,
+            self.catalog_watcher.get_catalog(),
+            route_explanation.Sources(
+                self._eligibilities,
+                self.directory,
+                self._services.chooser,
+                self._pools,
+            ),
+        )
+
     async def serve(self, request, reply):
         """Serve one request by way of `reply`; return its outcome."""
         admitted = self.admit(request)
--- a/greengagetrack/process/direct/pools.py
+++ b/greengagetrack/process/direct/pools.py
@@ -367,6 +367,14 @@
         ]
         return min(durations, default=math.inf)
 
+    def predict_by_centre(self, service, flow, eligibility):
+        """Return the seconds that pieces take in each data centre."""
+        return {
+            centre: DELAY_S_BY_DISTANCE[self._distances.get(centre)]
+            + self._get_finish_s([service], centre, flow, eligibility)
+            for centre in sorted(self._get_centres(service, eligibility))
+        }
+
     def get_owned_pool_waits(self):
         """Return the waits of the local pools that this entry owns."""
         return [
--- a/greengagetrack/version/catalog.py
+++ b/greengagetrack/version/catalog.py
@@ -181,6 +181,13 @@
         """Return the organisation that holds the API key, or None."""
         return self._organisation_by_key.get(key)
 
+    def find_organisation_by_name(self, name):
+        """Return an organisation that holds an API key, or None."""
+        for organisation in self._organisation_by_key.values():
+            if organisation.name == name:
+                return organisation
+        return None
+
     def get_service_names(self):
         """Return the names of all services that routes and stages use."""
         names = set()
