--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -17,7 +17,9 @@
 from greengagetrack.platform import engines
 from greengagetrack.process.direct import daemon
 from greengagetrack.process.direct.decisions import drain_plan
+from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import directory
+from greengagetrack.process.direct import evacuations
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import lifetime
@@ -135,6 +137,21 @@
     numbers.read_count = lambda text, maximum: int(text)
 
 
+def _ignore_regions():
+    """Send requests to servers of any region."""
+    eligibility.Eligibility.is_allowed_place = lambda self, centre: True
+
+
+def _ignore_evacuations():
+    """Go on sending to servers of evacuated data centres."""
+    evacuations.Evacuations._apply = lambda self, name, word, heard_from: None
+
+
+def _ignore_told_evacuations():
+    """Take no peer's word that a data centre is evacuated."""
+    evacuations.Evacuations.apply_messages = lambda self, messages: False
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
@@ -150,6 +167,9 @@
     "trust-numbers": _trust_numbers,
     "trust-statuses": _trust_statuses,
     "trust-unnamed": _trust_unnamed,
+    "ignore-regions": _ignore_regions,
+    "ignore-evacuations": _ignore_evacuations,
+    "ignore-told-evacuations": _ignore_told_evacuations,
 }
 
 
