--- a/greengagetrack/process/direct/decisions/eligibility.py
+++ b/greengagetrack/process/direct/decisions/eligibility.py
@@ -77,9 +77,11 @@
         With a `software_version`, the request goes on with a stream that
         servers of this version began.
         """
-        exclusion = self.find_place_exclusion(server.published.data_centre)
-        if exclusion is None:
-            exclusion = server.find_exclusion()
+        # Asked of each server at each choice, so the usual case goes first.
+        exclusion = None
+        if self.allowed_regions is not None or self.evacuated:
+            exclusion = self.find_place_exclusion(server.published.data_centre)
+        exclusion = exclusion or server.find_exclusion()
         if exclusion is not None or software_version is None:
             return exclusion
         if server.lifetime.may_go_on(software_version):
