Warming: real entries while data centres return, and a build that ignores it

Cause: the bound was only checked on a mock clock. Change: `greengagebench warming` has six entries and twelve engines that start again warming, data centre after data centre, beside kills and freezes; the build `ignore-warming` must be detected. A record that says how long its server is warming goes before the time after a start that the catalog says. The counts of windows and statuses of the soak of limits are shared.

--- a/bench/command.py
+++ b/bench/command.py
@@ -222,6 +222,7 @@
             "run": run,
             "soak": soak_commands.soak,
             "limits": soak_commands.limits,
+            "warming": soak_commands.warming,
             "versions": soak_commands.versions,
             "streams": soak_commands.streams,
             "stops": soak_commands.stops,
--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -23,6 +23,7 @@
 from greengagetrack.process.direct import lifetime
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import newest_version
+from greengagetrack.process.direct import warming_servers
 from greengagetrack.request.direct import answer_handler
 from greengagetrack.request.direct import patience
 from greengagetrack.request.direct import run as run_module
@@ -135,6 +136,11 @@
     numbers.read_count = lambda text, maximum: int(text)
 
 
+def _ignore_warming():
+    """Send warming servers as many requests as any others."""
+    warming_servers.WarmingServers._record = lambda *args, **fields: None
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
@@ -150,6 +156,7 @@
     "trust-numbers": _trust_numbers,
     "trust-statuses": _trust_statuses,
     "trust-unnamed": _trust_unnamed,
+    "ignore-warming": _ignore_warming,
 }
 
 
--- a/bench/soak/limits.py
+++ b/bench/soak/limits.py
@@ -72,16 +72,16 @@
 class LimitSite(site_module.SoakSite):
     """A site of any number of entries over several data centres."""
 
-    def __init__(self, nursery, seed, logs, entry_count):
-        super().__init__(nursery, seed, logs, "", entry_count)
+    def __init__(self, nursery, seed, logs, entry_count, build=""):
+        super().__init__(nursery, seed, logs, build, entry_count)
         # Each check costs this process as much as a request.
         self.ready_check_s = READY_CHECK_S
         count = max(entry_count // ENTRIES_PER_CENTRE, DATA_CENTRES_MIN)
-        self._data_centres = [f"dc-{number}" for number in range(count)]
+        self.data_centres = [f"dc-{number}" for number in range(count)]
 
     async def add_engine(self, engine_id, service, is_stream=False):
         """Start one engine of each kind in each data centre."""
-        for data_centre in self._data_centres[:CENTRES_WITH_ENGINES]:
+        for data_centre in self.data_centres[:CENTRES_WITH_ENGINES]:
             engine = standin_site.EngineStandIn(
                 f"{engine_id}-{data_centre}", service, data_centre, is_stream
             )
@@ -93,7 +93,7 @@
 
     def change_node_file(self, index, node_file):
         """Put the entries into the data centres in turn."""
-        data_centres = self._data_centres
+        data_centres = self.data_centres
         node_file["zone"] = data_centres[index % len(data_centres)]
         node_file["zones"] = dict.fromkeys(data_centres, "north")
 
@@ -118,20 +118,28 @@
                 engine.limit_per_s = self._limit_per_s
             start_s = trio.current_time() + SETTLING_S
             end_s = start_s - SETTLING_S + duration_s
-        statuses = self._statuses
         return LimitResult(
             seed=seed,
             entries=len(self._site.entries),
-            requests=len(statuses),
-            served=statuses.count(200),
-            refused=statuses.count(503),
-            failed=len(statuses) - statuses.count(200) - statuses.count(503),
             engines=[
                 new_engine_use(engine, start_s, end_s)
                 for engine in self._limited
             ],
+            **self.count_statuses(),
         )
 
+    def count_statuses(self):
+        """Return the numbers of requests by what became of them."""
+        count = len(self._statuses)
+        served = self._statuses.count(200)
+        refused = self._statuses.count(503)
+        return {
+            "requests": count,
+            "served": served,
+            "refused": refused,
+            "failed": count - served - refused,
+        }
+
     async def _send_requests(self, nursery, duration_s):
         end_s = trio.current_time() + WARM_UP_S + duration_s
         for number in itertools.count():
@@ -156,24 +164,28 @@
         pool.drop_connections(entry.caller_address)
 
 
-def new_engine_use(engine, start_s, end_s):
-    """Return what an engine got between two times."""
-    times = [
-        time_s for time_s in engine.arrival_times if start_s < time_s < end_s
-    ]
-    most = max(
+def count_most(times, window_s):
+    """Return the most of `times` that lie within `window_s`."""
+    return max(
         (
-            sum(first_s <= time_s < first_s + WINDOW_S for time_s in times)
+            sum(first_s <= time_s < first_s + window_s for time_s in times)
             for first_s in times
         ),
         default=0,
     )
+
+
+def new_engine_use(engine, start_s, end_s):
+    """Return what an engine got between two times."""
+    times = [
+        time_s for time_s in engine.arrival_times if start_s < time_s < end_s
+    ]
     allowed = engine.limit_per_s * WINDOW_S * EXCESS_FACTOR + EXCESS_REQUESTS
     return EngineUse(
         engine=engine.engine_id,
         service=engine.service,
         limit_per_s=engine.limit_per_s,
-        most_in_window=most,
+        most_in_window=count_most(times, WINDOW_S),
         allowed_in_window=int(allowed),
         used_share=round(
             len(times) / (engine.limit_per_s * (end_s - start_s)), 2
--- a/bench/soak_commands.py
+++ b/bench/soak_commands.py
@@ -15,6 +15,7 @@
 from bench.soak import stops as stops_module
 from bench.soak import streams as streams_module
 from bench.soak import versions as versions_module
+from bench.soak import warming as warming_module
 
 
 def soak(
@@ -81,6 +82,38 @@
     sys.exit(output.EXIT_FAILURE if result.exceeded else 0)
 
 
+def warming(
+    *,
+    seed: int = 0,
+    entries: int = 6,
+    rate: float = 90.0,
+    rounds: int = 3,
+    build: str = "",
+    logs: str = "",
+):
+    """Run entries while data centres return with warming engines.
+
+    Prints one JSON line. Exit codes: 0 no engine got more than it bears;
+    1 one did.
+
+    :param seed: The seed of the requests and of the faults.
+    :param entries: The number of entry processes, over three data centres.
+    :param rate: The requests per second of all kinds together.
+    :param rounds: How many returns there are, one after the other.
+    :param build: A deliberately broken build, which must be detected.
+    :param logs: The folder for the entries' logs; without one they are
+        kept only if an engine got too much.
+    """
+    output.check_choice("--build", build, ("", *broken.PATCH_BY_BUILD))
+    folder = logs or tempfile.mkdtemp(prefix="greengagebench-warming-")
+    result = warming_module.run_warming(
+        seed, entries, rate, rounds, folder, build
+    )
+    output.print_json(result)
+    output.keep_or_delete_logs(folder, logs, result.exceeded)
+    sys.exit(output.EXIT_FAILURE if result.exceeded else 0)
+
+
 def versions(
     *,
     seed: int = 0,
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -162,6 +162,8 @@
         self.is_silent = False
         # The requests per second that it names in its answers, if any.
         self.limit_per_s = None
+        # It takes few requests until then, as its record says.
+        self.warming_until_s = 0.0
         self.arrival_times = []
         # Streams have no length.
         self.is_unframed = False
@@ -199,8 +201,13 @@
             "version": self.version,
             "slots": 8,
             "born": self.born,
+            "cold_left_ms": self._get_warming_ms(),
         }
 
+    def _get_warming_ms(self):
+        left_s = self.warming_until_s - trio.current_time()
+        return int(max(left_s, 0.0) * 1000)
+
     def get_work_s(self, exchange):
         """Return how long a request without events takes."""
         return self.work_s
--- a/greengagetrack/process/direct/warming_servers.py
+++ b/greengagetrack/process/direct/warming_servers.py
@@ -45,9 +45,9 @@
         `is_new` says that the server has started while this entry ran.
         """
         left_s = server.published.warming_left_s
-        if is_new:
-            service = self._get_service(server)
-            left_s = max(left_s, service.warming_s if service else 0.0)
+        service = self._get_service(server)
+        if is_new and service is not None and not left_s:
+            left_s = service.warming_s
         self._record(server, left_s, is_observed=True)
 
     def record_answer(self, server, left_s):
