--- a/bench/soak/broken.py
+++ b/bench/soak/broken.py
@@ -25,6 +25,7 @@
 from greengagetrack.process.direct import lifetime
 from greengagetrack.process.direct import lifetime_check
 from greengagetrack.process.direct import newest_version
+from greengagetrack.process.direct import warming_servers
 from greengagetrack.request.direct import answer_handler
 from greengagetrack.request.direct import patience
 from greengagetrack.request.direct import run as run_module
@@ -152,6 +153,11 @@
     evacuations.Evacuations.apply_messages = lambda self, messages: False
 
 
+def _ignore_warming():
+    """Send warming servers as many requests as any others."""
+    warming_servers.WarmingServers._record = lambda *args, **fields: None
+
+
 PATCH_BY_BUILD = {
     "retry-unsafe": _retry_unsafe,
     "trust-forever": _trust_forever,
@@ -170,6 +176,7 @@
     "ignore-regions": _ignore_regions,
     "ignore-evacuations": _ignore_evacuations,
     "ignore-told-evacuations": _ignore_told_evacuations,
+    "ignore-warming": _ignore_warming,
 }
 
 
