Mend what the review of the parts showed

Cause: an entry that was cut off for over 30 s forgot the others and took itself for the majority that may give permits to warming servers (168 in a second where 30.5 are borne); a record that lapsed and came back made a warm server warming; without room a request in hand was cancelled for 16 KiB of look-ahead; bodies that move held all connections of the readiness port; a refused body was kept for as long as its caller lingered; a service without servers in the allowed regions could be drawn. Change: peers that are gone without a word count as silent for ten minutes; a known incarnation is not new; the request in hand goes on and nothing more is read; ports for checks answer bodies with 413; refusals leave the error first; services without a place are not drawn; unused permits of a named limit don't reach a warming server.

--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -178,12 +178,14 @@
                     return reason
                 self.protocol.start_next_cycle()
         except request_reader.RequestError as error:
-            await self._reject(error.status)
-            if error.status == request_reader.NO_ROOM_STATUS:
-                return self._get_shed_reason()
-            return _CloseReason.REQUEST_INVALID
+            status = error.status
         except _DISCONNECT_ERRORS:
             return _CloseReason.CALLER_LEFT
+        # Not within the handler: the error keeps what was read of the body.
+        await self._reject(status)
+        if status == request_reader.NO_ROOM_STATUS:
+            return self._get_shed_reason()
+        return _CloseReason.REQUEST_INVALID
 
     async def _serve_next(self):
         """Serve one request; return None if the connection is reusable."""
@@ -268,13 +270,16 @@
         """Cancel the handler when the caller disconnects."""
         buffered_bytes = self._reader.count_buffered()
         while buffered_bytes < PIPELINED_MAX_BYTES:
-            if not self._reader.take_room(buffered_bytes + PIPELINED_BYTES):
-                self._share.end_after_answer(bounds_module.Cause.NO_ROOM)
-                if not self._exchange.is_started:
-                    scope.cancel()
-                return
+            size = PIPELINED_BYTES
+            if not self._reader.take_room(buffered_bytes + size):
+                if buffered_bytes:
+                    # What was sent ahead is not read; this answer is sent.
+                    self._share.end_after_answer(bounds_module.Cause.NO_ROOM)
+                    return
+                # Enough to learn that the caller has left.
+                size = 1
             try:
-                data = await self._stream.receive_some(PIPELINED_BYTES)
+                data = await self._stream.receive_some(size)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
--- a/greengagetrack/process/direct/caller_account.py
+++ b/greengagetrack/process/direct/caller_account.py
@@ -107,9 +107,13 @@
         """Set the memory of the machine, in bytes."""
         self._max_bytes = get_caller_bytes(memory_bytes, self._process_bytes)
 
-    def new_bounds(self, connections_max, allows_pipelining=True):
-        """Return the `ConnectionBounds` of one server."""
-        return ServerBounds(self, connections_max, allows_pipelining)
+    def new_bounds(self, connections_max, is_for_checks=False):
+        """Return the `ConnectionBounds` of one server.
+
+        One `is_for_checks` answers short requests without bodies only, one
+        after the other.
+        """
+        return ServerBounds(self, connections_max, is_for_checks)
 
     def get_held_bytes(self):
         """Return the number of bytes that are counted now."""
@@ -204,9 +208,10 @@
 
     receive_buffer_bytes = RECEIVE_BUFFER_BYTES
 
-    def __init__(self, account, connections_max, allows_pipelining):
+    def __init__(self, account, connections_max, is_for_checks):
         self.account = account
-        self.allows_pipelining = allows_pipelining
+        self.allows_pipelining = not is_for_checks
+        self.allows_bodies = not is_for_checks
         self._connections_max = connections_max
         self._search_from_s = 0.0
         self._shares = set()
--- a/greengagetrack/process/direct/chooser.py
+++ b/greengagetrack/process/direct/chooser.py
@@ -83,14 +83,32 @@
         self._region_by_data_centre = region_by_data_centre
         self.generator = generator
 
-    def choose_service(self, route):
-        """Return the name of a service of the route, drawn by weight."""
+    def choose_service(self, route, eligibility=None):
+        """Return the name of a service of the route, drawn by weight.
+
+        Services without a server where the request may go are left out,
+        unless all are.
+        """
         if len(route.services) == 1:
             return route.services[0].service
-        weights = [service.weight for service in route.services]
+        services = [
+            service
+            for service in route.services
+            if self._has_place(service.service, eligibility)
+        ]
+        services = services or route.services
+        weights = [service.weight for service in services]
         if not any(weights):
-            return route.services[0].service
-        return self.generator.choices(route.services, weights)[0].service
+            return services[0].service
+        return self.generator.choices(services, weights)[0].service
+
+    def _has_place(self, service, eligibility):
+        if eligibility is None or eligibility.allowed_regions is None:
+            return True
+        return any(
+            eligibility.is_allowed_place(server.published.data_centre)
+            for server in self._directory.get_known(service)
+        )
 
     def choose_server(
         self,
--- a/greengagetrack/process/direct/daemon.py
+++ b/greengagetrack/process/direct/daemon.py
@@ -167,7 +167,7 @@
         lambda exchange: adapter.serve_readiness(entry, exchange),
         entry.get_limits,
         bounds=account.new_bounds(
-            caller_account.READINESS_CONNECTIONS, allows_pipelining=False
+            caller_account.READINESS_CONNECTIONS, is_for_checks=True
         ),
     )
     metrics_server = server_module.new_server(
@@ -175,7 +175,7 @@
         lambda exchange: _serve_operator(entry, exchange),
         entry.get_limits,
         bounds=account.new_bounds(
-            caller_account.METRICS_CONNECTIONS, allows_pipelining=False
+            caller_account.METRICS_CONNECTIONS, is_for_checks=True
         ),
     )
     await nursery.start(readiness_server.serve)
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -236,7 +236,9 @@
             server = known_server.KnownServer(published)
             self.server_by_id[published.server_id] = server
             self._log_change("server added", published)
-            self.warming.record_published(server, is_new=has_list)
+            # One that only lapsed at the source has run all the while.
+            has_started = has_list and gone is None
+            self.warming.record_published(server, is_new=has_started)
             return
         if server.published.is_leaving:
             # The record of its departure may be forgotten by now.
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -22,6 +22,8 @@
 # More than the time between two contacts.
 HEARD_SINCE_LOSS_S = 1.0
 PEERS_MAX = 2000
+# How long a peer that is gone without a word may be cut off, and live.
+MISSING_S = 600.0
 DELEGATE_KEY = "speaker"  # hashed: must be the same on all entries
 # Estimate of the fleet size: a margin over the most entries ever known, and
 # the size assumed before any peer is known.
@@ -100,6 +102,7 @@
     """The peers of this entry, and what it announces of itself."""
 
     __slots__ = (
+        "_missing_since_s_by_address",
         "_most_peers",
         "_own_address",
         "data_centre",
@@ -121,6 +124,7 @@
         self.seeds = set(seeds)
         self._own_address = address
         self._most_peers = 0
+        self._missing_since_s_by_address = {}
         for seed in seeds:
             self.get_or_add(seed)
 
@@ -196,8 +200,18 @@
         heard = sum(
             peer.last_contact_s > lost_s + HEARD_SINCE_LOSS_S for peer in alive
         )
+        others = len(alive) + len(silent) + self._count_missing()
         # This entry is one of both.
-        return 2 * (heard + 1) > len(alive) + len(silent) + 1
+        return 2 * (heard + 1) > others + 1
+
+    def _count_missing(self):
+        """Return how many peers were forgotten lately that may still live."""
+        now = trio.current_time()
+        since_s_by_address = self._missing_since_s_by_address
+        for address, since_s in list(since_s_by_address.items()):
+            if now - since_s >= MISSING_S or address in self.peer_by_address:
+                del since_s_by_address[address]
+        return len(since_s_by_address)
 
     def is_local(self, peer):
         """Return whether a peer is in this entry's data centre."""
@@ -370,9 +384,18 @@
             ):
                 continue
             del self.peer_by_address[peer.address]
+            if not peer.is_leaving:
+                self._record_missing(peer.address, now)
             if peer.address in self.seeds:
                 self.get_or_add(peer.address)
 
+    def _record_missing(self, address, now_s):
+        """Record a peer that is forgotten without having said a word."""
+        since_s_by_address = self._missing_since_s_by_address
+        since_s_by_address[address] = now_s
+        if len(since_s_by_address) > PEERS_MAX:
+            del since_s_by_address[next(iter(since_s_by_address))]
+
 
 def _log_peer(message, peer):
     _log.info(
--- a/greengagetrack/process/direct/permits.py
+++ b/greengagetrack/process/direct/permits.py
@@ -232,7 +232,7 @@
             return direct_messages.PermitReply(True)
         if not self._may_grant(server):
             return messages.Rejected("not the owner of the limit")
-        if message.unused:
+        if message.unused and not server.limit.is_warming:
             server.limit.get_queue().give_back(
                 message.unused, trio.current_time()
             )
--- a/greengagetrack/request/direct/server_selector.py
+++ b/greengagetrack/request/direct/server_selector.py
@@ -35,7 +35,9 @@
         self._permit = None
         self._reserved = None
         self._reserved_until_s = 0.0
-        self.service = chooser.choose_service(admitted.route)
+        self.service = chooser.choose_service(
+            admitted.route, admitted.eligibility.get()
+        )
         # Once a stream has begun, it may go on at this version only.
         self._origin = None
 
--- a/tests/direct/test_caller_bounds.py
+++ b/tests/direct/test_caller_bounds.py
@@ -26,7 +26,7 @@
 class _Site:
     """A server whose account has room for one large request."""
 
-    def __init__(self, answer, connections_max=10, allows_pipelining=True):
+    def __init__(self, answer, connections_max=10, is_for_checks=False):
         self.observer = test_closed_connections.RecordingObserver()
         self.account = caller_account.CallerAccount(0, 0, lambda: LIMITS)
         self.exchanges = []
@@ -37,7 +37,7 @@
             self._handle,
             lambda: LIMITS,
             self.observer,
-            bounds=self.account.new_bounds(connections_max, allows_pipelining),
+            bounds=self.account.new_bounds(connections_max, is_for_checks),
         )
 
     async def _handle(self, exchange):
@@ -147,7 +147,7 @@
         assert answers.count(b"yes") <= 1
         assert len(site.exchanges) == 1
 
-    _run(check, allows_pipelining=False)
+    _run(check, is_for_checks=True)
 
 
 def test_room_is_given_back_after_each_request():
@@ -177,3 +177,43 @@
                 await trio.sleep(0.01)
 
     _run(check)
+
+
+def test_bodies_are_refused_where_only_checks_are_answered():
+    """Bodies that move on held all connections of the readiness port."""
+
+    async def check(site, address):
+        for request_start in (LARGE, CHUNKED):
+            answer = await loopback.read_all(
+                await site.send(address, request_start)
+            )
+            assert answer.startswith(b"HTTP/1.1 413 ")
+        small = await site.send(address, HEAD + b"Content-Length: 0\r\n\r\n")
+        assert b"yes" in await loopback.read_until(small, b"yes")
+
+    _run(check, is_for_checks=True)
+
+
+@pytest.mark.parametrize("ahead", [b"", SMALL])
+def test_request_in_hand_is_answered_without_room_for_more(ahead, monkeypatch):
+    """It was cancelled, though it may have been passed on."""
+    account_class = caller_account.CallerAccount
+    resize = account_class.resize
+
+    def resize_down(account, share, size):
+        return size <= share.size and resize(account, share, size)
+
+    async def answer_late(exchange):
+        monkeypatch.setattr(account_class, "resize", resize_down)
+        await trio.sleep(0.2)
+        await exchange.answer(200, [], b"yes")
+
+    async def check(site, address):
+        site.server.handle = answer_late
+        stream = await site.send(address, LARGE + b"x" * BODY_BYTES)
+        await trio.sleep(0.1)
+        await stream.send_all(ahead)
+        answers = await loopback.read_until(stream, b"yes")
+        assert answers.count(b"yes") == 1
+
+    _run(check)
--- a/tests/direct/test_regions.py
+++ b/tests/direct/test_regions.py
@@ -303,3 +303,20 @@
         assert admitted.eligibility.get().allowed_regions is None
 
     _play(check, SERVERS)
+
+
+def test_a_service_without_servers_in_the_regions_is_not_drawn():
+    shares = (
+        catalog.WeightedService("svc", 1.0),
+        catalog.WeightedService("other", 99.0),
+    )
+    route = _new_route(services=shares)
+    servers = [*SERVERS, fakes.new_server("north3", "other")]
+
+    async def check(entry):
+        for _request in range(8):
+            outcome, _reply = await entry.serve(route)
+            assert outcome == WHOLE
+        assert set(_get_sent_ids(entry)) <= {"south1", "south2"}
+
+    _play(check, servers)
