Read the load that servers tell, and suspect no full server that tells it

Cause: where entries lose sight of the owner of a pool, several call the same servers, and each counted refusals of full ones as failures. A sound server was suspected, and its pool closed for 2.5 s.

Waits of pools include what is told.

--- a/greengagetrack/connection/gateway.py
+++ b/greengagetrack/connection/gateway.py
@@ -70,7 +70,8 @@
     `is_connection_failure` means that the server could not be connected to
     or had closed an idle connection, `is_other_server` that another server
     answers at its address, and `is_missing_version` that the server may not
-    have the version that the caller names, which is no fault of it.
+    have the version that the caller names, which is no fault of it. With
+    `is_full` the server says itself that all of its places are taken.
     """
 
     reason: outcome.Reason
@@ -79,6 +80,7 @@
     is_connection_failure: bool = False
     is_other_server: bool = False
     is_missing_version: bool = False
+    is_full: bool = False
     connection_use: ConnectionUse = ConnectionUse()
 
     def is_unreachable(self):
@@ -157,6 +159,22 @@
     inputs: tuple[str, ...] | None = None
 
 
+class ServerLoad(msgspec.Struct, frozen=True):
+    """The load that a server tells in an answer.
+
+    `pace` is how long work takes there now, against the usual time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+
+    def is_full(self):
+        """Return whether calls wait for those that run."""
+        return self.running >= self.slots and self.waiting > 0
+
+
 class ServerObserver(abc.ABC):
     """Is told what servers say of themselves in their answers."""
 
@@ -175,6 +193,10 @@
         `limit_per_s` is None if the answer names no limit.
         """
 
+    @abc.abstractmethod
+    def record_load(self, published, load, sent_s):
+        """Record the `ServerLoad` in the answer to what was sent then."""
+
 
 class Gateway(abc.ABC):
     """A client of backend servers; implementations add the protocol."""
--- a/greengagetrack/platform/engines.py
+++ b/greengagetrack/platform/engines.py
@@ -15,6 +15,7 @@
 from greengagetrack.connection.http import fields
 from greengagetrack.connection.http import matching
 from greengagetrack.platform import document
+from greengagetrack.platform import loads
 from greengagetrack.platform import names
 from greengagetrack.platform import reports
 from greengagetrack.request import outcome
@@ -177,7 +178,7 @@
         """Set the `ServerObserver` of all answers."""
         self._observer = observer
 
-    def _observe(self, server, head):
+    def _observe(self, server, head, sent_s):
         """Tell the observer what an answer says of its server."""
         if self._observer is None or head.status == names.MISDIRECTED_STATUS:
             return
@@ -191,6 +192,9 @@
         limit_per_s = _read_limit(limit_text)
         if limit_per_s is not None or not limit_text:
             self._observer.record_limit(server, limit_per_s)
+        load = loads.read_load(_get_text(head, names.ENGINE_LOAD))
+        if load is not None:
+            self._observer.record_load(server, load, sent_s)
 
     def drop_connections(self, server):
         """Close the idle connections to a server that was removed."""
@@ -219,6 +223,7 @@
         head = heads.RequestHead(
             request.method, request.target, _new_headers(server, request)
         )
+        sent_s = trio.current_time()
         call = await self._pool.open_call(
             server.address,
             head,
@@ -246,7 +251,7 @@
                 call.end_connection()
             received = EngineAnswer(call, response_head, request)
             if received.claim is not gateway.Claim.UNNAMED:
-                self._observe(server, response_head)
+                self._observe(server, response_head, sent_s)
             answer = received
             return answer
         finally:
@@ -294,13 +299,14 @@
 
     async def _post(self, server, path, body, identify):
         instance_header = (names.EXPECT_INSTANCE, server.server_id.encode())
+        sent_s = trio.current_time()
         response = await self._exchange(
             server.address, path, body, [instance_header], identify
         )
         if isinstance(response, gateway.Failure):
             return response
         head, data = response
-        self._observe(server, head)
+        self._observe(server, head, sent_s)
         if head.status == 200:
             return data
         return gateway.Failure(
@@ -308,6 +314,7 @@
             _Ran.NO if _is_not_run(head) else _Ran.UNKNOWN,
             f"status {head.status}",
             is_other_server=head.status == names.MISDIRECTED_STATUS,
+            is_full=_is_full(head),
         )
 
     async def _exchange(self, address, path, body, headers, identify):
@@ -366,6 +373,14 @@
     return limit_per_s if is_valid else None
 
 
+def _is_full(head):
+    """Return whether a server refuses a call since others wait there."""
+    if head.status != UNAVAILABLE_STATUS or not _is_not_run(head):
+        return False
+    load = loads.read_load(_get_text(head, names.ENGINE_LOAD))
+    return load is not None and load.is_full()
+
+
 def _get_id(head):
     return fields.get_value(head.headers, names.REQUEST_ID.lower())
 
--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -117,7 +117,7 @@
             self._queue.fail_all(gateway_module.PieceFailure.NO_SERVER)
             return
         free_usages = [
-            usage for usage in usages if usage.calls_in_flight < batching.slots
+            usage for usage in usages if usage.is_free(batching.slots)
         ]
         if not free_usages:
             return
--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -358,6 +358,15 @@
         if server is not None and server.limit.observe(limit_per_s):
             limit_news.log_change(server)
 
+    def record_load(self, published, load, sent_s):
+        """Record the load that a server tells in an answer.
+
+        The call that it answers is one of the server's outstanding ones.
+        """
+        server = self._get_same(published)
+        if server is not None:
+            server.told_load.record(load, server.outstanding, sent_s)
+
     def get_limited(self):
         """Return the servers of whose limits peers are told."""
         return [
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -7,6 +7,7 @@
 
 from greengagetrack.process.direct import lifetime as lifetime_module
 from greengagetrack.process.direct import server_limit
+from greengagetrack.process.direct import told_load
 from greengagetrack.request import outcome
 
 SUSPECT_STEP_S = 1.0
@@ -41,6 +42,7 @@
         "reported_loads",
         "slowness",
         "suspect_until_s",
+        "told_load",
         "unreachable_count",
     )
 
@@ -56,6 +58,7 @@
         self.suspect_until_s = 0.0
         self.paused_until_s = 0.0
         self.limit = server_limit.new_server_limit()
+        self.told_load = told_load.ToldLoad()
         self.unreachable_count = 0
         self.removal_due_s = None
         self.cached_part_times = {}
@@ -135,7 +138,7 @@
 
     def record_failed_call(self, failure):
         """Record a call that returned no usable answer."""
-        if failure.is_missing_version:
+        if failure.is_missing_version or failure.is_full:
             return
         if failure.is_unreachable() or failure.ran is outcome.Ran.UNKNOWN:
             self.lifetime.doubt()
--- a/greengagetrack/process/direct/piece_call.py
+++ b/greengagetrack/process/direct/piece_call.py
@@ -83,6 +83,7 @@
         failures = []
         if is_made:
             server.record_success(spent_ms)
+            self.usage.refusals = 0
             failures = [
                 result
                 for result in self.results
@@ -90,6 +91,8 @@
             ]
         else:
             server.record_failed_call(self.results)
+            if self.results.is_full:
+                self.usage.record_refused(self._work_s)
         _log.info(
             "pieces made" if is_made else "pieces failed",
             extra={
@@ -104,6 +107,7 @@
                 "spent_ms": round(spent_ms, 1),
                 "work_ms": round(self._work_s * 1000, 1),
                 "waiting": waiting,
+                "pace": round(server.told_load.pace, 2),
                 "outcome": "made" if is_made else self.results.detail,
             },
         )
--- a/greengagetrack/process/direct/server_usage.py
+++ b/greengagetrack/process/direct/server_usage.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from greengagetrack.process.direct.decisions import told_load
+
 TYPICAL_BATCH_WEIGHT = 0.25
 RESULT_LIFE_WEIGHT = 0.05
 RESULT_LIFE_START_S = 0.5
@@ -23,7 +25,9 @@
         "_unrecorded_s",
         "busy_until_s",
         "calls_in_flight",
+        "full_until_s",
         "pending_frees",
+        "refusals",
         "server",
         "typical_batch",
         "used_bytes",
@@ -34,6 +38,8 @@
         self.typical_batch = float(batch_max)
         self.calls_in_flight = 0
         self.busy_until_s = 0.0
+        self.full_until_s = 0.0
+        self.refusals = 0
         self.used_bytes = 0
         self.pending_frees = []
         self._result_by_handle = {}
@@ -52,14 +58,31 @@
             batch_size - self.typical_batch
         ) * TYPICAL_BATCH_WEIGHT
 
-    def get_wait_s(self, now_s):
-        """Return the time until a call may start at the server."""
-        wait_s = max(self.busy_until_s - now_s, 0.0)
+    def get_wait_s(self, now_s, call_s=0.0):
+        """Return the time until a call may start at the server.
+
+        Calls of others there take `call_s` each, as far as it tells them.
+        """
+        wait_s = max(self.busy_until_s, self.full_until_s) - now_s
+        wait_s = max(wait_s, self.server.told_load.get_others_wait_s(call_s))
         limit = self.server.limit
         if limit.queue is None:
             return wait_s
         return max(wait_s, limit.queue.get_next_s(now_s))
 
+    def is_free(self, slots):
+        """Return whether the server may get one more call."""
+        is_full = trio.current_time() < self.full_until_s
+        return self.calls_in_flight < slots and not is_full
+
+    def record_refused(self, call_s):
+        """Record that the server had no place for a call of `call_s`."""
+        self.refusals += 1
+        others_wait_s = self.server.told_load.get_others_wait_s(call_s)
+        self.full_until_s = trio.current_time() + told_load.get_full_s(
+            call_s, others_wait_s, self.refusals
+        )
+
     def count_per_round(self, round_s):
         """Return the pieces that the server makes in `round_s`.
 
--- a/greengagetrack/process/direct/server_usages.py
+++ b/greengagetrack/process/direct/server_usages.py
@@ -78,7 +78,7 @@
     now = trio.current_time()
     round_s = batching.get_call_s(batching.batch_max)
     return forecast.QueueForecast(
-        next_free_s=min(usage.get_wait_s(now) for usage in usages),
+        next_free_s=min(usage.get_wait_s(now, round_s) for usage in usages),
         pieces_per_round=max(
             sum(usage.count_per_round(round_s) for usage in usages), 1.0
         ),
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -475,6 +475,7 @@
         self.leaving = []
         self.pauses = []
         self.limits = []
+        self.loads = []
 
     def record_leaving(self, published):
         self.leaving.append(published.server_id)
@@ -485,6 +486,9 @@
     def record_limit(self, published, limit_per_s):
         self.limits.append(limit_per_s)
 
+    def record_load(self, published, load, sent_s):
+        self.loads.append(load)
+
 
 @pytest.mark.parametrize(
     ("status", "headers", "leaving", "pauses", "limits"),
@@ -498,6 +502,7 @@
         (421, [(b"Server-Leaving", b"1")], [], [], []),
         (200, [(b"Server-Limit", b"1.1")], [], [], [1.1]),
         (503, [(b"Server-Limit", b"0")], [], [], [0.0]),
+        (503, [(b"X-Not-Run", b"1")], [], [], [None]),
         # What can't be read neither names a limit nor ends one.
         (200, [(b"Server-Limit", b"few")], [], [], []),
         (200, [(b"Server-Limit", b"inf")], [], [], []),
@@ -508,7 +513,8 @@
     status, headers, leaving, pauses, limits
 ):
     async def handle(exchange):
-        await exchange.answer(status, headers, b"{}")
+        told = [*headers, (b"X-Engine-Load", b"3,2,3")]
+        await exchange.answer(status, told, b"{}")
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -528,12 +534,17 @@
             )
             answer = await engine_gateway.open_answer(published, request)
             answer.finish()
-            await engine_gateway.run_pieces(published, [])
+            made = await engine_gateway.run_pieces(published, [])
             nursery.cancel_scope.cancel()
         # Both calls, the request and the one for pieces, are observed.
         assert observer.leaving == leaving * 2
         assert observer.pauses == pauses * 2
         assert observer.limits == limits * 2
+        is_refused = (b"X-Not-Run", b"1") in headers
+        assert getattr(made, "is_full", False) == is_refused
+        is_other = status == 421
+        load = gateway.ServerLoad(3, 2, 3)
+        assert observer.loads == ([] if is_other else [load, load])
 
     trio.run(main)
 
