--- a/greengagetrack/process/direct/directory.py
+++ b/greengagetrack/process/direct/directory.py
@@ -353,6 +353,15 @@
         if server is not None:
             self.warming.record_answer(server, left_s)
 
+    def record_load(self, published, load, sent_s):
+        """Record the load that a server tells in an answer.
+
+        The call that it answers is one of the server's outstanding ones.
+        """
+        server = self._get_same(published)
+        if server is not None:
+            server.told_load.record(load, server.outstanding, sent_s)
+
     def get_limited(self):
         """Return the servers of whose limits peers are told."""
         return [
--- a/greengagetrack/process/direct/known_server.py
+++ b/greengagetrack/process/direct/known_server.py
@@ -8,6 +8,7 @@
 from greengagetrack.process.direct.decisions import eligibility
 from greengagetrack.process.direct import lifetime as lifetime_module
 from greengagetrack.process.direct import server_limit
+from greengagetrack.process.direct import told_load
 from greengagetrack.request import outcome
 
 SUSPECT_STEP_S = 1.0
@@ -43,6 +44,7 @@
         "reported_loads",
         "slowness",
         "suspect_until_s",
+        "told_load",
         "unreachable_count",
     )
 
@@ -58,6 +60,7 @@
         self.suspect_until_s = 0.0
         self.paused_until_s = 0.0
         self.limit = server_limit.new_server_limit()
+        self.told_load = told_load.ToldLoad()
         self.unreachable_count = 0
         self.removal_due_s = None
         self.cached_part_times = {}
@@ -140,7 +143,7 @@
 
     def record_failed_call(self, failure):
         """Record a call that returned no usable answer."""
-        if failure.is_missing_version:
+        if failure.is_missing_version or failure.is_full:
             return
         if self.limit.is_warming and failure.reason is _Reason.AGENT_SILENT:
             # It is slow, which says nothing of how sound it is.
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -475,7 +475,9 @@
         self.leaving = []
         self.pauses = []
         self.limits = []
+        self.made = None
         self.warming = []
+        self.loads = []
 
     def record_leaving(self, published):
         self.leaving.append(published.server_id)
@@ -489,6 +491,9 @@
     def record_warming(self, published, left_s):
         self.warming.append(left_s)
 
+    def record_load(self, published, load, sent_s):
+        self.loads.append(load)
+
 
 @pytest.mark.parametrize(
     ("status", "headers", "leaving", "pauses", "limits"),
@@ -502,6 +507,7 @@
         (421, [(b"Server-Leaving", b"1")], [], [], []),
         (200, [(b"Server-Limit", b"1.1")], [], [], [1.1]),
         (503, [(b"Server-Limit", b"0")], [], [], [0.0]),
+        (503, [(b"X-Not-Run", b"1")], [], [], [None]),
         # What can't be read neither names a limit nor ends one.
         (200, [(b"Server-Limit", b"few")], [], [], []),
         (200, [(b"Server-Limit", b"inf")], [], [], []),
@@ -516,6 +522,10 @@
     assert observer.leaving == leaving * 2
     assert observer.pauses == pauses * 2
     assert observer.limits == limits * 2
+    is_refused = (b"X-Not-Run", b"1") in headers
+    assert getattr(observer.made, "is_full", False) == is_refused
+    load = gateway.ServerLoad(3, 2, 3)
+    assert observer.loads == ([] if status == 421 else [load, load])
 
 
 @pytest.mark.parametrize(
@@ -539,7 +549,8 @@
     observer = Observer()
 
     async def handle(exchange):
-        await exchange.answer(status, headers, b"{}")
+        told = [*headers, (b"X-Engine-Load", b"3,2,3")]
+        await exchange.answer(status, told, b"{}")
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -558,8 +569,9 @@
             )
             answer = await engine_gateway.open_answer(published, request)
             answer.finish()
-            await engine_gateway.run_pieces(published, [])
+            made = await engine_gateway.run_pieces(published, [])
             nursery.cancel_scope.cancel()
+        observer.made = made
 
     trio.run(main)
     return observer
