Warming: bounds of any size, and no late use of permits before stages

Cause: a bound of nothing divided by zero, and a large slack gave entries without an owner more turns than the owner permits. That nothing is reserved before the stages of a request was not tested. Change: turns and bursts keep to the rate whatever the bound allows. A server without a limit is asked for its wait with two comparisons.

--- a/greengagetrack/process/direct/decisions/warming.py
+++ b/greengagetrack/process/direct/decisions/warming.py
@@ -28,6 +28,7 @@
 TURN_SHARE = 0.1
 # What an owner saves up, as a part of the bound, and at least one permit.
 BURST_SHARE = 1 / 15
+BURST_S = 0.5
 BURST_MIN = 1.0
 # Requests that permits let out over this longer time may arrive in one
 # second: links and entries delay them unevenly.
@@ -52,6 +53,10 @@
     burst: float
     turns_per_s: float
 
+    def get_turn_share(self):
+        """Return what all turns take, as a part of the owner's rate."""
+        return self.turns_per_s / self.per_s if self.per_s else 0.0
+
 
 class Spell(msgspec.Struct, frozen=True):
     """The time until `until_s` in which a server is warming."""
@@ -83,11 +88,13 @@
     In any second it may get `ratio` times that and `slack` more.
     """
     bound = per_s * ratio + slack
-    burst = max(bound * BURST_SHARE, BURST_MIN)
+    # Whatever the bound allows, neither is much against the rate.
+    burst = max(min(bound * BURST_SHARE, per_s * BURST_S), BURST_MIN)
     owned = bound * (1 - TURN_SHARE) - burst * OWNERS_MAX
     safe_per_s = owned / (1 + BUNCHING_S + OVERLAP_S)
     owner_per_s = min(per_s, max(safe_per_s, bound * RATE_SHARE_MIN))
-    return Pace(owner_per_s, burst, bound * TURN_SHARE)
+    turns_per_s = min(bound * TURN_SHARE, owner_per_s)
+    return Pace(owner_per_s, burst, turns_per_s)
 
 
 def get_later_end(known_s, told_s, is_observed):
--- a/greengagetrack/process/direct/server_limit.py
+++ b/greengagetrack/process/direct/server_limit.py
@@ -88,7 +88,7 @@
         """The part of the limit that entries without an owner may use."""
         if self.pace is None:
             return permit_queue.TURN_SHARE
-        return self.pace.turns_per_s / self.pace.per_s
+        return self.pace.get_turn_share()
 
     def observe(self, limit_per_s):
         """Record what an answer says; return whether the limit changed."""
@@ -204,6 +204,8 @@
 
     def get_wait_s(self, priority):
         """Return how long a request would wait for a permit, 0 if unknown."""
+        if self.named is None and self.pace is None:
+            return 0.0
         if self.per_s is None or priority < self._due_priority:
             return 0.0
         due_s = self._due_s
--- a/tests/direct/test_warming.py
+++ b/tests/direct/test_warming.py
@@ -7,12 +7,14 @@
 
 from greengagetrack.connection import gateway
 from greengagetrack.connection import source as source_module
+from greengagetrack.process.direct.decisions import permit_queue
 from greengagetrack.process.direct.decisions import warming
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import known_server
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import warming_servers
 from greengagetrack.request import outcome
+from greengagetrack.version import catalog
 from tests.direct import fakes
 from tests.direct import warming_fleet
 
@@ -246,6 +248,50 @@
     fakes.run_with_mock_clock(check)
 
 
+@pytest.mark.parametrize("bound", [(0.0, 0.0), (1.0, 0.0), (1e6, 1e6)])
+def test_odd_bounds_and_words_raise_nothing(bound):
+    async def check(nursery):
+        directory = new_directory()
+        directory.warming.set_bound(*bound)
+        server = fakes.new_server("s-1", warming_left_s=1e12)
+        limit = publish(directory, server)
+        directory.record_warming(server, 1e300)
+        directory.record_warming(fakes.new_server("gone"), 1.0)
+        assert 0.0 <= limit.turn_share <= 1.0
+        queue = limit.get_queue()
+        await trio.sleep(1.0)
+        taken = sum(queue.try_acquire(1.0) for _number in range(100))
+        assert taken <= warming_fleet.PER_S * bound[0] + bound[1]
+        # Not for ever: who still says so will say it again.
+        assert limit.spell.until_s <= warming.SPELL_MAX_S + 1.0
+
+    fakes.run_with_mock_clock(check)
+
+
+def test_request_with_stages_reserves_no_permit_that_it_would_use_late():
+    async def check(nursery):
+        servers = [fakes.new_server("s-1"), fakes.new_server("p-1", "pool")]
+        entry = fakes.FakeEntry(nursery, fakes.FakeGateway(), servers)
+        limit = entry.directory.server_by_id["s-1"].limit
+        limit.set_spell(warming.Spell(warming.Pace(2.0, 1.0, 0.1), 9.0))
+        limit.get_queue()
+        await trio.sleep(2.0)
+        route = fakes.new_route(
+            stages=(catalog.Stage("pool", result_bytes=10),)
+        )
+        await entry.serve(route, piece_counts=(2,))
+        assert entry.permits.counts == {"granted": 1}
+        # What others were told of the wait is known before the stages.
+        limit.record_answer(permit_queue.PermitAnswer(False, 5.0))
+        made = len(entry.gateway.calls)
+        result, _reply = await entry.serve(route, piece_counts=(2,))
+        assert isinstance(result, outcome.Refused)
+        assert result.retry_after_ms > 0
+        assert len(entry.gateway.calls) == made
+
+    fakes.run_with_mock_clock(check)
+
+
 def test_silent_server_is_not_suspected_while_it_is_warming():
     async def check(nursery):
         server = known_server.KnownServer(fakes.new_server("s-1"))
