Crowd: heads of many fields, and rejected requests that kept their memory

Cause: a rejected request stayed in the frames of its error while its connection waited for the caller to close, up to 0.5 s.

The crowd is a test now.

--- a/greengagetrack/connection/http/bounds.py
+++ b/greengagetrack/connection/http/bounds.py
@@ -12,8 +12,8 @@
 
 # Of a connection: its objects, a head and a small body are not counted.
 FREE_BYTES = 32 * 1024
-# An object for each field of a head, beside its text.
-FIELD_BYTES = 256
+# The objects of a field of a head beside its text, as read and as passed on.
+FIELD_BYTES = 512
 # Reading fewer bytes than this doesn't count as progress.
 PROGRESS_BYTES = 16 * 1024
 
--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -178,12 +178,14 @@
                     return reason
                 self.protocol.start_next_cycle()
         except request_reader.RequestError as error:
-            await self._reject(error.status)
-            if error.status == request_reader.NO_ROOM_STATUS:
-                return self._get_shed_reason()
-            return _CloseReason.REQUEST_INVALID
+            status = error.status
         except _DISCONNECT_ERRORS:
             return _CloseReason.CALLER_LEFT
+        # Not before the error is gone: its frames hold what was read.
+        await self._reject(status)
+        if status == request_reader.NO_ROOM_STATUS:
+            return self._get_shed_reason()
+        return _CloseReason.REQUEST_INVALID
 
     async def _serve_next(self):
         """Serve one request; return None if the connection is reusable."""
--- a/tests/direct/crowds.py
+++ b/tests/direct/crowds.py
@@ -139,6 +139,16 @@
         await self._stream.send_all(new_head(fields)[:-2])
 
 
+class ManyFields(Caller):
+    """Sends a head of legal size that is all fields, and half a body."""
+
+    async def send(self):
+        """Send the request but for its last byte."""
+        fields = [(b"a", b"")] * 2500
+        head = new_head([*fields, (b"Content-Length", b"10")])
+        await self._stream.send_all(head + b"123456789")
+
+
 class IdleConnection(Caller):
     """Opens a connection and sends nothing."""
 
--- a/tests/direct/test_crowds.py
+++ b/tests/direct/test_crowds.py
@@ -161,6 +161,10 @@
     _play(tmp_path, (crowds.UnfinishedHead, False, 600))
 
 
+def test_heads_have_many_fields(tmp_path):
+    _play(tmp_path, (crowds.ManyFields, False, 600))
+
+
 @pytest.mark.parametrize("is_at_readiness_port", [False, True])
 def test_connections_stay_idle(tmp_path, is_at_readiness_port):
     _play(tmp_path, (crowds.IdleConnection, is_at_readiness_port, 1700))
