--- a/greengagetrack/connection/http/server.py
+++ b/greengagetrack/connection/http/server.py
@@ -181,7 +181,7 @@
             status = error.status
         except _DISCONNECT_ERRORS:
             return _CloseReason.CALLER_LEFT
-        # Not within the handler: the error keeps what was read of the body.
+        # Not before the error is gone: its frames hold what was read.
         await self._reject(status)
         if status == request_reader.NO_ROOM_STATUS:
             return self._get_shed_reason()
