--- a/greengagetrack/connection/http/bounds.py
+++ b/greengagetrack/connection/http/bounds.py
@@ -108,8 +108,6 @@
     receive_buffer_bytes = None
     # Whether a caller may send requests before it has the last answer.
     allows_pipelining = True
-    # Whether requests may have bodies.
-    allows_bodies = True
 
     @abc.abstractmethod
     def open(self):
--- a/greengagetrack/connection/http/request_reader.py
+++ b/greengagetrack/connection/http/request_reader.py
@@ -165,8 +165,6 @@
         body_bytes = int(lengths[0]) if lengths else 0
         if body_bytes > limits.body_max_bytes:
             raise RequestError(413)
-        if not self._server.bounds.allows_bodies and _has_body(headers):
-            raise RequestError(413)
         self._hold(body_bytes)
 
     def _hold(self, body_bytes):
@@ -215,10 +213,3 @@
             raise RequestError(NO_ROOM_STATUS)
         if scope.cancelled_caught:
             raise RequestError(408)
-
-
-def _has_body(headers):
-    """Return whether a head announces a body that is not empty."""
-    lengths = fields.get_values(headers, b"content-length")
-    is_chunked = bool(fields.get_values(headers, b"transfer-encoding"))
-    return is_chunked or any(int(length) for length in lengths)
--- a/greengagetrack/process/direct/caller_account.py
+++ b/greengagetrack/process/direct/caller_account.py
@@ -110,8 +110,8 @@
     def new_bounds(self, connections_max, is_for_checks=False):
         """Return the `ConnectionBounds` of one server.
 
-        One `is_for_checks` answers short requests without bodies only, one
-        after the other.
+        One `is_for_checks` answers short requests, one after the other; what
+        takes longer gives way to new connections.
         """
         return ServerBounds(self, connections_max, is_for_checks)
 
@@ -211,11 +211,11 @@
     def __init__(self, account, connections_max, is_for_checks):
         self.account = account
         self.allows_pipelining = not is_for_checks
-        self.allows_bodies = not is_for_checks
         self._connections_max = connections_max
         self._search_from_s = 0.0
         self._shares = set()
-        # Without a whole head of a request, the longest idle first.
+        # Without a whole head of a request, the longest idle first. Where
+        # only checks are answered, also those with one.
         self.idle_shares = {}
 
     def open(self):
@@ -282,10 +282,12 @@
 
     def begin_request(self):
         """Record that the head of a request was read."""
-        self._bounds.idle_shares.pop(self, None)
+        if self._bounds.allows_pipelining:
+            self._bounds.idle_shares.pop(self, None)
 
     def end_request(self, buffered_bytes):
         """Record that the answer was sent, and give room back."""
+        self._bounds.idle_shares.pop(self, None)
         self._bounds.idle_shares[self] = None
         self.resize(min(buffered_bytes, self.size))
 
