--- a/greengagetrack/process/direct/batcher.py
+++ b/greengagetrack/process/direct/batcher.py
@@ -158,7 +158,7 @@
         usage.busy_until_s = trio.current_time() + call_s
         call = piece_call.new_piece_call(usage, batch, batching)
         self._nursery.start_soon(self._run_call, call)
-        self._release.start(batch)
+        self._release.start(batch, call_s)
 
     async def _run_call(self, call):
         error = await call.run(self._gateway)
--- a/greengagetrack/process/direct/input_release.py
+++ b/greengagetrack/process/direct/input_release.py
@@ -10,6 +10,9 @@
 
 from greengagetrack.connection import gateway as gateway_module
 
+# Of a call: its server may begin late, behind a call of another entry.
+HOLD_CALL_SHARE = 0.5
+
 
 class InputRelease:
     """Frees the inputs of the pieces of one service.
@@ -28,13 +31,17 @@
         self._free = free
         self._nursery = nursery
 
-    def start(self, batch):
-        """Free the inputs of a call that begins now, once it has them."""
+    def start(self, batch, call_s):
+        """Free the inputs of a call that begins now, once it has them.
+
+        The call is to take `call_s`.
+        """
         if any(task.input_servers for task in batch):
-            self._nursery.start_soon(self._release, batch)
+            self._nursery.start_soon(self._release, batch, call_s)
 
-    async def _release(self, batch):
-        await trio.sleep(self._fetch_time.hold_s)
+    async def _release(self, batch, call_s):
+        hold_s = max(self._fetch_time.hold_s, call_s * HOLD_CALL_SHARE)
+        await trio.sleep(hold_s)
         tasks_by_inputs = {}
         for task in batch:
             if task.input_servers:
