--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
-"""Streams that go on at another software version after a shorter time-out."""
+"""Entries that stand still after an engine has crashed under long prefixes."""
 
 import asyncio
+import itertools
 import os
 import random
 import sys
@@ -11,229 +12,191 @@
 import fleet as fleet_module  # noqa: E402
 import net  # noqa: E402
 
-ENTRIES = 3
-EVENTS = 56
-EVENT_S = 0.25
-LONG_MS = 15000
-SHORT_MS = 5000
-CALM_S = 5.0
-LONG_STREAMS = 36
-LONG_PER_S = 18.0
-SHORT_PER_S = 4.0
-SHORT_EVENTS = 4
-# From the first long stream on.
-NEW_VERSION_S = 2.5
-CHANGE_S = 3.0
-REMOVED_S = 3.5
-LOST_S = 11.0
-# Half of the channels of one machine are reset.
-RESET_MACHINE = 0
-RESET_EVERY = 2
-END_S = 17.0
-JOINED_MAX = 2
+ENTRIES = 2
+MODEL_ENGINES = 6
+# The caller's requests at one entry, one after the other on each channel.
+CHANNELS = 24
+PARTS = 2200
+PREFILL_S = 1.0
+IN_HAND = 4
+CALM_S = 6.0
+# The engine is back after some seconds.
+DOWN_S = 4.5
+WATCH_S = 30.0
+ORDINARY_PER_S = 5.0
+DEADLINE_MS = 1500
+TIMEOUT_MS = 1500
+SLACK_S = 0.5
+STILL_MAX_S = 5.0
+
+
+class ModelEngine(fleet_module.Engine):
+    """An engine that reads a prompt for a while before it answers."""
+
+    async def _run(self, request, reply, headers):
+        await asyncio.sleep(PREFILL_S)
+        await super()._run(request, reply, headers)
 
 
 class Play:
-    """Long streams of one version, whose callers lose their channels."""
+    """A caller with long prefixes, ordinary ones, and a crash."""
 
     def __init__(self, fleet):
         self._fleet = fleet
-        self._random = random.Random(10)
-        self._loss_s = 0.0
+        self._random = random.Random(6)
+        self._numbers = itertools.count(1)
         self._is_over = False
-        self.streams = {}
-        self.counts = {"begun": 0, "taken up": 0, "gone on": 0}
-
-    def new_config(self, version, timeout_ms):
-        """Return a configuration with the time-out of the streams."""
-        options = {"sticky": True, "resumable": True, "gap_aim_ms": 400}
-        routes = [
-            fleet_module.new_route(
-                "draft",
-                "stream",
-                "model",
-                timeout_ms=timeout_ms,
-                goal_ms=2100,
-                **options,
+        self.answers = []
+        self.sent = 0
+
+    def _new_prefix(self):
+        parts = self._random.sample(range(16**4), PARTS)
+        return ",".join(f"{part:04x}:9" for part in parts)
+
+    async def _call_long(self):
+        """Send requests with many parts over a channel."""
+        client = net.Client(self._fleet.entries[0].front)
+        while not self._is_over:
+            number = next(self._numbers)
+            headers = fleet_module.new_headers(
+                f"long{number:x}",
+                more=[
+                    ("X-Model", "m"),
+                    ("X-Token-Counts", "19800,20"),
+                    ("X-Prompt-Prefix", self._new_prefix()),
+                ],
             )
-        ]
-        services = [
-            {
-                "name": "model",
-                "health_path": "/healthz",
-                "max_conns": 610,
-                "engine": {"slots": 128, "kv_capacity": 741862, "stride": 5},
-            }
-        ]
-        return fleet_module.new_config(version, routes, services)
-
-    async def _try_once(self, entry, request_id, taken, until_s):
-        """Add the versions of the events that come to `taken`."""
-        left_ms = LONG_MS
-        more = [("X-Model", "m"), ("X-Token-Counts", "600,280")]
-        if taken["versions"]:
-            spent_s = time.monotonic() - taken["sent_s"]
-            left_ms = int(LONG_MS - spent_s * 1000)
-            last = taken["first"] + len(taken["versions"]) - 1
-            more.append(("Last-Event-Id", str(last)))
-            more.append(("Resumes", taken["id"]))
-        headers = fleet_module.new_headers(request_id, left_ms, more=more)
-        client = net.Client(entry.front)
-        status = 0
-        text = b""
-        try:
-            await client.send("POST", "/draft/x", headers, b"prompt")
-            status, _answered = await client.receive_head()
-            while status == 200:
-                left_s = until_s - time.monotonic()
-                if left_s <= 0:
-                    break
-                chunk = await asyncio.wait_for(client.receive_chunk(), left_s)
-                if not chunk:
-                    break
-                text += chunk
-                *events, text = text.split(b"\n\n")
-                for event in events:
-                    lines = event.decode().split("\n")
-                    taken["versions"].append(lines[1].partition(": ")[2])
-        except (OSError, ValueError, asyncio.TimeoutError):
-            pass
-        finally:
-            client.close()
-        return status
-
-    async def _send_long(self, number):
-        """Send one stream; its caller loses the channel and takes it up."""
-        entries = self._fleet.entries
-        taken = {
-            "id": f"long{number:x}",
-            "first": 1,
-            "versions": [],
-            "sent_s": time.monotonic(),
-        }
-        self.streams[taken["id"]] = taken
-        turn, machine = divmod(number, len(entries))
-        first = entries[machine]
-        is_reset = machine == RESET_MACHINE and turn % RESET_EVERY == 0
-        until_s = taken["sent_s"] + LONG_MS / 1000
-        await self._try_once(
-            first, taken["id"], taken, self._loss_s if is_reset else until_s
-        )
-        count = len(taken["versions"])
-        self._fleet.record.write(
-            "channel reset" if is_reset else "ended",
-            stream=taken["id"],
-            entry=first.name,
-            events=count,
-            versions=sorted(set(taken["versions"])),
-        )
-        self.counts["begun"] += bool(count)
-        if not count or not is_reset:
-            return
-        await asyncio.sleep(self._random.uniform(0.05, 0.3))
-        second = entries[(number + 1) % len(entries)]
-        self.counts["taken up"] += 1
-        status = await self._try_once(
-            second, taken["id"] + ".1", taken, until_s
-        )
-        self.counts["gone on"] += len(taken["versions"]) > count
-        self._fleet.record.write(
-            "taken up",
-            stream=taken["id"],
-            entry=second.name,
-            status=status,
-            events=len(taken["versions"]),
-            versions=taken["versions"],
-        )
+            self.sent += 1
+            try:
+                await asyncio.wait_for(
+                    client.ask("POST", "/draft/1", headers, b"prompt"), 8.0
+                )
+            except (OSError, asyncio.TimeoutError):
+                client.close()
+            await asyncio.sleep(0.1)
+        client.close()
 
-    async def _send_short(self, number):
-        """Send one stream whose caller wants its first events only."""
-        entry = self._fleet.entries[number % ENTRIES]
+    async def _call_once(self, entry):
+        """Send one ordinary request on a channel of its own."""
+        number = next(self._numbers)
+        sent_s = time.monotonic()
         client = net.Client(entry.front)
-        headers = fleet_module.new_headers(f"short{number:x}", SHORT_MS)
+        headers = fleet_module.new_headers(f"look{number:x}", DEADLINE_MS)
+        status = 0
         try:
-            await client.send("POST", "/draft/y", headers, b"prompt")
-            status, _answered = await asyncio.wait_for(
-                client.receive_head(), SHORT_MS / 1000
+            status, _headers, _body = await asyncio.wait_for(
+                client.ask("GET", "/look/1", headers),
+                TIMEOUT_MS / 1000 + SLACK_S,
             )
-            for _event in range(SHORT_EVENTS):
-                if status != 200 or not await client.receive_chunk():
-                    break
         except (OSError, asyncio.TimeoutError):
             pass
         client.close()
+        self.answers.append((entry.name, sent_s, time.monotonic(), status))
 
-    async def _send_all_short(self):
-        tasks = []
+    async def _call_ordinary(self, entry):
+        """Send ordinary requests at a steady rate."""
+        calls = []
         while not self._is_over:
-            task = asyncio.ensure_future(self._send_short(len(tasks)))
-            tasks.append(task)
-            await asyncio.sleep(1 / SHORT_PER_S)
-        await asyncio.gather(*tasks)
-
-    async def run(self, old_engines, new_engines):
+            calls.append(asyncio.ensure_future(self._call_once(entry)))
+            await asyncio.sleep(1 / ORDINARY_PER_S)
+        await asyncio.gather(*calls)
+
+    async def _find_busy(self, engines):
+        """Return an engine that has some requests in hand."""
+        while True:
+            for engine in engines:
+                if engine.server.in_hand >= IN_HAND:
+                    return engine
+            await asyncio.sleep(0.01)
+
+    async def run(self, engines):
         """Return whether the rule was broken, and a text."""
         fleet, record = self._fleet, self._fleet.record
-        shorts = asyncio.ensure_future(self._send_all_short())
+        calls = [
+            asyncio.ensure_future(self._call_ordinary(entry))
+            for entry in fleet.entries
+        ]
+        calls += [
+            asyncio.ensure_future(self._call_long()) for _n in range(CHANNELS)
+        ]
         await asyncio.sleep(CALM_S)
-        start_s = time.monotonic()
-        self._loss_s = start_s + LOST_S
-        longs = []
-        for number in range(LONG_STREAMS):
-            longs.append(asyncio.ensure_future(self._send_long(number)))
-            await asyncio.sleep(1 / LONG_PER_S)
-        await _sleep_until(start_s + NEW_VERSION_S)
-        for engine in new_engines:
-            await fleet.add_engine(engine)
-        record.write("engines of version 2 are in service")
-        await _sleep_until(start_s + CHANGE_S)
+        engine = await self._find_busy(engines)
+        crash_s = time.monotonic()
         if fleet_module.has_trouble():
-            fleet.store.put("op/config", self.new_config(4, SHORT_MS))
-            record.write("time-out changed", before=LONG_MS, now=SHORT_MS)
-        await _sleep_until(start_s + REMOVED_S)
-        for engine in old_engines:
-            fleet.store.delete(f"servers/{engine.engine_id}")
-        record.write("entries of version 1 removed; it serves on")
-        await asyncio.gather(*longs)
-        await _sleep_until(start_s + END_S)
+            record.write(
+                "server crashes",
+                server=engine.engine_id,
+                in_hand=engine.server.in_hand,
+            )
+            engine.server.crash()
+            await asyncio.sleep(DOWN_S)
+            engine.born = int(time.time() * 1000)
+            await engine.server.start()
+            fleet.register(engine)
+            record.write("server is back", server=engine.engine_id)
+        await asyncio.sleep(max(crash_s + WATCH_S - time.monotonic(), 0))
         self._is_over = True
-        await shorts
-        joined = [
-            stream
-            for stream in self.streams.values()
-            if len(set(stream["versions"])) > 1
-        ]
-        return len(joined) > JOINED_MAX, (
-            f"{len(joined)} of {len(self.streams)} streams hold events of "
-            f"two versions; {self.counts}"
-        )
-
-
-async def _sleep_until(time_s):
-    await asyncio.sleep(max(time_s - time.monotonic(), 0))
-
-
-def _new_engines(version):
-    engines = []
-    for number in (1, 2):
-        engine = fleet_module.Engine(
-            f"i-model-{version}-{number}", "model", "stream", version
-        )
-        engine.event_count = EVENTS
-        engine.event_interval_s = EVENT_S
-        engines.append(engine)
-    return engines
+        await asyncio.gather(*calls)
+        return self._judge(crash_s)
+
+    def _judge(self, crash_s):
+        texts = []
+        is_broken = False
+        for entry in self._fleet.entries:
+            mine = [a for a in self.answers if a[0] == entry.name]
+            late = [a for a in mine if a[1] > crash_s]
+            unanswered = [a for a in late if not a[3]]
+            ends = [crash_s] + sorted(a[2] for a in mine if a[3])
+            ends.append(time.monotonic())
+            still_s = max(
+                after - before
+                for before, after in itertools.pairwise(ends)
+                if after > crash_s
+            )
+            self._fleet.record.write(
+                "ordinary requests",
+                entry=entry.name,
+                before_the_crash=len(mine) - len(late),
+                after_it=len(late),
+                unanswered=len(unanswered),
+                longest_time_without_an_answer_s=round(still_s, 1),
+            )
+            is_broken |= still_s > STILL_MAX_S
+            texts.append(
+                f"{entry.name}: {len(unanswered)} of {len(late)} ordinary "
+                f"requests unanswered, none answered for {still_s:.1f} s"
+            )
+        return is_broken, "; ".join(texts)
 
 
 async def play(fleet):
     """Start the deployment and play the case."""
-    case = Play(fleet)
-    await fleet.start_store(case.new_config(1, LONG_MS))
-    old_engines = _new_engines("1")
-    for engine in old_engines:
-        await fleet.add_engine(engine)
+    routes = [
+        fleet_module.new_route(
+            "draft", "stream", "model", sticky=True, resumable=True
+        ),
+        fleet_module.new_route(
+            "look", "safe", "desk", timeout_ms=TIMEOUT_MS, goal_ms=175
+        ),
+    ]
+    services = [
+        {
+            "name": "model",
+            "health_path": "/healthz",
+            "max_conns": 610,
+            "engine": {"slots": 128, "kv_capacity": 741862, "stride": 5},
+        },
+        {"name": "desk", "health_path": "/healthz", "max_conns": 96},
+    ]
+    await fleet.start_store(fleet_module.new_config(1, routes, services))
+    for number in range(MODEL_ENGINES):
+        await fleet.add_engine(
+            ModelEngine(f"i-model-{number}", "model", "stream")
+        )
+    for number in range(2):
+        await fleet.add_engine(fleet_module.Engine(f"i-desk-{number}", "desk"))
     await fleet.start_entries(ENTRIES)
-    return await case.run(old_engines, _new_engines("2"))
+    return await Play(fleet).run(fleet.engines[:MODEL_ENGINES])
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,9 @@
-"""Results that are freed at an address that another service has by now."""
+"""Streams that are taken up again in a rolling restart of all entries."""
 
 import asyncio
 import os
+import random
+import signal
 import sys
 import time
 
@@ -10,195 +12,229 @@
 import fleet as fleet_module  # noqa: E402
 import net  # noqa: E402
 
-REQUESTS_PER_S = 20.0
-CALM_S = 5.0
-# What the engine asks for when it turns a call away.
-RETRY_AFTER_S = 8
-LEAVING_AFTER_S = 0.5
-DRAIN_S = 2.5
-# It serves a little longer than it has to.
-LINGER_S = 0.3
-REUSE_AFTER_S = 2.0
-END_S = 4.0
-
-
-class PieceEngine(fleet_module.Engine):
-    """An engine of a stage that may be full for one call."""
-
-    is_full = False
-    turned_away = 0
-
-    async def handle(self, request, reply):
-        """Turn one call away while it is full, else serve it."""
-        if self.is_full and request.target == "/api/stage-run":
-            self.is_full = False
-            self.turned_away += 1
-            headers = [
-                ("X-Not-Run", "1"),
-                ("Retry-After", str(RETRY_AFTER_S)),
-                ("X-Engine-Load", "1,2,1"),
-            ]
-            request_id = request.get("X-Request-Id")
-            if request_id:
-                headers.append(("X-Request-Id", request_id))
-            await reply.whole(503, headers)
-            return
-        await super().handle(request, reply)
+ENTRIES = 4
+STREAMS_PER_S = 8.0
+EVENTS = 56
+EVENT_S = 0.25
+DEADLINE_MS = 15000
+CALM_S = 6.0
+GAP_S = 3.0
+# How long the platform takes to start a process that has ended.
+RESTART_S = 0.5
+PLAY_S = 27.0
+STABLE_S = 4.0
+TRIES = 3
+# Of the callers, those that lose their channel in the middle.
+LOST_SHARE = 0.06
+TAKE_UPS_MIN = 12
+SHARE = 0.5
+
+
+class Front:
+    """An entry as the platform and the rules see it."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.is_in_rotation = True
+        self.is_stopping = False
+        self.misses = 0
+
+    def is_in_touch(self):
+        """Return whether it has run undisturbed for the stable window."""
+        age_s = time.monotonic() - self.entry.started_s
+        return age_s > STABLE_S and not self.is_stopping
+
+    async def poll(self):
+        """Ask once a second whether it is ready; two misses take it out."""
+        while True:
+            is_ready = await self.entry.is_ready()
+            self.misses = 0 if is_ready else self.misses + 1
+            if self.misses in (0, 2):
+                self.is_in_rotation = self.misses == 0
+            await asyncio.sleep(1.0)
 
 
 class Play:
-    """Callers, and an engine that is full for a moment and then leaves."""
+    """Callers with streams, and the restart of one entry after the other."""
 
     def __init__(self, fleet):
         self._fleet = fleet
-        self.sent_ids = set()
-        self.counts = {}
-        self.is_over = False
-
-    async def _send(self, number):
-        request_id = f"q{number:x}"
-        self.sent_ids.add(request_id)
-        headers = fleet_module.new_headers(
-            request_id,
-            more=[
-                ("X-Model", "m"),
-                ("X-Token-Counts", "600,20"),
-                ("X-Pieces", "3,3"),
-                ("X-Piece-Key", "7c1e07a291bd"),
-            ],
-        )
-        client = net.Client(self._fleet.entries[0].front)
+        self._random = random.Random(7)
+        self._fronts = [Front(entry) for entry in fleet.entries]
+        self.new = {"sent": 0, "begun": 0}
+        self.taken = {"sent": 0, "gone_on": 0}
+        self.elsewhere = {"sent": 0, "gone_on": 0}
+
+    def _choose(self, last=None):
+        """Return a front in rotation, another one than the last if any."""
+        ready = [front for front in self._fronts if front.is_in_rotation]
+        ready = ready or self._fronts
+        others = [front for front in ready if front is not last]
+        return self._random.choice(others or ready)
+
+    async def _restart_all(self):
+        await asyncio.sleep(CALM_S)
+        restarts = []
+        for front in self._fronts:
+            restarts.append(asyncio.ensure_future(self._restart(front)))
+            await asyncio.sleep(GAP_S)
+        await asyncio.gather(*restarts)
+
+    async def _restart(self, front):
+        entry = front.entry
+        front.is_stopping = True
+        entry.signal(signal.SIGTERM)
+        self._fleet.record.write("SIGTERM", entry=entry.name)
+        grace_s = entry.settings["bounds"]["grace_s"]
         try:
-            status, _headers, _body = await client.ask(
-                "POST", f"/draft/{number}", headers, b"prompt"
+            await asyncio.wait_for(entry.wait_ended(), grace_s)
+        except asyncio.TimeoutError:
+            entry.signal(signal.SIGKILL)
+            await entry.wait_ended()
+        self._fleet.record.write("ended", entry=entry.name)
+        await asyncio.sleep(RESTART_S)
+        entry.settings["bootstrap"] = False
+        entry.start()
+        front.is_stopping = False
+        self._fleet.record.write("started", entry=entry.name)
+
+    async def _stream(self, number):
+        """Send one stream, and take it up again while it is incomplete."""
+        first_id = f"s{number:x}"
+        last_event = 0
+        front = None
+        lost_at = 0
+        if self._random.random() < LOST_SHARE:
+            lost_at = self._random.randrange(4, EVENTS // 2)
+        counts = None
+        deadline_s = time.monotonic() + DEADLINE_MS / 1000
+        for attempt in range(TRIES):
+            front = self._choose(front)
+            is_in_touch = front.is_in_touch()
+            name = front.entry.name
+            began_at = last_event
+            left_ms = int((deadline_s - time.monotonic()) * 1000)
+            if left_ms < 1:
+                break
+            more = [("X-Model", "m"), ("X-Token-Counts", "600,280")]
+            if last_event:
+                more.append(("Last-Event-Id", str(last_event)))
+                more.append(("Resumes", first_id))
+            if attempt == 0 and is_in_touch:
+                self.new["sent"] += 1
+            if last_event and counts is None:
+                counts = self.taken if is_in_touch else self.elsewhere
+                counts["sent"] += 1
+            request_id = first_id if not attempt else f"{first_id}.{attempt}"
+            status, last_event = await self._try_once(
+                front.entry,
+                fleet_module.new_headers(request_id, left_ms, more=more),
+                last_event,
+                lost_at if attempt == 0 else 0,
+            )
+            if attempt == 0 and is_in_touch and last_event:
+                self.new["begun"] += 1
+            self._fleet.record.write(
+                "try",
+                request=request_id,
+                entry=name,
+                in_touch=is_in_touch,
+                status=status,
+                after=began_at,
+                last_event=last_event,
             )
-        except OSError:
-            status = 0
-        client.close()
-        self.counts[status] = self.counts.get(status, 0) + 1
-
-    async def send_all(self):
-        """Send requests at a steady rate until the end."""
-        number = 0
-        tasks = []
-        while not self.is_over:
-            number += 1
-            tasks.append(asyncio.ensure_future(self._send(number)))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        await asyncio.gather(*tasks)
-
-    async def run(self, engine):
+            if began_at and last_event > began_at:
+                counts["gone_on"] += 1
+            if last_event >= EVENTS or (began_at and last_event > began_at):
+                return
+            if not attempt and not last_event:
+                # Not begun: it has nothing to take up.
+                return
+            await asyncio.sleep(self._random.uniform(0.05, 0.3))
+
+    async def _try_once(self, entry, headers, last_event, lost_at):
+        """Return the status and the last event that came."""
+        client = net.Client(entry.front)
+        status = 0
+        text = b""
+        try:
+            await client.send("POST", "/draft/x", headers, b"prompt")
+            status, answered = await client.receive_head()
+            if status == 200:
+                while chunk := await client.receive_chunk():
+                    text += chunk
+                    *events, text = text.split(b"\n\n")
+                    if events:
+                        line = events[-1].split(b"\n")[0]
+                        last_event = int(line.split(b":")[1])
+                    if lost_at and last_event >= lost_at:
+                        break
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            client.close()
+        return status, last_event
+
+    async def run(self):
         """Return whether the rule was broken, and a text."""
-        record = self._fleet.record
-        sending = asyncio.ensure_future(self.send_all())
-        await asyncio.sleep(CALM_S)
-        engine.is_full = True
-        while engine.is_full:
-            await asyncio.sleep(0.01)
-        paused_s = time.monotonic()
-        record.write(
-            "call turned away",
-            server=engine.engine_id,
-            retry_after_s=RETRY_AFTER_S,
-        )
+        for front in self._fronts:
+            asyncio.ensure_future(front.poll())
+        await asyncio.sleep(STABLE_S + 0.5)
+        restart = None
         if fleet_module.has_trouble():
-            await self._replace(engine)
-        await asyncio.sleep(
-            max(paused_s + RETRY_AFTER_S + END_S - time.monotonic(), 0)
+            restart = asyncio.ensure_future(self._restart_all())
+        streams = []
+        end_s = time.monotonic() + PLAY_S
+        while time.monotonic() < end_s:
+            streams.append(asyncio.ensure_future(self._stream(len(streams))))
+            await asyncio.sleep(self._random.expovariate(STREAMS_PER_S))
+        await asyncio.gather(*streams)
+        if restart is not None:
+            await restart
+        begun = self.new["begun"] / max(self.new["sent"], 1)
+        gone_on = self.taken["gone_on"] / max(self.taken["sent"], 1)
+        is_broken = (
+            self.taken["sent"] >= TAKE_UPS_MIN and gone_on < begun * SHARE
         )
-        self.is_over = True
-        await sending
-        return self._judge()
-
-    async def _replace(self, engine):
-        """Let the engine leave, and another service have its address."""
-        fleet, record = self._fleet, self._fleet.record
-        await asyncio.sleep(LEAVING_AFTER_S)
-        engine.more_headers.append(("Server-Leaving", "1"))
-        fleet.register(engine, "draining")
-        record.write("server leaves", server=engine.engine_id)
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        address = engine.address
-        engine.server.crash()
-        fleet.store.delete(f"servers/{engine.engine_id}")
-        record.write("server has left", address=address)
-        await asyncio.sleep(REUSE_AFTER_S)
-        port = int(address.rpartition(":")[2])
-        new = fleet_module.Engine("i-desk-2", "desk", port=port)
-        await fleet.add_engine(new)
-        record.write(
-            "address is used again",
-            server=new.engine_id,
-            service=new.service,
-            address=new.address,
-        )
-
-    def _judge(self):
-        """Return whether an engine ran what no consumer sent, and a text."""
-        unasked = []
-        for engine in self._fleet.engines:
-            for at_s, request in engine.runs:
-                request_id = request.get("X-Request-Id")
-                if request_id in self.sent_ids:
-                    continue
-                unasked.append(request_id)
-                self._fleet.record.write(
-                    "ran unasked",
-                    server=engine.engine_id,
-                    service=engine.service,
-                    request=request_id,
-                    method=request.method,
-                    target=request.target,
-                    body=request.body.decode()[:200],
-                    expected=request.get("X-Expect-Instance"),
-                )
-        ran = sum(len(engine.runs) for engine in self._fleet.engines)
-        return bool(unasked), (
-            f"{len(unasked)} of {ran} requests that engines ran have an id "
-            f"that no consumer sent; answers {self.counts}"
+        return is_broken, (
+            f"new streams at machines in touch {self.new}, taken up there "
+            f"{self.taken}, taken up at others {self.elsewhere}"
         )
 
 
 async def play(fleet):
     """Start the deployment and play the case."""
-    stages = [
-        {"service": "prepare", "after": [], "bytes": 8000},
-        {"service": "finish", "after": [0], "bytes": 6000},
-    ]
     routes = [
         fleet_module.new_route(
-            "draft", "stream", "model", stages=stages, resumable=True
-        ),
-        fleet_module.new_route("order", "unsafe", "desk", attempts=1),
+            "draft",
+            "stream",
+            "model",
+            sticky=True,
+            resumable=True,
+            gap_aim_ms=400,
+            timeout_ms=DEADLINE_MS,
+            goal_ms=2100,
+        )
     ]
-    pieces = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 16,
-        "call_ms": 150.0,
-        "item_ms": 1.0,
-        "headroom_mb": 58.5,
-        "handle_s": 4.0,
-        "link_mbps": 10000,
-    }
     services = [
-        {"name": "model", "max_conns": 610, "engine": {"slots": 128}},
-        {"name": "desk", "health_path": "/healthz", "max_conns": 96},
-        {"name": "prepare", "max_conns": 610, "pieces": pieces},
-        {"name": "finish", "max_conns": 610, "pieces": pieces},
+        {
+            "name": "model",
+            "health_path": "/healthz",
+            "max_conns": 610,
+            "engine": {"slots": 128, "kv_capacity": 741862, "stride": 5},
+        }
     ]
     await fleet.start_store(fleet_module.new_config(1, routes, services))
-    await fleet.add_engine(fleet_module.Engine("i-desk-1", "desk"))
-    for number in (1, 2):
-        for engine in (
-            fleet_module.Engine(f"i-model-{number}", "model", "stream"),
-            PieceEngine(f"i-finish-{number}", "finish", "pieces"),
-            PieceEngine(f"i-prepare-{number}", "prepare", "pieces"),
-        ):
+    for version in ("1", "2"):
+        for number in range(2):
+            engine = fleet_module.Engine(
+                f"i-model-{version}-{number}", "model", "stream", version
+            )
+            engine.event_count = EVENTS
+            engine.event_interval_s = EVENT_S
             await fleet.add_engine(engine)
-    leaving = fleet.engines[-1]
-    await fleet.start_entries(1)
-    return await Play(fleet).run(leaving)
+    await fleet.start_entries(ENTRIES)
+    return await Play(fleet).run()
 
 
 if __name__ == "__main__":
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -522,6 +522,10 @@
 
     async def run():
         fleet = Fleet(folder)
+        # An end of the run from outside ends the entries as well.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             is_broken, text = await asyncio.wait_for(play(fleet), 112)
             return fleet.record.finish(is_broken, text)
@@ -530,6 +534,6 @@
 
     try:
         return asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         return 2
--- a/review/standins-2/net.py
+++ b/review/standins-2/net.py
@@ -121,6 +121,7 @@
         self._port = port
         self._server = None
         self._writers = set()
+        self.in_hand = 0
         self.address = ""
 
     async def start(self):
@@ -128,8 +129,8 @@
         self._server = await asyncio.start_server(
             self._serve, self._host, self._port, limit=HEAD_MAX_BYTES
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{self._host}:{port}"
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{self._host}:{self._port}"
 
     def crash(self):
         """Stop to listen and reset all connections."""
@@ -161,9 +162,11 @@
             request = Request(method, target, headers, body)
             work = asyncio.ensure_future(self._handle(request, Reply(writer)))
             watch = asyncio.ensure_future(_wait_closed(reader, writer))
+            self.in_hand += 1
             await asyncio.wait(
                 (work, watch), return_when=asyncio.FIRST_COMPLETED
             )
+            self.in_hand -= 1
             watch.cancel()
             if not work.done():
                 work.cancel()
