--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 export PYTHONPYCACHEPREFIX="$PWD/target/review-2"
 python3 -m compileall -q review/standins-2 \
-    review/6 review/7 review/8 review/9 review/10
+    review/6 review/7 review/8 review/9 review/10 review/more-2
