--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,10 +15,12 @@
 ENTRIES = 2
 MODEL_ENGINES = 6
 # The caller's requests at one entry, one after the other on each channel.
-CHANNELS = 24
+CHANNELS = 48
 PARTS = 2200
-PREFILL_S = 1.0
-IN_HAND = 4
+# More than requests that are under way at the same time.
+PREFIXES = 300
+PREFILL_S = 2.0
+IN_HAND = 8
 CALM_S = 6.0
 # The engine is back after some seconds.
 DOWN_S = 4.5
@@ -27,6 +29,10 @@
 DEADLINE_MS = 1500
 TIMEOUT_MS = 1500
 SLACK_S = 0.5
+# So many without an answer half a second after their time-out, and more than
+# this share, break the rule; so does a process that answers nothing for long.
+UNANSWERED_MIN = 8
+UNANSWERED_SHARE = 0.25
 STILL_MAX_S = 5.0
 
 
@@ -45,14 +51,19 @@
         self._fleet = fleet
         self._random = random.Random(6)
         self._numbers = itertools.count(1)
+        self._prefixes = [self._new_prefix() for _n in range(PREFIXES)]
         self._is_over = False
         self.answers = []
+        self.checks = []
         self.sent = 0
 
     def _new_prefix(self):
         parts = self._random.sample(range(16**4), PARTS)
         return ",".join(f"{part:04x}:9" for part in parts)
 
+    def _get_prefix(self, number):
+        return self._prefixes[number % len(self._prefixes)]
+
     async def _call_long(self):
         """Send requests with many parts over a channel."""
         client = net.Client(self._fleet.entries[0].front)
@@ -63,7 +74,7 @@
                 more=[
                     ("X-Model", "m"),
                     ("X-Token-Counts", "19800,20"),
-                    ("X-Prompt-Prefix", self._new_prefix()),
+                    ("X-Prompt-Prefix", self._get_prefix(number)),
                 ],
             )
             self.sent += 1
@@ -109,6 +120,13 @@
                     return engine
             await asyncio.sleep(0.01)
 
+    async def _ask_ready(self, entry):
+        """Ask once a second whether an entry is ready, as the platform."""
+        while not self._is_over:
+            is_ready = await entry.is_ready()
+            self.checks.append((entry.name, time.monotonic(), is_ready))
+            await asyncio.sleep(1.0)
+
     async def run(self, engines):
         """Return whether the rule was broken, and a text."""
         fleet, record = self._fleet, self._fleet.record
@@ -116,6 +134,10 @@
             asyncio.ensure_future(self._call_ordinary(entry))
             for entry in fleet.entries
         ]
+        calls += [
+            asyncio.ensure_future(self._ask_ready(entry))
+            for entry in fleet.entries
+        ]
         calls += [
             asyncio.ensure_future(self._call_long()) for _n in range(CHANNELS)
         ]
@@ -135,19 +157,25 @@
             fleet.register(engine)
             record.write("server is back", server=engine.engine_id)
         await asyncio.sleep(max(crash_s + WATCH_S - time.monotonic(), 0))
+        end_s = time.monotonic()
         self._is_over = True
         await asyncio.gather(*calls)
-        return self._judge(crash_s)
+        return self._judge(crash_s, end_s)
 
-    def _judge(self, crash_s):
+    def _judge(self, crash_s, end_s):
         texts = []
         is_broken = False
         for entry in self._fleet.entries:
             mine = [a for a in self.answers if a[0] == entry.name]
             late = [a for a in mine if a[1] > crash_s]
             unanswered = [a for a in late if not a[3]]
+            checks = [
+                is_ready
+                for name, at_s, is_ready in self.checks
+                if name == entry.name and at_s > crash_s
+            ]
             ends = [crash_s] + sorted(a[2] for a in mine if a[3])
-            ends.append(time.monotonic())
+            ends.append(max(end_s, ends[-1]))
             still_s = max(
                 after - before
                 for before, after in itertools.pairwise(ends)
@@ -160,11 +188,18 @@
                 after_it=len(late),
                 unanswered=len(unanswered),
                 longest_time_without_an_answer_s=round(still_s, 1),
+                readiness_checks=len(checks),
+                readiness_checks_missed=checks.count(False),
+            )
+            is_broken |= still_s > STILL_MAX_S or (
+                len(unanswered) >= UNANSWERED_MIN
+                and len(unanswered) > len(late) * UNANSWERED_SHARE
             )
-            is_broken |= still_s > STILL_MAX_S
             texts.append(
                 f"{entry.name}: {len(unanswered)} of {len(late)} ordinary "
-                f"requests unanswered, none answered for {still_s:.1f} s"
+                f"requests unanswered, none answered for {still_s:.1f} s, "
+                f"{checks.count(False)} of {len(checks)} readiness checks "
+                f"missed"
             )
         return is_broken, "; ".join(texts)
 
