--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -608,4 +608,5 @@
                 "could not run: " + "".join(traceback.format_exception(error))
             )
     record.write(f"exit {code}")
+    print(("the rule was held", "the rule was broken", "could not run")[code])
     return code
