--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,183 +1,366 @@
-"""Ordinary callers beside a caller whose bodies come in tiny chunks."""
+"""The entries are stopped and started in turn, as planned.
+
+Engines of two software versions serve side by side. Do the streams that end
+with their entry go on when their consumers take them up again?
+"""
 
-import asyncio
 import os
 import sys
-import time
-
-sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins-2"))
-
-import fleet as fleet_module  # noqa: E402
-import net  # noqa: E402
-
-CHANNELS = 12
-# Of each body, far below `max_body_bytes`.
-BODY_BYTES = 480_000
-TINY_BYTES = 1
-USUAL_BYTES = 8000
-WRITE_BYTES = 20_000
-CALM_S = 5.0
-PLAY_S = 25.0
-CLIENT_TIMEOUT_S = 8.0
-ORDINARY_PER_S = 5.0
-TIMEOUT_MS = 1500
-SLACK_S = 0.5
-UNANSWERED_MIN = 8
-UNANSWERED_SHARE = 0.25
-
-
-def new_body(chunk_bytes):
-    """Return a body in chunks of a size, without its end, in parts."""
-    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"a" * chunk_bytes)
-    part = chunk * (WRITE_BYTES // chunk_bytes)
-    return [part] * (BODY_BYTES // WRITE_BYTES)
-
-
-class Play:
-    """A caller with bodies in chunks, and ordinary ones."""
-
-    def __init__(self, fleet):
-        self._fleet = fleet
-        self._is_over = False
-        self._number = 0
-        self.answers = []
-        self.checks = []
-        self.uploads = {}
-        self.sent_bytes = 0
-
-    async def _upload(self, channel, parts):
-        """Send one request with a body in parts; return the status."""
-        self._number += 1
-        headers = fleet_module.new_headers(
-            f"up{channel:x}-{self._number:x}",
-            8000,
-            more=[("Transfer-Encoding", "chunked")],
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-3"))
+
+import h11  # noqa: E402
+import site3  # noqa: E402
+import trio  # noqa: E402
+
+ZONE = "lalitpur-a"
+ENTRIES = 4
+ENGINES_PER_VERSION = 3
+VERSIONS = ("1.4", "1.5")
+EVENTS = 48
+GAP_S = 0.25
+DEADLINE_S = 15.0
+HISTORY_S = 20.0
+FIRST_STOP_S = 16.0
+STOP_GAP_S = 3.0
+DOWN_S = 0.5
+GRACE_S = 8.0
+END_S = 55.0
+STABLE_S = 4.0
+READY_S = 0.5
+MISSES_MAX = 2
+STREAMS_PER_S = 5.0
+RETRY_S = 0.3
+TRIES_MAX = 4
+# The rule counts from so many streams that are taken up.
+TAKEN_UP_MIN = 12
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-dye",
+            "host": "kits.example",
+            "path_prefix": "/dye/",
+            "kind": "stream",
+            "timeout_ms": 15000,
+            "goal_ms": 2100,
+            "priority": 0,
+            "service": "rope",
+            "attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 400,
+        },
+    ],
+    "services": [
+        {
+            "name": "rope",
+            "health_path": "/healthz",
+            "max_conns": 610,
+            "engine": {"slots": 128, "kv_capacity": 741862, "stride": 5},
+        },
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "own", "api_keys": ["k1"]}],
+}
+
+
+class Store(site3.Store):
+    """A store that has run for long, and keeps 20 s of history."""
+
+    def __init__(self):
+        super().__init__()
+        self.put_s = []
+        self.first_known = 0
+
+    def forget(self, age_s):
+        """Drop the history that is older than so many seconds."""
+        kept = []
+        for event in self.events:
+            if trio.current_time() - event["at_s"] > age_s:
+                self.first_known = max(self.first_known, event["revision"])
+            else:
+                kept.append(event)
+        self.events = kept
+
+    def put(self, key, value):
+        super().put(key, value)
+        self.events[-1]["at_s"] = trio.current_time()
+
+    def delete(self, key):
+        super().delete(key)
+        self.events[-1]["at_s"] = trio.current_time()
+
+    async def handle(self, request, fields, body, connection):
+        self.forget(HISTORY_S)
+        target = request.target.decode()
+        if target.startswith("/api/kv-watch"):
+            after = int(target.partition("after=")[2].partition("&")[0])
+            if after < self.first_known:
+                return 410, [], b""
+        return await super().handle(request, fields, body, connection)
+
+
+class VersionedEngine(site3.Engine):
+    """An engine whose events name its software version."""
+
+    def __init__(self, version):
+        super().__init__("rope", ZONE, is_stream=True)
+        self.version = version
+        self.work_s, self.events, self.gap_s = 0.1, EVENTS, GAP_S
+
+    def get_entry(self, state="ready"):
+        return dict(super().get_entry(state), version=self.version)
+
+    async def run(self, request, fields, body, connection):
+        self.runs[fields["x-request-id"]] += 1
+        after = int(fields.get("last-event-id", "0"))
+        return self._write(connection, fields["x-request-id"], after)
+
+    async def _write(self, connection, request_id, after):
+        await trio.sleep(self.work_s)
+        yield connection.send(
+            h11.Response(
+                status_code=200,
+                headers=[
+                    ("X-Request-Id", request_id),
+                    ("X-Engine-Seal", f"s.{self.id}"),
+                    ("Content-Type", "text/event-stream"),
+                    ("Transfer-Encoding", "chunked"),
+                ],
+            )
         )
-        lines = [f"POST /order/{channel} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        host, _separator, port = self._fleet.entries[0].front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        for number in range(after + 1, self.events + 1):
+            await trio.sleep(self.gap_s)
+            event = f"id: {number}\ndata: {self.version}\n\n"
+            yield connection.send(h11.Data(data=event.encode()))
+        yield connection.send(h11.EndOfMessage())
+
+
+class Stream:
+    """A stream of one consumer, over all of its attempts."""
+
+    def __init__(self, number):
+        self.number = number
+        self.first_id = ""
+        self.last = 0
+        self.status = None
+        self.is_whole = False
+        self.is_broken = False
+        self.versions = set()
+        self.tries = 0
+
+
+async def read_stream(channel, stream, record):
+    """Read events; return the status of the answer, None without one."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(
+        h11.Request(method="GET", target="/", headers=[("Host", "x")])
+    )
+    connection.send(h11.EndOfMessage())
+    status, rest = None, b""
+    while True:
         try:
-            writer.write(head.encode())
-            for part in parts:
-                writer.write(part)
-                await writer.drain()
-                self.sent_bytes += len(part)
-                if self._is_over:
-                    return "over"
-            writer.write(b"0\r\n\r\n")
-            line = await reader.readline()
-            return line.decode().split(" ")[1] if line else "closed"
-        finally:
-            writer.close()
-
-    async def _upload_all(self, channel, parts):
-        """Send requests with bodies, one after the other."""
-        while not self._is_over:
-            try:
-                status = await asyncio.wait_for(
-                    self._upload(channel, parts), CLIENT_TIMEOUT_S
-                )
-            except (OSError, asyncio.TimeoutError):
-                status = "none"
-            self.uploads[status] = self.uploads.get(status, 0) + 1
-            await asyncio.sleep(0.05)
-
-    async def _call_once(self, entry):
-        """Send one ordinary request on a channel of its own."""
-        self._number += 1
-        sent_s = time.monotonic()
-        client = net.Client(entry.front)
-        headers = fleet_module.new_headers(f"look{self._number:x}", TIMEOUT_MS)
-        status = 0
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return status
+        if event is h11.NEED_DATA:
+            connection.receive_data(await channel.stream.receive_some(65536))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data) and status == 200:
+            rest += event.data
+            *events, rest = rest.split(b"\n\n")
+            for one in events:
+                number = int(one.split(b"\n")[0][4:])
+                if number != stream.last + 1:
+                    stream.is_broken = True
+                    record.write(
+                        f"{stream.number}: event {number} after {stream.last}"
+                    )
+                stream.last = number
+                stream.versions.add(one.split(b"\n")[1][6:].decode())
+        elif isinstance(event, h11.EndOfMessage):
+            if status == 200:
+                stream.is_whole = True
+            return status
+        elif isinstance(event, h11.ConnectionClosed):
+            return status
+
+
+async def run(trouble, record, folder):
+    async with trio.open_nursery() as nursery:
+        site = site3.Site(nursery, folder)
+        site.store = Store()
         try:
-            status, _headers, _body = await asyncio.wait_for(
-                client.ask("GET", "/look/1", headers),
-                TIMEOUT_MS / 1000 + SLACK_S,
-            )
-        except (OSError, asyncio.TimeoutError):
-            pass
-        client.close()
-        self.answers.append((sent_s, status))
-
-    async def _call_ordinary(self, entry):
-        calls = []
-        while not self._is_over:
-            calls.append(asyncio.ensure_future(self._call_once(entry)))
-            await asyncio.sleep(1 / ORDINARY_PER_S)
-        await asyncio.gather(*calls)
-
-    async def _ask_ready(self, entry):
-        """Ask once a second whether an entry is ready, as the platform."""
-        while not self._is_over:
-            at_s = time.monotonic()
-            self.checks.append((at_s, await entry.is_ready()))
-            await asyncio.sleep(1.0)
-
-    async def run(self):
-        """Return whether the rule was broken, and a text."""
-        entry = self._fleet.entries[0]
-        tasks = [
-            asyncio.ensure_future(self._call_ordinary(entry)),
-            asyncio.ensure_future(self._ask_ready(entry)),
-        ]
-        await asyncio.sleep(CALM_S)
-        begin_s = time.monotonic()
-        is_tiny = fleet_module.has_trouble()
-        parts = new_body(TINY_BYTES if is_tiny else USUAL_BYTES)
-        tasks += [
-            asyncio.ensure_future(self._upload_all(channel, parts))
-            for channel in range(CHANNELS)
+            await site.start_store(CONFIG)
+            for version in VERSIONS * ENGINES_PER_VERSION:
+                await site.add_engine(VersionedEngine(version))
+            # All of this was written long ago.
+            await trio.sleep(0.1)
+            site.store.forget(0.0)
+            await site.start_entries([ZONE] * ENTRIES)
+            code = await play(site, trouble, record)
+        finally:
+            site.stop()
+        nursery.cancel_scope.cancel()
+    return code
+
+
+class Balancer:
+    """Chooses an entry in rotation for a new channel, as the platform does."""
+
+    def __init__(self, entries):
+        self.entries = entries
+        self.misses = {entry.name: 0 for entry in entries}
+        self.in_touch_s = {entry.name: 0.0 for entry in entries}
+        self._count = 0
+
+    async def watch(self, entry):
+        """Ask an entry once a second whether it is ready."""
+        while True:
+            is_ready = await entry.is_ready()
+            self.misses[entry.name] += 1
+            if is_ready:
+                self.misses[entry.name] = 0
+            await trio.sleep(1.0)
+
+    def choose(self, last):
+        """Return an entry in rotation, another one than the last."""
+        ready = [
+            entry
+            for entry in self.entries
+            if self.misses[entry.name] < MISSES_MAX and entry is not last
         ]
-        await asyncio.sleep(PLAY_S)
-        self._is_over = True
-        spent_s = time.monotonic() - begin_s
-        await asyncio.gather(*tasks)
-        return self._judge(begin_s, spent_s)
-
-    def _judge(self, begin_s, spent_s):
-        late = [status for sent_s, status in self.answers if sent_s > begin_s]
-        unanswered = late.count(0)
-        checks = [is_ready for at_s, is_ready in self.checks if at_s > begin_s]
-        self._fleet.record.write(
-            "ordinary requests",
-            before=len(self.answers) - len(late),
-            beside_the_bodies=len(late),
-            unanswered=unanswered,
-            answered_200=late.count(200),
-            readiness_checks=len(checks),
-            readiness_checks_missed=checks.count(False),
-            bodies=self.uploads,
-            mb_per_s=round(self.sent_bytes / spent_s / 1e6, 2),
-        )
-        is_broken = (
-            unanswered >= UNANSWERED_MIN
-            and unanswered > len(late) * UNANSWERED_SHARE
-        )
-        return is_broken, (
-            f"{unanswered} of {len(late)} ordinary requests unanswered, "
-            f"{checks.count(False)} of {len(checks)} readiness checks "
-            f"missed, beside {self.sent_bytes / spent_s / 1e6:.2f} MB/s of "
-            f"bodies {self.uploads}"
+        self._count += 1
+        ready = ready or self.entries
+        return ready[self._count % len(ready)]
+
+
+async def play(site, trouble, record):
+    start_s = trio.current_time()
+    balancer = Balancer(site.entries)
+    streams = []
+    # Whether each went on, or began, at a machine in touch.
+    taken_up = {}
+    begun = {}
+
+    def get_s():
+        return trio.current_time() - start_s
+
+    async def consume(number):
+        stream = Stream(number)
+        streams.append(stream)
+        end_s = trio.current_time() + DEADLINE_S
+        entry = None
+        for attempt in range(TRIES_MAX):
+            left_s = end_s - trio.current_time()
+            if left_s < 0.5 or stream.is_whole:
+                break
+            if attempt:
+                await trio.sleep(RETRY_S)
+                left_s = end_s - trio.current_time()
+            entry = balancer.choose(entry)
+            channel = await site3.open_channel(entry)
+            if channel is None:
+                continue
+            request_id = site3.new_id()
+            fields = {
+                "Api-Key": "k1",
+                "X-Model": "m",
+                "X-Deadline-Ms": str(int(left_s * 1000)),
+                "X-Token-Counts": "620,300",
+                "X-Prompt-Prefix": f"a1b2:103,{request_id[:8]}:517",
+            }
+            is_taken_up = stream.last > 0
+            if is_taken_up:
+                fields["Last-Event-Id"] = str(stream.last)
+                fields["Resumes"] = stream.first_id
+            before, sent_s = stream.last, get_s()
+            status = None
+            with trio.move_on_after(left_s + 1.0):
+                try:
+                    await channel.stream.send_all(
+                        site3.new_request(
+                            "POST", "/dye/", request_id, fields, b"x" * 40
+                        )
+                    )
+                    status = await read_stream(channel, stream, record)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+            channel.stream.socket.close()
+            if not before and stream.last:
+                stream.first_id = request_id
+            is_going_on = stream.last > before
+            is_in_touch = sent_s >= balancer.in_touch_s[entry.name]
+            record.write(
+                f"{number} {request_id} {'taken up' if is_taken_up else 'new'}"
+                f" at {entry.name}, in touch {is_in_touch}, sent {sent_s:.2f} "
+                f"s: status {status}, events {before} to {stream.last}, whole "
+                f"{stream.is_whole}, versions {sorted(stream.versions)}"
+            )
+            if is_in_touch:
+                results = taken_up if is_taken_up else begun
+                results[number] = results.get(number, False) or is_going_on
+
+    async def restart(entry):
+        balancer.in_touch_s[entry.name] = float("inf")
+        entry.process.terminate()
+        stopped_s = get_s()
+        record.write(f"SIGTERM to {entry.name}")
+        with trio.move_on_after(GRACE_S):
+            while entry.process.poll() is None:
+                await trio.sleep(0.02)
+        record.write(
+            f"{entry.name} ended with {entry.process.poll()} after "
+            f"{get_s() - stopped_s:.2f} s"
         )
+        entry.stop()
+        await trio.sleep(DOWN_S)
+        entry.start()
+        # Its processes run from now on.
+        balancer.in_touch_s[entry.name] = get_s() + STABLE_S
+        while not await entry.is_ready():
+            await trio.sleep(0.05)
+        record.write(f"{entry.name} is ready")
 
+    async def restart_all():
+        await trio.sleep(FIRST_STOP_S)
+        for entry in site.entries:
+            nursery.start_soon(restart, entry)
+            await trio.sleep(STOP_GAP_S)
 
-async def play(fleet):
-    """Start the deployment and play the case."""
-    routes = [
-        fleet_module.new_route(
-            "look", "safe", "desk", timeout_ms=TIMEOUT_MS, goal_ms=175
-        ),
-        fleet_module.new_route("order", "unsafe", "desk", attempts=1),
-    ]
-    services = [{"name": "desk", "health_path": "/healthz", "max_conns": 960}]
-    await fleet.start_store(fleet_module.new_config(1, routes, services))
-    for number in range(3):
-        await fleet.add_engine(fleet_module.Engine(f"i-desk-{number}", "desk"))
-    await fleet.start_entries(1)
-    return await Play(fleet).run()
+    async with trio.open_nursery() as nursery:
+        for entry in site.entries:
+            nursery.start_soon(balancer.watch, entry)
+        if trouble:
+            nursery.start_soon(restart_all)
+        async with trio.open_nursery() as inner:
+            for number in range(int((END_S - DEADLINE_S) * STREAMS_PER_S)):
+                inner.start_soon(consume, number)
+                await trio.sleep(1 / STREAMS_PER_S)
+        nursery.cancel_scope.cancel()
+    mixed = sum(len(one.versions) > 1 for one in streams)
+    record.write(
+        f"new streams: {sum(begun.values())} of {len(begun)} began; taken up: "
+        f"{sum(taken_up.values())} of {len(taken_up)} went on; whole "
+        f"{sum(one.is_whole for one in streams)} of {len(streams)}; "
+        f"{mixed} of two versions"
+    )
+    if not begun:
+        return 2
+    if len(taken_up) < TAKEN_UP_MIN:
+        return int(sum(begun.values()) < 0.5 * len(begun))
+    share = sum(taken_up.values()) / len(taken_up)
+    return int(share < 0.5 * sum(begun.values()) / len(begun) or mixed > 2)
 
 
 if __name__ == "__main__":
-    sys.exit(fleet_module.run_case(os.path.dirname(__file__), play))
+    sys.exit(site3.run_case(run, HERE))
