Log what tells where a stream began that is taken up

Change: a line 'stream looked up' with the evidence, the versions, how long a stream may last and how many records are kept.

--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -7,6 +7,7 @@
 on the first event. Where there was one version only, nothing is told.
 """
 
+import enum
 import logging
 import math
 
@@ -56,6 +57,14 @@
     version: str | None
 
 
+class Evidence(enum.StrEnum):
+    """What tells where a stream began, as it is logged."""
+
+    OWN_RECORD = "own_record"
+    PEER_RECORD = "peer_record"
+    HISTORY = "history"
+
+
 class Streams:
     """The versions of streams: records, what is told and what is asked."""
 
@@ -195,21 +204,41 @@
         """
         record = self._records.find(stream_id.organisation, stream_id.key)
         if record is not None:
+            evidence = Evidence.OWN_RECORD
             origins = {Origin(record.service, record.version)}
         else:
+            evidence = Evidence.PEER_RECORD
             answers = await self._ask(stream_id, services)
             origins = {
                 Origin(answer.service, answer.recorded)
                 for answer in answers
                 if answer.is_recorded
             }
-            origins = origins or await self._infer(services, answers)
+            if not origins:
+                evidence = Evidence.HISTORY
+                origins = await self._infer(services, answers)
+        self._log_lookup(stream_id, evidence, origins)
         # Two requests with the same id are nothing that can be told apart.
         origin = origins.pop() if len(origins) == 1 else None
         if origin is None or origin.version is None:
             return None
         return origin if origin.service in services else None
 
+    def _log_lookup(self, stream_id, evidence, origins):
+        _log.info(
+            "stream looked up",
+            extra={
+                "decision": "stream_origin",
+                "resumed": stream_id.request_id.decode("latin-1"),
+                "evidence": evidence,
+                "software_versions": sorted(
+                    str(origin.version) for origin in origins
+                ),
+                "life_s": self._get_life_s(),
+                "records": len(self._records),
+            },
+        )
+
     async def _infer(self, services, answers):
         """Return the origins that are possible, none if that is unknown."""
         if len(services) > 1:
