Keep what a stream began with for as long as it may run

Cause: the life of a stream was computed from the catalog in force. A shorter time-out dropped the records of streams that still ran, and shortened the stretch in which one version must have served alone.

Evidence: "stream looked up" in that case: evidence history, versions ["2"], life 6.0 s; the streams had begun 11 s before, with 15 s.

Change: a record ends by the terms under which its stream was admitted, and those who are told of it get the time that is left. The stretch is the longest life under any catalog whose streams may still run; an entry that never saw the earlier ones assumes 120 s until a peer or the store's first revision tells it. A take-up lengthens the record, and a caller's deadline beyond the time-out counts (stream_lives.get_end_s). Why it works: no change of the catalog shortens what is known or asked of earlier streams.

Messages stay readable both ways: the two new fields are the last ones and have defaults. test_entries_of_earlier_versions_are_understood cuts one more field, since there is one more; it checks what it checked.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -10,6 +10,7 @@
 # No sum and no time reckoned from such numbers leaves 64 bits.
 AMOUNT_MAX = 2**53
 TIME_MAX_MS = 2**40
+STREAM_LEFT_UNKNOWN_MS = 120_000
 LIMIT_MAX_PER_S = 1e9
 # The number of the observation of a server that nobody has observed.
 NOT_OBSERVED = 0
@@ -207,6 +208,7 @@
     earlier_life: EarlierLife | None = None
     asks_departures: bool = False
     evacuations: list[Evacuation] = []
+    stream_life_ms: _AgeMs = 0
 
 
 class EntryDigestReply(message_base.Message, tag="entry_heard"):
@@ -306,13 +308,16 @@
 class BegunStream(message_base.Message):
     """A stream and the software version that began it.
 
-    `key` is a digest of its organisation and its request.
+    `key` is a digest of its organisation and its request. Its caller may
+    take it up for `left_ms` from now on, which entries of an earlier version
+    don't tell.
     """
 
     organisation: str
     key: bytes
     service: str
     version: str | None
+    left_ms: _AgeMs = STREAM_LEFT_UNKNOWN_MS
 
 
 class TellStreams(message_base.Message, tag="tell_streams"):
--- a/greengagetrack/connection/source.py
+++ b/greengagetrack/connection/source.py
@@ -30,7 +30,8 @@
     the source was restored from an older copy; revisions compare within
     one era only. `evacuated` has the data centres whose servers are to get
     nothing, `readmitted` those for which that was taken back; a complete
-    update names all that are evacuated.
+    update names all that are evacuated. `is_first_catalog` says that no
+    other one was published before `catalog`.
     """
 
     revision: int
@@ -42,6 +43,7 @@
     era: int = 0
     evacuated: tuple[str, ...] = ()
     readmitted: tuple[str, ...] = ()
+    is_first_catalog: bool = False
 
 
 class History(msgspec.Struct, frozen=True):
--- a/greengagetrack/platform/store.py
+++ b/greengagetrack/platform/store.py
@@ -27,6 +27,8 @@
     revision: numbers.Count
     value: str = ""
     tombstone: bool = False
+    # That of its first value; 0 is that of none.
+    create_rev: numbers.Count = 0
 
 
 class _Page(msgspec.Struct):
@@ -210,9 +212,11 @@
     evacuated, readmitted = [], []
     problems = list(problems)
     catalog = None
+    is_first_catalog = False
     for key, item in item_by_key.items():
         if key == names.CONFIG_KEY and not item.tombstone:
             catalog = _read_catalog(item.value)
+            is_first_catalog = item.revision == item.create_rev
             if isinstance(catalog, str):
                 problems.append(catalog)
                 catalog = None
@@ -240,6 +244,7 @@
         era=era,
         evacuated=tuple(evacuated),
         readmitted=tuple(readmitted),
+        is_first_catalog=is_first_catalog,
     )
 
 
--- a/greengagetrack/process/direct/catalog_watcher.py
+++ b/greengagetrack/process/direct/catalog_watcher.py
@@ -12,6 +12,7 @@
 from greengagetrack.connection import source as source_module
 from greengagetrack.process.direct import containment as containment_module
 from greengagetrack.process.direct import newest_version
+from greengagetrack.process.direct import stream_lives
 
 # The poll period as a fraction of the bound on applying a change, and of the
 # lease: a confirmation must come before the last one ends.
@@ -46,6 +47,7 @@
         "lease",
         "newest",
         "revision",
+        "stream_lives",
     )
 
     def __init__(
@@ -64,6 +66,7 @@
         self._bounds_changed = trio.Event()
         self.apply_bounds(change_bound_s)
         self.newest = newest_version.new_newest_version(lease)
+        self.stream_lives = stream_lives.new_stream_lives()
         self.catalog = None
         self.revision = None
         self.era = 0
@@ -220,7 +223,7 @@
         if is_restored:
             self.newest.start_asking()
         # Before the servers: it says how they are while they are warming.
-        self._apply_catalog(update.catalog, update.era)
+        self._apply_catalog(update)
         self._directory.apply_update(update, is_restored)
         self.revision = update.revision
         self.era = update.era
@@ -233,12 +236,17 @@
             self.newest.confirm(sent_s, update.era, self.get_version())
         return True
 
-    def _apply_catalog(self, catalog, era):
+    def _apply_catalog(self, update):
+        catalog = update.catalog
         if catalog is None or catalog.version <= self.get_version():
             return
         before = self.get_version()
         self.catalog = catalog
-        self.newest.hold(catalog.version, era)
+        self.newest.hold(catalog.version, update.era)
+        now_s = trio.current_time()
+        self.stream_lives.record(catalog, now_s)
+        if update.is_first_catalog:
+            self.stream_lives.learn_past(0.0, now_s)
         event, self.catalog_changed = self.catalog_changed, trio.Event()
         event.set()
         _log.info(
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -18,6 +18,7 @@
 LOAD_MAX_PERCENT = 1000
 FORWARD_AGE_MAX_S = 4.0
 CENTRE_WORK_CACHE_S = 0.2
+MS = 1000
 
 
 class CentreRecord(msgspec.Struct):
@@ -102,6 +103,7 @@
         return digest
 
     def _new_common_digest(self):
+        now_s = trio.current_time()
         age_s = self._lease.get_age_s()
         newest = self._catalog_watcher.newest
         return direct_messages.EntryDigest(
@@ -122,6 +124,9 @@
             newest_era=newest.era,
             confirmed_era=newest.confirmed_era,
             evacuations=self._directory.evacuations.new_messages(),
+            stream_life_ms=int(
+                self._catalog_watcher.stream_lives.get_known_s(now_s) * MS
+            ),
         )
 
     def _new_centre(self):
@@ -184,6 +189,10 @@
         self._crash_guard.apply_news(digest.crash_news)
         self._apply_limits(digest.limits)
         self._directory.apply_evacuations(digest.evacuations)
+        if digest.stream_life_ms:
+            self._catalog_watcher.stream_lives.learn_past(
+                digest.stream_life_ms / MS, now
+            )
         if self._members.is_local(peer):
             self._directory.update_reported_loads(
                 digest.name, digest.loads, now
--- a/greengagetrack/process/direct/entry.py
+++ b/greengagetrack/process/direct/entry.py
@@ -181,7 +181,7 @@
             self.peers.members,
             links,
             self.directory,
-            get_catalog,
+            self.catalog_watcher.stream_lives,
             self.catalog_watcher,
             nursery,
             self.containment,
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -16,6 +16,7 @@
 
 from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import containment as containment_module
+from greengagetrack.process.direct import stream_lives
 from greengagetrack.process.direct import stream_records
 
 OWNERS = 2
@@ -23,10 +24,9 @@
 ASKED_MAX = 4
 TIMEOUT_S = 0.4
 TOLD_MAX = 256
-LIFE_DEFAULT_S = 15.0
-LIFE_MARGIN_S = 1.0
 # The history of the source may be incomplete; asked again it is the same.
 PAST_PERIOD_S = 5.0
+MS = 1000
 
 _log = logging.getLogger(__name__)
 
@@ -71,8 +71,8 @@
     __slots__ = (
         "_containment",
         "_directory",
-        "_get_catalog",
         "_links",
+        "_lives",
         "_members",
         "_nursery",
         "_past_due_s",
@@ -87,7 +87,7 @@
         members,
         links,
         directory,
-        get_catalog,
+        lives,
         source_reader,
         nursery,
         containment,
@@ -96,7 +96,7 @@
         self._members = members
         self._links = links
         self._directory = directory
-        self._get_catalog = get_catalog
+        self._lives = lives
         self._source_reader = source_reader
         self._past_lock = trio.Lock()
         self._past_due_s = -math.inf
@@ -104,32 +104,27 @@
         self._records = stream_records.new_stream_records()
         self._unsent = []
 
-    def begin(self, stream_id, origin, services):
-        """Record a stream whose first event is passed on next.
+    def begin(self, stream_id, origin, services, end_s):
+        """Record a stream whose next event is passed on soon.
 
-        Others are told at once, if there are several `services` or versions
-        that it could be of: this entry may end any time. A stream without an
-        id has no record, which would be that of all others without one.
+        It begins here, or its caller takes it up here, and its caller may
+        take it up again until `end_s`. Others are told at once, if there are
+        several `services` or versions that it could be of: this entry may
+        end any time. A stream without an id has no record, which would be
+        that of all others without one.
         """
         if not stream_id.request_id:
             return
-        now = trio.current_time()
         record = stream_records.StreamRecord(
-            origin.service, origin.version, now, is_own=True
+            origin.service, origin.version, end_s, is_own=True
         )
         organisation = stream_id.organisation
-        self._records.drop_before(now - self._get_life_s())
+        self._records.drop_ended(trio.current_time())
         record = self._records.add(organisation, stream_id.key, record)
         is_unknown = record.version is None
         if is_unknown or len(services) > 1 or self._is_told(origin.service):
             self._tell(organisation, stream_id.key, record)
 
-    def _get_life_s(self):
-        """Return how long a stream may last, over all tries of a caller."""
-        catalog = self._get_catalog()
-        longest_s = catalog.longest_stream_s if catalog else 0.0
-        return (longest_s or LIFE_DEFAULT_S) + LIFE_MARGIN_S
-
     def _is_told(self, service):
         """Return whether several versions may have served of late."""
         seen = self._get_seen(service)
@@ -138,7 +133,8 @@
     def _get_seen(self, service):
         """Return the `StreamVersion` that any stream of a service gets."""
         versions = self._directory.versions
-        since_s = trio.current_time() - self._get_life_s()
+        now_s = trio.current_time()
+        since_s = now_s - self._lives.get_longest_s(now_s)
         return direct_messages.StreamVersion(
             versions=sorted(versions.get_versions(service, since_s)),
             is_complete=versions.known_since_s <= since_s,
@@ -146,7 +142,11 @@
 
     def _tell(self, organisation, key, record):
         begun = direct_messages.BegunStream(
-            organisation, key, record.service, record.version
+            organisation,
+            key,
+            record.service,
+            record.version,
+            _get_left_ms(record),
         )
         if not self._unsent:
             self._nursery.start_soon(self._send)
@@ -234,7 +234,7 @@
                 "software_versions": sorted(
                     str(origin.version) for origin in origins
                 ),
-                "life_s": self._get_life_s(),
+                "life_s": self._lives.get_longest_s(trio.current_time()),
                 "records": len(self._records),
             },
         )
@@ -292,10 +292,11 @@
         if isinstance(message, direct_messages.FindStream):
             return self._answer(message)
         now = trio.current_time()
-        self._records.drop_before(now - self._get_life_s())
+        self._records.drop_ended(now)
         for stream in message.streams:
+            left_s = min(stream.left_ms / MS, stream_lives.LIFE_MAX_S)
             record = stream_records.StreamRecord(
-                stream.service, stream.version, now
+                stream.service, stream.version, now + left_s
             )
             self._records.add(stream.organisation, stream.key, record)
         return direct_messages.StreamVersion()
@@ -309,25 +310,30 @@
         )
 
 
+def _get_left_ms(record):
+    return max(int((record.end_s - trio.current_time()) * MS), 0)
+
+
 def new_streams(
     members,
     links,
     directory,
-    get_catalog,
+    lives,
     source_reader,
     nursery,
     containment=None,
 ):
     """Return the streams of an entry that has begun none.
 
-    The `source_reader` is a `CatalogWatcher`: `read_past()` and `refresh()`
-    complete what the directory knows of versions, until now.
+    `lives` are the `StreamLives` of its catalogs. The `source_reader` is a
+    `CatalogWatcher`: `read_past()` and `refresh()` complete what the
+    directory knows of versions, until now.
     """
     return Streams(
         members,
         links,
         directory,
-        get_catalog,
+        lives,
         source_reader,
         nursery,
         containment or containment_module.new_containment(),
--- a/greengagetrack/process/direct/version_history.py
+++ b/greengagetrack/process/direct/version_history.py
@@ -2,8 +2,9 @@
 
 import math
 
-# Longer than any stream that can be taken up again.
-AGE_MAX_S = 120.0
+from greengagetrack.process.direct import stream_lives
+
+AGE_MAX_S = stream_lives.LIFE_MAX_S + stream_lives.LIFE_MARGIN_S
 
 
 class VersionHistory:
--- a/greengagetrack/request/direct/stream_binding.py
+++ b/greengagetrack/request/direct/stream_binding.py
@@ -1,5 +1,6 @@
 """Binds a run to the software version that began its stream."""
 
+from greengagetrack.process.direct import stream_lives
 from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request import outcome
 
@@ -37,7 +38,10 @@
                 _Reason.STREAM_VERSION_UNKNOWN, retry_after_ms=None
             )
         self._selector.bind(origin)
-        return self.check()
+        refused = self.check()
+        if refused is None:
+            self._record(origin)
+        return refused
 
     def check(self):
         """Return `Refused` if no server can go on with the stream."""
@@ -62,10 +66,16 @@
             return
         version = self._directory.get_answering_version(server, opened_s)
         origin = streams_module.Origin(self._selector.service, version)
+        self._record(origin)
+        self._selector.bind(origin)
+
+    def _record(self, origin):
         self._streams.begin(
-            self._get_stream_id(), origin, self._get_services()
+            self._get_stream_id(),
+            origin,
+            self._get_services(),
+            stream_lives.get_end_s(self._admitted),
         )
-        self._selector.bind(origin)
 
     def _get_services(self):
         route = self._admitted.route
--- a/tests/direct/fakes.py
+++ b/tests/direct/fakes.py
@@ -23,6 +23,7 @@
 from greengagetrack.process.direct import metrics as metrics_module
 from greengagetrack.process.direct import permits as permits_module
 from greengagetrack.process.direct import pools as pools_module
+from greengagetrack.process.direct import stream_lives
 from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import reply as reply_module
@@ -291,6 +292,14 @@
         return self.is_reachable
 
 
+def new_lives(current_catalog):
+    """Return the lives of streams where there was no other catalog."""
+    lives = stream_lives.new_stream_lives()
+    lives.record(current_catalog, trio.current_time())
+    lives.learn_past(0.0, trio.current_time())
+    return lives
+
+
 class FakeEntry:
     """The components of a direct entry around a fake gateway."""
 
@@ -328,7 +337,7 @@
             peers.members,
             None,
             self.directory,
-            lambda: self.catalog,
+            new_lives(self.catalog),
             self.source_reader,
             nursery,
         )
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -304,7 +304,7 @@
                 stream_id = streams_module.StreamId("org", request_id)
                 keys.append(stream_id.key)
                 origin = streams_module.Origin("svc", "v1")
-                streams.begin(stream_id, origin, ["svc"])
+                streams.begin(stream_id, origin, ["svc"], 100.0)
             assert told == []
             for version in ("v2", "v3"):
                 servers.append(
@@ -467,7 +467,7 @@
         origin = streams_module.Origin("svc", None)
         for number in range(3):
             stream_id = streams_module.StreamId("org", b"%d" % number)
-            fake_entry.streams.begin(stream_id, origin, ["svc"])
+            fake_entry.streams.begin(stream_id, origin, ["svc"], 100.0)
         await trio.sleep(1)
         assert sent == keys[1:]
 
--- a/tests/direct/test_departures.py
+++ b/tests/direct/test_departures.py
@@ -234,18 +234,28 @@
 
 
 def test_entries_of_earlier_versions_are_understood():
-    """They send neither the question nor the answer, nor evacuations."""
+    """They send neither the question nor the answer, nor what came later."""
     evacuation = direct_messages.Evacuation("dc", True, 0, 1)
     digest = direct_messages.EntryDigest(
-        "a", "a:1", "dc", asks_departures=True, evacuations=[evacuation]
+        "a",
+        "a:1",
+        "dc",
+        asks_departures=True,
+        evacuations=[evacuation],
+        stream_life_ms=1,
     )
     decoded = msgspec.msgpack.decode(
         _cut(digest, 1), type=direct_messages.EntryDigest
     )
+    assert decoded.evacuations == [evacuation]
+    assert decoded.stream_life_ms == 0
+    decoded = msgspec.msgpack.decode(
+        _cut(digest, 2), type=direct_messages.EntryDigest
+    )
     assert decoded.asks_departures
     assert decoded.evacuations == []
     decoded = msgspec.msgpack.decode(
-        _cut(digest, 2), type=direct_messages.EntryDigest
+        _cut(digest, 3), type=direct_messages.EntryDigest
     )
     assert not decoded.asks_departures
     reply = direct_messages.EntryDigestReply(digest, [_new_departure()])
@@ -255,6 +265,15 @@
     assert decoded.departures == []
 
 
+def test_streams_of_entries_of_earlier_versions_are_understood():
+    begun = direct_messages.BegunStream("org", b"key", "svc", "v1", 5_000)
+    decoded = msgspec.msgpack.decode(
+        _cut(begun, 1), type=direct_messages.BegunStream
+    )
+    assert decoded.version == "v1"
+    assert decoded.left_ms == direct_messages.STREAM_LEFT_UNKNOWN_MS
+
+
 def test_entries_of_earlier_versions_pass_over_question_and_answer():
     class EarlierReply(msgspec.Struct, array_like=True, tag="entry_heard"):
         digest: msgspec.Raw
--- a/tests/direct/test_lifetimes.py
+++ b/tests/direct/test_lifetimes.py
@@ -36,7 +36,7 @@
         entry = fakes.FakeEntry(nursery, gateway, servers)
         if begun:
             origin = streams_module.Origin(OLD.service, begun)
-            entry.streams.begin(STREAM_ID, origin, [OLD.service])
+            entry.streams.begin(STREAM_ID, origin, [OLD.service], 100.0)
         await check(entry)
 
     fakes.run_with_mock_clock(main)
--- a/tests/direct/test_peers.py
+++ b/tests/direct/test_peers.py
@@ -19,6 +19,7 @@
 from greengagetrack.process.direct import newest_version
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import rendezvous
+from greengagetrack.process.direct import stream_lives
 from greengagetrack.request import deadline as deadline_module
 from greengagetrack.request.direct import piece as piece_module
 from tests.direct import fakes
@@ -155,6 +156,7 @@
             types.SimpleNamespace(
                 get_version=lambda: node.version,
                 newest=newest_version.new_newest_version(node.lease),
+                stream_lives=stream_lives.new_stream_lives(),
             ),
             node.directory,
             crash_guard.new_crash_guard(None, None, None),
--- a/tests/direct/test_platform.py
+++ b/tests/direct/test_platform.py
@@ -437,6 +437,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("first", "is_first"), [({"create_rev": 4}, True), ({}, False)]
+)
+def test_the_store_tells_whether_a_catalog_replaced_another(first, is_first):
+    """Streams of an earlier one may last longer (review/8)."""
+    item = _new_item("op/config", CONFIG, revision=4)
+    replaced = {**item, "revision": 5, "create_rev": 4}
+    pages = [
+        (200, {"items": [{**item, **first}], "current_rev": 7}),
+        (200, {"items": [replaced], "current_rev": 7}),
+    ]
+
+    async def check(source, _targets):
+        assert (await source.list_all()).is_first_catalog is is_first
+        assert not (await source.list_all()).is_first_catalog
+
+    _run_with_store(pages, check)
+
+
 def test_answers_of_the_store_carry_its_era():
     async def check(source, targets):
         assert (await source.list_all()).era == 3
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -20,6 +20,7 @@
 from greengagetrack.connection import source
 from greengagetrack.process.direct import directory as directory_module
 from greengagetrack.process.direct import members as members_module
+from greengagetrack.process.direct import stream_lives
 from greengagetrack.process.direct import streams as streams_module
 
 LIFE_S = 5.0
@@ -73,29 +74,48 @@
         # The entry that doesn't read the list at present.
         self.still = None
         self.published = {"v1"}
+        self.life_s = LIFE_S
         self.entry_by_address = {}
         for index in range(ENTRIES):
             self.start(index)
+        for entry in self.entry_by_address.values():
+            # The first catalog of all.
+            entry.lives.learn_past(0.0, trio.current_time())
 
     def start(self, index):
         """Start an entry, or start it again with no memory."""
         name = f"entry-{index}:1"
         members = members_module.new_members(name, name, "dc", 1.0, ())
         directory = directory_module.new_directory(lambda server: None)
-        entry = types.SimpleNamespace(members=members, directory=directory)
+        lives = stream_lives.new_stream_lives()
+        entry = types.SimpleNamespace(
+            members=members, directory=directory, lives=lives
+        )
         entry.streams = streams_module.new_streams(
             members,
             types.SimpleNamespace(get_link=lambda a: Link(self, a)),
             directory,
-            lambda: types.SimpleNamespace(longest_stream_s=LIFE_S),
+            lives,
             SourceReader(self, index),
             self._nursery,
         )
         self._nursery.start_soon(entry.streams.run)
         self.entry_by_address[name] = entry
+        self.apply_catalog(entry)
         if self.is_reachable:
             self.poll(index)
 
+    def apply_catalog(self, entry):
+        """Have an entry accept the catalog in force."""
+        catalog = types.SimpleNamespace(longest_stream_s=self.life_s)
+        entry.lives.record(catalog, trio.current_time())
+
+    def change_timeout(self, life_s):
+        """Have all entries accept a catalog with another time-out."""
+        self.life_s = life_s
+        for entry in self.entry_by_address.values():
+            self.apply_catalog(entry)
+
     def poll(self, index):
         """Have an entry read the published list and meet its peers."""
         entry = self.entry_by_address[f"entry-{index}:1"]
@@ -110,6 +130,14 @@
             if other != f"entry-{index}:1":
                 member = direct_messages.Member(name=other, address=other)
                 entry.members.update_peer(member, "dc", trio.current_time())
+                self.tell_lives(other, entry)
+
+    def tell_lives(self, teller, listener):
+        """Have an entry hear of earlier catalogs, as digests tell it."""
+        now_s = trio.current_time()
+        known_s = self.entry_by_address[teller].lives.get_known_s(now_s)
+        if known_s and not self.is_losing:
+            listener.lives.learn_past(known_s, now_s)
 
 
 class StreamMachine(stateful.RuleBasedStateMachine):
@@ -155,6 +183,10 @@
     def lose(self, is_losing):
         self._steps.append(("lose", is_losing))
 
+    @stateful.rule(life_s=strategies.sampled_from((2.0, LIFE_S, 12.0)))
+    def change_timeout(self, life_s):
+        self._steps.append(("change_timeout", life_s))
+
     @stateful.rule(seconds=strategies.sampled_from((0.2, 1.0, LIFE_S + 2.0)))
     def wait(self, seconds):
         self._steps.append(("wait", seconds))
@@ -195,6 +227,8 @@
         fleet.still = arguments[0]
     elif action == "reach":
         fleet.is_reachable = arguments[0]
+    elif action == "change_timeout":
+        fleet.change_timeout(*arguments)
     elif action == "lose":
         fleet.is_losing = arguments[0]
     elif action == "wait":
@@ -224,16 +258,15 @@
         version = versions[choice % len(versions)]
         stream_id = streams_module.StreamId("org", b"%d" % len(begun))
         origin = streams_module.Origin(SERVICE, version)
-        entry.streams.begin(stream_id, origin, [SERVICE])
-        begun.append((stream_id, version, trio.current_time()))
+        end_s = trio.current_time() + fleet.life_s
+        entry.streams.begin(stream_id, origin, [SERVICE], end_s)
+        begun.append((stream_id, version, end_s))
 
 
 async def _take_up(fleet, begun, index, choice):
-    live = [
-        stream for stream in begun if trio.current_time() - stream[2] < LIFE_S
-    ]
+    live = [stream for stream in begun if trio.current_time() < stream[2]]
     if live:
-        stream_id, version, _begun_s = live[choice % len(live)]
+        stream_id, version, _end_s = live[choice % len(live)]
         entry = fleet.entry_by_address[f"entry-{index}:1"]
         found = await _find_version(entry, stream_id)
         assert found in (version, None)
@@ -262,7 +295,7 @@
             await trio.sleep(0.01)
             fleet.start(0)
             for index in range(ENTRIES):
-                for stream_id, version, _begun_s in begun:
+                for stream_id, version, _end_s in begun:
                     entry = fleet.entry_by_address[f"entry-{index}:1"]
                     found = await _find_version(entry, stream_id)
                     assert found == version
@@ -336,7 +369,7 @@
             origin = streams_module.Origin("other", "v1")
             services = [SERVICE, "other"]
             first = fleet.entry_by_address["entry-0:1"]
-            first.streams.begin(stream_id, origin, services)
+            first.streams.begin(stream_id, origin, services, LIFE_S)
             await trio.sleep(0.01)
             fleet.start(0)
             for entry in fleet.entry_by_address.values():
@@ -356,7 +389,8 @@
     stream_id = streams_module.StreamId("org", request_id)
     entry = fleet.entry_by_address[f"entry-{index}:1"]
     origin = streams_module.Origin(SERVICE, version)
-    entry.streams.begin(stream_id, origin, [SERVICE])
+    end_s = trio.current_time() + fleet.life_s
+    entry.streams.begin(stream_id, origin, [SERVICE], end_s)
     return stream_id
 
 
@@ -396,3 +430,56 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_stream_keeps_its_version_when_time_outs_are_shortened(is_restarted):
+    """Streams of before outlast the time-out in force (review/8)."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.change_timeout(15.0)
+            await _play(fleet, [], "wait", 17.0)
+            begun = []
+            for number in range(10):
+                _begin(fleet, begun, 0, number)
+            await _play(fleet, begun, "publish", "v2")
+            await _play(fleet, begun, "change_timeout", 5.0)
+            await _play(fleet, begun, "withdraw", "v1")
+            if is_restarted:
+                # It has never seen the longer time-out.
+                fleet.start(1)
+            for number in range(9):
+                await _play(fleet, begun, "wait", 1.0)
+                for index in range(ENTRIES):
+                    _begin_at(fleet, index, b"new %d" % number, "v2")
+            for index in range(ENTRIES):
+                for stream_id, version, _end_s in begun:
+                    entry = fleet.entry_by_address[f"entry-{index}:1"]
+                    assert await _find_version(entry, stream_id) == version
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_an_entry_that_knows_no_earlier_catalog_infers_nothing():
+    """All entries are killed after a time-out was shortened (review/8)."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.change_timeout(15.0)
+            await _play(fleet, [], "wait", 17.0)
+            begun = []
+            _begin(fleet, begun, 0, 0)
+            await _play(fleet, begun, "publish", "v2")
+            await _play(fleet, begun, "change_timeout", 2.0)
+            await _play(fleet, begun, "withdraw", "v1")
+            await _play(fleet, begun, "kill", range(ENTRIES))
+            await _play(fleet, begun, "wait", 9.0)
+            for entry in fleet.entry_by_address.values():
+                assert await _find_version(entry, begun[0][0]) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
