Weigh a crash in steps that callers can't multiply

Cause: for each part of the requests that broke off each request was searched part by part, up to ten times a second for 60 s, and again for each hold, in one turn of the loop. News carried all parts to each peer in each digest, so the peers did the same.

Change: an index from part to requests; weighed only when evidence changed, and only parts that can be held at all; 64 parts count of a request, those already blamed first, then the deepest, its identity always; 256 parts of requests in a message of news, which a peer that replied to it isn't told again unless it starts anew; 16 parts in a log line. Why it works: what a crash costs is bounded by our numbers, not by the length of a head.

--- a/greengagetrack/connection/direct_messages.py
+++ b/greengagetrack/connection/direct_messages.py
@@ -104,11 +104,15 @@
 
 
 class CrashNews(message_base.Message):
-    """What an entry knows of parts of prompts that crash servers."""
+    """What an entry knows of parts of prompts that crash servers.
+
+    `last_number` is the sender's own number of the last of `crashed`.
+    """
 
     crashed: list[CrashedRequest] = []
     holds: list[PartHold] = []
     sound: list[SoundPart] = []
+    last_number: _Amount = 0
 
 
 class ServerLimit(message_base.Message):
--- a/greengagetrack/process/direct/crash_guard.py
+++ b/greengagetrack/process/direct/crash_guard.py
@@ -8,6 +8,7 @@
 import logging
 import math
 
+import msgspec
 import trio
 
 from greengagetrack.connection import direct_messages
@@ -20,6 +21,12 @@
 UPDATE_INTERVAL_S = 0.1
 CRASHED_TOLD_MAX = 32
 TOLD_AGE_MAX_S = 10.0
+# Of all requests that one message tells.
+PARTS_TOLD_MAX = 256
+SOUND_TOLD_MAX = 512
+# A peer hears a sound part from another entry within this time.
+SOUND_LAG_S = 2.0
+PARTS_LOGGED_MAX = 16
 SUSPECTS_MAX = 32
 # A request that crashes its server does so soon after its answer began.
 BEGIN_MAX_S = 0.5
@@ -33,6 +40,20 @@
 _log = logging.getLogger(__name__)
 
 
+class HeardNews(msgspec.Struct, frozen=True):
+    """What a peer has replied to, so that it is not told again.
+
+    `number` is the last `CrashedRequest` that it was told, `asked_s` when
+    the last message was sent to which it replied.
+    """
+
+    number: int = 0
+    asked_s: float = -math.inf
+
+
+NOTHING_HEARD = HeardNews()
+
+
 class CrashGuard:
     """The evidence of one entry, from its own requests and its peers."""
 
@@ -154,24 +175,26 @@
             )
             self.announce()
 
-    def new_news(self):
-        """Return what to tell a peer, or None if there is nothing."""
+    def new_news(self, heard=NOTHING_HEARD):
+        """Return what to tell a peer, or None if there is nothing.
+
+        It is told each request until it has replied, and what is sound for
+        a while longer: others may tell of a crash meanwhile.
+        """
         evidence = self._evidence
         now_s = trio.current_time()
         disputed = self._get_disputed(now_s)
         if evidence.is_empty() and not disputed:
             return None
         self._update(now_s)
-        crashed_requests = evidence.get_crashed(now_s - TOLD_AGE_MAX_S)
-        crashed_requests = crashed_requests[-CRASHED_TOLD_MAX:]
+        recent = evidence.get_crashed(now_s - TOLD_AGE_MAX_S)
+        crashed_requests = _choose_told(recent, heard.number)
         holds = evidence.get_holds()
-        parts = {
-            part
-            for crashed in crashed_requests
-            for part in crashed.suspect.parts
-        }
-        sound_s_by_part = evidence.get_sound_times(
-            parts | holds.keys() | disputed
+        parts = _get_parts(crashed_requests) | holds.keys() | disputed
+        sound_s_by_part = _choose_sound(
+            evidence.get_sound_times(parts),
+            evidence.get_sound_times(_get_parts(recent) - parts),
+            heard.asked_s - SOUND_LAG_S,
         )
         return direct_messages.CrashNews(
             crashed=[
@@ -196,6 +219,10 @@
                 direct_messages.SoundPart(part, _to_age_ms(sound_s, now_s))
                 for part, sound_s in sound_s_by_part.items()
             ],
+            last_number=max(
+                (crashed.number for crashed in crashed_requests),
+                default=heard.number,
+            ),
         )
 
     def _get_disputed(self, now_s):
@@ -248,12 +275,49 @@
                 "prompt part",
                 extra={
                     "decision": change.kind,
-                    "parts": change.parts,
+                    "parts": change.parts[-PARTS_LOGGED_MAX:],
+                    "part_count": len(change.parts),
                     "lifetimes": change.lifetimes,
                 },
             )
 
 
+def _get_parts(crashed_requests):
+    return {
+        part for crashed in crashed_requests for part in crashed.suspect.parts
+    }
+
+
+def _choose_told(crashed_requests, heard_number):
+    """Return the requests to tell next, those that were heard of first."""
+    unheard = [
+        crashed
+        for crashed in crashed_requests
+        if crashed.number > heard_number
+    ]
+    chosen, part_count = [], 0
+    for crashed in unheard[:CRASHED_TOLD_MAX]:
+        part_count += len(crashed.suspect.parts)
+        if chosen and part_count > PARTS_TOLD_MAX:
+            break
+        chosen.append(crashed)
+    return chosen
+
+
+def _choose_sound(sound_s_by_part, sound_s_by_told_part, since_s):
+    """Return when parts were sound: of those told before, what is new."""
+    news = {
+        part: sound_s
+        for part, sound_s in sound_s_by_told_part.items()
+        if sound_s >= since_s
+    }
+    sound_s_by_told = {**sound_s_by_part, **news}
+    newest = sorted(
+        sound_s_by_told, key=lambda part: sound_s_by_told[part], reverse=True
+    )
+    return {part: sound_s_by_told[part] for part in newest[:SOUND_TOLD_MAX]}
+
+
 def _get_lifetime(server):
     return f"{server.server_id}/{server.published.incarnation}"
 
--- a/greengagetrack/process/direct/decisions/blame.py
+++ b/greengagetrack/process/direct/decisions/blame.py
@@ -35,19 +35,22 @@
 class CrashedRequest(msgspec.Struct, frozen=True):
     """A suspect and the crash with which it broke off.
 
-    `lifetime` names the server from its start to its crash.
+    `lifetime` names the server from its start to its crash. `number` counts
+    the crashes that this entry knows, in the order in which it heard of them.
     """
 
     lifetime: str
     crashed_s: float
     suspect: Suspect
+    number: int = 0
 
 
 class Blame(msgspec.Struct, frozen=True):
     """The evidence against one part that no answer has cleared since.
 
-    `weight` is the sum over its crashes, `decisive_s` when it sufficed,
-    `depth` how far behind the begin of a prompt the part was.
+    `weight` is the sum over its crashes, `first_s` when the first of them
+    was, `decisive_s` when they sufficed, `depth` how far behind the begin
+    of a prompt the part was.
     """
 
     part: str
@@ -56,26 +59,20 @@
     lifetimes: tuple[str, ...]
     sound_s: float
     depth: int
+    first_s: float
+    is_of_runner_up: bool = False
 
 
-def new_blame(part, crashed_requests, sound_s, answer_times):
+def new_blame(part, crashed_requests, sound_s, begun_lifetimes):
     """Return the `Blame` against a part, or None if it is too weak.
 
-    Only crashes after `sound_s` count, when an answer on the part last went
-    well. `answer_times` is when answers of any kind last did.
+    The requests are those with the part. Only crashes after `sound_s` count,
+    when an answer on the part last went well. Servers of `begun_lifetimes`
+    crashed with an answer under way.
     """
-    crashes = _find_crashes(part, crashed_requests, sound_s)
+    crashes = _find_crashes(crashed_requests, sound_s)
     if not _is_one_by_one(part, crashes):
         return None
-    first_s = crashes[0].crashed_s
-    answers = [time_s for time_s in answer_times if time_s > first_s]
-    if len(answers) < SOUND_ANSWERS_MIN:
-        return None
-    begun_lifetimes = {
-        crashed.lifetime
-        for crashed in crashed_requests
-        if crashed.suspect.has_begun
-    }
     return _weigh(part, crashes, begun_lifetimes, sound_s)
 
 
@@ -114,21 +111,18 @@
 def new_blame_of_runner_up(part, crashed_requests, sound_s, runner_up_since_s):
     """Return the `Blame` against a part that was nearly held before.
 
-    One crash since then is enough.
+    One crash since then, of a request with the part, is enough.
     """
-    crashes = _find_crashes(
-        part, crashed_requests, max(sound_s, runner_up_since_s)
-    )
+    crashes = _find_crashes(crashed_requests, max(sound_s, runner_up_since_s))
     if not crashes:
         return None
-    return _weigh(part, crashes, set(), sound_s, weight_min=0.0)
+    blame = _weigh(part, crashes, set(), sound_s, weight_min=0.0)
+    return msgspec.structs.replace(blame, is_of_runner_up=True)
 
 
-def _find_crashes(part, crashed_requests, since_s):
+def _find_crashes(crashed_requests, since_s):
     crashes = [
-        crashed
-        for crashed in crashed_requests
-        if part in crashed.suspect.parts and crashed.crashed_s > since_s
+        crashed for crashed in crashed_requests if crashed.crashed_s > since_s
     ]
     return sorted(crashes, key=lambda crashed: crashed.crashed_s)
 
@@ -156,4 +150,5 @@
         return None
     lifetimes = tuple(weight_by_lifetime)
     depth = max(crashed.suspect.parts.index(part) for crashed in crashes)
-    return Blame(part, weight, decisive_s, lifetimes, sound_s, depth)
+    first_s = crashes[0].crashed_s
+    return Blame(part, weight, decisive_s, lifetimes, sound_s, depth, first_s)
--- a/greengagetrack/process/direct/decisions/crash_evidence.py
+++ b/greengagetrack/process/direct/decisions/crash_evidence.py
@@ -31,7 +31,11 @@
 HOLD_AGE_MAX_S = 3600.0
 CRASHED_REQUESTS_MAX = 128
 HOLDS_MAX = 64
+# Found in one update; the others wait for the next one.
+HOLDS_PER_UPDATE_MAX = 8
 SOUND_PARTS_MAX = 4096
+# Callers may list as many parts as a head has room for.
+REQUEST_PARTS_MAX = 64
 PART_ID_MAX_CHARS = 64
 PART_DIGEST_BYTES = 16
 
@@ -77,14 +81,24 @@
 
     __slots__ = (
         "_answer_times",
+        "_blame_by_part",
+        "_count",
         "_crashed_by_key",
-        "_runner_up_since_s_by_part",
         "_hold_by_part",
+        "_is_changed",
+        "_keys_by_part",
+        "_runner_up_since_s_by_part",
         "_sound_s_by_part",
     )
 
     def __init__(self):
         self._crashed_by_key = {}
+        # An index of the line above; the inner maps are ordered sets.
+        self._keys_by_part = {}
+        # As last weighed, before `_is_changed`.
+        self._blame_by_part = {}
+        self._is_changed = False
+        self._count = 0
         self._runner_up_since_s_by_part = {}
         self._hold_by_part = {}
         self._sound_s_by_part = {}
@@ -98,8 +112,6 @@
         """Record that a server has crashed under these requests."""
         changes = []
         for suspect in suspects:
-            parts = tuple(get_part_key(part) for part in suspect.parts)
-            suspect = msgspec.structs.replace(suspect, parts=parts)
             changes += self.add_crashed(
                 blame_module.CrashedRequest(lifetime, now_s, suspect)
             )
@@ -107,13 +119,22 @@
 
     def add_crashed(self, crashed):
         """Add a request that broke off, here or at another entry."""
-        suspect = crashed.suspect
+        parts = self._select(crashed.suspect.parts)
+        suspect = msgspec.structs.replace(crashed.suspect, parts=parts)
         # Callers choose the ids, so two requests may have the same.
         key = (crashed.lifetime, suspect.request_id, suspect.parts)
         if key in self._crashed_by_key:
             return []
+        self._count += 1
+        crashed = msgspec.structs.replace(
+            crashed, suspect=suspect, number=self._count
+        )
         self._crashed_by_key[key] = crashed
-        _drop_first(self._crashed_by_key, CRASHED_REQUESTS_MAX)
+        for part in suspect.parts:
+            self._keys_by_part.setdefault(part, {})[key] = None
+        self._is_changed = True
+        while len(self._crashed_by_key) > CRASHED_REQUESTS_MAX:
+            self._drop_crashed(next(iter(self._crashed_by_key)))
         for part in crashed.suspect.parts:
             hold = self._hold_by_part.get(part)
             if hold is not None:
@@ -124,6 +145,35 @@
             )
         ]
 
+    def _drop_crashed(self, key):
+        crashed = self._crashed_by_key.pop(key)
+        for part in crashed.suspect.parts:
+            keys = self._keys_by_part.get(part, {})
+            keys.pop(key, None)
+            if not keys:
+                self._keys_by_part.pop(part, None)
+        self._is_changed = True
+
+    def _select(self, parts):
+        """Return the keys of the parts of a request that count, in order.
+
+        These are all of an ordinary request. Of one that lists more, those
+        that are blamed or held already come first, then the deepest ones:
+        the first parts of a prompt are those of sound requests as well. The
+        identity is the last one.
+        """
+        keys = dict.fromkeys(get_part_key(part) for part in parts)
+        if len(keys) <= REQUEST_PARTS_MAX:
+            return tuple(keys)
+        by_rank = sorted(reversed(keys), key=self.is_suspect, reverse=True)
+        chosen = {next(reversed(keys)), *by_rank[: REQUEST_PARTS_MAX - 1]}
+        return tuple(key for key in keys if key in chosen)
+
+    def _get_crashed_with(self, part):
+        """Return the requests that broke off and have a part."""
+        by_key = self._crashed_by_key
+        return [by_key[key] for key in self._keys_by_part.get(part, ())]
+
     def record_sound(self, parts, now_s):
         """Record that an answer on these parts went well at a server.
 
@@ -132,8 +182,8 @@
         self._answer_times.append(now_s)
         del self._answer_times[: -blame_module.SOUND_ANSWERS_MIN]
         changes = []
-        for part in parts:
-            changes += self.add_sound(get_part_key(part), now_s)
+        for part in self._select(parts):
+            changes += self.add_sound(part, now_s)
         return changes
 
     def add_sound(self, part, sound_s):
@@ -145,10 +195,10 @@
             return []
         cleared = tuple(
             crashed.lifetime
-            for crashed in self._crashed_by_key.values()
-            if part in crashed.suspect.parts
-            and known_s < crashed.crashed_s <= sound_s
+            for crashed in self._get_crashed_with(part)
+            if known_s < crashed.crashed_s <= sound_s
         )
+        self._is_changed |= part in self._keys_by_part
         self._runner_up_since_s_by_part.pop(part, None)
         changes = self._release(part)
         if cleared:
@@ -167,6 +217,7 @@
         if hold is None or not self.was_sound_since(part, hold.since_s):
             return []
         del self._hold_by_part[part]
+        self._is_changed = True
         return [Change(ChangeKind.RELEASED, (part,))]
 
     def add_hold(self, part, since_s, seen_s):
@@ -185,12 +236,16 @@
             holds = self._hold_by_part
             del holds[min(holds, key=lambda key: holds[key].seen_s)]
         self._hold_by_part[part] = Hold(since_s, seen_s)
+        self._is_changed = True
 
     def update(self, now_s):
         """Hold the parts that are harmful by now; forget what is old."""
         self._forget(now_s)
         changes = []
-        while blame := self._find_harmful(now_s):
+        for _hold in range(HOLDS_PER_UPDATE_MAX):
+            blame = self._find_harmful(now_s)
+            if blame is None:
+                break
             self._hold(blame.part, now_s, now_s)
             changes.append(
                 Change(ChangeKind.HELD, (blame.part,), blame.lifetimes)
@@ -200,10 +255,11 @@
     def _forget(self, now_s):
         for key, crashed in list(self._crashed_by_key.items()):
             if now_s - crashed.crashed_s > CRASH_AGE_MAX_S:
-                del self._crashed_by_key[key]
+                self._drop_crashed(key)
         for part, hold in list(self._hold_by_part.items()):
             if now_s - hold.seen_s > HOLD_AGE_MAX_S:
                 del self._hold_by_part[part]
+                self._is_changed = True
 
     def _find_harmful(self, now_s):
         """Return the blame of the part to hold next, or None.
@@ -213,19 +269,14 @@
         ago is held. If several never had one, they always came together:
         the deepest is held, and one more crash will do for the others.
         """
-        crashed_requests = self._get_unexplained()
-        if not crashed_requests:
-            return None
-        parts = {
-            part
-            for crashed in crashed_requests
-            for part in crashed.suspect.parts
-        }
+        if self._is_changed:
+            self._weigh_all()
+            self._is_changed = False
         blames = [
             blame
-            for part in parts - self._hold_by_part.keys()
-            if (blame := self._new_blame(part, crashed_requests))
-            and now_s >= blame.decisive_s + CLEARING_S
+            for blame in self._blame_by_part.values()
+            if now_s >= blame.decisive_s + CLEARING_S
+            and self._could_be_cleared(blame)
         ]
         if not blames:
             return None
@@ -243,6 +294,48 @@
         _drop_first(self._runner_up_since_s_by_part, HOLDS_MAX)
         return chosen
 
+    def _could_be_cleared(self, blame):
+        """Return whether answers went well of late that spared the part."""
+        if blame.is_of_runner_up:
+            return True
+        answers = [
+            time_s for time_s in self._answer_times if time_s > blame.first_s
+        ]
+        return len(answers) >= blame_module.SOUND_ANSWERS_MIN
+
+    def _weigh_all(self):
+        """Weigh the evidence against each part that can be held at all."""
+        crashed_requests = self._get_unexplained()
+        begun_lifetimes = {
+            crashed.lifetime
+            for crashed in crashed_requests
+            if crashed.suspect.has_begun
+        }
+        crashed_by_part = {}
+        for crashed in crashed_requests:
+            for part in crashed.suspect.parts:
+                crashed_by_part.setdefault(part, []).append(crashed)
+        self._blame_by_part = {}
+        for part, crashed_with in crashed_by_part.items():
+            if part in self._hold_by_part:
+                continue
+            if self._can_be_harmful(part, crashed_with):
+                blame = self._new_blame(part, crashed_with, begun_lifetimes)
+                if blame is not None:
+                    self._blame_by_part[part] = blame
+
+    def _can_be_harmful(self, part, crashed_with):
+        """Return whether a part is worth weighing: most are not.
+
+        Only its identity, or a part that was nearly held, speaks against a
+        request that shares nothing with another one.
+        """
+        return (
+            len(crashed_with) >= blame_module.REQUESTS_MIN
+            or blame_module.is_identity(part)
+            or part in self._runner_up_since_s_by_part
+        )
+
     def _get_unexplained(self):
         """Return the requests on servers that no held part has crashed."""
         explained = set()
@@ -265,7 +358,7 @@
             if crashed.lifetime not in explained
         ] + list(first_by_identity.values())
 
-    def _new_blame(self, part, crashed_requests):
+    def _new_blame(self, part, crashed_requests, begun_lifetimes):
         sound_s = self._get_sound_s(part)
         runner_up_since_s = self._runner_up_since_s_by_part.get(part)
         blame = None
@@ -274,15 +367,12 @@
                 part, crashed_requests, sound_s, runner_up_since_s
             )
         return blame or blame_module.new_blame(
-            part, crashed_requests, sound_s, self._answer_times
+            part, crashed_requests, sound_s, begun_lifetimes
         )
 
     def is_suspect(self, part):
         """Return whether a part is blamed or held."""
-        return part in self._hold_by_part or any(
-            part in crashed.suspect.parts
-            for crashed in self._crashed_by_key.values()
-        )
+        return part in self._hold_by_part or part in self._keys_by_part
 
     def get_crash_times(self, part):
         """Return when servers crashed under a part since it was sound.
@@ -292,8 +382,8 @@
         sound_s = self._get_sound_s(part)
         return {
             crashed.lifetime: crashed.crashed_s
-            for crashed in self._crashed_by_key.values()
-            if part in crashed.suspect.parts and crashed.crashed_s > sound_s
+            for crashed in self._get_crashed_with(part)
+            if crashed.crashed_s > sound_s
         }
 
     def find_held(self, parts, now_s):
--- a/greengagetrack/process/direct/digests.py
+++ b/greengagetrack/process/direct/digests.py
@@ -81,6 +81,7 @@
     def new_digest(self, peer):
         """Return the digest for a peer and record its content as sent."""
         digest = self._new_common_digest()
+        digest.crash_news = self._crash_guard.new_news(peer.heard_news)
         if (
             peer.last_contact_s is None
             or peer.peers_known < digest.peers_known
@@ -115,7 +116,6 @@
             is_leaving=self._members.is_leaving,
             weight=self._members.weight,
             peers_known=len(self._members.get_addresses()),
-            crash_news=self._crash_guard.new_news(),
             limits=[
                 limit_news.new_message(server, self.observer)
                 for server in self._directory.get_limited()
--- a/greengagetrack/process/direct/lives.py
+++ b/greengagetrack/process/direct/lives.py
@@ -45,19 +45,24 @@
         self._known_age_ms = math.inf
 
     def record(self, digest):
-        """Record a digest that its own entry sent to this one."""
+        """Record a digest that its own entry sent to this one.
+
+        Return whether it is the first of a life.
+        """
         if digest.earlier_life is not None:
             self._log_own(digest.name, digest.earlier_life)
         if not digest.started_ms:
-            return
+            return False
         life = self._life_by_address.get(digest.address)
-        if life is None or life.started_ms != digest.started_ms:
+        is_new = life is None or life.started_ms != digest.started_ms
+        if is_new:
             if life and digest.started_ms == life.earlier_started_ms:
                 # Overtaken by the first digest of the next life.
-                return
+                return False
             life = self._begin(digest, life)
         life.last_s = trio.current_time()
         life.is_leaving = digest.is_leaving
+        return is_new
 
     def _begin(self, digest, earlier):
         now = trio.current_time()
--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -12,6 +12,7 @@
 import trio
 
 from greengagetrack.connection import direct_messages
+from greengagetrack.process.direct import crash_guard
 from greengagetrack.process.direct import rendezvous
 
 LOCAL_SILENCE_MAX_S = 1.3
@@ -42,7 +43,8 @@
     last announced prompt part that was sent to it. `is_informed` says that
     its last digest had a recent confirmation of its catalog. `told_sent_s` is
     when it was sent the last question, which it answered, for servers that
-    left. `was_connected` says whether its link was up when last checked.
+    left. `was_connected` says whether its link was up when last checked,
+    `heard_news` what its present life has replied to.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "catalog_version",
         "centres_sent_s",
         "data_centre",
+        "heard_news",
         "is_informed",
         "is_leaving",
         "last_contact_s",
@@ -83,6 +86,7 @@
         self.centres_sent_s = -math.inf
         self.last_sent_part = 0
         self.told_sent_s = None
+        self.heard_news = crash_guard.NOTHING_HEARD
 
     def is_alive(self, is_local):
         """Return whether the peer had recent contact and is not leaving."""
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -15,6 +15,7 @@
 from greengagetrack.connection import handles as handles_module
 from greengagetrack.connection import messages
 from greengagetrack.process.direct import containment as containment_module
+from greengagetrack.process.direct import crash_guard as crash_guard_module
 from greengagetrack.process.direct import digests as digests_module
 from greengagetrack.process.direct import freshness
 from greengagetrack.process.direct import greeting
@@ -135,7 +136,7 @@
         peer = self._digests.apply(digest)
         if peer is None:
             return messages.Rejected("an entry does not ask itself")
-        self._lives.record(digest)
+        self._record_life(peer, digest)
         # A peer that was unknown so far needs all addresses in the reply.
         reply = direct_messages.EntryDigestReply(self._new_digest(peer))
         if digest.asks_departures:
@@ -143,6 +144,10 @@
         peer.last_exchange_s = trio.current_time()
         return reply
 
+    def _record_life(self, peer, digest):
+        if self._lives.record(digest):
+            peer.heard_news = crash_guard_module.NOTHING_HEARD
+
     def _new_digest(self, peer):
         digest = self._digests.new_digest(peer)
         digest.started_ms = self._lives.started_ms
@@ -271,8 +276,13 @@
         if digest.asks_departures:
             peer.told_sent_s = asked_s
             self._directory.apply_departures(reply.departures)
+        # First: a life that has just begun was not told what came before.
+        if digest.crash_news is not None:
+            peer.heard_news = crash_guard_module.HeardNews(
+                digest.crash_news.last_number, asked_s
+            )
         if self._digests.apply(reply.digest) is not None:
-            self._lives.record(reply.digest)
+            self._record_life(peer, reply.digest)
         self._open_links()
         age_s = reply.digest.freshness_age_s
         version = self._catalog_watcher.get_version()
--- a/greengagetrack/request/direct/request_log.py
+++ b/greengagetrack/request/direct/request_log.py
@@ -7,6 +7,8 @@
 from greengagetrack.connection import gateway
 from greengagetrack.request.direct import outcome as direct_outcome
 
+PARTS_LOGGED_MAX = 16
+
 _log = logging.getLogger(__name__)
 
 
@@ -56,7 +58,8 @@
             "claim": attempt.claim or "",
             "connection": attempt.connection_use.connection,
             "connection_request": attempt.connection_use.request,
-            "parts": admitted.request.shared_parts,
+            "parts": admitted.request.shared_parts[-PARTS_LOGGED_MAX:],
+            "part_count": len(admitted.request.shared_parts),
         },
     )
 
--- a/tests/direct/decisions/test_crash_evidence.py
+++ b/tests/direct/decisions/test_crash_evidence.py
@@ -254,3 +254,66 @@
         story.crash(now_s, (HARMFUL, identity), request_id="same")
         story.answer(now_s + 0.5, FIRST, identity, count=3)
     assert story.get_held(3.0 + LATER_S) == held
+
+
+def _count_weighings(part_count, monkeypatch):
+    """Return how often parts are weighed, for requests that share them all."""
+    story = Story()
+    weighed = []
+
+    def new_blame(part, *arguments):
+        weighed.append(part)
+        return original(part, *arguments)
+
+    original = blame.new_blame
+    monkeypatch.setattr(blame, "new_blame", new_blame)
+    parts = tuple(f"part{number}" for number in range(part_count))
+    for now_s in (1.0, 2.0):
+        story.crash(now_s, parts, parts)
+        story.answer(now_s + 0.5, "other", count=3)
+        for step in range(9):
+            story.evidence.update(now_s + 0.5 + step / 20)
+    monkeypatch.undo()
+    return len(weighed)
+
+
+def test_price_of_a_crash_is_bounded_however_many_parts_callers_list(
+    monkeypatch,
+):
+    """Entries hung for 30 s after a crash under 2,200 parts (review/6)."""
+    few = _count_weighings(20, monkeypatch)
+    many = _count_weighings(2_000, monkeypatch)
+    # Once for each crash, and not again while nothing changes.
+    assert few <= 2 * 20
+    assert many <= 2 * crash_evidence.REQUEST_PARTS_MAX
+
+
+def test_part_that_others_blame_is_kept_among_thousands():
+    story = Story()
+    story.crash(1.0, (FIRST, HARMFUL))
+    others = tuple(f"part{number}" for number in range(2_000))
+    story.crash(2.0, (FIRST, HARMFUL, *others))
+    story.crash(3.0, (FIRST, HARMFUL, *others[:50]))
+    story.answer(3.5, FIRST, count=3)
+    assert story.get_held(3.0 + LATER_S) == {HARMFUL}
+
+
+def test_answer_on_thousands_of_parts_does_not_push_out_what_is_sound():
+    story = Story()
+    story.answer(0.5, FIRST)
+    for number in range(4):
+        parts = (f"part{number}.{index}" for index in range(2_000))
+        story.answer(1.0, *parts)
+    assert story.evidence.was_sound_since(FIRST, 0.5)
+
+
+def test_index_of_parts_holds_no_request_that_is_forgotten():
+    story = Story()
+    for number in range(3 * crash_evidence.CRASHED_REQUESTS_MAX):
+        story.crash(1.0, (FIRST, f"part{number}"))
+    kept = crash_evidence.CRASHED_REQUESTS_MAX
+    assert len(story.evidence.get_crashed(0.0)) == kept
+    assert len(story.evidence._keys_by_part) == kept + 1
+    story.evidence.update(2.0 + crash_evidence.CRASH_AGE_MAX_S)
+    assert story.evidence.is_empty()
+    assert not story.evidence._keys_by_part
