Keep the records of streams at entries that are there to be asked

Cause: the version of a stream was told to two entries when it began and never again. A release takes holder after holder, none handed anything over, and one that left was neither told nor asked.

Change: a record is held by the two live entries that rank first for it. The entry that relays the stream, and those that were told of it, tell the missing ones as entries come, go and start anew (stream_replicas.py); one that leaves tells two others of all that it has, and is asked while it is heard. Why it works: each change of membership restores two holders, by any entry that still has the record.

--- a/greengagetrack/process/direct/members.py
+++ b/greengagetrack/process/direct/members.py
@@ -44,7 +44,8 @@
     its last digest had a recent confirmation of its catalog. `told_sent_s` is
     when it was sent the last question, which it answered, for servers that
     left. `was_connected` says whether its link was up when last checked,
-    `heard_news` what its present life has replied to.
+    `life` counts its starts as far as they were seen, `heard_news` is what its
+    present life has replied to.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "last_exchange_s",
         "last_sent_part",
         "last_used_s",
+        "life",
         "missed_replies",
         "name",
         "peers_known",
@@ -86,6 +88,7 @@
         self.centres_sent_s = -math.inf
         self.last_sent_part = 0
         self.told_sent_s = None
+        self.life = 0
         self.heard_news = crash_guard.NOTHING_HEARD
 
     def is_alive(self, is_local):
@@ -102,6 +105,24 @@
         return trio.current_time() - self.last_contact_s
 
 
+def rank_by_key(peers, key, count):
+    """Return up to `count` of some peers, which all entries rank alike.
+
+    The first are of different data centres, as far as there are some, so
+    that none of these takes all of them with it.
+    """
+    ranked = sorted(
+        peers, key=lambda peer: rendezvous.get_score(key, peer.name)
+    )
+    data_centres = set()
+    first, others = [], []
+    for peer in ranked:
+        is_new = peer.data_centre not in data_centres
+        data_centres.add(peer.data_centre)
+        (first if is_new else others).append(peer)
+    return (first + others)[:count]
+
+
 class Members:
     """The peers of this entry, and what it announces of itself."""
 
@@ -279,25 +300,25 @@
         owner_name = rendezvous.get_winner(service, weight_by_name)
         return peer_by_name.get(owner_name)
 
-    def rank_by_key(self, key, count):
-        """Return up to `count` live peers that all entries rank alike.
-
-        The first are of different data centres, as far as there are some,
-        so that none of these takes all of them with it.
-        """
-        peers = [
+    def get_alive(self):
+        """Return the peers that are alive and not leaving."""
+        return [
             peer
             for peer in self.peer_by_address.values()
             if peer.is_alive(self.is_local(peer))
         ]
-        peers.sort(key=lambda peer: rendezvous.get_score(key, peer.name))
-        data_centres = set()
-        first, others = [], []
-        for peer in peers:
-            is_new = peer.data_centre not in data_centres
-            data_centres.add(peer.data_centre)
-            (first if is_new else others).append(peer)
-        return (first + others)[:count]
+
+    def get_leaving(self):
+        """Return the peers that leave and were heard a moment ago."""
+        return [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.is_leaving and peer.get_silence_s() < LOCAL_SILENCE_MAX_S
+        ]
+
+    def rank_by_key(self, key, count):
+        """Return up to `count` live peers that all entries rank alike."""
+        return rank_by_key(self.get_alive(), key, count)
 
     def is_delegate(self):
         """Return whether this entry is the delegate of its data centre."""
--- a/greengagetrack/process/direct/peers.py
+++ b/greengagetrack/process/direct/peers.py
@@ -146,6 +146,7 @@
 
     def _record_life(self, peer, digest):
         if self._lives.record(digest):
+            peer.life += 1
             peer.heard_news = crash_guard_module.NOTHING_HEARD
 
     def _new_digest(self, peer):
--- a/greengagetrack/process/direct/stream_records.py
+++ b/greengagetrack/process/direct/stream_records.py
@@ -16,7 +16,8 @@
     """The version that began a stream, None if unknown, and what is told.
 
     It is kept until `end_s`, by the terms under which the stream was
-    admitted. `is_own` says that this entry relayed events of it.
+    admitted. `is_own` says that this entry relayed events of it, `holders`
+    has the numbers of the peers that have it too, None if others know that.
     """
 
     service: str
@@ -24,6 +25,7 @@
     end_s: float
     is_own: bool = False
     is_told: bool = False
+    holders: tuple[int, ...] | None = ()
 
     def is_like(self, other):
         """Return whether another record may be of the same stream."""
@@ -115,6 +117,15 @@
         """Return the record of a stream, or None."""
         return self._records_by_organisation.get(organisation, {}).get(key)
 
+    def get_told(self):
+        """Return `(organisation, key, record)` of streams that are told."""
+        return [
+            (organisation, key, record)
+            for organisation, records in self._records_by_organisation.items()
+            for key, record in records.items()
+            if record.is_told
+        ]
+
     def get_untold(self, service):
         """Return `(organisation, key, record)` of own untold streams."""
         return [
--- a/greengagetrack/process/direct/streams.py
+++ b/greengagetrack/process/direct/streams.py
@@ -16,14 +16,15 @@
 
 from greengagetrack.connection import direct_messages
 from greengagetrack.process.direct import containment as containment_module
+from greengagetrack.process.direct import members as members_module
 from greengagetrack.process.direct import stream_lives
 from greengagetrack.process.direct import stream_records
+from greengagetrack.process.direct import stream_replicas
 
-OWNERS = 2
 # Others may rank first by now than when the stream began.
 ASKED_MAX = 4
+LEAVING_ASKED_MAX = 4
 TIMEOUT_S = 0.4
-TOLD_MAX = 256
 # The history of the source may be incomplete; asked again it is the same.
 PAST_PERIOD_S = 5.0
 MS = 1000
@@ -74,12 +75,11 @@
         "_links",
         "_lives",
         "_members",
-        "_nursery",
         "_past_due_s",
         "_past_lock",
         "_records",
+        "_replicas",
         "_source_reader",
-        "_unsent",
     )
 
     def __init__(
@@ -100,9 +100,10 @@
         self._source_reader = source_reader
         self._past_lock = trio.Lock()
         self._past_due_s = -math.inf
-        self._nursery = nursery
         self._records = stream_records.new_stream_records()
-        self._unsent = []
+        self._replicas = stream_replicas.new_stream_replicas(
+            self._records, members, links, nursery, containment
+        )
 
     def begin(self, stream_id, origin, services, end_s):
         """Record a stream whose next event is passed on soon.
@@ -123,7 +124,7 @@
         record = self._records.add(organisation, stream_id.key, record)
         is_unknown = record.version is None
         if is_unknown or len(services) > 1 or self._is_told(origin.service):
-            self._tell(organisation, stream_id.key, record)
+            self._replicas.tell(organisation, stream_id.key, record)
 
     def _is_told(self, service):
         """Return whether several versions may have served of late."""
@@ -140,46 +141,29 @@
             is_complete=versions.known_since_s <= since_s,
         )
 
-    def _tell(self, organisation, key, record):
-        begun = direct_messages.BegunStream(
-            organisation,
-            key,
-            record.service,
-            record.version,
-            _get_left_ms(record),
-        )
-        if not self._unsent:
-            self._nursery.start_soon(self._send)
-        self._unsent.append(begun)
-        record.is_told = True
-
-    async def _send(self):
-        """Tell the owners of all streams that began in this moment."""
-        unsent, self._unsent = self._unsent, []
-        streams_by_address = {}
-        for stream in unsent:
-            with self._containment.contain("stream"):
-                for address in self._get_owners(stream.key)[:OWNERS]:
-                    streams_by_address.setdefault(address, []).append(stream)
-        for address, streams in streams_by_address.items():
-            for start in range(0, len(streams), TOLD_MAX):
-                message = direct_messages.TellStreams(
-                    streams[start : start + TOLD_MAX]
-                )
-                self._nursery.start_soon(self._request, address, message)
-
     async def _request(self, address, message):
         link = self._links.get_link(address)
         return await link.request(message, TIMEOUT_S)
 
-    def _get_owners(self, key):
-        """Return the addresses of those who know a stream, best first."""
-        return [
-            peer.address
-            for peer in self._members.rank_by_key(key.hex(), ASKED_MAX)
-        ]
+    def _get_asked(self, key):
+        """Return the addresses of those who may know a stream.
+
+        One that leaves has its records until it ends, and may still be
+        handing them over.
+        """
+        peers = self._members.rank_by_key(key.hex(), ASKED_MAX)
+        leaving = members_module.rank_by_key(
+            self._members.get_leaving(), key.hex(), LEAVING_ASKED_MAX
+        )
+        return [peer.address for peer in [*peers, *leaving]]
 
     async def run(self):
+        """Keep others informed of running streams, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replicas.run)
+            nursery.start_soon(self._watch_versions)
+
+    async def _watch_versions(self):
         """Tell of running streams when a second version appears."""
         while True:
             await self._directory.changed.wait()
@@ -193,7 +177,7 @@
         for untold in self._records.get_untold(service):
             # One that fails stays untold, until the servers change again.
             with self._containment.contain("stream"):
-                self._tell(*untold)
+                self._replicas.tell(*untold)
 
     async def find_origin(self, stream_id, services):
         """Return the `Origin` of a stream, or None if it is unknown.
@@ -283,7 +267,7 @@
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for address in self._get_owners(key):
+            for address in self._get_asked(key):
                 nursery.start_soon(ask, address)
         return answers
 
@@ -296,7 +280,11 @@
         for stream in message.streams:
             left_s = min(stream.left_ms / MS, stream_lives.LIFE_MAX_S)
             record = stream_records.StreamRecord(
-                stream.service, stream.version, now + left_s
+                stream.service,
+                stream.version,
+                now + left_s,
+                is_told=True,
+                holders=None,
             )
             self._records.add(stream.organisation, stream.key, record)
         return direct_messages.StreamVersion()
@@ -310,10 +298,6 @@
         )
 
 
-def _get_left_ms(record):
-    return max(int((record.end_s - trio.current_time()) * MS), 0)
-
-
 def new_streams(
     members,
     links,
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -30,6 +30,7 @@
 from greengagetrack.process.direct import peers as peers_module
 from greengagetrack.process.direct import piece_call
 from greengagetrack.process.direct import result_freer
+from greengagetrack.process.direct import stream_replicas
 from greengagetrack.process.direct import streams as streams_module
 from greengagetrack.process import logs
 from greengagetrack.request.direct import attempt as attempt_module
@@ -461,7 +462,7 @@
         sent.extend(stream.key for stream in message.streams)
 
     monkeypatch.setattr(members_module.Members, "rank_by_key", rank)
-    monkeypatch.setattr(streams_module.Streams, "_request", request)
+    monkeypatch.setattr(stream_replicas.StreamReplicas, "_request", request)
 
     async def check(fake_entry):
         origin = streams_module.Origin("svc", None)
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -93,18 +93,25 @@
         )
         entry.streams = streams_module.new_streams(
             members,
-            types.SimpleNamespace(get_link=lambda a: Link(self, a)),
+            types.SimpleNamespace(
+                get_link=lambda address: self.new_link(name, address)
+            ),
             directory,
             lives,
             SourceReader(self, index),
             self._nursery,
         )
-        self._nursery.start_soon(entry.streams.run)
+        entry.scope = trio.CancelScope()
+        self._nursery.start_soon(_run_streams, entry)
         self.entry_by_address[name] = entry
         self.apply_catalog(entry)
         if self.is_reachable:
             self.poll(index)
 
+    def new_link(self, _sender, address):
+        """Return the link of an entry to an address."""
+        return Link(self, address)
+
     def apply_catalog(self, entry):
         """Have an entry accept the catalog in force."""
         catalog = types.SimpleNamespace(longest_stream_s=self.life_s)
@@ -119,6 +126,15 @@
     def poll(self, index):
         """Have an entry read the published list and meet its peers."""
         entry = self.entry_by_address[f"entry-{index}:1"]
+        self.read_list(entry)
+        for other in self.entry_by_address:
+            if other != f"entry-{index}:1":
+                member = direct_messages.Member(name=other, address=other)
+                entry.members.update_peer(member, "dc", trio.current_time())
+                self.tell_lives(other, entry)
+
+    def read_list(self, entry):
+        """Have an entry read the published list."""
         servers = tuple(
             gateway.Server(version, SERVICE, "a:1", "dc", 1, False, 1, version)
             for version in self.published
@@ -126,11 +142,6 @@
         entry.directory.apply_update(
             source.Update(1, servers=servers, is_complete=True)
         )
-        for other in self.entry_by_address:
-            if other != f"entry-{index}:1":
-                member = direct_messages.Member(name=other, address=other)
-                entry.members.update_peer(member, "dc", trio.current_time())
-                self.tell_lives(other, entry)
 
     def tell_lives(self, teller, listener):
         """Have an entry hear of earlier catalogs, as digests tell it."""
@@ -140,6 +151,11 @@
             listener.lives.learn_past(known_s, now_s)
 
 
+async def _run_streams(entry):
+    with entry.scope:
+        await entry.streams.run()
+
+
 class StreamMachine(stateful.RuleBasedStateMachine):
     """Rules on a fleet, run one after the other on a mock clock."""
 
