--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -1,5 +1,6 @@
 """A soak: load, overlapping faults by seed, and checks at the end."""
 
+import itertools
 import os
 import random
 import signal
@@ -29,6 +30,8 @@
 SWAP_INTERVAL_S = 1.6
 # Streams last long enough then to be in progress as their engine restarts.
 SLOW_EVENT_INTERVAL_S = 0.15
+# Sent beside those of the consumers, so that enough are in progress then.
+STREAMS_AT_SWAP = 24
 COOL_DOWN_S = 3.5
 # By it a caller understands that its request did not run.
 UNAVAILABLE_STATUS = 503
@@ -65,6 +68,7 @@
         self._checker = checker_module.Checker()
         self._started_s = 0.0
         self._key_history = [(0.0, "key-1")]
+        self._swap_numbers = itertools.count()
         self._faults = faults_module.get_faults(
             seed, duration_s
         ) + faults_module.get_closing_faults(duration_s)
@@ -307,17 +311,41 @@
         the last time they have the version of before.
         """
         engines = self._get_stream_engines()
+        for engine in engines:
+            engine.event_interval_s = SLOW_EVENT_INTERVAL_S
         end_s = trio.current_time() + active_s
-        is_swapped = False
-        while is_swapped or trio.current_time() < end_s:
-            is_swapped = not is_swapped
-            for engine in engines:
-                engine.event_interval_s = SLOW_EVENT_INTERVAL_S
-                self._restart_engine(engine, "v2" if is_swapped else "v1")
-            await trio.sleep(SWAP_INTERVAL_S)
+        last_swap = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for number in range(STREAMS_AT_SWAP):
+                nursery.start_soon(self._send_streams, number, last_swap)
+            is_swapped = False
+            while is_swapped or trio.current_time() < end_s:
+                is_swapped = not is_swapped
+                for engine in engines:
+                    self._restart_engine(engine, "v2" if is_swapped else "v1")
+                if not is_swapped and trio.current_time() >= end_s:
+                    last_swap.set()
+                await trio.sleep(SWAP_INTERVAL_S)
         for engine in engines:
             engine.event_interval_s = site_module.ENGINE_EVENT_INTERVAL_S
 
+    async def _send_streams(self, number, last_swap):
+        """Send one stream after the other until the last swap.
+
+        Those in progress then go on at a version of before, or not at all.
+        """
+        generator = random.Random(f"{self._seed}-swap-{number}")
+        pool = pool_module.new_pool(self._site.nursery)
+        entry = generator.choice(self._site.entries)
+        # Not all are between two streams at the same moment.
+        await trio.sleep(generator.uniform(0.0, SWAP_INTERVAL_S / 2))
+        while not last_swap.is_set():
+            entry = self._choose_entry(generator, entry, pool)
+            request_id = f"swap.{number}.{next(self._swap_numbers)}".encode()
+            await self._send_request(
+                generator, pool, entry, "draft", request_id
+            )
+
     def _restart_engine(self, engine, version):
         if engine.engine_id not in self._checker.departure_s_by_engine:
             self._site.restart_engine(engine, version)
--- a/bench/standins/site.py
+++ b/bench/standins/site.py
@@ -143,6 +143,11 @@
         await exchange.answer(200, headers, msgspec.json.encode(answer))
 
 
+def get_piece_name(handle):
+    """Return what a handle names: request, stage and piece."""
+    return handle.partition("/")[2].partition("@")[0]
+
+
 class EngineStandIn:
     """An engine: plain, streaming, or one that makes pieces."""
 
@@ -261,11 +266,13 @@
     async def _make_pieces(self, exchange):
         items = msgspec.json.decode(exchange.body)["items"]
         self.calls.append(items)
+        call = len(self.calls)
         await trio.sleep(STAGE_CALL_S)
+        # A piece that is made again is another one, with a name of its own.
         results = [
             {
                 "handle": f"{self.address}/{item['id']}"
-                f"-{item['stage']}-{item['piece']}"
+                f"-{item['stage']}-{item['piece']}@{call}"
             }
             for item in items
         ]
