--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 DEMO_STAMP := $(VENV)/.installed-demo
 
-REVIEW_CASES := 1 2 3 4 5 more/takeup more/history
+REVIEW_CASES := 1 2 3 4 5 6 8 9 more/takeup more/history
 
 .PHONY: demo test lint format review clean
 
