Don't let a new stream hide that entries have come or gone

Telling of a stream that begins renumbered the live entries, so that the look each 0.25 s found no change: entries that had gone were not replaced as holders, unless a message to them failed. What callers could see: a take-up refused after holders were killed just as they left.

Only the look that tells anew renumbers them now.

--- a/greengagetrack/process/direct/stream_replicas.py
+++ b/greengagetrack/process/direct/stream_replicas.py
@@ -83,7 +83,6 @@
     async def _send_unsent(self):
         """Tell of all streams that began in this moment."""
         unsent, self._unsent = self._unsent, []
-        self._update_live()
         replicas_by_address = {}
         for replica in unsent:
             with self._containment.contain("stream"):
--- a/tests/direct/test_stream_replicas.py
+++ b/tests/direct/test_stream_replicas.py
@@ -162,6 +162,33 @@
     _run(play)
 
 
+def test_streams_are_found_after_kills_though_others_begin_all_the_while():
+    """Telling of a new stream hid that entries had come or gone."""
+
+    async def begin_often(fleet):
+        number = 0
+        while True:
+            number += 1
+            test_streams._begin_at(fleet, 0, b"new%d" % number, "v1")
+            await trio.sleep(0.05)
+
+    async def play(fleet, _changes, begun):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(begin_often, fleet)
+            for index in range(1, test_streams.ENTRIES):
+                # Killed before it hands anything over.
+                fleet.leave(index)
+                fleet.meet()
+                fleet.end(index)
+                await trio.sleep(3.0)
+                fleet.start(index)
+                await trio.sleep(3.0)
+            nursery.cancel_scope.cancel()
+        fleet.end(0)
+
+    _run(play)
+
+
 def test_streams_are_found_after_two_entries_leave_at_once():
     async def play(fleet, changes, begun):
         for pair in ((0, 1), (2, 3)):
